--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: adapters that run the decisions of sassafraswinch."""
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for callers, backend servers and the platform."""
