--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/document_fields.py
@@ -0,0 +1,194 @@
+"""Validated models of a document's fields, as the platform publishes them."""
+
+import re
+from typing import Annotated
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    StringConstraints,
+)
+
+from sassafraswinch.errors import SelectorSyntaxError
+from sassafraswinch.labels import Selector, key_fault, parse_selector, value_fault
+from sassafraswinch.paths import parse_path_template
+
+MAX_VERSION = 2**53
+"""Greatest version; JSON readers keep whole numbers exact up to here."""
+
+MAX_DEADLINE_MS = 600_000
+"""Longest deadline of a class."""
+
+MAX_ALLOWANCE = 100
+"""Most retries of one whole request."""
+
+RESERVED_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "content-type",
+        "host",
+        "idempotency-key",
+        "retry-after",
+        "retry-after-ms",
+        "te",
+        "traceparent",
+        "tracestate",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-not-run",
+    )
+)
+"""Headers with a meaning of their own; none can carry an identity."""
+
+_RESERVED_PREFIX = "sassafraswinch-"
+_HEADER = re.compile(r"[a-z0-9!#$%&'*+.^_`|~-]+", re.ASCII)
+
+
+def _check_header(name: str) -> str:
+    lowered = name.lower()
+    if not _HEADER.fullmatch(lowered):
+        raise ValueError("not the name of a header")
+    if lowered in RESERVED_HEADERS or lowered.startswith(_RESERVED_PREFIX):
+        raise ValueError(f"{lowered} has another meaning")
+    return lowered
+
+
+def _check_key(key: str) -> str:
+    fault = key_fault(key)
+    if fault is not None:
+        raise ValueError(fault)
+    return key
+
+
+def _check_value(value: str) -> str:
+    fault = value_fault(value)
+    if fault is not None:
+        raise ValueError(fault)
+    return value
+
+
+def _check_selector(text: object) -> object:
+    if not isinstance(text, str):
+        raise ValueError("a selector is text; quote it")
+    try:
+        return parse_selector(text)
+    except SelectorSyntaxError as error:
+        raise ValueError(f"character {error.position}: {error.reason}") from error
+
+
+def _check_path(text: str) -> str:
+    parse_path_template(text)
+    return text
+
+
+HeaderName = Annotated[str, Field(max_length=64), AfterValidator(_check_header)]
+Labels = dict[
+    Annotated[str, AfterValidator(_check_key)],
+    Annotated[str, AfterValidator(_check_value)],
+]
+SelectorText = Annotated[Selector, BeforeValidator(_check_selector)]
+PathText = Annotated[str, Field(max_length=1024), AfterValidator(_check_path)]
+
+ServiceName = Annotated[
+    str, StringConstraints(pattern=r"^[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?$")
+]
+"""First segment of a URL, so a DNS label."""
+
+ItemName = Annotated[
+    str, StringConstraints(pattern=r"^[A-Za-z0-9]([-A-Za-z0-9_.]{0,61}[A-Za-z0-9])?$")
+]
+"""Name of an operation or a class; a label value, as in metrics and reports."""
+
+IdentityName = Annotated[str, StringConstraints(pattern=r"^[\x21-\x7e]{1,128}$")]
+"""Name of a caller or an organisation: a header's value, so visible ASCII."""
+
+Method = Annotated[str, StringConstraints(pattern=r"^[A-Z]{1,16}$")]
+
+
+class Fields(BaseModel):
+    """Base of the models: no unknown fields, no conversion of types."""
+
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
+
+
+class IdentityFields(Fields):
+    """Headers that carry who calls."""
+
+    caller_header: HeaderName = "x-caller-id"
+    organisation_header: HeaderName = "x-organisation-id"
+
+
+class OrganisationFields(Fields):
+    """One organisation; its name is the key of the map."""
+
+    labels: Labels = {}
+
+
+class CallerFields(Fields):
+    """One caller; its name is the key of the map."""
+
+    organisation: IdentityName | None = None
+    labels: Labels = {}
+
+
+class ServiceFields(Fields):
+    """One service; its name is the key of the map."""
+
+    slots: int = Field(ge=1, le=1_000_000)
+    connections: int = Field(ge=1, le=1_000_000)
+
+
+class OperationFields(Fields):
+    """One operation of a service."""
+
+    name: ItemName
+    service: ServiceName
+    method: Method
+    path: PathText
+    labels: Labels = {}
+
+
+class ObjectiveFields(Fields):
+    """What a class is promised."""
+
+    answered_percent: float = Field(gt=0, lt=100)
+    latency_ms: float = Field(gt=0, le=MAX_DEADLINE_MS)
+
+
+class ClassFields(Fields):
+    """One class of requests; its place in the list is its order."""
+
+    name: ItemName
+    organisations: SelectorText = Selector()
+    operations: SelectorText = Selector()
+    callers: SelectorText = Selector()
+    deadline_ms: int = Field(ge=1, le=MAX_DEADLINE_MS)
+    objective: ObjectiveFields | None = None
+
+
+class RetryFields(Fields):
+    """Bounds of retries."""
+
+    allowance: int = Field(default=3, ge=0, le=MAX_ALLOWANCE)
+    caller_share_percent: float = Field(default=10, ge=0, le=100)
+
+
+class DocumentFields(Fields):
+    """The top level; the entries of each section are validated one by one."""
+
+    version: int = Field(ge=1, le=MAX_VERSION)
+    identity: IdentityFields = IdentityFields()
+    organisations: dict[str, object] = {}
+    callers: dict[str, object] = {}
+    services: dict[str, object]
+    operations: list[object]
+    classes: list[object] = Field(min_length=1)
+    non_repeatable: list[object] = []
+    retry: RetryFields = RetryFields()
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/labels.py
@@ -0,0 +1,247 @@
+"""Labels and the selectors over them, in the syntax of Kubernetes."""
+
+import enum
+import re
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from sassafraswinch.errors import SelectorSyntaxError
+
+MAX_LABEL_LENGTH = 63
+"""Characters in a label's value, and in its key without the prefix."""
+
+MAX_PREFIX_LENGTH = 253
+"""Characters in the prefix of a label's key, before the slash."""
+
+_WORD = r"[A-Za-z0-9]([-A-Za-z0-9_.]*[A-Za-z0-9])?"
+_KEY = re.compile(
+    rf"(?P<prefix>[a-z0-9]([-a-z0-9.]*[a-z0-9])?/)?(?P<name>{_WORD})", re.ASCII
+)
+_VALUE = re.compile(rf"({_WORD})?", re.ASCII)
+_TOKEN = re.compile(r"==|!=|[=!(),]|[A-Za-z0-9][-A-Za-z0-9_./]*", re.ASCII)
+_SPACES = re.compile(r"[ \t\r\n]*")
+_SET_OPERATORS = ("in", "notin")
+_PUNCTUATION = frozenset(("==", "!=", "=", "!", "(", ")", ","))
+
+
+class Operator(enum.Enum):
+    """How a requirement compares a label with its values."""
+
+    IN = "in"
+    NOT_IN = "notin"
+    EXISTS = "exists"
+    ABSENT = "absent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Requirement:
+    """One condition on one label."""
+
+    key: str
+    operator: Operator
+    values: frozenset[str] = frozenset()
+
+    def matches(self, labels: Mapping[str, str]) -> bool:
+        """Return whether ``labels`` meet the condition.
+
+        As in Kubernetes, ``!=`` and ``notin`` are also met by labels
+        without the key.
+        """
+        value = labels.get(self.key)
+        match self.operator:
+            case Operator.IN:
+                return value in self.values
+            case Operator.NOT_IN:
+                return value not in self.values
+            case Operator.EXISTS:
+                return value is not None
+            case Operator.ABSENT:
+                return value is None
+
+    def __str__(self) -> str:
+        match self.operator:
+            case Operator.EXISTS:
+                return self.key
+            case Operator.ABSENT:
+                return f"!{self.key}"
+        if len(self.values) == 1:
+            sign = "=" if self.operator is Operator.IN else "!="
+            return f"{self.key}{sign}{next(iter(self.values))}"
+        return f"{self.key} {self.operator.value} ({','.join(sorted(self.values))})"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Selector:
+    """Requirements that must all be met; none at all matches everything."""
+
+    requirements: tuple[Requirement, ...] = ()
+
+    def matches(self, labels: Mapping[str, str]) -> bool:
+        """Return whether ``labels`` meet every requirement."""
+        return all(requirement.matches(labels) for requirement in self.requirements)
+
+    def __str__(self) -> str:
+        return serialize_selector(self)
+
+
+def parse_selector(text: str) -> Selector:
+    """Parse a selector such as ``tier=trial,action in (approval, release)``.
+
+    Args:
+        text: the selector; empty or blank text matches everything.
+
+    Returns:
+        The selector; equal texts give equal selectors.
+
+    Raises:
+        SelectorSyntaxError: if ``text`` is no selector.
+    """
+    return _SelectorParser(text=text).parse()
+
+
+def serialize_selector(selector: Selector) -> str:
+    """Return the text of a selector, which parses to an equal one."""
+    return ",".join(map(str, selector.requirements))
+
+
+def key_fault(key: str) -> str | None:
+    """Return what is wrong with the key of a label, or None."""
+    match = _KEY.fullmatch(key)
+    if match is None:
+        return (
+            "a label's key is letters, digits, '-', '_' and '.', with a letter or "
+            "digit at both ends, and may follow a DNS prefix and '/'"
+        )
+    if len(match["name"]) > MAX_LABEL_LENGTH:
+        return f"longer than {MAX_LABEL_LENGTH} characters"
+    if len(match["prefix"] or "") > MAX_PREFIX_LENGTH + 1:
+        return f"prefix longer than {MAX_PREFIX_LENGTH} characters"
+    if key in _SET_OPERATORS:
+        return f"{key!r} is an operator of selectors, so no selector could name it"
+    return None
+
+
+def value_fault(value: str) -> str | None:
+    """Return what is wrong with the value of a label, or None."""
+    if _VALUE.fullmatch(value) is None:
+        return (
+            "a label's value is letters, digits, '-', '_' and '.', with a letter or "
+            "digit at both ends, or empty"
+        )
+    if len(value) > MAX_LABEL_LENGTH:
+        return f"longer than {MAX_LABEL_LENGTH} characters"
+    return None
+
+
+@dataclass(frozen=True, slots=True)
+class _Token:
+    text: str
+    """Empty at the end of the selector."""
+    position: int
+
+    @property
+    def is_word(self) -> bool:
+        return bool(self.text) and self.text not in _PUNCTUATION
+
+
+def _tokenize(text: str) -> Iterator[_Token]:
+    position = _SPACES.match(text).end()
+    while position < len(text):
+        match = _TOKEN.match(text, position)
+        if match is None:
+            raise SelectorSyntaxError(
+                selector=text,
+                position=position,
+                reason=f"unexpected {text[position]!r}",
+            )
+        yield _Token(match.group(), position)
+        position = _SPACES.match(text, match.end()).end()
+    yield _Token("", len(text))
+
+
+class _SelectorParser:
+    """Recursive descent over the tokens of one selector."""
+
+    def __init__(self, *, text: str):
+        self._text = text
+        self._tokens = tuple(_tokenize(text))
+        self._index = 0
+
+    def parse(self) -> Selector:
+        if not self._next.text:
+            return Selector()
+        requirements = [self._requirement()]
+        while self._next.text:
+            self._expect(",")
+            requirements.append(self._requirement())
+        return Selector(requirements=tuple(requirements))
+
+    @property
+    def _next(self) -> _Token:
+        return self._tokens[self._index]
+
+    def _take(self) -> _Token:
+        token = self._next
+        self._index += 1
+        return token
+
+    def _fail(self, token: _Token, reason: str) -> SelectorSyntaxError:
+        return SelectorSyntaxError(
+            selector=self._text, position=token.position, reason=reason
+        )
+
+    def _expect(self, text: str) -> None:
+        if self._next.text != text:
+            found = repr(self._next.text) if self._next.text else "the end"
+            raise self._fail(self._next, f"expected {text!r}, found {found}")
+        self._index += 1
+
+    def _requirement(self) -> Requirement:
+        if self._next.text == "!":
+            self._take()
+            return Requirement(key=self._key(), operator=Operator.ABSENT)
+        key = self._key()
+        token = self._next
+        match token.text:
+            case "" | ",":
+                return Requirement(key=key, operator=Operator.EXISTS)
+            case "=" | "==" | "!=":
+                self._take()
+                operator = Operator.NOT_IN if token.text == "!=" else Operator.IN
+                return Requirement(
+                    key=key, operator=operator, values=frozenset((self._value(),))
+                )
+            case "in" | "notin":
+                self._take()
+                return Requirement(
+                    key=key, operator=Operator(token.text), values=self._value_set()
+                )
+        raise self._fail(token, "expected '=', '==', '!=', 'in', 'notin' or ','")
+
+    def _key(self) -> str:
+        token = self._next
+        if not token.is_word:
+            raise self._fail(token, "expected the key of a label")
+        fault = key_fault(token.text)
+        if fault is not None:
+            raise self._fail(token, fault)
+        return self._take().text
+
+    def _value(self) -> str:
+        if not self._next.is_word:
+            return ""
+        fault = value_fault(self._next.text)
+        if fault is not None:
+            raise self._fail(self._next, fault)
+        return self._take().text
+
+    def _value_set(self) -> frozenset[str]:
+        self._expect("(")
+        if self._next.text == ")":
+            raise self._fail(self._next, "expected at least one value")
+        values = {self._value()}
+        while self._next.text == ",":
+            self._take()
+            values.add(self._value())
+        self._expect(")")
+        return frozenset(values)
