--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/sent_calls.py
@@ -0,0 +1,108 @@
+"""What an owner remembers about calls that it wrote to other nodes."""
+
+from dataclasses import dataclass
+
+from sassafraswinch.messages import Fence, FenceReply, FenceState, NodeId
+from sassafraswinch.verdict import Verdict
+
+MAX_SENT_CALLS = 16_384
+"""Calls without an outcome at a time: about 40 s of calls at 375 a second."""
+MAX_FENCE_NUMBERS = 4096
+"""Calls in one fence message: 32 KiB on the wire."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SentCall:
+    """Where a call was written."""
+
+    peer: NodeId
+    session: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Recovery:
+    """What an owner does once it has a new link to a host."""
+
+    fences: tuple[Fence, ...]
+    """To be sent on the new link, before any call."""
+    lost: tuple[int, ...]
+    """Calls written to a previous run of the node: MAY_HAVE_RUN for good."""
+
+
+class SentCalls:
+    """Calls without an outcome, by number; a retry takes a new number."""
+
+    def __init__(self, *, max_calls: int = MAX_SENT_CALLS):
+        self._max_calls = max_calls
+        self._calls: dict[int, SentCall] = {}
+        self._numbers: dict[str, set[int]] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def expect(self, number: int, *, peer: NodeId, session: int) -> bool:
+        """Note a call before its first byte is written.
+
+        Returns:
+            False: there is no room; the call must not be written.
+        """
+        if len(self._calls) >= self._max_calls:
+            return False
+        self._calls[number] = SentCall(peer=peer, session=session)
+        self._numbers.setdefault(peer.host, set()).add(number)
+        return True
+
+    def settle(self, number: int) -> None:
+        """Drop a call that has an outcome, or was provably not written."""
+        call = self._calls.pop(number, None)
+        if call is None:
+            return
+        numbers = self._numbers[call.peer.host]
+        numbers.discard(number)
+        if not numbers:
+            del self._numbers[call.peer.host]
+
+    def is_open(self, number: int, peer: NodeId) -> bool:
+        """Whether an answer from this peer belongs to a call without an outcome."""
+        call = self._calls.get(number)
+        return call is not None and call.peer == peer
+
+    def link_up(self, peer: NodeId, session: int) -> Recovery:
+        """Fence the calls that were written to the host on earlier links.
+
+        A restarted executing node has lost its records: it would answer "never
+        started" about a call that its previous run did start. So it isn't asked.
+        """
+        calls = {n: self._calls[n] for n in self._numbers.get(peer.host, ())}
+        lost = tuple(sorted(n for n, call in calls.items() if call.peer != peer))
+        fenced = sorted(
+            n
+            for n, call in calls.items()
+            if call.peer == peer and call.session < session
+        )
+        for number in lost:
+            self.settle(number)
+        fences = tuple(
+            Fence(
+                floor_session=session,
+                numbers=tuple(fenced[first : first + MAX_FENCE_NUMBERS]),
+            )
+            for first in range(0, len(fenced), MAX_FENCE_NUMBERS)
+        )
+        return Recovery(fences=fences, lost=lost)
+
+    def fence_replied(self, peer: NodeId, reply: FenceReply) -> Verdict | None:
+        """Settle a fenced call.
+
+        Returns:
+            NOT_RUN or MAY_HAVE_RUN; None: it runs and its answer will come, or the
+            call has an outcome already.
+        """
+        if not self.is_open(reply.number, peer):
+            return None
+        if reply.state is FenceState.RUNNING:
+            return None
+        self.settle(reply.number)
+        if reply.state is FenceState.NEVER_STARTED:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
