--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -0,0 +1,283 @@
+"""The adaptive gate: learnt limit, queue by rank, deadlines and threshold."""
+
+import random
+from dataclasses import dataclass
+
+from sassafraswinch.gate import (
+    NOTHING,
+    BackendOutcome,
+    GateDecision,
+    Key,
+    Refusal,
+    refuse,
+)
+from sassafraswinch.limits import ConcurrencyLimit
+from sassafraswinch.messages import LEVELS, Load, Rank
+from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
+from sassafraswinch.service_time import ServiceTimes
+from sassafraswinch.threshold import TARGET_DELAY_MS, Threshold
+from sassafraswinch.verdict import Reason
+from sassafraswinch.waiting import Claim, WaitingCall, WaitingCalls
+
+MAX_WAIT_MS = 100.0
+"""Longest wait in the queue, and the queue's length in time."""
+
+MIN_QUEUE = 4
+"""Calls that may wait however slowly slots come free."""
+
+TARGET_SLOT_TIMES = 2.0
+"""The target of queue delay is at least this many times the mean time between two
+slots coming free: below it one waiting call would already be a standing queue."""
+
+HOLD_MS = 250.0
+"""Time for which classes below a class that lost a call to overload stay closed,
+so that a slot that comes free just then doesn't go to a lower class."""
+
+SLOT_TIME_GAIN = 0.05
+"""Weight of one call in the mean time that a call holds its slot: twenty calls."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Running:
+    """A started call."""
+
+    operation: str
+    started_at_ms: float
+    in_flight: int
+
+
+class AdaptiveGate:
+    """Strict classes, a learnt limit and a short queue, for one backend server.
+
+    A higher claim starts first and is refused last: a full queue evicts its
+    lowest claim, and a class that loses a call to overload closes the classes
+    below it for ``HOLD_MS``.
+    """
+
+    def __init__(self, *, slots: int | None, rng: random.Random):
+        self._rng = rng
+        self._limit = ConcurrencyLimit(slots=slots)
+        self._times = ServiceTimes()
+        self._threshold = Threshold()
+        self._running: dict[Key, _Running] = {}
+        self._waiting = WaitingCalls()
+        self._closed_until_ms: dict[int, float] = {}
+        self._returns: dict[int, ReturnSchedule] = {}
+        self._slot_time_ms = 0.0
+        self._least_delay_ms = 0.0
+        self._sequence = 0
+        self._leaving = False
+
+    def offer(
+        self,
+        *,
+        key: Key,
+        rank: Rank,
+        progress: int,
+        operation: str,
+        deadline_at_ms: float,
+        now_ms: float,
+    ) -> GateDecision:
+        """Start, queue or refuse a call; a full queue loses its lowest claim."""
+        if self._leaving:
+            return refuse(key, Reason.LEAVING, 0)
+        self._threshold.offered(rank, progress)
+        if self._threshold.due(now_ms):
+            self._decide(now_ms)
+        left_ms = deadline_at_ms - now_ms
+        time = self._times.estimate(operation, now_ms)
+        if left_ms <= time.likely_ms:
+            return self._refuse(key, rank, Reason.DEADLINE, now_ms)
+        if self._closed(rank.class_order, now_ms):
+            return self._refuse(key, rank, Reason.OVERLOADED, now_ms)
+        self._sequence += 1
+        claim = Claim(rank.class_order, -progress, rank.level, self._sequence)
+        call = WaitingCall(
+            key=key,
+            claim=claim,
+            operation=operation,
+            deadline_at_ms=deadline_at_ms,
+            offered_at_ms=now_ms,
+        )
+        if not self._waiting and len(self._running) < self._limit.limit:
+            self._start(call, now_ms)
+            return GateDecision(start=(key,))
+        self._limit.reached()
+        if not self._threshold.admits(rank, progress):
+            return self._refuse(key, rank, Reason.OVERLOADED, now_ms)
+        wait_ms = self._delay_ms(self._waiting.ahead_of(claim) + 1)
+        if left_ms <= wait_ms + time.safe_ms:
+            return self._refuse(key, rank, Reason.DEADLINE, now_ms, pressed=True)
+        self._waiting.add(call)
+        if len(self._waiting) <= self._queue_bound():
+            return NOTHING
+        last = self._waiting.pop_last()
+        reason = Reason.OVERLOADED if last is call else Reason.EVICTED
+        return GateDecision(refused=(self._lose(last, reason, now_ms),))
+
+    def finished(
+        self, *, key: Key, self_time_ms: float, outcome: BackendOutcome, now_ms: float
+    ) -> GateDecision:
+        """Learn from a call and give its slot to the highest claim."""
+        running = self._running.pop(key, None)
+        if running is None:
+            return NOTHING
+        held_ms = now_ms - running.started_at_ms
+        if outcome is BackendOutcome.OK:
+            self._times.record(running.operation, held_ms, now_ms)
+            gain = SLOT_TIME_GAIN if self._slot_time_ms else 1.0
+            self._slot_time_ms += gain * (held_ms - self._slot_time_ms)
+        elif outcome is BackendOutcome.CANCELLED:
+            self._times.record_cut(running.operation, held_ms, now_ms)
+        self._limit.finished(
+            started_in_flight=running.in_flight,
+            started_at_ms=running.started_at_ms,
+            self_time_ms=self_time_ms,
+            outcome=outcome,
+            now_ms=now_ms,
+        )
+        return self._fill(now_ms) if self._waiting else NOTHING
+
+    def withdraw(self, key: Key, now_ms: float) -> GateDecision:
+        """Drop the call if it waits."""
+        self._waiting.remove(key)
+        return NOTHING
+
+    def tick(self, now_ms: float) -> GateDecision:
+        """Refuse what has waited too long or is past its time; fill free slots."""
+        if self._threshold.due(now_ms):
+            self._decide(now_ms)
+        late = [call for call in self._waiting if self._late(call, now_ms)]
+        for call in late:
+            self._waiting.remove(call.key)
+        refused = [
+            self._lose(
+                call,
+                Reason.DEADLINE
+                if self._past_deadline(call, now_ms)
+                else Reason.OVERLOADED,
+                now_ms,
+            )
+            for call in late
+        ]
+        filled = self._fill(now_ms)
+        return GateDecision(start=filled.start, refused=tuple(refused) + filled.refused)
+
+    def load(self, now_ms: float) -> Load:
+        """Return counts, the delay a new call would meet, and the threshold."""
+        full = bool(self._waiting) or len(self._running) >= self._limit.limit
+        return Load(
+            in_flight=len(self._running),
+            queued=len(self._waiting),
+            limit=self._limit.limit,
+            queue_delay_ms=self._delay_ms(len(self._waiting) + 1) if full else 0.0,
+            leaving=self._leaving,
+            threshold=self._strictest(now_ms),
+        )
+
+    def leave(self) -> GateDecision:
+        """Refuse what waits and all that comes; what runs may finish."""
+        self._leaving = True
+        calls = list(self._waiting)
+        self._waiting = WaitingCalls()
+        return GateDecision(
+            refused=tuple(
+                Refusal(key=call.key, reason=Reason.LEAVING, retry_after_ms=0)
+                for call in calls
+            )
+        )
+
+    def set_slots(self, slots: int | None) -> None:
+        """Take a new hint; the same one changes nothing."""
+        self._limit.set_slots(slots)
+
+    def _start(self, call: WaitingCall, now_ms: float) -> None:
+        self._running[call.key] = _Running(
+            operation=call.operation,
+            started_at_ms=now_ms,
+            in_flight=len(self._running) + 1,
+        )
+
+    def _fill(self, now_ms: float) -> GateDecision:
+        start, refused = [], []
+        while self._waiting and len(self._running) < self._limit.limit:
+            call = self._waiting.pop_first()
+            if self._past_deadline(call, now_ms):
+                refused.append(self._lose(call, Reason.DEADLINE, now_ms))
+                continue
+            self._least_delay_ms = min(
+                self._least_delay_ms, now_ms - call.offered_at_ms
+            )
+            self._start(call, now_ms)
+            start.append(call.key)
+        if not self._waiting:
+            self._least_delay_ms = 0.0
+        return GateDecision(start=tuple(start), refused=tuple(refused))
+
+    def _decide(self, now_ms: float) -> None:
+        slot_gap_ms = self._delay_ms(1)
+        self._threshold.decide(
+            capacity_per_s=1000 / slot_gap_ms if slot_gap_ms else float("inf"),
+            least_delay_ms=self._least_delay_ms if self._waiting else 0.0,
+            target_ms=max(TARGET_DELAY_MS, TARGET_SLOT_TIMES * slot_gap_ms),
+            now_ms=now_ms,
+        )
+        self._least_delay_ms = float("inf")
+
+    def _delay_ms(self, calls: int) -> float:
+        return calls * self._slot_time_ms / self._limit.limit
+
+    def _queue_bound(self) -> int:
+        gap_ms = self._delay_ms(1)
+        return max(MIN_QUEUE, int(MAX_WAIT_MS / gap_ms)) if gap_ms else MIN_QUEUE
+
+    def _past_deadline(self, call: WaitingCall, now_ms: float) -> bool:
+        time = self._times.estimate(call.operation, now_ms)
+        return call.deadline_at_ms - now_ms <= time.likely_ms
+
+    def _late(self, call: WaitingCall, now_ms: float) -> bool:
+        waited_ms = now_ms - call.offered_at_ms
+        return waited_ms > MAX_WAIT_MS or self._past_deadline(call, now_ms)
+
+    def _closed(self, class_order: int, now_ms: float) -> bool:
+        if not self._closed_until_ms:
+            return False
+        return any(
+            order < class_order and now_ms < until_ms
+            for order, until_ms in self._closed_until_ms.items()
+        )
+
+    def _strictest(self, now_ms: float) -> Rank | None:
+        closers = [
+            Rank(order, LEVELS - 1)
+            for order, until_ms in self._closed_until_ms.items()
+            if now_ms < until_ms
+        ]
+        threshold = self._threshold.rank
+        ranks = closers if threshold is None else [*closers, threshold]
+        return min(ranks) if ranks else None
+
+    def _lose(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
+        rank = Rank(call.claim.class_order, call.claim.level)
+        return self._refuse(call.key, rank, reason, now_ms, pressed=True).refused[0]
+
+    def _refuse(
+        self,
+        key: Key,
+        rank: Rank,
+        reason: Reason,
+        now_ms: float,
+        *,
+        pressed: bool = False,
+    ) -> GateDecision:
+        order = rank.class_order
+        if pressed or (reason is Reason.OVERLOADED and not self._closed(order, now_ms)):
+            self._closed_until_ms[order] = now_ms + HOLD_MS
+        returns = self._returns.setdefault(order, ReturnSchedule(rng=self._rng))
+        gap_ms = self._delay_ms(1)
+        capacity = 1000 / gap_ms if gap_ms else 1000.0
+        spare = max(
+            capacity - self._threshold.rate_above_per_s(order + 1),
+            capacity * MIN_RETURNS_SHARE,
+        )
+        return refuse(key, reason, returns.next_ms(spare_per_s=spare, now_ms=now_ms))
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/limits.py
@@ -0,0 +1,178 @@
+"""How many calls a backend server can run at once, learnt from what the node sees."""
+
+from sassafraswinch.gate import BackendOutcome
+from sassafraswinch.regression import RoundSums
+
+MIN_LIMIT = 2
+"""Calls; one would leave the server idle between an answer and the next call."""
+
+MAX_LIMIT = 4096
+"""Calls; above all slots and connection counts of the brief."""
+
+UNKNOWN_SLOTS = 16
+"""Calls; where the ramp ends and careful growth begins when there is no hint."""
+
+COLD_SHARE = 0.25
+"""Share of the hint that a cold server gets first."""
+
+RAMP_FACTOR = 2.0
+"""Growth a round up to the hint: a quarter to the whole takes two rounds."""
+
+GROWTH_FACTOR = 1.15
+"""Growth a round beyond the hint, while nothing speaks against it: a hint of half
+the slots is made good in five rounds."""
+
+ROUND_MS = 100.0
+"""Shortest round: one step of growth, one comparison of latencies."""
+
+ROUND_SERVICE_TIMES = 2.0
+"""Length of a round in mean times of a call, so that the calls of a step have
+ended before the next one."""
+
+BROKEN_STREAK = 5
+"""Broken calls in a row that mean a server in trouble or restarted."""
+
+BROKEN_FACTOR = 0.5
+"""Share of the limit kept after such a streak."""
+
+SHED_FLOOR = 0.5
+"""Share of the limit kept at least by one cut after sheds."""
+
+FIRST_RETRY_MS = 1_000.0
+"""Time after a cut until one call more than the ceiling is tried."""
+
+MAX_RETRY_MS = 30_000.0
+"""Longest such time: it doubles with each try that fails."""
+
+
+class ConcurrencyLimit:
+    """The limit on calls in flight at one backend server.
+
+    Slots of the document are a hint for the start. Two things cut the limit:
+
+    - a shed: the server refused a call that started as the n-th, so n - 1 is
+      a bound on what it runs, and becomes the ceiling;
+    - queueing inside the server: calls that start at a high count take longer
+      than calls that start at a low count *within the same round*. A server
+      that becomes slower as a whole changes both alike, and keeps its limit.
+
+    It grows while calls reach it and nothing speaks against growth.
+    """
+
+    def __init__(self, *, slots: int | None):
+        self._hint = slots
+        self._limit = 0.0
+        self._ceiling: float | None = None
+        self._retry_ms = FIRST_RETRY_MS
+        self._retry_at_ms = 0.0
+        self._cut_at_ms = float("-inf")
+        self._broken_streak = 0
+        self._mean_ms = 0.0
+        self._round_ends_ms = float("-inf")
+        self._reached = False
+        self._sums = RoundSums()
+        self._start_cold()
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight."""
+        return int(self._limit)
+
+    def set_slots(self, slots: int | None) -> None:
+        """Start again from a new hint; the same hint changes nothing."""
+        if slots == self._hint:
+            return
+        self._hint = slots
+        self._ceiling = None
+        self._limit = float(clamp(slots or UNKNOWN_SLOTS))
+
+    def reached(self) -> None:
+        """Note that a call found the limit reached: growth would be of use."""
+        self._reached = True
+
+    def finished(
+        self,
+        *,
+        started_in_flight: int,
+        started_at_ms: float,
+        self_time_ms: float,
+        outcome: BackendOutcome,
+        now_ms: float,
+    ) -> None:
+        """Learn from a call.
+
+        Args:
+            started_in_flight: calls in flight just after its start, it included.
+            started_at_ms: when it started.
+            self_time_ms: time at the backend server less that of child calls.
+            outcome: how it ended.
+            now_ms: monotonic time.
+        """
+        if outcome is BackendOutcome.OK:
+            self._broken_streak = 0
+            gain = 0.05 if self._mean_ms else 1.0
+            self._mean_ms += gain * (self_time_ms - self._mean_ms)
+            self._sums.add(
+                in_flight=started_in_flight,
+                started_at_ms=started_at_ms,
+                time_ms=self_time_ms,
+            )
+        elif outcome is BackendOutcome.SHED:
+            self._shed(started_in_flight, started_at_ms, now_ms)
+        elif outcome is BackendOutcome.BROKEN:
+            self._broken(started_at_ms, now_ms)
+        if now_ms >= self._round_ends_ms:
+            self._end_round(now_ms)
+
+    def _start_cold(self) -> None:
+        self._limit = float(clamp((self._hint or UNKNOWN_SLOTS) * COLD_SHARE))
+
+    def _shed(self, in_flight: int, started_at_ms: float, now_ms: float) -> None:
+        if started_at_ms < self._cut_at_ms:
+            return
+        bound = max(in_flight - 1.0, self._limit * SHED_FLOOR)
+        if bound < self._limit:
+            self._cut(bound, now_ms)
+
+    def _broken(self, started_at_ms: float, now_ms: float) -> None:
+        if started_at_ms < self._cut_at_ms:
+            return
+        self._broken_streak += 1
+        if self._broken_streak >= BROKEN_STREAK:
+            self._broken_streak = 0
+            self._limit = float(clamp(self._limit * BROKEN_FACTOR))
+            self._cut_at_ms = now_ms
+
+    def _cut(self, limit: float, now_ms: float) -> None:
+        self._limit = float(clamp(limit))
+        self._ceiling = self._limit
+        self._cut_at_ms = now_ms
+        self._retry_at_ms = now_ms + self._retry_ms
+        self._retry_ms = min(self._retry_ms * 2, MAX_RETRY_MS)
+
+    def _end_round(self, now_ms: float) -> None:
+        if self._reached:
+            self._grow(now_ms)
+        self._sums = RoundSums()
+        self._reached = False
+        self._round_ends_ms = now_ms + max(
+            ROUND_MS, ROUND_SERVICE_TIMES * self._mean_ms
+        )
+
+    def _grow(self, now_ms: float) -> None:
+        goal = self._hint or UNKNOWN_SLOTS
+        if self._ceiling is None:
+            ramping = self._limit < goal
+            factor = RAMP_FACTOR if ramping else GROWTH_FACTOR
+            grown = max(self._limit * factor, self._limit + 1)
+            self._limit = float(clamp(min(grown, goal) if ramping else grown))
+        elif self._limit < self._ceiling:
+            self._limit = min(self._limit * RAMP_FACTOR, self._ceiling)
+        elif now_ms >= self._retry_at_ms:
+            self._limit = self._ceiling = float(clamp(self._ceiling + 1))
+            self._retry_at_ms = now_ms + self._retry_ms
+
+
+def clamp(limit: float) -> float:
+    """Return the limit within ``MIN_LIMIT`` and ``MAX_LIMIT``."""
+    return min(max(limit, MIN_LIMIT), MAX_LIMIT)
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/waiting.py
@@ -0,0 +1,79 @@
+"""Calls that wait for a slot, in the order of their claims."""
+
+from bisect import bisect_left, insort
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class Claim(NamedTuple):
+    """Order among the calls at one gate: the smallest starts first, is refused last."""
+
+    class_order: int
+    unprogressed: int
+    """Finished calls of the root request, negated: work done raises the claim."""
+
+    level: int
+    sequence: int
+    """Number of the offer at this gate; makes claims unique."""
+
+
+@dataclass(slots=True, kw_only=True)
+class WaitingCall:
+    """One call in the queue."""
+
+    key: Hashable
+    claim: Claim
+    operation: str
+    deadline_at_ms: float
+    offered_at_ms: float
+
+
+class WaitingCalls:
+    """A queue ordered by claim, with both ends and each key at hand.
+
+    The queue is short (it is bounded by delay), so a sorted list with binary
+    search beats trees and pairs of heaps.
+    """
+
+    def __init__(self):
+        self._claims: list[Claim] = []
+        self._calls: dict[Claim, WaitingCall] = {}
+        self._by_key: dict[Hashable, Claim] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def __iter__(self) -> Iterator[WaitingCall]:
+        return iter([self._calls[claim] for claim in self._claims])
+
+    def add(self, call: WaitingCall) -> None:
+        """Put a call in its place."""
+        insort(self._claims, call.claim)
+        self._calls[call.claim] = call
+        self._by_key[call.key] = call.claim
+
+    def ahead_of(self, claim: Claim) -> int:
+        """Return how many calls would start before one of this claim."""
+        return bisect_left(self._claims, claim)
+
+    def pop_first(self) -> WaitingCall:
+        """Take the call with the highest claim."""
+        return self._forget(self._claims.pop(0))
+
+    def pop_last(self) -> WaitingCall:
+        """Take the call with the lowest claim."""
+        return self._forget(self._claims.pop())
+
+    def remove(self, key: Hashable) -> WaitingCall | None:
+        """Take the call of this key, None if it doesn't wait."""
+        claim = self._by_key.get(key)
+        if claim is None:
+            return None
+        del self._claims[bisect_left(self._claims, claim)]
+        return self._forget(claim)
+
+    def _forget(self, claim: Claim) -> WaitingCall:
+        call = self._calls.pop(claim)
+        del self._by_key[call.key]
+        return call
