--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/serving.py
@@ -0,0 +1,108 @@
+"""Settings files and HTTP listeners, as all stand-ins use them."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import TypeVar
+
+import uvicorn
+import yaml
+from pydantic import BaseModel, ConfigDict
+
+KEEP_ALIVE_S = 75
+"""Time after which an idle connection of a caller is closed, in seconds."""
+
+GRACEFUL_STOP_S = 5
+"""Longest wait for requests in flight when a stand-in is told to stop, in seconds."""
+
+LISTEN_BACKLOG = 1024
+"""Connections that the kernel holds until they are accepted."""
+
+STARTED_POLL_S = 0.005
+"""Interval of the look at a listener that starts within this process, in seconds."""
+
+
+class StrictModel(BaseModel):
+    """Base of all settings: an unknown field is a fault."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+Settings = TypeVar("Settings", bound=BaseModel)
+
+
+def load_settings(model: type[Settings], path: Path) -> Settings:
+    """Read a YAML file into a validated model."""
+    return model.model_validate(yaml.safe_load(path.read_text()) or {})
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split ``ip:port``; port 0 stands for any free one."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def serialize_address(host: str, port: int) -> str:
+    """Join an IP number and a port to ``ip:port``."""
+    return f"{host}:{port}"
+
+
+def bind(listen: str) -> tuple[socket.socket, str]:
+    """Open a listening socket.
+
+    Args:
+        listen: ``ip:port``; port 0 takes any free one.
+
+    Returns:
+        The socket, and its address with the port that it got.
+    """
+    host, port = parse_address(listen)
+    listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+    return listener, serialize_address(host, listener.getsockname()[1])
+
+
+def announce(address: str) -> None:
+    """Tell the process that started this one where it listens."""
+    print(f"listening {address}", flush=True)
+
+
+def _server(app) -> uvicorn.Server:
+    return uvicorn.Server(
+        uvicorn.Config(
+            app,
+            http="httptools",
+            loop="asyncio",
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_level="warning",
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=GRACEFUL_STOP_S,
+        )
+    )
+
+
+async def serve(app, *, listen: str) -> None:
+    """Serve an ASGI application until SIGTERM or SIGINT."""
+    listener, address = bind(listen)
+    announce(address)
+    await _server(app).serve(sockets=[listener])
+
+
+@contextlib.asynccontextmanager
+async def serving(app, *, listen: str = "127.0.0.1:0") -> AsyncIterator[str]:
+    """Serve an ASGI application within this process; gives its ``ip:port``."""
+    listener, address = bind(listen)
+    server = _server(app)
+    task = asyncio.create_task(server.serve(sockets=[listener]))
+    while not server.started:
+        await asyncio.sleep(STARTED_POLL_S)
+    try:
+        yield address
+    finally:
+        server.should_exit = True
+        await task
