--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets set up what they need; a fresh machine needs python3.11 and make only.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: setup test lint demo bench soak generate clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+demo: setup
+	$(BIN)/python -m sassafraswinch_standins.demo
+
+bench: setup
+	$(BIN)/python -m sassafraswinch_standins.bench
+
+soak: setup
+	$(BIN)/python -m sassafraswinch_standins.soak --seed $(SEED) --minutes $(MINUTES)
+
+# Needs the thrift compiler; its output is committed, so the build doesn't.
+generate:
+	thrift --gen py:slots \
+		-out packages/sassafraswinch-node/sassafraswinch_node \
+		packages/sassafraswinch-node/link.thrift
+
+clean:
+	rm -rf $(VENV) out .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/dispatcher.py
@@ -0,0 +1,77 @@
+"""Runs started calls against the local backend server, one task each."""
+
+import asyncio
+from collections.abc import Callable
+
+from sassafraswinch.messages import Call
+from sassafraswinch.requests import BackendResult, CallKey
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch_node.backend import BackendClient, BackendError
+
+DEADLINE_HEADER = "x-deadline-ms"
+TRACEPARENT_HEADER = "traceparent"
+
+
+class Dispatcher:
+    """The backend port of a node."""
+
+    def __init__(
+        self,
+        *,
+        client: BackendClient,
+        done: Callable[[CallKey, BackendResult], None],
+    ):
+        self.client = client
+        self.done = done
+        self.tasks: dict[CallKey, asyncio.Task] = {}
+
+    def dispatch(self, key: CallKey, call: Call, traceparent: str) -> None:
+        """Start a task that sends ``call`` and reports its end to ``done``."""
+        task = asyncio.get_running_loop().create_task(self._call(call, traceparent))
+        self.tasks[key] = task
+        task.add_done_callback(lambda ended: self._ended(key, ended))
+
+    def cancel(self, key: CallKey) -> None:
+        """Close the connection of a call, which tells the backend server to stop."""
+        task = self.tasks.get(key)
+        if task is not None:
+            task.cancel()
+
+    def _ended(self, key: CallKey, task: asyncio.Task) -> None:
+        """Report the end of a task, also of one that was cancelled before it ran."""
+        del self.tasks[key]
+        if task.cancelled():
+            reason = Reason.CANCELLED
+        elif task.exception() is not None:
+            reason = Reason.BACKEND_BROKEN
+        else:
+            self.done(key, task.result())
+            return
+        self.done(key, BackendResult(verdict=Verdict.MAY_HAVE_RUN, reason=reason))
+
+    async def _call(self, call: Call, traceparent: str) -> BackendResult:
+        headers = call.headers + (
+            (TRACEPARENT_HEADER, traceparent),
+            (DEADLINE_HEADER, str(call.remaining_ms)),
+        )
+        try:
+            answer = await self.client.call(
+                method=call.method,
+                target=call.target,
+                headers=headers,
+                body=call.body,
+                timeout_ms=call.remaining_ms,
+            )
+        except BackendError as error:
+            reason = (
+                Reason.BACKEND_UNREACHABLE
+                if error.verdict is Verdict.NOT_RUN
+                else Reason.BACKEND_BROKEN
+            )
+            return BackendResult(verdict=error.verdict, reason=reason)
+        return BackendResult(
+            verdict=Verdict.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+        )
--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/settings.py
@@ -0,0 +1,163 @@
+"""Settings of a node: what it can't learn from the platform."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+import yaml
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    HttpUrl,
+    ValidationError,
+    model_validator,
+)
+
+from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
+
+MAX_PORT = 65_535
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Address:
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read ``ip:port``.
+
+    Raises:
+        ValueError: if ``text`` has another form or the port is out of range.
+    """
+    ip, separator, port = text.rpartition(":")
+    if not separator or not ip:
+        raise ValueError("expected ip:port")
+    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"port {port!r} is not a number from 0 to {MAX_PORT}")
+    return Address(ip=ip.strip("[]"), port=int(port))
+
+
+def _check_address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+
+
+class SettingsModel(BaseModel):
+    """The settings file as it must be written."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    host: str = Field(min_length=1, max_length=200)
+    availability_zone: str = Field(min_length=1, max_length=200)
+    service: str = Field(min_length=1, max_length=200)
+    entry: AddressText
+    egress: AddressText
+    operators: AddressText
+    link: AddressText
+    backend: AddressText
+    platform: list[Annotated[HttpUrl, Field(strict=False)]] = Field(min_length=1)
+    gate: Literal["adaptive", "static", "open"] = "adaptive"
+    slots_hint: int | None = Field(default=None, ge=1, le=100_000)
+    max_connections: int = Field(default=512, ge=1, le=100_000)
+    max_body_bytes: int = Field(default=4_194_304, ge=1024, le=67_108_864)
+    leave_notice_ms: int = Field(default=1_000, ge=0, le=60_000)
+    stop_timeout_ms: int = Field(default=30_000, ge=0, le=600_000)
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+    @model_validator(mode="after")
+    def _listeners_differ(self):
+        texts = [self.entry, self.egress, self.operators, self.link]
+        fixed = [text for text in texts if parse_address(text).port]
+        if len(set(fixed)) != len(fixed):
+            raise ValueError("entry, egress, operators and link need addresses apart")
+        return self
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Checked settings of one node."""
+
+    host: str
+    availability_zone: str
+    service: str
+    entry: Address
+    egress: Address
+    operators: Address
+    link: Address
+    backend: Address
+    platform: tuple[str, ...]
+    gate: str
+    slots_hint: int | None
+    max_connections: int
+    max_body_bytes: int
+    leave_notice_ms: int
+    """How long a leaving node tells the others before it stops to listen."""
+    stop_timeout_ms: int
+    """After this, requests still in flight are cut and named in the log."""
+    log_level: str
+
+
+ADDRESS_FIELDS = ("entry", "egress", "operators", "link", "backend")
+
+
+def parse_settings(text: str, *, source: str) -> Settings:
+    """Read the YAML of a settings file.
+
+    Args:
+        text: the YAML.
+        source: name of the file, for error messages.
+
+    Raises:
+        InvalidFieldsError: with one InvalidFieldError for each fault.
+    """
+    try:
+        raw = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        reason = f"not YAML: {error}"
+        raise _faults(source, [("(file)", reason)]) from None
+    if not isinstance(raw, dict):
+        raise _faults(source, [("(file)", "expected a mapping of fields")])
+    try:
+        model = SettingsModel.model_validate(raw)
+    except ValidationError as error:
+        found = [
+            (".".join(map(str, item["loc"])) or "(file)", item["msg"])
+            for item in error.errors()
+        ]
+        raise _faults(source, found) from None
+    fields = model.model_dump()
+    fields |= {name: parse_address(fields[name]) for name in ADDRESS_FIELDS}
+    fields["platform"] = tuple(str(url).rstrip("/") for url in model.platform)
+    return Settings(**fields)
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        InvalidFieldsError: if the file can't be read or has faults.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _faults(str(path), [("(file)", f"can't be read: {error}")]) from None
+    return parse_settings(text, source=str(path))
+
+
+def _faults(source: str, found: list[tuple[str, str]]) -> InvalidFieldsError:
+    errors = [
+        InvalidFieldError(source=source, field=field, reason=reason)
+        for field, reason in found
+    ]
+    return InvalidFieldsError(f"{source}: {len(errors)} fault(s)", errors)
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -0,0 +1,167 @@
+"""Calls that the local backend server makes while it runs a call."""
+
+from collections.abc import Callable
+
+from sassafraswinch.claims import Dispatch, Join, Recorded, Refused
+from sassafraswinch.classify import Classification, Classifier
+from sassafraswinch.entry import Entry, outcome_of
+from sassafraswinch.executor import Executor, RunningCall
+from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.pending import LocalWaiter, Pending
+from sassafraswinch.requests import CallKey, Outcome, Request
+from sassafraswinch.retry import RetryAllowance
+from sassafraswinch.tickets import fingerprint
+from sassafraswinch.verdict import Reason, Verdict
+
+
+class Egress:
+    """The way of a child call from the running parent to its owned call and back.
+
+    A parent runs once and its node owns all its children, so a child needs no
+    ticket: a repeat of the same child comes through this node and is recognised.
+    """
+
+    def __init__(
+        self,
+        *,
+        executor: Executor,
+        owner: Owner,
+        entry: Entry,
+        respond: Callable[[LocalWaiter, Outcome], None],
+    ):
+        self.executor = executor
+        self.owner = owner
+        self.entry = entry
+        self.respond = respond
+        self.classifier: Classifier | None = None
+        self._running: dict[tuple[CallKey, int], OwnedCall] = {}
+
+    def submit(
+        self, request: Request, waiter: LocalWaiter, now_ms: float
+    ) -> OwnedCall | None:
+        """Take a call of the local backend server.
+
+        Returns:
+            The owned call that the waiter now waits for, if there is one.
+        """
+        if self.classifier is None:
+            return self._refuse(waiter, Reason.NO_DOCUMENT)
+        operation = self.classifier.operation(
+            request.service, request.method, request.target
+        )
+        if operation is None:
+            return self._refuse(waiter, Reason.UNKNOWN_OPERATION)
+        classification = self.classifier.lowest(operation)
+        parent = self.executor.parent(request.traceparent)
+        if parent is not None:
+            return self._submit_child(request, classification, parent, waiter, now_ms)
+        if self.executor.parent_is_finished(request.traceparent):
+            return self._refuse(waiter, Reason.CANCELLED)
+        return self.entry.submit_classified(request, classification, waiter, now_ms)
+
+    def finished(self, finished: Finished, now_ms: float) -> None:
+        """Settle the parent and the waiters of an ended child call."""
+        owned = finished.owned
+        pending: Pending = owned.context
+        parent = pending.parent
+        if not finished.given_up:
+            number = pending.child_number
+            del self._running[parent.key, number]
+            parent.allowance.give_back(number, owned.allowance.unspent)
+            parent.children.finish(number, finished.answer, repeatable=owned.repeatable)
+            parent.child_closed(now_ms, finished.answer.threshold)
+        waiters, pending.waiters = pending.waiters, []
+        for waiter in waiters:
+            self.respond(waiter, outcome_of(finished.answer))
+
+    def parent_ended(self, parent: RunningCall, now_ms: float) -> None:
+        """Stop what still runs below a parent that has ended."""
+        orphans = [
+            owned
+            for owned in self.owner.open.values()
+            if owned.context.parent is parent and not owned.abandoned
+        ]
+        for owned in orphans:
+            self.owner.abandon(owned, now_ms)
+
+    def _submit_child(
+        self,
+        request: Request,
+        classification: Classification,
+        parent: RunningCall,
+        waiter: LocalWaiter,
+        now_ms: float,
+    ) -> OwnedCall | None:
+        claim = parent.children.claim(
+            classification.operation.name,
+            child_mark(request),
+            repeatable=classification.repeatable,
+        )
+        match claim:
+            case Dispatch(number=number):
+                return self._begin(
+                    request, classification, parent, number, waiter, now_ms
+                )
+            case Join(number=number):
+                return self._join(parent, number, waiter)
+            case Recorded(answer=answer):
+                self.respond(waiter, outcome_of(answer))
+            case Refused(verdict=verdict, reason=reason):
+                self.respond(waiter, Outcome(verdict=verdict, reason=reason))
+        return None
+
+    def _begin(
+        self,
+        request: Request,
+        classification: Classification,
+        parent: RunningCall,
+        number: int,
+        waiter: LocalWaiter,
+        now_ms: float,
+    ) -> OwnedCall:
+        pending = Pending(
+            classification=classification,
+            organisation=request.organisation,
+            begun_at_ms=now_ms,
+            waiters=[waiter],
+            parent=parent,
+            child_number=number,
+            handed=parent.allowance.hand_over(number),
+        )
+        call = parent.call
+        owned = OwnedCall(
+            service=request.service,
+            operation=classification.operation.name,
+            repeatable=classification.repeatable,
+            rank=call.rank,
+            root_id=call.root_id,
+            depth=call.depth + 1,
+            progress=call.progress + parent.finished_children + 1,
+            deadline_at_ms=parent.deadline_at_ms,
+            begun_at_ms=now_ms,
+            allowance=RetryAllowance(granted=pending.handed),
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            context=pending,
+        )
+        self._running[parent.key, number] = owned
+        parent.child_opened(now_ms)
+        self.owner.begin(owned, now_ms)
+        return owned
+
+    def _join(self, parent: RunningCall, number: int, waiter: LocalWaiter) -> OwnedCall:
+        owned = self._running[parent.key, number]
+        owned.context.waiters.append(waiter)
+        return owned
+
+    def _refuse(self, waiter: LocalWaiter, reason: Reason) -> None:
+        self.respond(waiter, Outcome(verdict=Verdict.NOT_RUN, reason=reason))
+
+
+def child_mark(request: Request) -> bytes:
+    """Return what stays the same when a backend server repeats a child call."""
+    if request.idempotency_key is not None:
+        return request.idempotency_key.encode()
+    return fingerprint(request.method, request.target, request.body)
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -0,0 +1,308 @@
+"""Requests of callers: classified once, shed, deduplicated by ticket, then owned."""
+
+import random
+from collections.abc import Callable
+
+from sassafraswinch import claims, tickets
+from sassafraswinch.classify import Classification, Classifier, admission_level
+from sassafraswinch.early_repeats import EarlyRepeats
+from sassafraswinch.forwarding import Forwarder
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.messages import LEVELS, Answer, NodeId, Rank
+from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.pending import Pending, RemoteWaiter, Waiter
+from sassafraswinch.requests import Outcome, Request
+from sassafraswinch.retry import CallerRetryBudget, RetryAllowance
+from sassafraswinch.verdict import Reason, Verdict
+
+NO_DOCUMENT_RETRY_MS = 1000
+"""A node without a document asks its peers and the platform in about this time."""
+
+LEAVING_RETRY_MS = 100
+"""Another node of the availability zone can be asked at once."""
+
+
+class Entry:
+    """The way of a request from a caller to its owned call and back."""
+
+    def __init__(
+        self,
+        *,
+        node: NodeId,
+        owner: Owner,
+        ledger: tickets.TicketLedger,
+        forwarder: Forwarder,
+        shedder: EntryShedder,
+        budget: CallerRetryBudget,
+        repeats: EarlyRepeats,
+        respond: Callable[[Waiter, Outcome], None],
+        rng: random.Random,
+    ):
+        self.node = node
+        self.owner = owner
+        self.ledger = ledger
+        self.forwarder = forwarder
+        self.shedder = shedder
+        self.budget = budget
+        self.repeats = repeats
+        self.respond = respond
+        self.rng = rng
+        self.classifier: Classifier | None = None
+        self.leaving = False
+        self._by_ticket: dict[int, OwnedCall] = {}
+
+    def submit(
+        self, request: Request, waiter: Waiter, now_ms: float
+    ) -> OwnedCall | None:
+        """Take a request of a caller, or one that another node forwarded.
+
+        Returns:
+            The owned call that the waiter now waits for, if there is one.
+        """
+        classifier = self.classifier
+        if classifier is None:
+            self._refuse(waiter, Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
+            return None
+        operation = classifier.operation(
+            request.service, request.method, request.target
+        )
+        if operation is None:
+            self._refuse(waiter, Reason.UNKNOWN_OPERATION, 0)
+            return None
+        classification = classifier.classify(
+            caller=request.caller,
+            organisation=request.organisation,
+            operation=operation,
+        )
+        return self.submit_classified(request, classification, waiter, now_ms)
+
+    def submit_classified(
+        self,
+        request: Request,
+        classification: Classification,
+        waiter: Waiter,
+        now_ms: float,
+    ) -> OwnedCall | None:
+        """Take a request whose class is known already."""
+        if classification.repeatable:
+            return self._admit(request, classification, waiter, None, now_ms)
+        if request.ticket is None:
+            ticket = self._fresh_ticket(request.organisation, classification, now_ms)
+            outcome = Outcome(
+                verdict=Verdict.NOT_RUN, reason=Reason.TICKET_REQUIRED, ticket=ticket
+            )
+            self.respond(waiter, outcome)
+            return None
+        ticket = tickets.parse_ticket(request.ticket)
+        if ticket is not None and ticket.owner != self.node:
+            return self._forward(request, ticket, waiter, now_ms)
+        return self._claim(request, classification, waiter, now_ms)
+
+    def finished(self, finished: Finished, now_ms: float) -> None:
+        """Settle the waiters and the ticket of an ended call."""
+        pending: Pending = finished.owned.context
+        answer = finished.answer
+        classification = pending.classification
+        self.shedder.learn(classification.operation.name, answer.threshold, now_ms)
+        if pending.ticket_number is not None and not finished.given_up:
+            self.ledger.finish(pending.ticket_number, answer, now_ms)
+            self._by_ticket.pop(pending.ticket_number, None)
+        outcome = self._outcome(pending, finished.owned.rank, answer, now_ms)
+        waiters, pending.waiters = pending.waiters, []
+        for waiter in waiters:
+            self.respond(waiter, outcome)
+
+    def _forward(
+        self,
+        request: Request,
+        ticket: tickets.Ticket,
+        waiter: Waiter,
+        now_ms: float,
+    ) -> None:
+        if isinstance(waiter, RemoteWaiter):
+            self._refuse(waiter, Reason.TICKET_OWNER_RESTARTED, 0, Verdict.MAY_HAVE_RUN)
+            return
+        self.forwarder.forward(request, ticket.owner, waiter, now_ms)
+
+    def _claim(
+        self,
+        request: Request,
+        classification: Classification,
+        waiter: Waiter,
+        now_ms: float,
+    ) -> OwnedCall | None:
+        organisation = request.organisation
+        claim = self.ledger.claim(
+            request.ticket,
+            organisation,
+            classification.operation.name,
+            tickets.fingerprint(request.method, request.target, request.body),
+            now_ms,
+        )
+        match claim:
+            case claims.Dispatch(number=number):
+                return self._admit(request, classification, waiter, number, now_ms)
+            case claims.Join(number=number):
+                owned = self._by_ticket[number]
+                return self._join(owned, waiter)
+            case claims.Recorded(answer=answer):
+                ticket = self._fresh_ticket(organisation, classification, now_ms)
+                self.respond(waiter, outcome_of(answer, ticket=ticket))
+            case claims.Refused(verdict=verdict, reason=reason):
+                ticket = self._fresh_ticket(organisation, classification, now_ms)
+                self.respond(
+                    waiter, Outcome(verdict=verdict, reason=reason, ticket=ticket)
+                )
+        return None
+
+    def _join(self, owned: OwnedCall, waiter: Waiter) -> OwnedCall:
+        pending: Pending = owned.context
+        if waiter not in pending.waiters:
+            pending.waiters.append(waiter)
+        return owned
+
+    def _admit(
+        self,
+        request: Request,
+        classification: Classification,
+        waiter: Waiter,
+        ticket_number: int | None,
+        now_ms: float,
+    ) -> OwnedCall | None:
+        root_id = f"{self.rng.getrandbits(128) | 1:032x}"
+        rank = Rank(
+            classification.class_order, admission_level(request.organisation, root_id)
+        )
+        pending = Pending(
+            classification=classification,
+            organisation=request.organisation,
+            begun_at_ms=now_ms,
+            waiters=[waiter],
+            repeat_key=repeat_key(request),
+            ticket_number=ticket_number,
+        )
+        refusal = self._refusal(pending, rank, now_ms)
+        if refusal is not None:
+            if ticket_number is not None:
+                self.ledger.finish(ticket_number, refusal, now_ms)
+            self.respond(waiter, self._outcome(pending, rank, refusal, now_ms))
+            return None
+        owned = OwnedCall(
+            service=request.service,
+            operation=classification.operation.name,
+            class_name=classification.class_name,
+            repeatable=classification.repeatable,
+            rank=rank,
+            root_id=root_id,
+            depth=0,
+            progress=0,
+            deadline_at_ms=now_ms + classification.deadline_ms,
+            begun_at_ms=now_ms,
+            allowance=RetryAllowance(granted=classification.allowance),
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            context=pending,
+        )
+        if ticket_number is not None:
+            self._by_ticket[ticket_number] = owned
+        self.owner.begin(owned, now_ms)
+        return owned
+
+    def _refusal(self, pending: Pending, rank: Rank, now_ms: float) -> Answer | None:
+        """Return the NOT_RUN answer for a request that is not let in, else None.
+
+        A caller that comes back before its time is refused only where its class is
+        being shed anyway. So a paying caller's haste never lets trial work pass it.
+        """
+        if self.leaving:
+            return _not_run(Reason.LEAVING, LEAVING_RETRY_MS)
+        operation = pending.classification.operation.name
+        if not self.shedder.admits(operation, rank, now_ms):
+            delay_ms = self.shedder.retry_after_ms(operation, rank, now_ms, self.rng)
+            return _not_run(Reason.OVERLOADED, delay_ms)
+        wait_ms = self.repeats.wait_left_ms(pending.repeat_key, now_ms)
+        if not wait_ms:
+            self.budget.first(pending.organisation, now_ms)
+            return None
+        lowest_of_class = Rank(rank.class_order, LEVELS - 1)
+        if self.shedder.admits(operation, lowest_of_class, now_ms):
+            return None
+        if self.budget.repeat(pending.organisation, now_ms):
+            return None
+        return _not_run(Reason.CALLER_RETRIES, int(wait_ms) + 1)
+
+    def _outcome(
+        self, pending: Pending, rank: Rank, answer: Answer, now_ms: float
+    ) -> Outcome:
+        classification = pending.classification
+        retry_after_ms = answer.retry_after_ms
+        if answer.verdict is Verdict.NOT_RUN and pending.parent is None:
+            if not retry_after_ms and answer.reason in COME_BACK_REASONS:
+                retry_after_ms = self.shedder.retry_after_ms(
+                    classification.operation.name, rank, now_ms, self.rng
+                )
+            if retry_after_ms and pending.repeat_key is not None:
+                self.repeats.refused(pending.repeat_key, now_ms + retry_after_ms)
+        ticket = None
+        if not classification.repeatable and pending.parent is None:
+            ticket = self._fresh_ticket(pending.organisation, classification, now_ms)
+        return outcome_of(answer, ticket=ticket, retry_after_ms=retry_after_ms)
+
+    def _fresh_ticket(
+        self, organisation: str, classification: Classification, now_ms: float
+    ) -> str:
+        return self.ledger.issue(organisation, classification.operation.name, now_ms)
+
+    def _refuse(
+        self,
+        waiter: Waiter,
+        reason: Reason,
+        retry_after_ms: int,
+        verdict: Verdict = Verdict.NOT_RUN,
+    ) -> None:
+        outcome = Outcome(verdict=verdict, reason=reason, retry_after_ms=retry_after_ms)
+        self.respond(waiter, outcome)
+
+
+COME_BACK_REASONS = frozenset(
+    {
+        Reason.OVERLOADED,
+        Reason.EVICTED,
+        Reason.DEADLINE,
+        Reason.BACKEND_SHED,
+        Reason.NO_HOST,
+    }
+)
+"""Refusals that pass; the caller is told when to come back."""
+
+
+def outcome_of(
+    answer: Answer, *, ticket: str | None = None, retry_after_ms: int = 0
+) -> Outcome:
+    """Return what a waiter is told of ``answer``."""
+    return Outcome(
+        verdict=answer.verdict,
+        reason=answer.reason,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        retry_after_ms=retry_after_ms,
+        ticket=ticket,
+    )
+
+
+def repeat_key(request: Request) -> bytes:
+    """Return what stays the same when a caller sends a request again."""
+    who = f"{request.organisation}\n{request.caller}\n{request.service}".encode()
+    return who + tickets.fingerprint(request.method, request.target, request.body)
+
+
+def _not_run(reason: Reason, retry_after_ms: int) -> Answer:
+    return Answer(
+        number=0,
+        verdict=Verdict.NOT_RUN,
+        reason=reason,
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -0,0 +1,350 @@
+"""The executing side of a node: runs calls of owners on the local backend server."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from sassafraswinch.answer_store import AnswerStore
+from sassafraswinch.errors import InvariantError
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.gate import BackendOutcome, Gate, GateDecision
+from sassafraswinch.levels import strictest
+from sassafraswinch.messages import (
+    Answer,
+    Call,
+    Cancel,
+    Fence,
+    FenceReply,
+    NodeId,
+    Rank,
+)
+from sassafraswinch.ports import BackendPort
+from sassafraswinch.requests import BackendResult, CallKey
+from sassafraswinch.retry import ChildCalls, RetryAllowance
+from sassafraswinch.verdict import Reason, Verdict
+
+SHED_STATUS = 503
+SHED_HEADER = "x-not-run"
+"""With this header set to 1 a backend server's 503 says that nothing was started."""
+
+MAX_DEPTH = 64
+"""Calls below one another; more is taken for a loop between services."""
+
+MAX_CHILD_ANSWER_BYTES = 8_388_608
+"""Answers of non-repeatable child calls, kept until their parent ends."""
+
+FINISHED_SPAN_LIMIT = 4096
+"""Spans kept after their run, to tell a late child from an unknown parent."""
+
+
+def parse_traceparent(text: str | None) -> tuple[str, str] | None:
+    """Return trace id and span id of a ``traceparent`` header, None if malformed."""
+    parts = (text or "").split("-")
+    if len(parts) < 4 or len(parts[1]) != 32 or len(parts[2]) != 16:
+        return None
+    return parts[1], parts[2]
+
+
+def serialize_traceparent(root_id: str, span_id: str) -> str:
+    """Return the ``traceparent`` header for a dispatch."""
+    return f"00-{root_id}-{span_id}-01"
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningCall:
+    """A call from its arrival at the executing node until its answer."""
+
+    key: CallKey
+    call: Call
+    deadline_at_ms: float
+    allowance: RetryAllowance
+    span_id: str
+    children: ChildCalls
+    started_at_ms: float | None = None
+    cancelled: bool = False
+    threshold: Rank | None = None
+    open_children: int = 0
+    finished_children: int = 0
+    waiting_since_ms: float = 0.0
+    waited_ms: float = 0.0
+
+    def child_opened(self, now_ms: float) -> None:
+        """Note that a child call began; time with open children isn't self time."""
+        if not self.open_children:
+            self.waiting_since_ms = now_ms
+        self.open_children += 1
+
+    def child_closed(self, now_ms: float, threshold: Rank | None) -> None:
+        """Note that a child call ended and the strictest threshold it met."""
+        self.open_children -= 1
+        self.finished_children += 1
+        self.threshold = strictest(self.threshold, threshold)
+        if not self.open_children:
+            self.waited_ms += now_ms - self.waiting_since_ms
+
+    def self_time_ms(self, now_ms: float) -> float:
+        """Return the time the backend server spent on this call itself."""
+        waited_ms = self.waited_ms
+        if self.open_children:
+            waited_ms += now_ms - self.waiting_since_ms
+        return max(0.0, now_ms - self.started_at_ms - waited_ms)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """An answer on its way to the owner of a call."""
+
+    owner: NodeId
+    message: Answer | FenceReply
+
+
+class Executor:
+    """Admits, starts, cancels and answers the calls sent to this host."""
+
+    def __init__(
+        self,
+        *,
+        gate: Gate,
+        ledger: ExecutionLedger,
+        backend: BackendPort,
+        rng: random.Random,
+    ):
+        self.gate = gate
+        self.ledger = ledger
+        self.backend = backend
+        self.rng = rng
+        self.leaving = False
+        self.calls: dict[CallKey, RunningCall] = {}
+        self._by_span: dict[str, RunningCall] = {}
+        self._finished_spans: dict[str, None] = {}
+        self._child_answers: AnswerStore[tuple[CallKey, int]] = AnswerStore(
+            max_bytes=MAX_CHILD_ANSWER_BYTES
+        )
+        self._replies: list[Reply] = []
+        self._ended: list[RunningCall] = []
+
+    def take_replies(self) -> list[Reply]:
+        """Return the answers made since the last call."""
+        replies, self._replies = self._replies, []
+        return replies
+
+    def take_ended(self) -> list[RunningCall]:
+        """Return the runs ended since the last call; their children are orphans."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def parent(self, traceparent: str | None) -> RunningCall | None:
+        """Return the running call that a backend server's own call belongs to."""
+        ids = parse_traceparent(traceparent)
+        running = self._by_span.get(ids[1]) if ids else None
+        if running is None or running.call.root_id != ids[0]:
+            return None
+        return running
+
+    def parent_is_finished(self, traceparent: str | None) -> bool:
+        """Return whether the header names a run of this node that has ended."""
+        ids = parse_traceparent(traceparent)
+        return bool(ids) and ids[1] in self._finished_spans
+
+    def receive(self, owner: NodeId, session: int, call: Call, now_ms: float) -> None:
+        """Take in a call; its answer follows by ``take_replies``."""
+        if not self.ledger.receive(owner, session, call.number):
+            return
+        running = self._take_in(CallKey(owner, call.number), call, now_ms)
+        self.calls[running.key] = running
+        if self.leaving:
+            self._refuse(running, Reason.LEAVING, 0, now_ms)
+            return
+        if call.depth > MAX_DEPTH:
+            self._refuse(running, Reason.BAD_REQUEST, 0, now_ms)
+            return
+        decision = self.gate.offer(
+            key=running.key,
+            rank=call.rank,
+            progress=call.progress,
+            operation=call.operation,
+            deadline_at_ms=running.deadline_at_ms,
+            now_ms=now_ms,
+        )
+        self._apply(decision, now_ms)
+
+    def _take_in(self, key: CallKey, call: Call, now_ms: float) -> RunningCall:
+        allowance = RetryAllowance(granted=call.allowance)
+        children = ChildCalls(
+            parent=key,
+            parent_repeatable=call.repeatable,
+            allowance=allowance,
+            answers=self._child_answers,
+        )
+        return RunningCall(
+            key=key,
+            call=call,
+            deadline_at_ms=now_ms + call.remaining_ms,
+            allowance=allowance,
+            span_id=f"{self.rng.getrandbits(64) | 1:016x}",
+            children=children,
+        )
+
+    def cancel(self, owner: NodeId, cancel: Cancel, now_ms: float) -> None:
+        """Give up a call that its owner no longer wants.
+
+        A queued call is withdrawn, which proves NOT_RUN. A started one is
+        stopped only when it is repeatable: half an approval helps nobody.
+        """
+        running = self.calls.get(CallKey(owner, cancel.number))
+        if running is not None:
+            self.give_up(running, now_ms)
+
+    def give_up(self, running: RunningCall, now_ms: float) -> None:
+        """Withdraw a queued call, or stop a started repeatable one."""
+        if running.started_at_ms is None:
+            decision = self.gate.withdraw(running.key, now_ms)
+            self._refuse(running, Reason.CANCELLED, 0, now_ms)
+            self._apply(decision, now_ms)
+        elif running.call.repeatable and not running.cancelled:
+            running.cancelled = True
+            self.backend.cancel(running.key)
+
+    def fence(self, owner: NodeId, fence: Fence, now_ms: float) -> None:
+        """Answer an owner that lost a link; see ``ExecutionLedger.fence``."""
+        result = self.ledger.fence(owner, fence)
+        withdrawn = [CallKey(owner, number) for number in result.withdrawn]
+        for key in withdrawn:
+            running = self.calls.pop(key, None)
+            if running is not None:
+                self._apply(self.gate.withdraw(key, now_ms), now_ms)
+        self._replies.extend(
+            Reply(owner=owner, message=message) for message in result.replies
+        )
+
+    def backend_done(self, key: CallKey, result: BackendResult, now_ms: float) -> None:
+        """Take in the end of a dispatch."""
+        running = self.calls.get(key)
+        if running is None:
+            return
+        began_children = running.open_children + running.finished_children > 0
+        verdict, reason, outcome = judge(
+            result, cancelled=running.cancelled, began_children=began_children
+        )
+        decision = self.gate.finished(
+            key=key,
+            self_time_ms=running.self_time_ms(now_ms),
+            outcome=outcome,
+            now_ms=now_ms,
+        )
+        self._finish(running, result, verdict, reason, now_ms)
+        self._apply(decision, now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Refuse what can no longer finish and let learnt limits move."""
+        self._apply(self.gate.tick(now_ms), now_ms)
+
+    def leave(self, now_ms: float) -> None:
+        """Refuse new and queued calls; started ones run to their end."""
+        self.leaving = True
+        self._apply(self.gate.leave(), now_ms)
+
+    def _apply(self, decision: GateDecision, now_ms: float) -> None:
+        for refusal in decision.refused:
+            running = self.calls.get(refusal.key)
+            if running is not None:
+                self._refuse(running, refusal.reason, refusal.retry_after_ms, now_ms)
+        self._start_all(decision.start, now_ms)
+
+    def _start_all(self, keys: Iterable[CallKey], now_ms: float) -> None:
+        for key in keys:
+            running = self.calls.get(key)
+            if running is None or running.started_at_ms is not None:
+                raise InvariantError(
+                    invariant="a call starts once", facts=f"{key} started again"
+                )
+            if not self.ledger.start(key.owner, key.number):
+                raise InvariantError(
+                    invariant="a call starts once", facts=f"{key} was given up"
+                )
+            running.started_at_ms = now_ms
+            self._by_span[running.span_id] = running
+            header = serialize_traceparent(running.call.root_id, running.span_id)
+            self.backend.dispatch(key, running.call, header)
+
+    def _refuse(
+        self, running: RunningCall, reason: Reason, retry_after_ms: int, now_ms: float
+    ) -> None:
+        if running.started_at_ms is not None:
+            raise InvariantError(
+                invariant="NOT_RUN means not run", facts=f"{running.key} was started"
+            )
+        del self.calls[running.key]
+        self._answer(
+            running,
+            Answer(
+                number=running.key.number,
+                verdict=Verdict.NOT_RUN,
+                reason=reason,
+                unspent=running.allowance.close(),
+                threshold=self._threshold(running, now_ms),
+                retry_after_ms=retry_after_ms,
+                load=self.load(now_ms),
+            ),
+        )
+
+    def _finish(
+        self,
+        running: RunningCall,
+        result: BackendResult,
+        verdict: Verdict,
+        reason: Reason | None,
+        now_ms: float,
+    ) -> None:
+        del self.calls[running.key]
+        del self._by_span[running.span_id]
+        self._finished_spans[running.span_id] = None
+        if len(self._finished_spans) > FINISHED_SPAN_LIMIT:
+            del self._finished_spans[next(iter(self._finished_spans))]
+        running.children.close()
+        self._ended.append(running)
+        answered = verdict is Verdict.ANSWERED
+        self._answer(
+            running,
+            Answer(
+                number=running.key.number,
+                verdict=verdict,
+                reason=reason,
+                status=result.status if answered else 0,
+                headers=result.headers if answered else (),
+                body=result.body if answered else b"",
+                unspent=running.allowance.close(),
+                threshold=self._threshold(running, now_ms),
+                load=self.load(now_ms),
+            ),
+        )
+
+    def _answer(self, running: RunningCall, answer: Answer) -> None:
+        self.ledger.finish(running.key.owner, running.key.number, answer)
+        self._replies.append(Reply(owner=running.key.owner, message=answer))
+
+    def _threshold(self, running: RunningCall, now_ms: float) -> Rank | None:
+        return strictest(running.threshold, self.gate.load(now_ms).threshold)
+
+    def load(self, now_ms: float):
+        """Return the load of the backend server, as told to other nodes."""
+        return self.gate.load(now_ms)
+
+
+def judge(
+    result: BackendResult, *, cancelled: bool, began_children: bool
+) -> tuple[Verdict, Reason | None, BackendOutcome]:
+    """Return verdict, reason and gate outcome for the end of a dispatch.
+
+    Only the documented shed form proves NOT_RUN; a plain 500 or 503 is an answer.
+    A backend server that sheds a call after calling onward contradicts itself.
+    """
+    if result.verdict is Verdict.ANSWERED:
+        if result.status == SHED_STATUS and (SHED_HEADER, "1") in result.headers:
+            verdict = Verdict.MAY_HAVE_RUN if began_children else Verdict.NOT_RUN
+            return verdict, Reason.BACKEND_SHED, BackendOutcome.SHED
+        return Verdict.ANSWERED, None, BackendOutcome.OK
+    if cancelled:
+        return result.verdict, Reason.CANCELLED, BackendOutcome.CANCELLED
+    reason = result.reason or Reason.BACKEND_BROKEN
+    return result.verdict, reason, BackendOutcome.BROKEN
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/forwarding.py
@@ -0,0 +1,156 @@
+"""Requests whose ticket another node issued: passed on to that node, their owner."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sassafraswinch.messages import Answer, Forward, NodeId
+from sassafraswinch.pending import LocalWaiter
+from sassafraswinch.ports import LinkPort
+from sassafraswinch.requests import Outcome, Request
+from sassafraswinch.verdict import Reason, Verdict
+
+FORWARD_DEADLINE_MS = 10_000.0
+"""A forwarded request ends by its owner's deadline; this bounds a lost answer."""
+
+UNREACHABLE_AFTER_MS = 1_000.0
+"""How long a link to the ticket's owner may take to come up."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Forwarded:
+    """One request at its ticket's owner."""
+
+    number: int
+    request: Request
+    owner: NodeId
+    waiter: LocalWaiter
+    begun_at_ms: float
+    session: int | None = None
+    """The link it was last written on; None while there is none."""
+
+
+class Forwarder:
+    """Carries requests to the owners of their tickets and answers back.
+
+    Sending one twice is safe: the owner knows its ticket and lets the second join
+    the first. A node that can't reach the owner proves nothing: MAY_HAVE_RUN.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: LinkPort,
+        next_number: Callable[[], int],
+        is_known: Callable[[str], bool],
+        respond: Callable[[LocalWaiter, Outcome], None],
+    ):
+        self.links = links
+        self.next_number = next_number
+        self.is_known = is_known
+        self.respond = respond
+        self.open: dict[int, Forwarded] = {}
+        self._incarnations: dict[str, int] = {}
+
+    def forward(
+        self, request: Request, owner: NodeId, waiter: LocalWaiter, now_ms: float
+    ) -> None:
+        """Pass a request on to the node that issued its ticket."""
+        if not self.is_known(owner.host):
+            self._tell(waiter, Reason.TICKET_OWNER_UNREACHABLE)
+            return
+        forwarded = Forwarded(
+            number=self.next_number(),
+            request=request,
+            owner=owner,
+            waiter=waiter,
+            begun_at_ms=now_ms,
+        )
+        self.open[forwarded.number] = forwarded
+        self.links.connect(owner.host)
+        if owner.host in self._incarnations:
+            self._send(forwarded, now_ms)
+
+    def answered(self, host: str, answer: Answer) -> bool:
+        """Take in an owner's answer; False if it answers no forwarded request."""
+        forwarded = self.open.get(answer.number)
+        if forwarded is None or forwarded.owner.host != host:
+            return False
+        del self.open[answer.number]
+        outcome = Outcome(
+            verdict=answer.verdict,
+            reason=answer.reason,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            retry_after_ms=answer.retry_after_ms,
+        )
+        self.respond(forwarded.waiter, outcome)
+        return True
+
+    def abandon(self, handle: int) -> None:
+        """Forget a request whose sender has gone; its owner goes on."""
+        gone = [
+            number
+            for number, forwarded in self.open.items()
+            if forwarded.waiter.handle == handle
+        ]
+        for number in gone:
+            del self.open[number]
+
+    def link_up(self, node: NodeId, now_ms: float) -> None:
+        """Send what waits for a link to ``node``."""
+        self._incarnations[node.host] = node.incarnation
+        waiting = [
+            forwarded
+            for forwarded in self.open.values()
+            if forwarded.owner.host == node.host and forwarded.session is None
+        ]
+        for forwarded in waiting:
+            self._send(forwarded, now_ms)
+
+    def link_lost(self, host: str, session: int, *, replaced: bool) -> None:
+        """Note a lost link; what was on it is sent again on the next."""
+        if not replaced:
+            self._incarnations.pop(host, None)
+        lost = [
+            forwarded
+            for forwarded in self.open.values()
+            if forwarded.owner.host == host and forwarded.session == session
+        ]
+        for forwarded in lost:
+            forwarded.session = None
+            if replaced:
+                self._send(forwarded, forwarded.begun_at_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Give up what no link came up for, or what got no answer."""
+        for forwarded in list(self.open.values()):
+            waited_ms = now_ms - forwarded.begun_at_ms
+            unsent = forwarded.session is None and waited_ms > UNREACHABLE_AFTER_MS
+            if unsent or waited_ms > FORWARD_DEADLINE_MS:
+                del self.open[forwarded.number]
+                self._tell(forwarded.waiter, Reason.TICKET_OWNER_UNREACHABLE)
+
+    def _send(self, forwarded: Forwarded, now_ms: float) -> None:
+        if self._incarnations[forwarded.owner.host] != forwarded.owner.incarnation:
+            del self.open[forwarded.number]
+            self._tell(forwarded.waiter, Reason.TICKET_OWNER_RESTARTED)
+            return
+        request = forwarded.request
+        left_ms = forwarded.begun_at_ms + FORWARD_DEADLINE_MS - now_ms
+        message = Forward(
+            number=forwarded.number,
+            ticket=request.ticket,
+            caller=request.caller,
+            organisation=request.organisation,
+            service=request.service,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            remaining_ms=max(0, int(left_ms)),
+        )
+        forwarded.session = self.links.send(forwarded.owner.host, message)
+
+    def _tell(self, waiter: LocalWaiter, reason: Reason) -> None:
+        self.respond(waiter, Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=reason))
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -0,0 +1,342 @@
+"""One node: the decisions of its owning and executing sides, composed.
+
+Sans-IO: adapters call in with time and messages, and the node acts through ports.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from sassafraswinch.classify import Classifier
+from sassafraswinch.document import Document
+from sassafraswinch.early_repeats import EarlyRepeats
+from sassafraswinch.egress import Egress
+from sassafraswinch.entry import Entry
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.executor import Executor
+from sassafraswinch.forwarding import Forwarder
+from sassafraswinch.gate import Gate
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.membership import Membership
+from sassafraswinch.messages import (
+    Acknowledge,
+    Answer,
+    Call,
+    Cancel,
+    Fence,
+    FenceReply,
+    Forward,
+    Heartbeat,
+    Message,
+    NodeId,
+)
+from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.pending import LocalWaiter, Pending, RemoteWaiter, Waiter
+from sassafraswinch.ports import BackendPort, CallerPort, LinkPort
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.retry import CallerRetryBudget
+from sassafraswinch.routing import Router
+from sassafraswinch.tickets import TicketLedger
+
+LOCAL_SESSION = 0
+"""Session of the calls that a node sends to itself."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LocalMessage:
+    """A message of this node to itself, waiting for the current step to end."""
+
+    to_owner: bool
+    message: Message
+
+
+class LocalLinks:
+    """The link port as owner and executor see it: this host needs no link."""
+
+    def __init__(self, *, host: str, links: LinkPort):
+        self.host = host
+        self.links = links
+        self.queue: deque[LocalMessage] = deque()
+
+    def send(self, host: str, message: Message) -> int | None:
+        """Send to another host, or queue for this one."""
+        if host != self.host:
+            return self.links.send(host, message)
+        self.queue.append(LocalMessage(to_owner=False, message=message))
+        return LOCAL_SESSION
+
+    def reply(self, node: NodeId, message: Message) -> bool:
+        """Answer another node, or this one."""
+        if node.host != self.host:
+            return self.links.reply(node, message)
+        self.queue.append(LocalMessage(to_owner=True, message=message))
+        return True
+
+    def connect(self, host: str) -> None:
+        """Dial another host."""
+        if host != self.host:
+            self.links.connect(host)
+
+
+class Node:
+    """Everything that one node decides.
+
+    Each public method is one step: it takes what happened, and leaves with all
+    consequences passed to the ports.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: NodeId,
+        links: LinkPort,
+        backend: BackendPort,
+        callers: CallerPort,
+        gate: Gate,
+        membership: Membership,
+        router: Router,
+        tickets: TicketLedger,
+        ledger: ExecutionLedger,
+        shedder: EntryShedder,
+        budget: CallerRetryBudget,
+        rng: random.Random,
+        recorder=None,
+    ):
+        self.node = node
+        self.callers = callers
+        self.links = LocalLinks(host=node.host, links=links)
+        self.membership = membership
+        self.recorder = recorder
+        self.leaving = False
+        self.owner = Owner(
+            node=node, links=self.links, membership=membership, router=router
+        )
+        self.executor = Executor(gate=gate, ledger=ledger, backend=backend, rng=rng)
+        self.forwarder = Forwarder(
+            links=self.links,
+            next_number=self.owner.next_number,
+            is_known=membership.knows,
+            respond=self._respond,
+        )
+        self.entry = Entry(
+            node=node,
+            owner=self.owner,
+            ledger=tickets,
+            forwarder=self.forwarder,
+            shedder=shedder,
+            budget=budget,
+            repeats=EarlyRepeats(),
+            respond=self._respond,
+            rng=rng,
+        )
+        self.egress = Egress(
+            executor=self.executor,
+            owner=self.owner,
+            entry=self.entry,
+            respond=self._respond,
+        )
+        self._waiting: dict[int, OwnedCall] = {}
+
+    def use_document(self, document: Document) -> None:
+        """Classify by ``document`` from now on; calls under way keep their class."""
+        classifier = Classifier(document=document)
+        self.entry.classifier = classifier
+        self.egress.classifier = classifier
+        service = document.services.get(self.membership.self_service)
+        self.executor.gate.set_slots(service.slots if service else None)
+
+    def submit(self, request: Request, now_ms: float) -> None:
+        """Take a request at the entry listener."""
+        waiter = LocalWaiter(handle=request.handle)
+        self._wait(request.handle, self.entry.submit(request, waiter, now_ms))
+        self._settle(now_ms)
+
+    def submit_child(self, request: Request, now_ms: float) -> None:
+        """Take a request at the egress listener."""
+        waiter = LocalWaiter(handle=request.handle)
+        self._wait(request.handle, self.egress.submit(request, waiter, now_ms))
+        self._settle(now_ms)
+
+    def abandon(self, handle: int, now_ms: float) -> None:
+        """Note that the sender of a request has gone."""
+        owned = self._waiting.pop(handle, None)
+        if owned is None:
+            self.forwarder.abandon(handle)
+            return
+        pending: Pending = owned.context
+        waiter = LocalWaiter(handle=handle)
+        pending.waiters = [other for other in pending.waiters if other != waiter]
+        if not pending.waiters and not owned.abandoned:
+            self.owner.abandon(owned, now_ms)
+        self._settle(now_ms)
+
+    def backend_done(self, key: CallKey, result: BackendResult, now_ms: float) -> None:
+        """Take in the end of a dispatch to the local backend server."""
+        self.executor.backend_done(key, result, now_ms)
+        self._settle(now_ms)
+
+    def link_up(
+        self, node: NodeId, session: int, *, dialled: bool, now_ms: float
+    ) -> None:
+        """Note a new link, dialled by this node or by ``node``."""
+        if dialled:
+            self.membership.link_up(node.host, node.incarnation, now_ms)
+            self.owner.link_up(node, session, now_ms)
+            self.forwarder.link_up(node, now_ms)
+        self._settle(now_ms)
+
+    def link_lost(
+        self,
+        node: NodeId,
+        session: int,
+        *,
+        dialled: bool,
+        replaced: bool,
+        now_ms: float,
+    ) -> None:
+        """Note the end of a link; ``replaced``: a newer one to the host is open."""
+        if dialled:
+            if not replaced:
+                self.membership.link_lost(node.host, now_ms)
+            self.owner.link_lost(node.host, session, now_ms)
+            self.forwarder.link_lost(node.host, session, replaced=replaced)
+        self._settle(now_ms)
+
+    def message(
+        self, node: NodeId, session: int, message: Message, now_ms: float
+    ) -> None:
+        """Take in a message of another node."""
+        self._take(node, session, message, now_ms)
+        self._settle(now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Let time pass: deadlines, learnt limits, records' ages."""
+        self.executor.tick(now_ms)
+        self.owner.tick(now_ms)
+        self.forwarder.tick(now_ms)
+        self.entry.ledger.tick(now_ms)
+        self._settle(now_ms)
+
+    def leave(self, now_ms: float) -> None:
+        """Refuse new work from now on; what has started runs to its end."""
+        self.leaving = True
+        self.entry.leaving = True
+        self.executor.leave(now_ms)
+        self._settle(now_ms)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests and calls that a planned stop has to wait for."""
+        waiting = sum(1 for owned in self.owner.open.values() if not owned.abandoned)
+        return waiting + len(self.executor.calls) + len(self.forwarder.open)
+
+    def _wait(self, handle: int, owned: OwnedCall | None) -> None:
+        if owned is not None:
+            self._waiting[handle] = owned
+
+    def _respond(self, waiter: Waiter, outcome: Outcome) -> None:
+        if isinstance(waiter, LocalWaiter):
+            self._waiting.pop(waiter.handle, None)
+            self.callers.respond(waiter.handle, outcome)
+            return
+        answer = Answer(
+            number=waiter.number,
+            verdict=outcome.verdict,
+            reason=outcome.reason,
+            status=outcome.status,
+            headers=outcome.headers,
+            body=outcome.body,
+            retry_after_ms=outcome.retry_after_ms,
+        )
+        self.links.reply(waiter.node, answer)
+
+    def _take(
+        self, node: NodeId, session: int, message: Message, now_ms: float
+    ) -> None:
+        match message:
+            case Call():
+                self.executor.receive(node, session, message, now_ms)
+            case Answer():
+                self._take_answer(node, message, now_ms)
+            case Acknowledge():
+                self.executor.ledger.acknowledge(node, message.numbers)
+            case Cancel():
+                self.executor.cancel(node, message, now_ms)
+            case Fence():
+                self.executor.fence(node, message, now_ms)
+            case FenceReply():
+                self.owner.fenced(node, message, now_ms)
+            case Forward():
+                self._take_forward(node, message, now_ms)
+            case Heartbeat():
+                self.membership.heard(node, message.load, now_ms)
+
+    def _take_answer(self, node: NodeId, answer: Answer, now_ms: float) -> None:
+        if answer.load is not None:
+            self.membership.heard(node, answer.load, now_ms)
+        if not self.forwarder.answered(node.host, answer):
+            self.owner.answered(node, answer, now_ms)
+
+    def _take_forward(self, node: NodeId, forward: Forward, now_ms: float) -> None:
+        request = Request(
+            handle=0,
+            service=forward.service,
+            method=forward.method,
+            target=forward.target,
+            headers=forward.headers,
+            body=forward.body,
+            caller=forward.caller,
+            organisation=forward.organisation,
+            ticket=forward.ticket,
+        )
+        waiter = RemoteWaiter(node=node, number=forward.number)
+        self.entry.submit(request, waiter, now_ms)
+
+    def _settle(self, now_ms: float) -> None:
+        """Carry on until nothing is left to do at this moment."""
+        busy = True
+        while busy:
+            busy = self._pass_replies()
+            busy |= self._pass_local(now_ms)
+            busy |= self._pass_ended(now_ms)
+            busy |= self._pass_finished(now_ms)
+
+    def _pass_replies(self) -> bool:
+        replies = self.executor.take_replies()
+        for reply in replies:
+            self.links.reply(reply.owner, reply.message)
+        return bool(replies)
+
+    def _pass_local(self, now_ms: float) -> bool:
+        if not self.links.queue:
+            return False
+        local = self.links.queue.popleft()
+        self._take(self.node, LOCAL_SESSION, local.message, now_ms)
+        return True
+
+    def _pass_ended(self, now_ms: float) -> bool:
+        ended = self.executor.take_ended()
+        for parent in ended:
+            self.egress.parent_ended(parent, now_ms)
+        return bool(ended)
+
+    def _pass_finished(self, now_ms: float) -> bool:
+        finished_calls = self.owner.take_finished()
+        for finished in finished_calls:
+            self._finish(finished, now_ms)
+        return bool(finished_calls)
+
+    def _finish(self, finished: Finished, now_ms: float) -> None:
+        pending: Pending = finished.owned.context
+        if pending.parent is not None:
+            self.egress.finished(finished, now_ms)
+            return
+        if self.recorder is not None and pending.waiters:
+            self.recorder.record(
+                pending.classification.class_name,
+                pending.classification.operation.name,
+                finished.answer,
+                now_ms - pending.begun_at_ms,
+                now_ms,
+            )
+        self.entry.finished(finished, now_ms)
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -0,0 +1,361 @@
+"""The owning side of a node: places calls, retries them, and decides their outcome."""
+
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass
+
+from sassafraswinch.membership import Membership
+from sassafraswinch.messages import (
+    Acknowledge,
+    Answer,
+    Call,
+    Cancel,
+    FenceReply,
+    Headers,
+    NodeId,
+    Rank,
+)
+from sassafraswinch.ports import LinkPort
+from sassafraswinch.retry import RetryAllowance
+from sassafraswinch.routing import Router
+from sassafraswinch.sent_calls import SentCalls
+from sassafraswinch.verdict import Reason, Verdict
+
+DEADLINE_GRACE_MS = 50.0
+"""Wait past a deadline for the executing node's own proof that a call never ran."""
+
+MIN_RETRY_TIME_MS = 5.0
+"""With less time left than this no retry can be answered in time."""
+
+DETACHED_LIFE_MS = 600_000.0
+"""How long the outcome of a non-repeatable call is awaited after its deadline."""
+
+RETRIED_REASONS = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.BACKEND_SHED,
+        Reason.BACKEND_UNREACHABLE,
+        Reason.LINK_LOST,
+        Reason.FENCED,
+    }
+)
+"""NOT_RUN for one host's own reason; an overloaded service is left alone."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """One dispatch of an owned call to one host."""
+
+    number: int
+    peer: NodeId
+    handed: int
+    sent_at_ms: float
+
+
+@dataclass(slots=True, kw_only=True)
+class OwnedCall:
+    """A call that this node alone may dispatch or retry."""
+
+    service: str
+    operation: str
+    repeatable: bool
+    rank: Rank
+    root_id: str
+    depth: int
+    progress: int
+    deadline_at_ms: float
+    begun_at_ms: float
+    allowance: RetryAllowance
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    class_name: str = ""
+    attempt: Attempt | None = None
+    failed_hosts: frozenset[str] = frozenset()
+    may_have_run: bool = False
+    """An earlier attempt may have run, so NOT_RUN can't be claimed any more."""
+    abandoned: bool = False
+    """Nobody waits any more; kept only to learn what became of the call."""
+    context: object = None
+    """What the composing node needs when the call ends."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Peer:
+    """An executing node and the newest link to it."""
+
+    node: NodeId
+    session: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Finished:
+    """An owned call with its final answer."""
+
+    owned: OwnedCall
+    answer: Answer
+    given_up: bool = False
+    """The answer is final for whoever waits, but the call's fate is still open."""
+
+
+class Owner:
+    """Drives every owned call to exactly one final answer.
+
+    Guard against double runs: a non-repeatable call has at most one attempt whose
+    fate is open. The next one begins only after NOT_RUN is proved for the last.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: NodeId,
+        links: LinkPort,
+        membership: Membership,
+        router: Router,
+    ):
+        self.node = node
+        self.links = links
+        self.membership = membership
+        self.router = router
+        self.open: dict[int, OwnedCall] = {}
+        self.retries = 0
+        self._numbers = itertools.count(1)
+        self._sent = SentCalls()
+        self._peers: dict[str, Peer] = {node.host: Peer(node=node, session=0)}
+        self._finished: list[Finished] = []
+        self._acknowledge: dict[str, list[int]] = defaultdict(list)
+
+    def next_number(self) -> int:
+        """Return a fresh number of this incarnation."""
+        return next(self._numbers)
+
+    def take_finished(self) -> list[Finished]:
+        """Return the calls that came to their final answer since the last call."""
+        finished, self._finished = self._finished, []
+        return finished
+
+    def begin(self, owned: OwnedCall, now_ms: float) -> None:
+        """Place a new call on a host."""
+        self._place(owned, None, now_ms)
+
+    def abandon(self, owned: OwnedCall, now_ms: float) -> None:
+        """Note that nobody waits for the call; a queued or repeatable one stops."""
+        owned.abandoned = True
+        attempt = owned.attempt
+        if attempt is None:
+            return
+        self.links.send(attempt.peer.host, Cancel(number=attempt.number))
+        if owned.repeatable:
+            self._close(attempt)
+            self._end(owned, Verdict.MAY_HAVE_RUN, Reason.CANCELLED)
+
+    def answered(self, peer: NodeId, answer: Answer, now_ms: float) -> None:
+        """Take in an executing node's answer."""
+        self._acknowledge[peer.host].append(answer.number)
+        if not self._sent.is_open(answer.number, peer):
+            return
+        owned = self.open[answer.number]
+        attempt = owned.attempt
+        self._close(attempt)
+        latency_ms = now_ms - attempt.sent_at_ms
+        self.router.answered(peer.host, latency_ms, answer.load, now_ms)
+        owned.allowance.give_back(attempt.number, answer.unspent)
+        if answer.verdict is Verdict.ANSWERED:
+            self._finished.append(Finished(owned=owned, answer=answer))
+        else:
+            self._failed(owned, attempt, answer, now_ms)
+
+    def fenced(self, peer: NodeId, reply: FenceReply, now_ms: float) -> None:
+        """Take in what the executing node knows of a call whose link was lost."""
+        verdict = self._sent.fence_replied(peer, reply)
+        if verdict is None:
+            return
+        owned = self.open.pop(reply.number)
+        attempt = owned.attempt
+        reason = Reason.LINK_LOST
+        if verdict is Verdict.NOT_RUN:
+            owned.allowance.give_back(attempt.number, attempt.handed)
+            reason = Reason.FENCED
+        self._failed(owned, attempt, _no_answer(attempt, verdict, reason), now_ms)
+
+    def link_up(self, peer: NodeId, session: int, now_ms: float) -> None:
+        """Note a new link to an executing node and fence what older ones left.
+
+        Story: a link goes silent while an approval runs behind it. Resending would
+        run it twice; giving up would tell the caller too little. So the executing
+        node is asked over the newer link. A restarted one can't know: MAY_HAVE_RUN.
+        """
+        self._peers[peer.host] = Peer(node=peer, session=session)
+        recovery = self._sent.link_up(peer, session)
+        for fence in recovery.fences:
+            self.links.send(peer.host, fence)
+        for number in recovery.lost:
+            self._lose(self.open[number], Reason.PEER_RESTARTED, now_ms)
+
+    def link_lost(self, host: str, session: int, now_ms: float) -> None:
+        """Note the end of a link.
+
+        With a newer one open its calls are fenced already. Without one a repeatable
+        call goes elsewhere at once; a non-repeatable one waits for the next link.
+        """
+        peer = self._peers.get(host)
+        if peer is None or peer.session > session:
+            return
+        del self._peers[host]
+        self.router.failed(host, now_ms)
+        for owned in self._on_host(host):
+            if owned.repeatable:
+                self._lose(owned, Reason.LINK_LOST, now_ms)
+
+    def tick(self, now_ms: float) -> None:
+        """Give up what passed its deadline and send due acknowledgements."""
+        late = [
+            owned
+            for owned in self.open.values()
+            if now_ms > owned.deadline_at_ms + DEADLINE_GRACE_MS
+        ]
+        for owned in late:
+            self._give_up(owned, now_ms)
+        self._send_acknowledgements()
+
+    def _on_host(self, host: str) -> list[OwnedCall]:
+        return [
+            owned for owned in self.open.values() if owned.attempt.peer.host == host
+        ]
+
+    def _place(self, owned: OwnedCall, last: Answer | None, now_ms: float) -> None:
+        candidates = self.membership.candidates(owned.service, now_ms)
+        while True:
+            view = self.router.choose(
+                candidates, excluded=owned.failed_hosts, now_ms=now_ms
+            )
+            if view is None:
+                self._end_unplaced(owned, last)
+                return
+            if self._send(owned, view.name, now_ms):
+                return
+            owned.failed_hosts |= {view.name}
+            self.router.failed(view.name, now_ms)
+
+    def _send(self, owned: OwnedCall, host: str, now_ms: float) -> bool:
+        peer = self._peers.get(host)
+        if peer is None:
+            return False
+        number = self.next_number()
+        if not self._sent.expect(number, peer=peer.node, session=peer.session):
+            return False
+        handed = owned.allowance.hand_over(number)
+        session = self.links.send(host, _call(owned, number, handed, now_ms))
+        if session is None:
+            self._sent.settle(number)
+            owned.allowance.give_back(number, handed)
+            return False
+        owned.attempt = Attempt(
+            number=number, peer=peer.node, handed=handed, sent_at_ms=now_ms
+        )
+        self.open[number] = owned
+        self.router.sent(host, now_ms)
+        return True
+
+    def _close(self, attempt: Attempt) -> None:
+        self._sent.settle(attempt.number)
+        del self.open[attempt.number]
+
+    def _failed(
+        self, owned: OwnedCall, attempt: Attempt, answer: Answer, now_ms: float
+    ) -> None:
+        owned.attempt = None
+        if answer.verdict is Verdict.MAY_HAVE_RUN:
+            owned.may_have_run = True
+        if self._may_retry(owned, answer, now_ms):
+            owned.failed_hosts |= {attempt.peer.host}
+            if self._has_other_host(owned, now_ms) and owned.allowance.spend():
+                self.retries += 1
+                self._place(owned, answer, now_ms)
+                return
+        self._end_with(owned, answer)
+
+    def _may_retry(self, owned: OwnedCall, answer: Answer, now_ms: float) -> bool:
+        if owned.abandoned or now_ms + MIN_RETRY_TIME_MS > owned.deadline_at_ms:
+            return False
+        if answer.verdict is Verdict.MAY_HAVE_RUN:
+            return owned.repeatable
+        return answer.reason in RETRIED_REASONS
+
+    def _has_other_host(self, owned: OwnedCall, now_ms: float) -> bool:
+        return any(
+            view.name not in owned.failed_hosts and view.name in self._peers
+            for view in self.membership.candidates(owned.service, now_ms)
+        )
+
+    def _lose(self, owned: OwnedCall, reason: Reason, now_ms: float) -> None:
+        attempt = owned.attempt
+        self._close(attempt)
+        answer = _no_answer(attempt, Verdict.MAY_HAVE_RUN, reason)
+        self._failed(owned, attempt, answer, now_ms)
+
+    def _give_up(self, owned: OwnedCall, now_ms: float) -> None:
+        attempt = owned.attempt
+        if owned.repeatable:
+            self.links.send(attempt.peer.host, Cancel(number=attempt.number))
+            self._close(attempt)
+            self._end(owned, Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
+            return
+        if not owned.abandoned:
+            owned.abandoned = True
+            self.links.send(attempt.peer.host, Cancel(number=attempt.number))
+            answer = _no_answer(attempt, Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
+            self._finished.append(Finished(owned=owned, answer=answer, given_up=True))
+        elif now_ms > owned.deadline_at_ms + DETACHED_LIFE_MS:
+            self._close(attempt)
+            self._end(owned, Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
+
+    def _end_unplaced(self, owned: OwnedCall, last: Answer | None) -> None:
+        if last is not None:
+            self._end_with(owned, last)
+        else:
+            self._end(owned, Verdict.NOT_RUN, Reason.NO_HOST)
+
+    def _end(self, owned: OwnedCall, verdict: Verdict, reason: Reason) -> None:
+        self._end_with(owned, Answer(number=0, verdict=verdict, reason=reason))
+
+    def _end_with(self, owned: OwnedCall, answer: Answer) -> None:
+        if owned.may_have_run and answer.verdict is Verdict.NOT_RUN:
+            answer = Answer(
+                number=answer.number,
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=answer.reason,
+                threshold=answer.threshold,
+                retry_after_ms=answer.retry_after_ms,
+            )
+        owned.attempt = None
+        self._finished.append(Finished(owned=owned, answer=answer))
+
+    def _send_acknowledgements(self) -> None:
+        due, self._acknowledge = self._acknowledge, defaultdict(list)
+        for host, numbers in due.items():
+            self.links.send(host, Acknowledge(numbers=tuple(numbers)))
+
+
+def _no_answer(attempt: Attempt, verdict: Verdict, reason: Reason) -> Answer:
+    return Answer(number=attempt.number, verdict=verdict, reason=reason)
+
+
+def _call(owned: OwnedCall, number: int, handed: int, now_ms: float) -> Call:
+    return Call(
+        number=number,
+        root_id=owned.root_id,
+        service=owned.service,
+        operation=owned.operation,
+        rank=owned.rank,
+        repeatable=owned.repeatable,
+        remaining_ms=max(0, int(owned.deadline_at_ms - now_ms)),
+        allowance=handed,
+        depth=owned.depth,
+        progress=owned.progress,
+        method=owned.method,
+        target=owned.target,
+        headers=owned.headers,
+        body=owned.body,
+    )
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/ports.py
@@ -0,0 +1,47 @@
+"""The ports through which the decisions of a node act on the world.
+
+A port must not call back into the node before it returns.
+"""
+
+from typing import Protocol
+
+from sassafraswinch.messages import Call, Message, NodeId
+from sassafraswinch.requests import CallKey, Outcome
+
+
+class LinkPort(Protocol):
+    """Messages to other nodes."""
+
+    def send(self, host: str, message: Message) -> int | None:
+        """Write ``message`` on the link that this node dialled to ``host``.
+
+        Returns:
+            The session it was written on; None proves that nothing was written.
+        """
+
+    def connect(self, host: str) -> None:
+        """Dial ``host`` if no link to it is open, and keep the link for a while."""
+
+    def reply(self, node: NodeId, message: Message) -> bool:
+        """Write ``message`` on the newest link that ``node`` dialled to this node.
+
+        Returns:
+            False if no such link is open.
+        """
+
+
+class BackendPort(Protocol):
+    """Requests to the backend server of this host."""
+
+    def dispatch(self, key: CallKey, call: Call, traceparent: str) -> None:
+        """Start ``call``; the adapter reports its end with ``backend_done``."""
+
+    def cancel(self, key: CallKey) -> None:
+        """Close the connection of a started call; its end is reported as well."""
+
+
+class CallerPort(Protocol):
+    """Answers to callers and to the local backend server's own calls."""
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Give the request ``handle`` its final outcome; happens once."""
