--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -0,0 +1,77 @@
+"""HTTP listeners of a node: uvicorn servers on sockets that the node binds itself."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+
+from sassafraswinch_node.settings import Address
+
+BACKLOG = 1024
+"""Connections that wait to be accepted."""
+
+KEEP_ALIVE_S = 75
+"""Idle time after which a caller's connection is closed."""
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+class HttpListener:
+    """One bound address that serves an ASGI application."""
+
+    def __init__(self, *, app, address: Address):
+        self._socket = bind(address)
+        config = uvicorn.Config(
+            app,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task | None = None
+
+    @property
+    def address(self) -> Address:
+        """The address bound, with the port that the system chose for port 0."""
+        ip, port = self._socket.getsockname()[:2]
+        return Address(ip=ip, port=port)
+
+    async def start(self) -> None:
+        """Serve until ``stop``."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[self._socket]))
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(0.001)
+
+    async def stop(self) -> None:
+        """Accept no more connections and finish the requests under way."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+def bind(address: Address) -> socket.socket:
+    """Return a listening socket on ``address``.
+
+    Raises:
+        OSError: if the address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((address.ip, address.port))
+    bound.listen(BACKLOG)
+    bound.setblocking(False)
+    return bound
