--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -0,0 +1,249 @@
+"""Which hosts there are and which take new work, from the list and from links."""
+
+import enum
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sassafraswinch.hosts import HostView
+from sassafraswinch.messages import Load, NodeId
+
+FORGET_MS = 7_200_000
+"""A host that is off the list and silent is kept this long: two regions may lose
+each other for an hour while the list is wrong, and need the addresses afterwards."""
+
+LEFT_INCARNATIONS = 4
+"""Incarnations of one host remembered as leaving."""
+
+
+class HostState(enum.Enum):
+    """State of a host in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRecord:
+    """One host in the platform's list; addresses are ``ip:port``."""
+
+    name: str
+    service: str
+    availability_zone: str
+    state: HostState
+    link: str
+    entry: str
+    operators: str
+
+
+@dataclass(slots=True, kw_only=True)
+class _Host:
+    record: HostRecord
+    seen_ms: float
+    listed: bool = True
+    list_leaving: bool = False
+    incarnation: int | None = None
+    left: deque[int] = field(default_factory=lambda: deque(maxlen=LEFT_INCARNATIONS))
+    sessions: set[int] = field(default_factory=set)
+    heard: bool = False
+    proved_ms: float = -math.inf
+
+    @property
+    def leaving(self) -> bool:
+        return self.list_leaving or self.incarnation in self.left
+
+
+class Membership:
+    """One node's view of the fleet.
+
+    The platform's list is a hint that lags, shrinks or goes backwards. It adds
+    hosts and marks them; what a host says of itself weighs more, and a host
+    that answers is never removed.
+
+    Args:
+        self_host: name of the host that this node runs on.
+    """
+
+    def __init__(self, *, self_host: str):
+        self._self_host = self_host
+        self._hosts: dict[str, _Host] = {}
+        self._list_version = 0
+        self._trusted_after_ms = -math.inf
+        self._candidates: dict[str, tuple[HostView, ...]] = {}
+
+    @property
+    def list_version(self) -> int:
+        """Version of the newest host list taken in; 0 for none."""
+        return self._list_version
+
+    @property
+    def self_leaving(self) -> bool:
+        """Whether the list says that this node's own host leaves."""
+        own = self._hosts.get(self._self_host)
+        return own is not None and own.list_leaving
+
+    def replace(
+        self, records: Iterable[HostRecord], version: int, now_ms: float
+    ) -> None:
+        """Take in a host list of the platform.
+
+        Failures guarded against: an old list marks a leaving host as live
+        again, or a restarted one as leaving; an empty or shrunken list takes
+        hosts away that work. Only a newer version marks hosts; none removes a
+        host that was seen within ``FORGET_MS``.
+
+        Args:
+            records: all hosts of the list.
+            version: version of the list.
+            now_ms: monotonic milliseconds.
+        """
+        newer = version > self._list_version
+        by_name = {record.name: record for record in records}
+        self.learn(by_name.values(), now_ms)
+        if newer:
+            self._list_version = version
+            for name, host in self._hosts.items():
+                host.listed = name in by_name
+                if host.listed:
+                    host.record = by_name[name]
+                    host.list_leaving = host.record.state is HostState.LEAVING
+        self._candidates.clear()
+
+    def learn(self, records: Iterable[HostRecord], now_ms: float) -> None:
+        """Add hosts not known yet, as from a peer; changes no known host."""
+        for record in records:
+            if record.name not in self._hosts:
+                self._hosts[record.name] = _Host(
+                    record=record,
+                    seen_ms=now_ms,
+                    list_leaving=record.state is HostState.LEAVING,
+                )
+        self._candidates.clear()
+
+    def link_up(
+        self, host: str, incarnation: int, now_ms: float, *, session: int = 0
+    ) -> None:
+        """Take in that this node's own link to a host is up.
+
+        A new incarnation starts clean: the list's mark was for the process
+        before it, and the new one says itself whether it leaves. It takes no
+        work until its first word is heard.
+        """
+        known = self._hosts.get(host)
+        if known is None:
+            return
+        if known.incarnation != incarnation:
+            if known.incarnation is not None:
+                known.list_leaving = False
+            known.incarnation = incarnation
+            known.sessions.clear()
+            known.heard = False
+            known.proved_ms = -math.inf
+        known.sessions.add(session)
+        known.seen_ms = now_ms
+        self._candidates.clear()
+
+    def link_lost(self, host: str, now_ms: float, *, session: int = 0) -> None:
+        """Take in that a link is closed; others to the host may still be up."""
+        known = self._hosts.get(host)
+        if known is not None:
+            known.sessions.discard(session)
+            self._candidates.clear()
+
+    def silent(self, host: str, now_ms: float, *, session: int = 0) -> None:
+        """Take in that a link answers no heartbeats; it takes no more work."""
+        self.link_lost(host, now_ms, session=session)
+
+    def heard(self, node: NodeId, load: Load, now_ms: float) -> None:
+        """Take in what a host says of itself, on a heartbeat or an answer.
+
+        An incarnation that said it leaves never stops leaving: its messages
+        may arrive out of order over two links.
+        """
+        host = self._hosts.get(node.host)
+        if host is None:
+            return
+        host.seen_ms = now_ms
+        if load.leaving and node.incarnation not in host.left:
+            host.left.append(node.incarnation)
+            self._candidates.clear()
+        if not host.heard and node.incarnation == host.incarnation:
+            host.heard = True
+            self._candidates.clear()
+
+    def round_trip(self, host: str, sent_at_ms: float, now_ms: float) -> None:
+        """Take in that a host answered a heartbeat sent at ``sent_at_ms``."""
+        known = self._hosts.get(host)
+        if known is None:
+            return
+        distrusted = known.proved_ms < self._trusted_after_ms
+        known.seen_ms = now_ms
+        known.proved_ms = max(known.proved_ms, sent_at_ms)
+        if distrusted and known.proved_ms >= self._trusted_after_ms:
+            self._candidates.clear()
+
+    def distrust(self, now_ms: float) -> None:
+        """Hold back all work for other hosts until each proves its link anew.
+
+        Failure guarded against: a process paused for long wakes and sends work
+        by its old view, to hosts that left meanwhile. Heartbeats that lay in
+        its buffers look fresh but are as old as the pause; only an answer to a
+        heartbeat sent from now on proves that all before it has been read.
+        """
+        self._trusted_after_ms = now_ms
+        self._candidates.clear()
+
+    def candidates(self, service: str, now_ms: float) -> tuple[HostView, ...]:
+        """Return the hosts of a service that don't leave."""
+        found = self._candidates.get(service)
+        if found is None:
+            found = tuple(
+                view
+                for view in self.views(now_ms)
+                if view.service == service and not view.leaving
+            )
+            self._candidates[service] = found
+        return found
+
+    def views(self, now_ms: float) -> tuple[HostView, ...]:
+        """Return every known host, for operators."""
+        return tuple(self._view(host) for host in self._hosts.values())
+
+    def peers(self, now_ms: float) -> tuple[HostRecord, ...]:
+        """Return the other hosts, to dial; those off the list come last."""
+        others = (
+            host for host in self._hosts.values() if host.record.name != self._self_host
+        )
+        by_standing = sorted(others, key=lambda host: (not host.listed, host.leaving))
+        return tuple(host.record for host in by_standing)
+
+    def records(self) -> tuple[HostRecord, ...]:
+        """Return all known hosts, to hand to a restarted peer."""
+        return tuple(host.record for host in self._hosts.values())
+
+    def tick(self, now_ms: float) -> None:
+        """Forget hosts that are off the list and silent for ``FORGET_MS``."""
+        gone = [
+            name
+            for name, host in self._hosts.items()
+            if not host.listed
+            and not host.sessions
+            and now_ms - host.seen_ms >= FORGET_MS
+        ]
+        for name in gone:
+            del self._hosts[name]
+        if gone:
+            self._candidates.clear()
+
+    def _view(self, host: _Host) -> HostView:
+        local = host.record.name == self._self_host
+        proved = host.proved_ms >= self._trusted_after_ms
+        return HostView(
+            name=host.record.name,
+            service=host.record.service,
+            availability_zone=host.record.availability_zone,
+            leaving=host.leaving,
+            linked=local or (bool(host.sessions) and host.heard and proved),
+            local=local,
+        )
--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -0,0 +1,310 @@
+"""Which configuration document is in force: versions only rise, on every node alike."""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from sassafraswinch.claims import (
+    NO_STAMP,
+    Claims,
+    Fetch,
+    ServeBudget,
+    Stamp,
+    supersedes,
+)
+from sassafraswinch.errors import (
+    InvalidFieldError,
+    InvalidFieldsError,
+    InvariantError,
+)
+from sassafraswinch.messages import DocumentReply, DocumentRequest
+from sassafraswinch.offers import (
+    Candidate,
+    Conflict,
+    Document,
+    KeeperReport,
+    Offered,
+    Outcome,
+    Refusal,
+    Source,
+)
+
+SYNC_WAIT_MS = 3_000
+"""How long a node listens to its peers before it serves on a copy of its own."""
+
+SYNC_LIMIT_MS = 15_000
+"""How long a claim of a newer version that no peer delivers may hold a node back."""
+
+KNOWN_CONTENTS = 64
+"""Contents remembered by digest, so that none is parsed or refused twice."""
+
+REPORTED_CONFLICTS = 8
+"""Latest conflicts kept for the report."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Sync:
+    """A wait for the peers' word on the newest version."""
+
+    started_ms: float
+    expected: set[str]
+    confirmed: set[str] = field(default_factory=set)
+
+    def heard_all(self) -> bool:
+        return bool(self.expected) and self.expected <= self.confirmed
+
+
+class ConfigKeeper:
+    """Keeps the document in force on one node.
+
+    Contents are ordered by version, and within one version by digest, the
+    smaller being the greater. A node only moves up in this order, so all nodes
+    that hear of the same contents end with the same one, in whatever order
+    they hear.
+
+    Args:
+        parse: reads a body; raises ``InvalidFieldsError`` with every fault.
+        digest: short stable hash of a body.
+        rng: spreads fetches over peers and over time.
+    """
+
+    def __init__(
+        self,
+        *,
+        parse: Callable[[bytes], Document],
+        digest: Callable[[bytes], str],
+        rng: random.Random,
+    ):
+        self._parse = parse
+        self._digest = digest
+        self._claims = Claims(rng=rng)
+        self._serve_budget = ServeBudget()
+        self._known: OrderedDict[str, Candidate] = OrderedDict()
+        self._document: Document | None = None
+        self._stamp = NO_STAMP
+        self._source: Source | None = None
+        self._since_ms = 0.0
+        self._sync: _Sync | None = _Sync(started_ms=float("inf"), expected=set())
+        self._refusal: Refusal | None = None
+        self._conflicts: deque[Conflict] = deque(maxlen=REPORTED_CONFLICTS)
+
+    @property
+    def in_force(self) -> Document | None:
+        """The newest valid document held, also while the node isn't serving."""
+        return self._document
+
+    @property
+    def serving(self) -> Document | None:
+        """The document to serve on; None while syncing or without one."""
+        return None if self._sync else self._document
+
+    @property
+    def stamp(self) -> Stamp:
+        """Version and digest in force, to tell peers."""
+        return self._stamp
+
+    def start_sync(self, now_ms: float, *, expected: Iterable[str] = ()) -> None:
+        """Stop serving until the peers' word on the newest version is in.
+
+        Called at start and after a wake. Failure guarded against: a node that
+        lost its memory reads a stale copy from the platform, or a paused one
+        acts on what it held before, and serves an older version than its peers.
+        The wait ends once every expected peer answered and nothing newer is
+        claimed, or after ``SYNC_WAIT_MS``; a claim not yet delivered prolongs
+        it up to ``SYNC_LIMIT_MS``.
+
+        Args:
+            now_ms: monotonic milliseconds.
+            expected: hosts whose answer ends the wait early.
+        """
+        self._sync = _Sync(started_ms=now_ms, expected=set(expected))
+
+    def read(self, body: bytes) -> Candidate:
+        """Parse a body; changes nothing, so that a thread may run it."""
+        digest = self._digest(body)
+        known = self._known.get(digest)
+        if known is not None:
+            return known
+        try:
+            document = self._parse(body)
+        except InvalidFieldsError as group:
+            return Candidate(stamp=Stamp(0, digest), errors=group.exceptions)
+        except Exception as error:
+            # A document that trips a fault of the parser reaches every node
+            # within seconds; were the error let out, it would stop them all.
+            fault = InvalidFieldError(
+                source="document", field="", reason=f"can't be read: {error!r}"
+            )
+            return Candidate(stamp=Stamp(0, digest), errors=(fault,))
+        return Candidate(stamp=Stamp(document.version, digest), document=document)
+
+    def offer(self, body: bytes, source: Source, now_ms: float) -> Offered:
+        """Parse a body and put it in force if it is valid and newer."""
+        return self.take(self.read(body), source, now_ms)
+
+    def take(self, candidate: Candidate, source: Source, now_ms: float) -> Offered:
+        """Put what ``read`` returned in force if it is valid and newer."""
+        self._remember(candidate)
+        outcome = self._judge(candidate)
+        changed = candidate.document is not None and supersedes(
+            candidate.stamp, self._stamp
+        )
+        if outcome is Outcome.INVALID:
+            self._refuse(candidate, source, now_ms)
+        if outcome is Outcome.CONFLICT:
+            self._note_conflict(candidate.stamp, now_ms)
+        if changed:
+            self._put_in_force(candidate, source, now_ms)
+        return Offered(
+            outcome=outcome,
+            stamp=candidate.stamp,
+            errors=candidate.errors,
+            changed=changed,
+            fetches=self.tick(now_ms),
+        )
+
+    def heard(
+        self, peer: str, version: int, digest: str, now_ms: float, *, near: bool = True
+    ) -> tuple[Fetch, ...]:
+        """Take in the version that a peer says it holds.
+
+        Args:
+            peer: name of the peer's host.
+            version: version in force there; 0 for none.
+            digest: digest in force there.
+            now_ms: monotonic milliseconds.
+            near: whether the peer is in this node's availability zone.
+
+        Returns:
+            Requests to send; at most one is open at a time.
+        """
+        stamp = Stamp(version, digest)
+        self._claims.heard(peer, stamp, near=near)
+        if version and version == self._stamp.version and stamp != self._stamp:
+            self._note_conflict(stamp, now_ms)
+        return self.tick(now_ms)
+
+    def confirmed(
+        self, peer: str, sent_at_ms: float, now_ms: float
+    ) -> tuple[Fetch, ...]:
+        """Take in that a peer answered a heartbeat sent at ``sent_at_ms``.
+
+        A link keeps order, so all that the peer said before has been heard by
+        now. Only an answer to a heartbeat sent after the sync began counts:
+        what lay in the buffers of a paused process is as old as the pause.
+        """
+        if self._sync and sent_at_ms >= self._sync.started_ms:
+            self._sync.confirmed.add(peer)
+        return self.tick(now_ms)
+
+    def reply(self, peer: str, reply: DocumentReply, now_ms: float) -> Offered | None:
+        """Take in a peer's answer to a request; None if it sent no document."""
+        if not reply.body:
+            self._claims.failed(peer, now_ms)
+            return None
+        return self.fetched(peer, self.read(reply.body), now_ms)
+
+    def fetched(self, peer: str, candidate: Candidate, now_ms: float) -> Offered:
+        """Take in what ``read`` made of a peer's answer."""
+        self._claims.delivered(peer, candidate.stamp, now_ms)
+        return self.take(candidate, Source.PEER, now_ms)
+
+    def answer(self, request: DocumentRequest, now_ms: float) -> DocumentReply:
+        """Answer a peer's request; an empty body tells it to ask another."""
+        document = self._document
+        if document is None or document.version < request.version:
+            return DocumentReply(version=request.version, body=b"")
+        if not self._serve_budget.spend(len(document.body), now_ms):
+            return DocumentReply(version=request.version, body=b"")
+        return DocumentReply(version=document.version, body=document.body)
+
+    def peer_lost(self, peer: str, now_ms: float) -> tuple[Fetch, ...]:
+        """Drop the claim of a peer whose last link is lost."""
+        self._claims.drop(peer)
+        if self._sync:
+            self._sync.expected.discard(peer)
+        return self.tick(now_ms)
+
+    def tick(self, now_ms: float) -> tuple[Fetch, ...]:
+        """End waits that are over and return the requests that are due."""
+        fetch = self._claims.next_fetch(self._stamp, self._is_refused, now_ms)
+        self._end_sync(now_ms)
+        return (fetch,) if fetch else ()
+
+    def report(self, now_ms: float) -> KeeperReport:
+        """Return what operators see."""
+        return KeeperReport(
+            stamp=self._stamp,
+            age_ms=now_ms - self._since_ms if self._document else 0.0,
+            source=self._source,
+            syncing=self._sync is not None,
+            refusal=self._refusal,
+            conflicts=tuple(self._conflicts),
+            undelivered=self._claims.undelivered(self._stamp, self._is_refused),
+        )
+
+    def _judge(self, candidate: Candidate) -> Outcome:
+        stamp = candidate.stamp
+        if candidate.errors:
+            return Outcome.INVALID
+        if stamp == self._stamp:
+            return Outcome.SAME
+        if stamp.version == self._stamp.version:
+            return Outcome.CONFLICT
+        newer = stamp.version > self._stamp.version
+        return Outcome.ACCEPTED if newer else Outcome.OLD
+
+    def _put_in_force(
+        self, candidate: Candidate, source: Source, now_ms: float
+    ) -> None:
+        if candidate.errors or not supersedes(candidate.stamp, self._stamp):
+            raise InvariantError(
+                invariant="version-never-falls",
+                facts=f"{candidate.stamp} offered over {self._stamp}",
+            )
+        self._document = candidate.document
+        self._stamp = candidate.stamp
+        self._source = source
+        self._since_ms = now_ms
+        self._refusal = None
+
+    def _refuse(self, candidate: Candidate, source: Source, now_ms: float) -> None:
+        self._refusal = Refusal(
+            stamp=candidate.stamp,
+            source=source,
+            errors=candidate.errors,
+            at_ms=now_ms,
+        )
+
+    def _note_conflict(self, other: Stamp, now_ms: float) -> None:
+        kept, dropped = sorted((self._stamp.digest, other.digest))
+        noted = ((c.version, c.kept, c.dropped) for c in self._conflicts)
+        if (other.version, kept, dropped) in noted:
+            return
+        self._conflicts.append(
+            Conflict(version=other.version, kept=kept, dropped=dropped, at_ms=now_ms)
+        )
+
+    def _remember(self, candidate: Candidate) -> None:
+        digest = candidate.stamp.digest
+        self._known[digest] = Candidate(stamp=candidate.stamp, errors=candidate.errors)
+        self._known.move_to_end(digest)
+        if len(self._known) > KNOWN_CONTENTS:
+            self._known.popitem(last=False)
+
+    def _is_refused(self, stamp: Stamp) -> bool:
+        known = self._known.get(stamp.digest)
+        return known is not None and bool(known.errors)
+
+    def _end_sync(self, now_ms: float) -> None:
+        sync = self._sync
+        if sync is None or self._document is None:
+            return
+        waited_ms = now_ms - sync.started_ms
+        if waited_ms < SYNC_WAIT_MS and not sync.heard_all():
+            return
+        unmet = self._claims.is_unmet(self._stamp, self._is_refused)
+        if unmet and waited_ms < SYNC_LIMIT_MS:
+            return
+        self._sync = None
