--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -11,6 +11,7 @@
 from sassafraswinch.messages import LEVELS, Answer, NodeId, Rank
 from sassafraswinch.owner import Finished, OwnedCall, Owner
 from sassafraswinch.pending import Pending, RemoteWaiter, Waiter
+from sassafraswinch.ports import Recorder
 from sassafraswinch.requests import Outcome, Request
 from sassafraswinch.retry import CallerRetryBudget, RetryAllowance
 from sassafraswinch.verdict import Reason, Verdict
@@ -36,6 +37,7 @@
         budget: CallerRetryBudget,
         repeats: EarlyRepeats,
         respond: Callable[[Waiter, Outcome], None],
+        recorder: Recorder | None,
         rng: random.Random,
     ):
         self.node = node
@@ -46,6 +48,7 @@
         self.budget = budget
         self.repeats = repeats
         self.respond = respond
+        self.recorder = recorder
         self.rng = rng
         self.classifier: Classifier | None = None
         self.leaving = False
@@ -108,6 +111,8 @@
             self.ledger.finish(pending.ticket_number, answer, now_ms)
             self._by_ticket.pop(pending.ticket_number, None)
         outcome = self._outcome(pending, finished.owned.rank, answer, now_ms)
+        if pending.waiters:
+            self._record(pending, answer, now_ms)
         waiters, pending.waiters = pending.waiters, []
         for waiter in waiters:
             self.respond(waiter, outcome)
@@ -185,6 +190,7 @@
         if refusal is not None:
             if ticket_number is not None:
                 self.ledger.finish(ticket_number, refusal, now_ms)
+            self._record(pending, refusal, now_ms)
             self.respond(waiter, self._outcome(pending, rank, refusal, now_ms))
             return None
         owned = OwnedCall(
@@ -250,6 +256,18 @@
             ticket = self._fresh_ticket(pending.organisation, classification, now_ms)
         return outcome_of(answer, ticket=ticket, retry_after_ms=retry_after_ms)
 
+    def _record(self, pending: Pending, answer: Answer, now_ms: float) -> None:
+        if self.recorder is None:
+            return
+        self.recorder.record(
+            class_name=pending.classification.class_name,
+            operation=pending.classification.operation.name,
+            verdict=answer.verdict,
+            reason=answer.reason,
+            latency_ms=now_ms - pending.begun_at_ms,
+            now_ms=now_ms,
+        )
+
     def _fresh_ticket(
         self, organisation: str, classification: Classification, now_ms: float
     ) -> str:
--- a/packages/sassafraswinch/sassafraswinch/executor.py
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -8,7 +8,6 @@
 from sassafraswinch.errors import InvariantError
 from sassafraswinch.execution import ExecutionLedger
 from sassafraswinch.gate import BackendOutcome, Gate, GateDecision
-from sassafraswinch.levels import strictest
 from sassafraswinch.messages import (
     Answer,
     Call,
@@ -331,6 +330,11 @@
         return self.gate.load(now_ms)
 
 
+def strictest(*thresholds: Rank | None) -> Rank | None:
+    """Return the threshold that admits least; None admits all."""
+    return min((rank for rank in thresholds if rank is not None), default=None)
+
+
 def judge(
     result: BackendResult, *, cancelled: bool, began_children: bool
 ) -> tuple[Verdict, Reason | None, BackendOutcome]:
--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -194,6 +194,15 @@
         self._trusted_after_ms = now_ms
         self._candidates.clear()
 
+    def knows(self, host: str) -> bool:
+        """Return whether a host of this name is known."""
+        return host in self._hosts
+
+    def record(self, host: str) -> HostRecord | None:
+        """Return the newest record of a host."""
+        known = self._hosts.get(host)
+        return known.record if known else None
+
     def candidates(self, service: str, now_ms: float) -> tuple[HostView, ...]:
         """Return the hosts of a service that don't leave."""
         found = self._candidates.get(service)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -4,10 +4,9 @@
 """
 
 import random
-from collections import deque
-from dataclasses import dataclass
 
 from sassafraswinch.classify import Classifier
+from sassafraswinch.configuration import UNASKED_SEQUENCE, Configuration
 from sassafraswinch.document import Document
 from sassafraswinch.early_repeats import EarlyRepeats
 from sassafraswinch.egress import Egress
@@ -17,65 +16,32 @@
 from sassafraswinch.forwarding import Forwarder
 from sassafraswinch.gate import Gate
 from sassafraswinch.levels import EntryShedder
+from sassafraswinch.lifecycle import Lifecycle
+from sassafraswinch.local_links import LOCAL_SESSION, LocalLinks
 from sassafraswinch.membership import Membership
 from sassafraswinch.messages import (
     Acknowledge,
     Answer,
     Call,
     Cancel,
+    DocumentReply,
+    DocumentRequest,
     Fence,
     FenceReply,
     Forward,
     Heartbeat,
+    Load,
     Message,
     NodeId,
 )
 from sassafraswinch.owner import Finished, OwnedCall, Owner
 from sassafraswinch.pending import LocalWaiter, Pending, RemoteWaiter, Waiter
-from sassafraswinch.ports import BackendPort, CallerPort, LinkPort
+from sassafraswinch.ports import BackendPort, CallerPort, LinkPort, Recorder
 from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
 from sassafraswinch.retry import CallerRetryBudget
 from sassafraswinch.routing import Router
 from sassafraswinch.tickets import TicketLedger
-
-LOCAL_SESSION = 0
-"""Session of the calls that a node sends to itself."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class LocalMessage:
-    """A message of this node to itself, waiting for the current step to end."""
-
-    to_owner: bool
-    message: Message
-
-
-class LocalLinks:
-    """The link port as owner and executor see it: this host needs no link."""
-
-    def __init__(self, *, host: str, links: LinkPort):
-        self.host = host
-        self.links = links
-        self.queue: deque[LocalMessage] = deque()
-
-    def send(self, host: str, message: Message) -> int | None:
-        """Send to another host, or queue for this one."""
-        if host != self.host:
-            return self.links.send(host, message)
-        self.queue.append(LocalMessage(to_owner=False, message=message))
-        return LOCAL_SESSION
-
-    def reply(self, node: NodeId, message: Message) -> bool:
-        """Answer another node, or this one."""
-        if node.host != self.host:
-            return self.links.reply(node, message)
-        self.queue.append(LocalMessage(to_owner=True, message=message))
-        return True
-
-    def connect(self, host: str) -> None:
-        """Dial another host."""
-        if host != self.host:
-            self.links.connect(host)
+from sassafraswinch.versions import ConfigKeeper
 
 
 class Node:
@@ -99,15 +65,18 @@
         ledger: ExecutionLedger,
         shedder: EntryShedder,
         budget: CallerRetryBudget,
+        keeper: ConfigKeeper,
+        service: str,
         rng: random.Random,
-        recorder=None,
+        recorder: Recorder | None = None,
     ):
         self.node = node
+        self.service = service
         self.callers = callers
         self.links = LocalLinks(host=node.host, links=links)
         self.membership = membership
-        self.recorder = recorder
-        self.leaving = False
+        self.router = router
+        self.lifecycle = Lifecycle()
         self.owner = Owner(
             node=node, links=self.links, membership=membership, router=router
         )
@@ -127,6 +96,7 @@
             budget=budget,
             repeats=EarlyRepeats(),
             respond=self._respond,
+            recorder=recorder,
             rng=rng,
         )
         self.egress = Egress(
@@ -135,15 +105,36 @@
             entry=self.entry,
             respond=self._respond,
         )
+        self.configuration = Configuration(
+            keeper=keeper,
+            lifecycle=self.lifecycle,
+            links=self.links,
+            membership=membership,
+            heartbeat=self.heartbeat,
+            use=self._use_document,
+        )
         self._waiting: dict[int, OwnedCall] = {}
 
-    def use_document(self, document: Document) -> None:
-        """Classify by ``document`` from now on; calls under way keep their class."""
-        classifier = Classifier(document=document)
-        self.entry.classifier = classifier
-        self.egress.classifier = classifier
-        service = document.services.get(self.membership.self_service)
-        self.executor.gate.set_slots(service.slots if service else None)
+    def start(self, now_ms: float) -> None:
+        """Begin to ask peers for the newest document; the listeners are open."""
+        self.lifecycle.listening()
+        self.configuration.sync(now_ms)
+
+    def woke(self, now_ms: float) -> None:
+        """Distrust what was known: the process was paused, and is as old as that."""
+        self.membership.distrust(now_ms)
+        self.lifecycle.woke()
+        self.configuration.sync(now_ms)
+
+    def heartbeat(self, sequence: int, now_ms: float) -> Heartbeat:
+        """Return what this node says of itself on every link."""
+        stamp = self.configuration.keeper.stamp
+        return Heartbeat(
+            sequence=sequence,
+            load=self.executor.load(now_ms),
+            document_version=stamp.version,
+            document_digest=stamp.digest,
+        )
 
     def submit(self, request: Request, now_ms: float) -> None:
         """Take a request at the entry listener."""
@@ -180,7 +171,9 @@
     ) -> None:
         """Note a new link, dialled by this node or by ``node``."""
         if dialled:
-            self.membership.link_up(node.host, node.incarnation, now_ms)
+            self.membership.link_up(
+                node.host, node.incarnation, now_ms, session=session
+            )
             self.owner.link_up(node, session, now_ms)
             self.forwarder.link_up(node, now_ms)
         self._settle(now_ms)
@@ -196,8 +189,9 @@
     ) -> None:
         """Note the end of a link; ``replaced``: a newer one to the host is open."""
         if dialled:
+            self.membership.link_lost(node.host, now_ms, session=session)
             if not replaced:
-                self.membership.link_lost(node.host, now_ms)
+                self.configuration.peer_lost(node.host, now_ms)
             self.owner.link_lost(node.host, session, now_ms)
             self.forwarder.link_lost(node.host, session, replaced=replaced)
         self._settle(now_ms)
@@ -209,8 +203,16 @@
         self._take(node, session, message, now_ms)
         self._settle(now_ms)
 
+    def link_proved(self, node: NodeId, sent_at_ms: float, now_ms: float) -> None:
+        """Note that ``node`` answered a heartbeat sent at ``sent_at_ms``."""
+        self.membership.round_trip(node.host, sent_at_ms, now_ms)
+        self.configuration.confirmed(node.host, sent_at_ms, now_ms)
+        self._settle(now_ms)
+
     def tick(self, now_ms: float) -> None:
         """Let time pass: deadlines, learnt limits, records' ages."""
+        self.configuration.tick(now_ms)
+        self.membership.tick(now_ms)
         self.executor.tick(now_ms)
         self.owner.tick(now_ms)
         self.forwarder.tick(now_ms)
@@ -219,9 +221,10 @@
 
     def leave(self, now_ms: float) -> None:
         """Refuse new work from now on; what has started runs to its end."""
-        self.leaving = True
+        self.lifecycle.leave(now_ms)
         self.entry.leaving = True
         self.executor.leave(now_ms)
+        self.links.announce(self.heartbeat(UNASKED_SEQUENCE, now_ms))
         self._settle(now_ms)
 
     @property
@@ -269,11 +272,30 @@
             case Forward():
                 self._take_forward(node, message, now_ms)
             case Heartbeat():
-                self.membership.heard(node, message.load, now_ms)
+                self._hear(node, message.load, now_ms)
+                self.configuration.heard(node, message, now_ms)
+            case DocumentRequest():
+                self.configuration.requested(node, message, now_ms)
+            case DocumentReply():
+                self.configuration.replied(node, message, now_ms)
+
+    def _hear(self, node: NodeId, load: Load, now_ms: float) -> None:
+        self.membership.heard(node, load, now_ms)
+        self.router.heard(node.host, load, now_ms)
+
+    def _use_document(self, document: Document | None) -> None:
+        """Classify by ``document`` from now on; calls under way keep their class."""
+        classifier = Classifier(document=document) if document else None
+        self.entry.classifier = classifier
+        if document is None:
+            return
+        self.egress.classifier = classifier
+        service = document.services.get(self.service)
+        self.executor.gate.set_slots(service.slots if service else None)
 
     def _take_answer(self, node: NodeId, answer: Answer, now_ms: float) -> None:
         if answer.load is not None:
-            self.membership.heard(node, answer.load, now_ms)
+            self._hear(node, answer.load, now_ms)
         if not self.forwarder.answered(node.host, answer):
             self.owner.answered(node, answer, now_ms)
 
@@ -331,12 +353,4 @@
         if pending.parent is not None:
             self.egress.finished(finished, now_ms)
             return
-        if self.recorder is not None and pending.waiters:
-            self.recorder.record(
-                pending.classification.class_name,
-                pending.classification.operation.name,
-                finished.answer,
-                now_ms - pending.begun_at_ms,
-                now_ms,
-            )
         self.entry.finished(finished, now_ms)
--- a/packages/sassafraswinch/sassafraswinch/offers.py
+++ b/packages/sassafraswinch/sassafraswinch/offers.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from sassafraswinch.version_claims import Fetch, Stamp
 from sassafraswinch.errors import InvalidFieldError
+from sassafraswinch.version_claims import Fetch, Stamp
 
 
 class Document(Protocol):
--- a/packages/sassafraswinch/sassafraswinch/ports.py
+++ b/packages/sassafraswinch/sassafraswinch/ports.py
@@ -7,6 +7,7 @@
 
 from sassafraswinch.messages import Call, Message, NodeId
 from sassafraswinch.requests import CallKey, Outcome
+from sassafraswinch.verdict import Reason, Verdict
 
 
 class LinkPort(Protocol):
@@ -22,6 +23,9 @@
     def connect(self, host: str) -> None:
         """Dial ``host`` if no link to it is open, and keep the link for a while."""
 
+    def announce(self, message: Message) -> None:
+        """Write ``message`` on every open link, whoever dialled it."""
+
     def reply(self, node: NodeId, message: Message) -> bool:
         """Write ``message`` on the newest link that ``node`` dialled to this node.
 
@@ -45,3 +49,19 @@
 
     def respond(self, handle: int, outcome: Outcome) -> None:
         """Give the request ``handle`` its final outcome; happens once."""
+
+
+class Recorder(Protocol):
+    """Takes note of how requests of callers ended, for the burn report."""
+
+    def record(
+        self,
+        *,
+        class_name: str,
+        operation: str,
+        verdict: Verdict,
+        reason: Reason | None,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Note the outcome of one request."""
--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -5,14 +5,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from sassafraswinch.version_claims import (
-    NO_STAMP,
-    Claims,
-    Fetch,
-    ServeBudget,
-    Stamp,
-    supersedes,
-)
 from sassafraswinch.errors import (
     InvalidFieldError,
     InvalidFieldsError,
@@ -29,6 +21,14 @@
     Refusal,
     Source,
 )
+from sassafraswinch.version_claims import (
+    NO_STAMP,
+    Claims,
+    Fetch,
+    ServeBudget,
+    Stamp,
+    supersedes,
+)
 
 SYNC_WAIT_MS = 3_000
 """How long a node listens to its peers before it serves on a copy of its own."""
