--- a/packages/sassafraswinch-standins/sassafraswinch_standins/answers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/answers.py
@@ -3,6 +3,7 @@
 import enum
 import zlib
 from dataclasses import dataclass
+from urllib.parse import parse_qsl, urlencode
 
 import orjson
 
@@ -20,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class RequestBody:
+class RequestFields:
     """What a caller asks a backend server stand-in."""
 
     request_id: str
@@ -30,26 +31,33 @@
     """Size of the filler of the answer, in bytes."""
 
 
-def parse_request(body: bytes) -> RequestBody | None:
-    """Read the body of a request; None when it isn't one of a stand-in."""
+def parse_request(*, query: bytes, body: bytes) -> RequestFields | None:
+    """Read a request of a stand-in; None when it isn't one."""
     try:
-        fields = orjson.loads(body)
-        return RequestBody(
+        fields = dict(parse_qsl(query.decode())) if query else orjson.loads(body)
+        return RequestFields(
             request_id=str(fields["id"]),
             answer_bytes=min(int(fields["answer_bytes"]), MAX_FILLER_BYTES),
         )
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError):
         return None
 
 
-def serialize_request_body(request: RequestBody) -> bytes:
-    """Write the body of a request."""
-    return orjson.dumps(
-        {"id": request.request_id, "answer_bytes": request.answer_bytes}
-    )
+def serialize_request(
+    request: RequestFields, *, method: str, path: str
+) -> tuple[str, bytes]:
+    """Write a request: in the query of a GET, else in the body.
+
+    Returns:
+        The target and the body.
+    """
+    fields = {"id": request.request_id, "answer_bytes": request.answer_bytes}
+    if method == "GET":
+        return f"{path}?{urlencode(fields)}", b""
+    return path, orjson.dumps(fields)
 
 
-def make_answer(request: RequestBody, *, server: str) -> bytes:
+def make_answer(request: RequestFields, *, server: str) -> bytes:
     """Write an answer: one line with id, length and checksum, then the filler.
 
     The filler repeats the request's id, so that a mixture of two answers has a wrong
@@ -73,7 +81,7 @@
     try:
         head = orjson.loads(line)
         answered_id, length, checksum = head["id"], head["length"], head["crc32"]
-    except (orjson.JSONDecodeError, KeyError, TypeError):
+    except (KeyError, TypeError, ValueError):
         return AnswerFault.UNREADABLE
     if answered_id != request_id:
         return AnswerFault.OTHER_REQUEST
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/backend.py
@@ -0,0 +1,265 @@
+"""Backend server stand-in: slots, service times, onward calls, faults on demand."""
+
+import asyncio
+from contextlib import suppress
+from pathlib import Path
+
+import defopt
+import orjson
+
+from sassafraswinch_standins.answers import RequestFields, make_answer, parse_request
+from sassafraswinch_standins.asgi import (
+    Receive,
+    Send,
+    cut_short,
+    disconnected,
+    read_body,
+    respond,
+)
+from sassafraswinch_standins.backend_settings import (
+    BackendControl,
+    BackendSettings,
+    Fault,
+    Honesty,
+    OperationPlan,
+)
+from sassafraswinch_standins.clock import now_ms
+from sassafraswinch_standins.onward import OnwardCalls
+from sassafraswinch_standins.runs import Run, RunLog, RunState
+from sassafraswinch_standins.serving import load_settings, serve
+from sassafraswinch_standins.slots import (
+    LaggingReports,
+    Report,
+    ServiceTime,
+    Slots,
+)
+
+NOT_RUN = (b"x-not-run", b"1")
+"""Header of the documented shed form: with status 503 it proves NOT_RUN."""
+
+
+class Backend:
+    """ASGI application of one backend server stand-in."""
+
+    def __init__(self, *, settings: BackendSettings):
+        self.settings = settings
+        self.runs = RunLog(record=settings.record_runs)
+        self.slots = Slots(slots=settings.slots, backlog=settings.backlog)
+        self._service_time = ServiceTime(
+            seed=settings.seed,
+            cold_start_ms=settings.cold_start_ms,
+            cold_factor=settings.cold_factor,
+        )
+        self._service_time.restart(now_ms())
+        self._reports = LaggingReports(
+            lag_ms=settings.report_lag_ms, observe=self._observe
+        )
+        self._onward = OnwardCalls(settings=settings)
+        self._plans = [(plan.pattern(), plan) for plan in settings.operations]
+        self._own_paths = {
+            "/health": self._health,
+            "/load": self._load,
+            "/runs": self._runs,
+            "/stats": self._stats,
+            "/control": self._control,
+        }
+        self._draining = False
+        self._fault = Fault.NONE
+        self._honesty = settings.honesty
+
+    async def __call__(self, scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        body = await read_body(receive)
+        own = self._own_paths.get(scope["path"])
+        if own is not None:
+            await own(body, send)
+            return
+        self._reports.tick(now_ms())
+        plan = self._plan(scope["method"], scope["path"])
+        if plan is None:
+            await respond(send, 404, b"no such operation")
+        elif self._draining or self.slots.full():
+            self.runs.shed += 1
+            await respond(send, 503, b"shed", NOT_RUN)
+        else:
+            await self._call(plan, scope, body, receive, send)
+
+    def _plan(self, method: str, path: str) -> OperationPlan | None:
+        return next(
+            (
+                plan
+                for pattern, plan in self._plans
+                if plan.method == method and pattern.fullmatch(path)
+            ),
+            None,
+        )
+
+    async def _call(self, plan, scope, body: bytes, receive, send) -> None:
+        """Work until the answer is sent, or the connection closes."""
+        headers = dict(scope["headers"])
+        request = parse_request(query=scope["query_string"], body=body)
+        request = request or RequestFields(request_id="", answer_bytes=len(body))
+        work = asyncio.create_task(self._work(plan, headers, request, send))
+        watch = asyncio.create_task(disconnected(receive))
+        try:
+            await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            watch.cancel()
+            work.cancel()
+            with suppress(asyncio.CancelledError):
+                await work
+
+    async def _work(
+        self, plan: OperationPlan, headers, request: RequestFields, send
+    ) -> None:
+        deadline_ms = headers.get(b"x-deadline-ms")
+        timeout_s = None if deadline_ms is None else float(deadline_ms) / 1000
+        ends_at_s = None if timeout_s is None else now_ms() / 1000 + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.slots.acquire()
+        except TimeoutError:
+            self.runs.shed += 1
+            await respond(send, 503, b"deadline before start", NOT_RUN)
+            return
+        try:
+            traceparent = headers.get(b"traceparent", b"").decode()
+            run = self.runs.start(
+                root_id=traceparent[3:35],
+                operation=plan.name,
+                request_id=request.request_id,
+                now_ms=now_ms(),
+            )
+            state = await self._run(plan, run, traceparent, ends_at_s)
+            self.runs.finish(run, state, now_ms())
+        finally:
+            self.slots.release()
+        await self._answer(state, request, send)
+
+    async def _run(
+        self, plan: OperationPlan, run: Run, traceparent: str, ends_at_s: float | None
+    ) -> RunState:
+        left_s = None if ends_at_s is None else ends_at_s - now_ms() / 1000
+        try:
+            async with asyncio.timeout(left_s):
+                if self._fault is Fault.HANG:
+                    await asyncio.Event().wait()
+                return await self._operate(plan, run, traceparent)
+        except TimeoutError:
+            return RunState.DEADLINE
+        except asyncio.CancelledError:
+            self.runs.finish(run, RunState.CANCELLED, now_ms())
+            raise
+
+    async def _operate(self, plan: OperationPlan, run: Run, traceparent) -> RunState:
+        """Do half of the own work, the child calls, and the other half."""
+        time_ms = self._service_time.draw_ms(plan.service_time_ms, plan.sigma, now_ms())
+        if not plan.calls:
+            await self._busy(run, time_ms)
+            return RunState.ANSWERED
+        await self._busy(run, time_ms / 2)
+        if not self.settings.hold_slot_during_calls:
+            self.slots.release()
+        try:
+            whole = await self._onward.make(plan, run, traceparent)
+        finally:
+            if not self.settings.hold_slot_during_calls:
+                await self.slots.acquire()
+        if not whole:
+            return RunState.CHILD_FAILED
+        await self._busy(run, time_ms / 2)
+        return RunState.ANSWERED
+
+    async def _busy(self, run: Run, time_ms: float) -> None:
+        started_at_ms = now_ms()
+        try:
+            await asyncio.sleep(time_ms / 1000)
+        finally:
+            run.busy_ms += now_ms() - started_at_ms
+
+    async def _answer(self, state: RunState, request: RequestFields, send) -> None:
+        if state is RunState.CHILD_FAILED:
+            await respond(send, 502, b"child call failed")
+        elif state is RunState.DEADLINE:
+            await respond(send, 504, b"deadline while running")
+        elif self._fault is Fault.ERROR:
+            await respond(send, 500, b"fault on demand")
+        else:
+            answer = make_answer(request, server=self.settings.name)
+            if self._fault is Fault.CUT:
+                await cut_short(send, answer)
+                return
+            await respond(send, 200, answer)
+
+    def _observe(self) -> Report:
+        return Report(
+            at_ms=now_ms(),
+            in_flight=self.slots.in_flight,
+            slots=self.slots.slots,
+            draining=self._draining,
+        )
+
+    async def _reported(self) -> Report:
+        if self._honesty is Honesty.HANGING:
+            await asyncio.Event().wait()
+        if self._honesty is Honesty.MISLEADING:
+            return Report(
+                at_ms=now_ms(), in_flight=0, slots=self.slots.slots, draining=False
+            )
+        return self._reports.read(now_ms())
+
+    async def _health(self, _body: bytes, send: Send) -> None:
+        report = await self._reported()
+        status, word = (503, b"draining") if report.draining else (200, b"ok")
+        await respond(send, status, word)
+
+    async def _load(self, _body: bytes, send: Send) -> None:
+        report = await self._reported()
+        load = {"in_flight": report.in_flight, "slots": report.slots}
+        await respond(send, 200, orjson.dumps(load))
+
+    async def _runs(self, _body: bytes, send: Send) -> None:
+        await respond(send, 200, orjson.dumps(self.runs.report()))
+
+    async def _stats(self, _body: bytes, send: Send) -> None:
+        stats = {
+            "running": self.slots.running,
+            "in_flight": self.slots.in_flight,
+            "started": self.runs.started,
+            "answered": self.runs.answered,
+            "shed": self.runs.shed,
+        }
+        await respond(send, 200, orjson.dumps(stats))
+
+    async def _control(self, body: bytes, send: Send) -> None:
+        control = BackendControl.model_validate_json(body)
+        if control.slow_factor is not None:
+            self._service_time.slow_factor = control.slow_factor
+        if control.drain is not None:
+            self._draining = control.drain
+        if control.fault is not None:
+            self._fault = control.fault
+        if control.honesty is not None:
+            self._honesty = control.honesty
+        if control.slots is not None:
+            self.slots.slots = control.slots
+            self.slots.wake()
+        if control.cold_start:
+            self._service_time.restart(now_ms())
+        if control.forget_runs:
+            self.runs.runs.clear()
+        await respond(send, 200, orjson.dumps(control.model_dump(mode="json")))
+
+
+def main(*, settings: Path) -> None:
+    """Run the backend server stand-in.
+
+    Args:
+        settings: YAML file with the fields of ``BackendSettings``.
+    """
+    loaded = load_settings(BackendSettings, settings)
+    asyncio.run(serve(Backend(settings=loaded), listen=loaded.listen))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/caller.py
@@ -0,0 +1,275 @@
+"""Caller stand-in: open-loop load that repeats hard and checks every answer."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import defopt
+import orjson
+
+from sassafraswinch.verdict import Verdict
+from sassafraswinch_standins.answers import (
+    RequestFields,
+    serialize_request,
+)
+from sassafraswinch_standins.arrivals import arrivals_ms
+from sassafraswinch_standins.attempts import TICKET_HEADER, AttemptResult, read_answer
+from sassafraswinch_standins.caller_settings import (
+    CallerSettings,
+    RetryMode,
+    Traffic,
+)
+from sassafraswinch_standins.clock import now_ms
+from sassafraswinch_standins.http_client import ExchangeError, HttpAnswer, HttpClient
+from sassafraswinch_standins.serving import load_settings
+from sassafraswinch_standins.tally import SERIES_MS, Outcome, Tally
+from sassafraswinch_standins.ticket_stash import KeptTicket, TicketStash
+
+MAX_TICKET_TRIPS = 3
+"""Answers 428 in a row after which a request is given up as NOT_RUN."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Pending:
+    """A request of the caller on its way through its attempts."""
+
+    key: str
+    traffic: Traffic
+    tally: Tally
+    scheduled_at_ms: float
+    entry: str
+    ticket: KeptTicket | None = None
+    generation: int = 0
+    """Rises with each try that is another one to the system."""
+    repeats: int = 0
+    ticket_trips: int = 0
+    hinted: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Id of the present try."""
+        return f"{self.key}.{self.generation}"
+
+
+@dataclass(slots=True, kw_only=True)
+class TryIds:
+    """Ids of tries by what the caller was told last about each."""
+
+    good: list[str] = field(default_factory=list)
+    not_run: list[str] = field(default_factory=list)
+    may_have_run: list[str] = field(default_factory=list)
+
+
+class Caller:
+    """Makes the load of its settings once and reports on it."""
+
+    def __init__(self, *, settings: CallerSettings):
+        self.settings = settings
+        self.ids = TryIds()
+        self.tallies = {
+            traffic.name: Tally(class_name=traffic.class_name, service=traffic.service)
+            for traffic in settings.traffic
+        }
+        self._rng = random.Random(settings.seed)
+        self._client = HttpClient()
+        self._tickets = TicketStash(max_age_ms=settings.ticket_max_age_ms)
+        self._started_at_ms = 0.0
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> dict[str, Any]:
+        """Make the load, wait for the last request, and return the report."""
+        settings = self.settings
+        self._started_at_ms = settings.start_at_ms or now_ms()
+        numbers = itertools.count(1)
+        weights = [traffic.weight for traffic in settings.traffic]
+        for at_ms in arrivals_ms(
+            settings.phases, duration_ms=settings.duration_ms, rng=self._rng
+        ):
+            (traffic,) = self._rng.choices(settings.traffic, weights)
+            wait_ms = self._started_at_ms + at_ms - now_ms()
+            if wait_ms > 0:
+                await asyncio.sleep(wait_ms / 1000)
+            self._offer(traffic, next(numbers), at_ms)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        self._client.close()
+        return self.report()
+
+    def report(self) -> dict[str, Any]:
+        """Return all figures as plain data."""
+        ended_at_ms = now_ms()
+        intervals = int((ended_at_ms - self._started_at_ms) // SERIES_MS) + 1
+        return {
+            "name": self.settings.name,
+            "started_at_ms": self._started_at_ms,
+            "ended_at_ms": ended_at_ms,
+            "traffic": {
+                name: tally.report(intervals) for name, tally in self.tallies.items()
+            },
+            "ids": {
+                "good": self.ids.good,
+                "not_run": self.ids.not_run,
+                "may_have_run": self.ids.may_have_run,
+            },
+        }
+
+    def _offer(self, traffic: Traffic, number: int, at_ms: float) -> None:
+        tally = self.tallies[traffic.name]
+        tally.offer(at_ms)
+        if len(self._tasks) >= self.settings.max_in_flight:
+            tally.dropped += 1
+            return
+        pending = Pending(
+            key=f"{self.settings.name}:{traffic.name}:{number}",
+            traffic=traffic,
+            tally=tally,
+            scheduled_at_ms=self._started_at_ms + at_ms,
+            entry=self._rng.choice(self.settings.entries),
+        )
+        task = asyncio.create_task(self._request(pending))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, pending: Pending) -> None:
+        """Attempt a request until it is over."""
+        while True:
+            result = await self._attempt(pending)
+            pause_ms = self._next_pause_ms(pending, result)
+            if pause_ms is None:
+                self._end(pending, result.outcome)
+                return
+            if pause_ms > 0:
+                await asyncio.sleep(pause_ms / 1000)
+
+    async def _attempt(self, pending: Pending) -> AttemptResult:
+        traffic = pending.traffic
+        if traffic.non_repeatable and pending.ticket is None:
+            pending.ticket = self._tickets.take(traffic, now_ms())
+            if pending.ticket is not None:
+                pending.entry = pending.ticket.entry
+        left_ms = pending.scheduled_at_ms + traffic.patience_ms - now_ms()
+        try:
+            answer = await self._send(pending, max(1.0, left_ms))
+        except ExchangeError as error:
+            unwritten = error.verdict is Verdict.NOT_RUN
+            result = AttemptResult(
+                outcome=Outcome.UNREACHABLE if unwritten else Outcome.MAY_HAVE_RUN,
+                reason="connect" if unwritten else "broken-connection",
+            )
+        except TimeoutError:
+            result = AttemptResult(
+                outcome=Outcome.MAY_HAVE_RUN, reason="caller-timeout"
+            )
+        else:
+            result = read_answer(answer, request_id=pending.request_id)
+        pending.tally.attempt(
+            result.outcome, result.reason, now_ms() - self._started_at_ms
+        )
+        self._take_in(pending, result)
+        return result
+
+    async def _send(self, pending: Pending, timeout_ms: float) -> HttpAnswer:
+        traffic, settings = pending.traffic, self.settings
+        prefix = "" if settings.direct else f"/{traffic.service}"
+        segment = pending.key.replace(":", "-")
+        target, body = serialize_request(
+            RequestFields(
+                request_id=pending.request_id, answer_bytes=traffic.answer_bytes
+            ),
+            method=traffic.method,
+            path=prefix + traffic.path.replace("{id}", segment),
+        )
+        headers = [(settings.caller_header, traffic.caller_id)]
+        if traffic.organisation_id is not None:
+            headers.append((settings.organisation_header, traffic.organisation_id))
+        if pending.ticket is not None:
+            headers.append((TICKET_HEADER, pending.ticket.text))
+        return await self._client.request(
+            address=pending.entry,
+            method=traffic.method,
+            target=target,
+            headers=headers,
+            body=body,
+            timeout_ms=timeout_ms,
+        )
+
+    def _take_in(self, pending: Pending, result: AttemptResult) -> None:
+        """Keep what an attempt taught: tickets, and the fate of its try."""
+        if result.outcome is Outcome.GOOD:
+            pending.tally.hinted_good += pending.hinted
+            self.ids.good.append(pending.request_id)
+        elif result.outcome is Outcome.NOT_RUN:
+            self.ids.not_run.append(pending.request_id)
+        if result.ticket is not None:
+            ticket = KeptTicket(
+                text=result.ticket, entry=pending.entry, kept_at_ms=now_ms()
+            )
+            if result.outcome is Outcome.TICKET_NEEDED:
+                pending.ticket = ticket
+            else:
+                self._tickets.put(pending.traffic, ticket)
+
+    def _next_pause_ms(self, pending: Pending, result: AttemptResult) -> float | None:
+        """Decide on a repeat and prepare it; None ends the request."""
+        retries = self.settings.retries
+        left_ms = pending.scheduled_at_ms + pending.traffic.patience_ms - now_ms()
+        if result.outcome in (Outcome.GOOD, Outcome.WRONG) or left_ms <= 0:
+            return None
+        if result.outcome is Outcome.TICKET_NEEDED:
+            pending.ticket_trips += 1
+            return 0.0 if pending.ticket_trips <= MAX_TICKET_TRIPS else None
+        non_repeatable = pending.traffic.non_repeatable
+        if result.outcome is Outcome.FAILED and non_repeatable:
+            return None
+        if pending.repeats >= retries.limit:
+            return None
+        pending.repeats += 1
+        pending.entry = self._rng.choice(self.settings.entries)
+        if result.outcome is Outcome.NOT_RUN or not non_repeatable:
+            # Only a proof makes a new try of an action that must not repeat. After
+            # any other outcome the same ticket and id go again: an earlier attempt
+            # of this try may have run, also when this one reached nobody.
+            pending.generation += 1
+            pending.ticket = None
+        pending.hinted = (
+            retries.mode is RetryMode.HONOUR and result.retry_after_ms is not None
+        )
+        pending.tally.hinted_repeats += pending.hinted
+        pause_ms = result.retry_after_ms if pending.hinted else retries.pause_ms
+        return pause_ms if pause_ms < left_ms else None
+
+    def _end(self, pending: Pending, outcome: Outcome) -> None:
+        ended_at_ms = now_ms()
+        if outcome is Outcome.MAY_HAVE_RUN:
+            self.ids.may_have_run.append(pending.request_id)
+        pending.tally.end(
+            outcome,
+            at_ms=ended_at_ms - self._started_at_ms,
+            latency_ms=ended_at_ms - pending.scheduled_at_ms,
+            objective_ms=pending.traffic.objective_ms,
+        )
+
+
+async def run(settings: CallerSettings) -> None:
+    """Run a caller stand-in and write its report."""
+    report = orjson.dumps(await Caller(settings=settings).run())
+    if settings.report is None:
+        print(report.decode(), flush=True)
+    else:
+        Path(settings.report).write_bytes(report)
+
+
+def main(*, settings: Path) -> None:
+    """Run the caller stand-in.
+
+    Args:
+        settings: YAML file with the fields of ``CallerSettings``.
+    """
+    asyncio.run(run(load_settings(CallerSettings, settings)))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/tally.py
@@ -0,0 +1,136 @@
+"""Figures of a caller stand-in about one kind of traffic."""
+
+import enum
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+SERIES_MS = 100.0
+"""Width of an interval of the time series, in milliseconds."""
+
+MAX_LATENCY_US = 120_000_000
+"""Largest latency that a histogram can hold, in microseconds."""
+
+SIGNIFICANT_DIGITS = 3
+"""Precision of the histograms."""
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Outcome(enum.Enum):
+    """How an attempt, or a whole request, ended for the caller."""
+
+    GOOD = "good"
+    """Whole, the caller's own, status 200."""
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    FAILED = "failed"
+    """A whole answer with another status than 200."""
+    WRONG = "wrong"
+    """An answer that isn't whole, or isn't the caller's own."""
+    UNREACHABLE = "unreachable"
+    """No connection to the entry."""
+    TICKET_NEEDED = "ticket_needed"
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+def quantiles_ms(histogram: HdrHistogram) -> dict[str, float]:
+    """Return the quantiles of a histogram in milliseconds."""
+    return {
+        f"p{quantile:g}_ms": histogram.get_value_at_percentile(quantile) / 1000
+        for quantile in QUANTILES
+    } | {"max_ms": histogram.get_max_value() / 1000}
+
+
+@dataclass(slots=True, kw_only=True)
+class Tally:
+    """Counts, latencies and time series of one kind of traffic."""
+
+    class_name: str
+    service: str
+    first_attempts: int = 0
+    attempts: int = 0
+    ticket_trips: int = 0
+    within_objective: int = 0
+    hinted_repeats: int = 0
+    """Repeats made after waiting as ``Retry-After`` asked."""
+    hinted_good: int = 0
+    """Those of them that were answered."""
+    dropped: int = 0
+    outcomes: Counter[Outcome] = field(default_factory=Counter)
+    """Last outcome of each request."""
+    attempt_outcomes: Counter[Outcome] = field(default_factory=Counter)
+    reasons: Counter[str] = field(default_factory=Counter)
+    """Reasons that nodes gave with attempts."""
+    latency: HdrHistogram = field(default_factory=new_histogram)
+    """Of good requests, from their scheduled start, in microseconds."""
+    offered: Counter[int] = field(default_factory=Counter)
+    good: Counter[int] = field(default_factory=Counter)
+    refused: Counter[int] = field(default_factory=Counter)
+    """Attempts that were told NOT_RUN, by interval."""
+
+    @property
+    def retries(self) -> int:
+        """Attempts that repeat an earlier one."""
+        return self.attempts - self.first_attempts - self.ticket_trips
+
+    def offer(self, at_ms: float) -> None:
+        """Count a request at its scheduled start."""
+        self.first_attempts += 1
+        self.offered[int(at_ms // SERIES_MS)] += 1
+
+    def attempt(self, outcome: Outcome, reason: str | None, at_ms: float) -> None:
+        """Count the end of one attempt."""
+        self.attempts += 1
+        self.attempt_outcomes[outcome] += 1
+        if reason is not None:
+            self.reasons[reason] += 1
+        if outcome is Outcome.TICKET_NEEDED:
+            self.ticket_trips += 1
+        if outcome is Outcome.NOT_RUN:
+            self.refused[int(at_ms // SERIES_MS)] += 1
+
+    def end(
+        self, outcome: Outcome, *, at_ms: float, latency_ms: float, objective_ms: float
+    ) -> None:
+        """Count the end of a request."""
+        self.outcomes[outcome] += 1
+        if outcome is not Outcome.GOOD:
+            return
+        self.good[int(at_ms // SERIES_MS)] += 1
+        self.within_objective += latency_ms <= objective_ms
+        self.latency.record_value(max(1, int(latency_ms * 1000)))
+
+    def report(self, intervals: int) -> dict[str, Any]:
+        """Return the figures as plain data.
+
+        Args:
+            intervals: length of the time series.
+        """
+        return {
+            "class_name": self.class_name,
+            "service": self.service,
+            "first_attempts": self.first_attempts,
+            "attempts": self.attempts,
+            "retries": self.retries,
+            "ticket_trips": self.ticket_trips,
+            "within_objective": self.within_objective,
+            "hinted_repeats": self.hinted_repeats,
+            "hinted_good": self.hinted_good,
+            "dropped": self.dropped,
+            "outcomes": {o.value: self.outcomes[o] for o in Outcome},
+            "attempt_outcomes": {o.value: self.attempt_outcomes[o] for o in Outcome},
+            "reasons": dict(self.reasons),
+            "latency": quantiles_ms(self.latency),
+            "latency_histogram": self.latency.encode().decode(),
+            "series_ms": SERIES_MS,
+            "offered": [self.offered[i] for i in range(intervals)],
+            "good": [self.good[i] for i in range(intervals)],
+            "refused": [self.refused[i] for i in range(intervals)],
+        }
