--- a/packages/sassafraswinch-node/sassafraswinch_node/link.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link.py
@@ -160,10 +160,16 @@
         """Expect an answer to a heartbeat from now on."""
         self._unanswered.append((sequence, self._now_ms()))
 
-    def heartbeat_answered(self, sequence: int) -> None:
-        """Note that the peer has read a heartbeat and all before it."""
+    def heartbeat_answered(self, sequence: int) -> float | None:
+        """Note that the peer has read a heartbeat and all before it.
+
+        Returns:
+            When that heartbeat was sent; None if none was open.
+        """
+        sent_at_ms = None
         while self._unanswered and self._unanswered[0][0] <= sequence:
-            self._unanswered.popleft()
+            _, sent_at_ms = self._unanswered.popleft()
+        return sent_at_ms
 
     def forgive_silence(self) -> None:
         """Start the watch for silence anew."""
--- a/packages/sassafraswinch-node/sassafraswinch_node/links.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/links.py
@@ -47,6 +47,8 @@
         events: told of links and messages.
         heartbeat: makes the heartbeat of a sequence number.
         refused: told of peers whose greeting doesn't do.
+        proved: told of host, session and time of sending of each heartbeat that
+            was answered: all that was written before it has been read.
         rng: jitter of redials.
         timing: time constants.
     """
@@ -59,6 +61,7 @@
         events: LinkEvents,
         heartbeat: Callable[[int], Heartbeat],
         refused: Callable[[LinkRefusedError], None] = lambda error: None,
+        proved: Callable[[str, int, float], None] = lambda host, session, sent: None,
         rng: random.Random | None = None,
         timing: LinkTiming | None = None,
     ):
@@ -67,6 +70,7 @@
         self._events = events
         self._heartbeat = heartbeat
         self._refused = refused
+        self._proved = proved
         self._rng = rng or random.Random()
         self._timing = timing or LinkTiming()
         self._sessions = itertools.count(1)
@@ -205,7 +209,9 @@
         if link.hello is None:
             self._greeted(peer, greeting, link, message)
         elif isinstance(message, HeartbeatReply):
-            link.heartbeat_answered(message.sequence)
+            sent_at_ms = link.heartbeat_answered(message.sequence)
+            if sent_at_ms is not None:
+                self._proved(peer.host, link.session, sent_at_ms)
         else:
             self._events.link_message(peer.host, link.session, message, True)
 
