--- /dev/null
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -0,0 +1,211 @@
+"""A gate before a fake backend server, on a simulated clock, event by event."""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sassafraswinch.gate import BackendOutcome, Gate
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.messages import LEVELS, Rank
+from sassafraswinch.verdict import Reason
+
+TICK_MS = 10.0
+SHED_MS = 0.5
+WAY_MS = 1.5
+
+
+@dataclass(slots=True, kw_only=True)
+class Stream:
+    """Poisson arrivals of one class."""
+
+    class_order: int
+    rate_per_s: Callable[[float], float]
+    deadline_ms: float = 1000.0
+    operation: str = "lookup"
+    repeats: int = 0
+    """Times that a refused caller comes back."""
+    obeys: bool = True
+    """Comes back when told, or else after 20 ms."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FakeCall:
+    stream: Stream
+    rank: Rank
+    offered_at_ms: float
+    repeats_left: int
+    started_at_ms: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Done:
+    """What became of one offer."""
+
+    call: FakeCall
+    at_ms: float
+    outcome: BackendOutcome | Reason
+
+    @property
+    def good(self) -> bool:
+        call = self.call
+        in_time = self.at_ms - call.offered_at_ms <= call.stream.deadline_ms
+        return self.outcome is BackendOutcome.OK and in_time
+
+
+@dataclass(slots=True, kw_only=True)
+class FakeServer:
+    """Slots and a service time; above its slots it sheds or queues by itself."""
+
+    slots: int
+    mean_ms: float
+    sheds: bool = True
+    slowness: Callable[[float], float] = lambda now_ms: 1.0
+    running: int = 0
+    backlog: deque = field(default_factory=deque)
+
+
+class Trial:
+    """Runs streams of calls through a gate to a server and keeps what happened."""
+
+    def __init__(
+        self,
+        *,
+        gate: Gate,
+        server: FakeServer,
+        streams: list[Stream],
+        seed: int,
+        shedder: EntryShedder | None = None,
+    ):
+        self.gate = gate
+        self.server = server
+        self.shedder = shedder
+        self.rng = random.Random(seed)
+        self.streams = streams
+        self.now_ms = 0.0
+        self.done: list[Done] = []
+        self.starts: list[FakeCall] = []
+        self.loads: list[tuple[float, object]] = []
+        self.entry_refusals = 0
+        self._events: list = []
+        self._order = itertools.count()
+        self._calls: dict[int, FakeCall] = {}
+        self._keys = itertools.count()
+
+    def run(self, duration_ms: float) -> "Trial":
+        for stream in self.streams:
+            self._later(0.0, self._arrive, stream)
+        self._later(TICK_MS, self._tick)
+        while self._events and self._events[0][0] <= duration_ms:
+            self.now_ms, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        return self
+
+    def _later(self, delay_ms: float, action: Callable, *args) -> None:
+        event = (self.now_ms + delay_ms, next(self._order), action, args)
+        heapq.heappush(self._events, event)
+
+    def _arrive(self, stream: Stream) -> None:
+        rate = stream.rate_per_s(self.now_ms)
+        if rate > 0:
+            self._call(stream, stream.repeats)
+        pause_ms = self.rng.expovariate(rate / 1000) if rate > 0 else 10.0
+        self._later(pause_ms, self._arrive, stream)
+
+    def _call(self, stream: Stream, repeats_left: int) -> None:
+        call = FakeCall(
+            stream=stream,
+            rank=Rank(stream.class_order, self.rng.randrange(LEVELS)),
+            offered_at_ms=self.now_ms,
+            repeats_left=repeats_left,
+        )
+        if self.shedder is None:
+            self._offer(call)
+        elif self.shedder.admits(stream.operation, call.rank, self.now_ms):
+            self._later(WAY_MS, self._offer, call)
+        else:
+            self.entry_refusals += 1
+            wait_ms = self.shedder.retry_after_ms(
+                stream.operation, call.rank, self.now_ms, self.rng
+            )
+            self._end(call, Reason.OVERLOADED, wait_ms)
+
+    def _offer(self, call: FakeCall) -> None:
+        key = next(self._keys)
+        self._calls[key] = call
+        stream = call.stream
+        self._carry_out(
+            self.gate.offer(
+                key=key,
+                rank=call.rank,
+                progress=0,
+                operation=stream.operation,
+                deadline_at_ms=call.offered_at_ms + stream.deadline_ms,
+                now_ms=self.now_ms,
+            )
+        )
+
+    def _carry_out(self, decision) -> None:
+        for refusal in decision.refused:
+            self._tell(self._calls[refusal.key].stream.operation)
+            self._end(
+                self._calls.pop(refusal.key), refusal.reason, refusal.retry_after_ms
+            )
+        for key in decision.start:
+            call = self._calls[key]
+            call.started_at_ms = self.now_ms
+            self.starts.append(call)
+            self._serve(key)
+
+    def _serve(self, key: int) -> None:
+        server = self.server
+        if server.running >= server.slots:
+            if server.sheds:
+                self._later(SHED_MS, self._finish, key, BackendOutcome.SHED)
+            else:
+                server.backlog.append(key)
+            return
+        server.running += 1
+        mean_ms = server.mean_ms * server.slowness(self.now_ms)
+        time_ms = mean_ms * (0.5 + self.rng.expovariate(2.0))
+        self._later(time_ms, self._served, key)
+
+    def _served(self, key: int) -> None:
+        self.server.running -= 1
+        if self.server.backlog:
+            self._serve(self.server.backlog.popleft())
+        self._finish(key, BackendOutcome.OK)
+
+    def _finish(self, key: int, outcome: BackendOutcome) -> None:
+        call = self._calls.pop(key)
+        self._carry_out(
+            self.gate.finished(
+                key=key,
+                self_time_ms=self.now_ms - call.started_at_ms,
+                outcome=outcome,
+                now_ms=self.now_ms,
+            )
+        )
+        self._tell(call.stream.operation)
+        self._end(call, outcome, 0)
+
+    def _tell(self, operation: str) -> None:
+        if self.shedder is not None:
+            threshold = self.gate.load(self.now_ms).threshold
+            self._later(WAY_MS, self._learn, operation, threshold)
+
+    def _learn(self, operation: str, threshold: Rank | None) -> None:
+        self.shedder.learn(operation, threshold, self.now_ms)
+
+    def _end(self, call: FakeCall, outcome, retry_after_ms: float) -> None:
+        self.done.append(Done(call=call, at_ms=self.now_ms, outcome=outcome))
+        if outcome is not BackendOutcome.OK and call.repeats_left:
+            wait_ms = retry_after_ms if call.stream.obeys else 20.0
+            self._later(wait_ms, self._call, call.stream, call.repeats_left - 1)
+
+    def _tick(self) -> None:
+        self._carry_out(self.gate.tick(self.now_ms))
+        self.loads.append((self.now_ms, self.gate.load(self.now_ms)))
+        self._later(TICK_MS, self._tick)
--- /dev/null
+++ b/packages/sassafraswinch/tests/utils/gate_bench.py
@@ -0,0 +1,147 @@
+"""Compares the gates on a fake backend server: python -m ...utils.gate_bench."""
+
+import random
+import statistics
+import sys
+from collections.abc import Callable
+from dataclasses import astuple, dataclass, fields
+
+from sassafraswinch.admission import AdaptiveGate
+from sassafraswinch.gate import Gate, OpenGate, StaticGate
+from sassafraswinch.levels import EntryShedder
+
+from .fake_server import FakeServer, Stream, Trial
+from .figures import Figures, measure
+
+RUN_MS, START_MS, END_MS = 12_000.0, 3_000.0, 7_000.0
+SLOTS, MEAN_MS = 60, 30.0
+CAPACITY_PER_S = SLOTS / MEAN_MS * 1000
+
+
+def during(inside: float, outside: float) -> Callable[[float], float]:
+    return lambda now_ms: inside if START_MS <= now_ms < END_MS else outside
+
+
+def always(value: float) -> Callable[[float], float]:
+    return lambda now_ms: value
+
+
+@dataclass(slots=True, kw_only=True)
+class Scenario:
+    name: str
+    hint: int | None = SLOTS
+    paying: tuple[float, float] = (0.3, 0.3)
+    """Share of the capacity that is offered, during the pressure and outside."""
+    trial: tuple[float, float] = (0.3, 0.3)
+    slowness: float = 1.0
+    sheds: bool = True
+    repeats: int = 0
+    obeys: bool = True
+    slots: int = SLOTS
+    deadline_ms: float = 1000.0
+
+    def run(self, gate: Gate, seed: int, shedder: EntryShedder | None) -> Figures:
+        rates = self.slots / MEAN_MS * 1000
+        streams = [
+            Stream(
+                class_order=order,
+                rate_per_s=during(share[0] * rates, share[1] * rates),
+                repeats=self.repeats,
+                obeys=self.obeys,
+                deadline_ms=self.deadline_ms,
+            )
+            for order, share in enumerate((self.paying, self.trial))
+        ]
+        server = FakeServer(
+            slots=self.slots,
+            mean_ms=MEAN_MS,
+            sheds=self.sheds,
+            slowness=during(self.slowness, 1.0),
+        )
+        trial = Trial(
+            gate=gate, server=server, streams=streams, seed=seed, shedder=shedder
+        )
+        trial.run(RUN_MS)
+        return measure(trial, start_ms=START_MS, end_ms=END_MS, run_ms=RUN_MS)
+
+
+SCENARIOS = [
+    Scenario(name="calm"),
+    Scenario(name="surge x3", paying=(0.9, 0.3), trial=(0.9, 0.3)),
+    Scenario(name="surge x3, paying > capacity", paying=(1.5, 0.5), trial=(0.9, 0.3)),
+    Scenario(
+        name="surge x3, hard repeats",
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+        repeats=5,
+        obeys=False,
+    ),
+    Scenario(name="surge x3, obeying", paying=(0.9, 0.3), trial=(0.9, 0.3), repeats=5),
+    Scenario(name="slow x5", slowness=5.0),
+    Scenario(
+        name="slow x5, free slots",
+        slowness=5.0,
+        paying=(0.08, 0.08),
+        trial=(0.08, 0.08),
+    ),
+    Scenario(name="slow x5, hard repeats", slowness=5.0, repeats=5, obeys=False),
+    Scenario(name="hint half", hint=SLOTS // 2, paying=(0.9, 0.6), trial=(0.9, 0.3)),
+    Scenario(name="hint double", hint=SLOTS * 2, paying=(0.9, 0.6), trial=(0.9, 0.3)),
+    Scenario(name="hint none", hint=None, paying=(0.9, 0.6), trial=(0.9, 0.3)),
+    Scenario(
+        name="server queues, hint double",
+        hint=SLOTS * 2,
+        sheds=False,
+        paying=(0.9, 0.6),
+        trial=(0.9, 0.3),
+    ),
+    Scenario(
+        name="server queues, hint none",
+        hint=None,
+        sheds=False,
+        paying=(0.9, 0.6),
+        trial=(0.9, 0.3),
+    ),
+    Scenario(
+        name="8 slots, surge x3", slots=8, hint=8, paying=(0.9, 0.3), trial=(0.9, 0.3)
+    ),
+]
+
+
+def arms(hint: int | None, seed: int) -> dict[str, tuple[Gate, EntryShedder | None]]:
+    def ours() -> Gate:
+        return AdaptiveGate(slots=hint, rng=random.Random(seed))
+
+    return {
+        "open": (OpenGate(), None),
+        "static": (StaticGate(slots=hint), None),
+        "ours": (ours(), None),
+        "ours+entry": (ours(), EntryShedder()),
+    }
+
+
+def main(only: str = "", seeds: int = 5) -> None:
+    names = [f.name.removesuffix("_percent") for f in fields(Figures)]
+    print(f"{'scenario':28} {'arm':11}" + "".join(f"{n:>16}" for n in names))
+    for scenario in SCENARIOS:
+        if only not in scenario.name:
+            continue
+        for arm in arms(scenario.hint, 0):
+            runs = [
+                scenario.run(
+                    *arms(scenario.hint, seed)[arm][:1],
+                    seed,
+                    arms(scenario.hint, seed)[arm][1],
+                )
+                for seed in range(seeds)
+            ]
+            columns = zip(*map(astuple, runs), strict=True)
+            cells = "".join(
+                f"{statistics.median(c):8.1f}±{(max(c) - min(c)) / 2:<7.1f}"
+                for c in columns
+            )
+            print(f"{scenario.name:28} {arm:11}" + cells)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:2])
