Add the node process: listeners, links, platform watch and planned stop

Cause: the sans-IO node has no adapters around it yet. Change: NodeProcess composes them; sassafraswinchd runs one from its settings. Conclusion: not run yet; HTTP clients and logs are still being built.

--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/daemon.py
@@ -0,0 +1,82 @@
+"""The node's binary, ``sassafraswinchd``."""
+
+import asyncio
+import gc
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+
+from sassafraswinch.errors import InvalidFieldsError
+from sassafraswinch_node.logs import configure_logs, log_event
+from sassafraswinch_node.process import NodeProcess
+from sassafraswinch_node.settings import Settings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+EXIT_CUT = 1
+
+
+async def run(settings: Settings) -> bool:
+    """Run a node until it is told to stop.
+
+    Returns:
+        Whether all requests in flight were finished.
+    """
+    process = NodeProcess(settings=settings)
+    await process.start()
+    gc.collect()
+    gc.freeze()
+    loop = asyncio.get_running_loop()
+    stops = 0
+
+    def stop() -> None:
+        nonlocal stops
+        stops += 1
+        if stops == 1:
+            process.leave()
+            loop.call_later(settings.stop_timeout_ms / 1000, process.cut)
+        else:
+            process.cut()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    await process.stopped.wait()
+    finished = process.node.in_flight == 0
+    await process.close()
+    return finished
+
+
+def serve(*, settings: Path) -> int:
+    """Run one node of sassafraswinch beside its backend server.
+
+    SIGTERM stops it gracefully: new work is refused, and no request in flight is
+    cut off. A second SIGTERM ends it at once and logs what was cut.
+
+    Exit codes: 0 stopped with nothing cut, 1 something was cut, 2 bad settings.
+
+    Args:
+        settings: YAML file; docs/OPERATIONS.md names its fields.
+    """
+    try:
+        loaded = load_settings(settings)
+    except InvalidFieldsError as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logs(level=loaded.log_level)
+    try:
+        finished = asyncio.run(run(loaded))
+    except OSError as error:
+        log_event("start_failed", level="error", reason=str(error))
+        return EXIT_BAD_SETTINGS
+    return 0 if finished else EXIT_CUT
+
+
+def main() -> None:
+    """Parse the command line and serve."""
+    sys.exit(defopt.run(serve, argv=sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
@@ -8,7 +8,6 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
 
 from sassafraswinch.messages import Headers
 from sassafraswinch.requests import Outcome, Request
@@ -34,16 +33,6 @@
 """Not passed on: of one connection, or context that only the system may set."""
 
 
-class CallHandler(Protocol):
-    """The node as the listeners see it."""
-
-    def submit(self, request: Request) -> None:
-        """Take a request; its outcome comes by ``CallListener.respond``."""
-
-    def abandon(self, handle: int) -> None:
-        """Note that the sender of a request has gone."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class IdentityHeaders:
     """Names of the header fields that carry who calls."""
@@ -53,17 +42,27 @@
 
 
 class CallListener:
-    """An ASGI application that turns HTTP requests into calls and back."""
+    """An ASGI application that turns HTTP requests into calls and back.
+
+    Args:
+        submit: takes a request; its outcome comes by ``respond``.
+        abandon: told the handle of a request whose sender has gone.
+        handles: numbers shared by all listeners of a node.
+        identity: names of the header fields that tell who calls.
+        max_body_bytes: longer bodies are refused with 413.
+    """
 
     def __init__(
         self,
         *,
-        handler: CallHandler,
+        submit: Callable[[Request], None],
+        abandon: Callable[[int], None],
         handles: "itertools.count[int]",
         identity: Callable[[], IdentityHeaders],
         max_body_bytes: int,
     ):
-        self.handler = handler
+        self.submit = submit
+        self.abandon = abandon
         self.handles = handles
         self.identity = identity
         self.max_body_bytes = max_body_bytes
@@ -100,7 +99,7 @@
     async def _outcome(self, request: Request, receive) -> Outcome | None:
         future = asyncio.get_running_loop().create_future()
         self.waiting[request.handle] = future
-        self.handler.submit(request)
+        self.submit(request)
         if future.done():
             return future.result()
         gone = asyncio.ensure_future(_disconnected(receive))
@@ -110,7 +109,7 @@
             gone.cancel()
             if not future.done():
                 self.waiting.pop(request.handle, None)
-                self.handler.abandon(request.handle)
+                self.abandon(request.handle)
         return future.result() if future.done() else None
 
     async def _read_body(self, scope, receive) -> bytes | None:
--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -0,0 +1,298 @@
+"""One node process: the decisions of a node and the adapters around them."""
+
+import asyncio
+import itertools
+import os
+import random
+import time
+
+from sassafraswinch.burn import BurnRecorder
+from sassafraswinch.document import Document
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.lifecycle import NodeState
+from sassafraswinch.link_plan import LinkPlan
+from sassafraswinch.membership import Membership
+from sassafraswinch.messages import (
+    PROTOCOL_VERSION,
+    Heartbeat,
+    Hello,
+    Message,
+    NodeId,
+)
+from sassafraswinch.node import Node
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.retry import CallerRetryBudget
+from sassafraswinch.routing import Router
+from sassafraswinch.tickets import TicketLedger
+from sassafraswinch.wake import WakeDetector
+from sassafraswinch_node.backend import BackendClient
+from sassafraswinch_node.building import make_gate, make_keeper
+from sassafraswinch_node.dispatcher import Dispatcher
+from sassafraswinch_node.http_calls import CallListener, IdentityHeaders
+from sassafraswinch_node.link import LinkRefusedError
+from sassafraswinch_node.link_adapter import LinkAdapter
+from sassafraswinch_node.listeners import HttpListener
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_node.platform import PlatformClient
+from sassafraswinch_node.platform_watch import PlatformWatch
+from sassafraswinch_node.settings import Settings
+
+TICK_MS = 25
+"""Period of the node's own steps: short against queue delays of 10 ms and more."""
+
+PLAN_EVERY_TICKS = 40
+"""Ticks between two looks at which hosts to link to: about a second."""
+
+TICKET_LIFETIME_MS = 120_000
+"""How long a caller may hold a ticket before it uses it."""
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Bytes of answers kept for repeats, at the owner and at the executing node each."""
+
+
+class NodeProcess:
+    """Runs a ``Node`` on sockets until it is told to stop."""
+
+    def __init__(self, *, settings: Settings, rng: random.Random | None = None):
+        self.settings = settings
+        self.rng = rng or random.Random(int.from_bytes(os.urandom(16), "big"))
+        self.node_id = NodeId(settings.host, self.rng.getrandbits(63))
+        self.membership = Membership(self_host=settings.host)
+        self.wake = WakeDetector(tick_ms=TICK_MS)
+        self.stopped = asyncio.Event()
+        self._handles = itertools.count(1)
+        self._tasks: set[asyncio.Task] = set()
+        self._identity = IdentityHeaders(
+            caller=b"x-caller-id", organisation=b"x-organisation-id"
+        )
+        self._document: Document | None = None
+        self.recorder = BurnRecorder(host=settings.host, now_ms=self.now_ms())
+        self.links = LinkAdapter(
+            receiver=self,
+            hello=self._hello,
+            heartbeat=self._heartbeat,
+            membership=self.membership,
+            plan=LinkPlan(
+                host=settings.host, availability_zone=settings.availability_zone
+            ),
+            refused=_link_refused,
+        )
+        self.dispatcher = Dispatcher(
+            client=BackendClient(
+                ip=settings.backend.ip,
+                port=settings.backend.port,
+                max_connections=settings.max_connections,
+            ),
+            done=self._backend_done,
+        )
+        self.entry = self._listener(self._submit)
+        self.egress = self._listener(self._submit_child)
+        self.node = self._make_node()
+        self.platform = PlatformClient(urls=settings.platform)
+        self.watch = PlatformWatch(
+            client=self.platform,
+            configuration=self.node.configuration,
+            membership=self.membership,
+            now_ms=self.now_ms,
+            rng=self.rng,
+        )
+
+    def now_ms(self) -> float:
+        """Return the runtime's monotonic clock in milliseconds."""
+        return asyncio.get_running_loop().time() * 1000
+
+    async def start(self) -> None:
+        """Open the listeners and begin to read the platform.
+
+        Raises:
+            OSError: if an address can't be bound.
+        """
+        settings = self.settings
+        self.http = {
+            "entry": HttpListener(app=self.entry, address=settings.entry),
+            "egress": HttpListener(app=self.egress, address=settings.egress),
+        }
+        for listener in self.http.values():
+            await listener.start()
+        link = await self.links.start(settings.link)
+        self.node.start(self.now_ms())
+        self._run(self.watch.run())
+        self._run(self._tick())
+        addresses = {name: str(http.address) for name, http in self.http.items()}
+        log_event(
+            "node_started",
+            host=settings.host,
+            availability_zone=settings.availability_zone,
+            incarnation=self.node_id.incarnation,
+            link=str(link),
+            **addresses,
+        )
+
+    def leave(self) -> None:
+        """Begin a planned stop: refuse new work, finish what is in flight."""
+        if self.node.lifecycle.leaving:
+            return
+        self.node.leave(self.now_ms())
+        log_event("node_leaving", in_flight=self.node.in_flight)
+
+    def cut(self) -> None:
+        """End at once; what is still in flight is named in the log."""
+        log_event("node_cut", in_flight=self.node.in_flight)
+        self.node.lifecycle.cut()
+        self.stopped.set()
+
+    async def close(self) -> None:
+        """Close listeners, links and tasks."""
+        for listener in self.http.values():
+            await listener.stop()
+        await self.links.stop()
+        for task in self._tasks:
+            task.cancel()
+        await self.platform.close()
+        await self.dispatcher.client.close()
+        log_event("node_stopped", host=self.settings.host)
+
+    def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
+        """Pass on a new link; its greeting carries the peer's version."""
+        now_ms = self._observe()
+        self.node.link_up(hello.node, session, dialled=dialled, now_ms=now_ms)
+        self.node.configuration.greeted(hello, now_ms)
+
+    def link_message(
+        self, node: NodeId, session: int, message: Message, *, dialled: bool
+    ) -> None:
+        """Pass on a message."""
+        self.node.message(node, session, message, self._observe())
+
+    def link_lost(
+        self, node: NodeId, session: int, *, dialled: bool, replaced: bool
+    ) -> None:
+        """Pass on the end of a link."""
+        now_ms = self._observe()
+        self.node.link_lost(
+            node, session, dialled=dialled, replaced=replaced, now_ms=now_ms
+        )
+
+    def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
+        """Pass on that a heartbeat was answered."""
+        self.node.link_proved(node, sent_at_ms, self._observe())
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Answer a request at whichever listener it waits (the caller port)."""
+        if not self.entry.respond(handle, outcome):
+            self.egress.respond(handle, outcome)
+
+    def _make_node(self) -> Node:
+        settings = self.settings
+        return Node(
+            node=self.node_id,
+            links=self.links,
+            backend=self.dispatcher,
+            callers=self,
+            gate=make_gate(settings, self.rng),
+            membership=self.membership,
+            router=Router(availability_zone=settings.availability_zone, rng=self.rng),
+            tickets=TicketLedger(
+                node=self.node_id,
+                secret=os.urandom(32),
+                lifetime_ms=TICKET_LIFETIME_MS,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+            ),
+            ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
+            shedder=EntryShedder(),
+            budget=CallerRetryBudget(share_percent=10),
+            keeper=make_keeper(self.rng),
+            service=settings.service,
+            rng=self.rng,
+            recorder=self.recorder,
+            document_changed=self._document_changed,
+        )
+
+    def _listener(self, submit) -> CallListener:
+        return CallListener(
+            submit=submit,
+            abandon=self._abandon,
+            handles=self._handles,
+            identity=lambda: self._identity,
+            max_body_bytes=self.settings.max_body_bytes,
+        )
+
+    def _document_changed(self, document: Document) -> None:
+        identity = document.identity
+        self._identity = IdentityHeaders(
+            caller=identity.caller_header.encode(),
+            organisation=identity.organisation_header.encode(),
+        )
+        objectives = {
+            service_class.name: service_class.objective
+            for service_class in document.classes
+            if service_class.objective is not None
+        }
+        self.recorder.set_objectives(objectives, document_version=document.version)
+        log_event("document_in_force", version=document.version, digest=document.digest)
+
+    def _observe(self) -> float:
+        """Return the time, after telling the node if the process was paused."""
+        now_ms = self.now_ms()
+        if self.wake.observe(monotonic_ms=now_ms, wall_ms=time.time() * 1000):
+            log_event("node_woke", host=self.settings.host)
+            self.node.woke(now_ms)
+        return now_ms
+
+    def _submit(self, request: Request) -> None:
+        self.node.submit(request, self._observe())
+
+    def _submit_child(self, request: Request) -> None:
+        self.node.submit_child(request, self._observe())
+
+    def _abandon(self, handle: int) -> None:
+        self.node.abandon(handle, self._observe())
+
+    def _backend_done(self, key: CallKey, result: BackendResult) -> None:
+        self.node.backend_done(key, result, self._observe())
+
+    def _hello(self, session: int) -> Hello:
+        stamp = self.node.configuration.keeper.stamp
+        return Hello(
+            protocol_version=PROTOCOL_VERSION,
+            node=self.node_id,
+            availability_zone=self.settings.availability_zone,
+            service=self.settings.service,
+            session=session,
+            document_version=stamp.version,
+            document_digest=stamp.digest,
+        )
+
+    def _heartbeat(self, sequence: int) -> Heartbeat:
+        return self.node.heartbeat(sequence, self.now_ms())
+
+    async def _tick(self) -> None:
+        for tick in itertools.count():
+            now_ms = self._observe()
+            self.node.tick(now_ms)
+            if tick % PLAN_EVERY_TICKS == 0:
+                self.links.follow_plan()
+                if self.membership.self_leaving:
+                    self.leave()
+            if self.node.lifecycle.state is NodeState.LEAVING:
+                self.node.lifecycle.tick(now_ms, in_flight=self.node.in_flight)
+            if self.node.lifecycle.state is NodeState.STOPPED:
+                self.stopped.set()
+                return
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _run(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("task_failed", level="error", error=repr(task.exception()))
+            self.cut()
+
+
+def _link_refused(error: LinkRefusedError) -> None:
+    log_event("link_refused", level="warning", peer=error.peer, reason=error.reason)
--- a/packages/sassafraswinch/sassafraswinch/configuration.py
+++ b/packages/sassafraswinch/sassafraswinch/configuration.py
@@ -9,6 +9,7 @@
     DocumentReply,
     DocumentRequest,
     Heartbeat,
+    Hello,
     Message,
     NodeId,
 )
@@ -41,7 +42,7 @@
         self.heartbeat = heartbeat
         self.use = use
         self._used: Document | None = None
-        self._accepted_from: dict[str, NodeId] = {}
+        self._nodes: dict[str, NodeId] = {}
 
     def sync(self, now_ms: float) -> None:
         """Ask the linked peers before serving on what is held."""
@@ -59,16 +60,18 @@
         self._after_offer(offered, now_ms)
         return offered
 
+    def greeted(self, hello: Hello, now_ms: float) -> None:
+        """Take in the version that a peer names in its greeting."""
+        self._hear(hello.node, hello.document_version, hello.document_digest, now_ms)
+
     def heard(self, peer: NodeId, heartbeat: Heartbeat, now_ms: float) -> None:
         """Take in the version that a peer holds."""
-        self._accepted_from[peer.host] = peer
-        fetches = self.keeper.heard(
-            peer.host,
-            heartbeat.document_version,
-            heartbeat.document_digest,
-            now_ms,
-        )
-        self._fetch(fetches)
+        version = heartbeat.document_version
+        self._hear(peer, version, heartbeat.document_digest, now_ms)
+
+    def _hear(self, peer: NodeId, version: int, digest: str, now_ms: float) -> None:
+        self._nodes[peer.host] = peer
+        self._fetch(self.keeper.heard(peer.host, version, digest, now_ms))
         self._apply(now_ms)
 
     def confirmed(self, host: str, sent_at_ms: float, now_ms: float) -> None:
@@ -88,7 +91,7 @@
 
     def peer_lost(self, host: str, now_ms: float) -> None:
         """Drop what a peer claimed whose last link is lost."""
-        self._accepted_from.pop(host, None)
+        self._nodes.pop(host, None)
         self._fetch(self.keeper.peer_lost(host, now_ms))
 
     def tick(self, now_ms: float) -> None:
@@ -117,5 +120,5 @@
 
     def _send(self, host: str, message: Message) -> None:
         """Send on the link that this node dialled, else on the peer's own."""
-        if self.links.send(host, message) is None and host in self._accepted_from:
-            self.links.reply(self._accepted_from[host], message)
+        if self.links.send(host, message) is None and host in self._nodes:
+            self.links.reply(self._nodes[host], message)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -4,6 +4,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from sassafraswinch.classify import Classifier
 from sassafraswinch.configuration import UNASKED_SEQUENCE, Configuration
@@ -69,9 +70,11 @@
         service: str,
         rng: random.Random,
         recorder: Recorder | None = None,
+        document_changed: Callable[[Document], None] = lambda document: None,
     ):
         self.node = node
         self.service = service
+        self.document_changed = document_changed
         self.callers = callers
         self.links = LocalLinks(host=node.host, links=links)
         self.membership = membership
@@ -292,6 +295,7 @@
         self.egress.classifier = classifier
         service = document.services.get(self.service)
         self.executor.gate.set_slots(service.slots if service else None)
+        self.document_changed(document)
 
     def _take_answer(self, node: NodeId, answer: Answer, now_ms: float) -> None:
         if answer.load is not None:
