Add calls to the backend server, each sent once

aiosonic 1.3.3's HTTPClient sends PUT, GET and the like again by itself when a kept connection drops, and has no switch for it. An idle connection is polled before use, so that a close that the loop hasn't read yet costs no verdict.

--- /dev/null
+++ b/packages/sassafraswinch-node/tests/test_backend.py
@@ -0,0 +1,278 @@
+"""Calls to a backend server: sent once, and answered whole or not at all."""
+
+import asyncio
+import gzip
+import socket
+
+import pytest
+
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch_node import backend
+
+TIMEOUT_S = 5
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+NOT_RUN = Verdict.NOT_RUN
+MAY_HAVE_RUN = Verdict.MAY_HAVE_RUN
+
+
+class RawServer:
+    """Answers each request with the next reply of a script.
+
+    A reply is bytes to send; None closes the connection without a word, ``END``
+    after bytes closes it after them.
+    """
+
+    END = b"<end>"
+
+    def __init__(self):
+        self.requests = []
+        self.replies = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self.writers = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                self.requests.append(await self.read_request(reader))
+                reply = self.replies.pop(0)
+                if reply is None:
+                    break
+                writer.write(reply.removesuffix(self.END))
+                if reply.endswith(self.END):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+        writer.close()
+
+    async def read_request(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        return head + await reader.readexactly(int(size or 0))
+
+
+@pytest.fixture
+async def server():
+    server = RawServer()
+    server.address = await server.start()
+    yield server
+    server.server.close()
+    for writer in server.writers:
+        writer.transport.abort()
+
+
+@pytest.fixture
+async def client(server):
+    client = backend.BackendClient(
+        ip=server.address[0], port=server.address[1], max_connections=2
+    )
+    yield client
+    await client.close()
+
+
+async def call(client, method="POST", target="/orders/7", headers=(), body=b"x" * 9):
+    return await client.call(method, target, headers, body, TIMEOUT_S * 1000)
+
+
+async def failure(client, **arguments):
+    with pytest.raises(backend.BackendError) as caught:
+        await call(client, **arguments)
+    return caught.value
+
+
+@pytest.mark.parametrize("method", ["PUT", "GET", "DELETE", "POST"])
+async def test_dropped_kept_connection_is_not_tried_again(server, client, method):
+    """A backend server drops a kept connection after it has read a request.
+
+    Nobody knows whether the request ran. A client that sends it again by itself,
+    as aiosonic's does for methods like PUT, would approve an order twice.
+    """
+    server.replies = [OK, None, OK]
+    await call(client, method)
+    error = await failure(client, method=method)
+    assert (error.verdict, error.reason) == (MAY_HAVE_RUN, Reason.BACKEND_BROKEN)
+    assert len(server.requests) == 2
+
+
+async def test_connection_closed_while_idle_is_not_used(server, client):
+    """A backend server closes an idle connection, as all do after some seconds.
+
+    A request written to it would get no answer, and its caller would be told that
+    it may have run, for nothing. The close may not even have been read yet.
+    """
+    server.replies = [OK] * 3
+    await call(client)
+    server.writers[0].get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+    await call(client)  # the loop has had no chance to read the close
+    server.writers[1].close()
+    await asyncio.sleep(0.02)
+    await call(client)
+    assert (len(server.requests), server.connections) == (3, 3)
+
+
+async def test_unasked_answer_is_never_taken_for_the_next_one(server, client):
+    """A backend server sends two answers to one request.
+
+    The second one must not be given to the next caller on that connection.
+    """
+    server.replies = [OK + OK.replace(b"ok", b"no"), OK]
+    assert (await call(client)).body == b"ok"
+    assert (await call(client)).body == b"ok"
+    assert server.connections == 2
+
+
+async def test_cancelled_call_closes_its_connection(server, client):
+    server.replies = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", OK]
+    calling = asyncio.create_task(call(client))
+    while not server.requests:
+        await asyncio.sleep(0.01)
+    calling.cancel()
+    await asyncio.wait_for(server.closed.wait(), TIMEOUT_S)
+    assert (await call(client)).body == b"ok"
+
+
+async def test_refused_connection_is_not_run(server, client):
+    server.server.close()
+    await server.server.wait_closed()
+    error = await failure(client)
+    assert (error.verdict, error.reason) == (NOT_RUN, Reason.BACKEND_UNREACHABLE)
+
+
+async def test_timeout_tells_whether_the_request_was_written(server, client):
+    server.replies = [b"", b""]
+    waiting = [asyncio.create_task(call(client)) for _ in range(2)]
+    while len(server.requests) < 2:
+        await asyncio.sleep(0.01)
+    with pytest.raises(backend.BackendError) as caught:
+        await client.call("POST", "/", (), b"", 30)
+    assert (caught.value.verdict, caught.value.reason) == (NOT_RUN, Reason.DEADLINE)
+    for task in waiting:
+        task.cancel()
+    server.replies = [b""]
+    with pytest.raises(backend.BackendError) as caught:
+        await client.call("POST", "/", (), b"", 30)
+    assert caught.value.verdict is MAY_HAVE_RUN
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nX-A: 1\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        CHUNKED + b"2\r\nok\r\n",
+        CHUNKED + b"2\r\nok\r\n0\r\n",
+        CHUNKED + b"x\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok!",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"SSH-2.0\r\n",
+    ],
+)
+async def test_answer_that_is_not_whole_may_have_run(server, client, reply):
+    server.replies = [reply + server.END]
+    error = await failure(client)
+    assert (error.verdict, error.reason) == (MAY_HAVE_RUN, Reason.BACKEND_BROKEN)
+
+
+@pytest.mark.parametrize(
+    ("method", "reply", "status", "body"),
+    [
+        ("GET", CHUNKED + b"2;a=b\r\nok\r\n0\r\nX-T: 1\r\n\r\n", 200, b"ok"),
+        ("GET", b"HTTP/1.1 100 Continue\r\n\r\n" + OK, 200, b"ok"),
+        ("GET", b"HTTP/1.0 200 OK\r\n\r\nok<end>", 200, b"ok"),
+        ("GET", b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok<end>", 200, b"ok"),
+        ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 200, b""),
+        ("GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 304, b""),
+        ("GET", b"HTTP/1.1 204 No Content\r\n\r\n", 204, b""),
+    ],
+)
+async def test_whole_answers_of_each_form(server, client, method, reply, status, body):
+    server.replies = [reply, OK]
+    answer = await call(client, method)
+    assert (answer.status, answer.body) == (status, body)
+    assert (await call(client)).body == b"ok"
+
+
+async def test_answer_is_passed_on_untouched(server, client):
+    body = gzip.compress(b"whole" * 100)
+    head = (
+        b"HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nContent-Encoding: gzip\r\n"
+        b"X-Name: caf\xe9\r\nSet-Cookie: b=2\r\nConnection: keep-alive, x-hop\r\n"
+        b"X-Hop: 1\r\nContent-Length: %d\r\n\r\n" % len(body)
+    )
+    server.replies = [head + body, OK]
+    answer = await call(client)
+    assert answer.body == body
+    assert answer.headers == (
+        ("set-cookie", "a=1"),
+        ("content-encoding", "gzip"),
+        ("x-name", "caf\xe9"),
+        ("set-cookie", "b=2"),
+        ("content-length", str(len(body))),
+    )
+    await call(client)
+    assert b"cookie" not in server.requests[1].lower()
+
+
+async def test_request_is_passed_on_untouched(server, client):
+    server.replies = [OK]
+    headers = (("x-a", "1"), ("cookie", "c=\xe9"), ("x-a", "2"), ("te", "trailers"))
+    await call(client, "GET", "/a%20b?q=1", headers, b"body of a GET")
+    address = "{}:{}".format(*server.address)
+    assert server.requests[0].decode("latin-1") == (
+        f"GET /a%20b?q=1 HTTP/1.1\r\nhost: {address}\r\nx-a: 1\r\ncookie: c=\xe9\r\n"
+        "x-a: 2\r\ncontent-length: 13\r\n\r\nbody of a GET"
+    )
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        {"target": "/a HTTP/1.1\r\nx: y"},
+        {"target": "/a b"},
+        {"method": "GET /x"},
+        {"headers": (("x-a", "1\r\nx-b: 2"),)},
+        {"headers": (("x-a", "1\n2"),)},
+        {"headers": (("x a", "1"),)},
+        {"headers": (("x-a", "\u20ac"),)},
+    ],
+)
+async def test_request_that_would_be_read_as_another_is_not_run(client, arguments):
+    error = await failure(client, **arguments)
+    assert (error.verdict, error.reason) == (NOT_RUN, Reason.BAD_REQUEST)
+
+
+async def test_longest_answer_arrives_and_a_longer_one_is_refused(server, client):
+    for size in (backend.MAX_ANSWER_BYTES, backend.MAX_ANSWER_BYTES + 1):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        server.replies.append(head + bytes(size))
+    assert len((await call(client)).body) == backend.MAX_ANSWER_BYTES
+    assert (await failure(client)).reason is Reason.TOO_LARGE
+
+
+async def test_many_calls_share_few_connections(server, client):
+    server.replies = [OK] * 1200
+    answers = await asyncio.gather(*[call(client) for _ in range(1200)])
+    assert {answer.body for answer in answers} == {b"ok"}
+    assert (len(server.requests), server.connections) == (1200, 2)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "shed"),
+    [(503, "1", True), (503, "0", False), (500, "1", False)],
+)
+def test_only_the_documented_form_is_a_shed(status, value, shed):
+    headers = (("x-not-run", value),)
+    answer = backend.BackendAnswer(status=status, headers=headers, body=b"")
+    assert backend.is_shed(answer) is shed
