Measure the standing queue by class

Cause: one least delay for all classes let starving trial calls count as a standing queue, and the noise of the rates then put the threshold into the paying class, whose own calls started in time. Ruled out: too small a queue (paying calls found it half empty of their class). Now the threshold never falls into a class above the one whose calls wait, and without a standing queue it only opens.

Half of the cause only: calls that wait when a paying call is refused still start.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -13,9 +13,10 @@
 )
 from sassafraswinch.limits import ConcurrencyLimit
 from sassafraswinch.messages import LEVELS, Load, Rank
+from sassafraswinch.queue_delay import QueueDelays
 from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 from sassafraswinch.service_time import ServiceTimes
-from sassafraswinch.threshold import TARGET_DELAY_MS, Threshold
+from sassafraswinch.threshold import Threshold
 from sassafraswinch.verdict import Reason
 from sassafraswinch.waiting import Claim, WaitingCall, WaitingCalls
 
@@ -25,10 +26,6 @@
 MIN_QUEUE = 4
 """Calls that may wait however slowly slots come free."""
 
-TARGET_SLOT_TIMES = 2.0
-"""The target of queue delay is at least this many times the mean time between two
-slots coming free: below it one waiting call would already be a standing queue."""
-
 HOLD_MS = 250.0
 """Time for which classes below a class that lost a call to overload stay closed,
 so that a slot that comes free just then doesn't go to a lower class."""
@@ -64,7 +61,7 @@
         self._closed_until_ms: dict[int, float] = {}
         self._returns: dict[int, ReturnSchedule] = {}
         self._slot_time_ms = 0.0
-        self._least_delay_ms = 0.0
+        self._delays = QueueDelays()
         self._sequence = 0
         self._leaving = False
 
@@ -197,6 +194,7 @@
             started_at_ms=now_ms,
             in_flight=len(self._running) + 1,
         )
+        self._delays.started(call.claim.class_order, now_ms - call.offered_at_ms)
 
     def _fill(self, now_ms: float) -> GateDecision:
         start, refused = [], []
@@ -205,24 +203,19 @@
             if self._past_deadline(call, now_ms):
                 refused.append(self._lose(call, Reason.DEADLINE, now_ms))
                 continue
-            self._least_delay_ms = min(
-                self._least_delay_ms, now_ms - call.offered_at_ms
-            )
             self._start(call, now_ms)
             start.append(call.key)
-        if not self._waiting:
-            self._least_delay_ms = 0.0
         return GateDecision(start=tuple(start), refused=tuple(refused))
 
     def _decide(self, now_ms: float) -> None:
         slot_gap_ms = self._delay_ms(1)
         self._threshold.decide(
             capacity_per_s=1000 / slot_gap_ms if slot_gap_ms else float("inf"),
-            least_delay_ms=self._least_delay_ms if self._waiting else 0.0,
-            target_ms=max(TARGET_DELAY_MS, TARGET_SLOT_TIMES * slot_gap_ms),
+            standing=self._delays.standing(
+                waiting=self._waiting, slot_gap_ms=slot_gap_ms, now_ms=now_ms
+            ),
             now_ms=now_ms,
         )
-        self._least_delay_ms = float("inf")
 
     def _delay_ms(self, calls: int) -> float:
         return calls * self._slot_time_ms / self._limit.limit
--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -6,9 +6,6 @@
 INTERVAL_MS = 100.0
 """Time between two decisions, as CoDel's: longer than bursts, far below a second."""
 
-TARGET_DELAY_MS = 20.0
-"""Least queue delay in an interval that means a standing queue."""
-
 RATE_GAIN = 0.4
 """Weight of the last interval in the moving averages of rates."""
 
@@ -92,29 +89,26 @@
         return now_ms - self._started_at_ms >= INTERVAL_MS
 
     def decide(
-        self,
-        *,
-        capacity_per_s: float,
-        least_delay_ms: float,
-        target_ms: float,
-        now_ms: float,
+        self, *, capacity_per_s: float, standing: int | None, now_ms: float
     ) -> None:
         """End an interval.
 
+        The threshold never falls into a class above the standing one: calls
+        of that class start in time, whatever the rates seem to say.
+
         Args:
             capacity_per_s: calls a second that the backend server can finish.
-            least_delay_ms: smallest queue delay of the interval.
-            target_ms: delay above which the queue stands.
+            standing: most important class whose calls all waited longer than
+                the target of queue delay; None if there is none.
             now_ms: monotonic time.
         """
         self._measure(now_ms)
-        standing = least_delay_ms > target_ms
         if self._place is None:
-            if not standing:
+            if standing is None:
                 return
             self._trim = 1.0
         else:
-            factor = TRIM_DOWN if standing else TRIM_UP
+            factor = TRIM_UP if standing is None else TRIM_DOWN
             self._trim = min(max(self._trim * factor, MIN_TRIM), MAX_TRIM)
         self._move(self._fitting(capacity_per_s * self._trim), standing)
 
@@ -148,10 +142,11 @@
             left -= rate
         return float(len(self._rates_per_s))
 
-    def _move(self, place: float, standing: bool) -> None:
+    def _move(self, place: float, standing: int | None) -> None:
         classes = len(self._rates_per_s)
         before = classes if self._place is None else self._place
-        place = max(min(place, before + OPEN_STEP * classes), MIN_OPEN)
-        calm = place >= classes and not standing
+        lowest = before if standing is None else standing
+        place = max(min(place, before + OPEN_STEP * classes), lowest, MIN_OPEN)
+        calm = place >= classes and standing is None
         self._calm_intervals = self._calm_intervals + 1 if calm else 0
         self._place = None if self._calm_intervals >= OPEN_INTERVALS else place
