Add the fleet and tests of the stand-ins; mend three faults that they showed

Found by the tests: a timeout of the client was reported as a broken connection (TimeoutError is an OSError), a backend server took more calls than slots and backlog when several came in one turn of the loop (the place is now taken at the check), and an answer cut at its newline passed as whole when its filler was empty.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/answers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/answers.py
@@ -77,7 +77,7 @@
 
 def check_answer(body: bytes, *, request_id: str) -> AnswerFault | None:
     """Return what is wrong with an answer to a request; None when nothing is."""
-    line, _, filler = body.partition(b"\n")
+    line, newline, filler = body.partition(b"\n")
     try:
         head = orjson.loads(line)
         answered_id, length, checksum = head["id"], head["length"], head["crc32"]
@@ -85,7 +85,7 @@
         return AnswerFault.UNREADABLE
     if answered_id != request_id:
         return AnswerFault.OTHER_REQUEST
-    if len(filler) != length:
+    if not newline or len(filler) != length:
         return AnswerFault.TRUNCATED
     if zlib.crc32(filler) != checksum:
         return AnswerFault.CORRUPT
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/backend.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/backend.py
@@ -99,7 +99,8 @@
         headers = dict(scope["headers"])
         request = parse_request(query=scope["query_string"], body=body)
         request = request or RequestFields(request_id="", answer_bytes=len(body))
-        work = asyncio.create_task(self._work(plan, headers, request, send))
+        place = self.slots.take_place()
+        work = asyncio.create_task(self._work(plan, place, headers, request, send))
         watch = asyncio.create_task(disconnected(receive))
         try:
             await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
@@ -110,14 +111,19 @@
                 await work
 
     async def _work(
-        self, plan: OperationPlan, headers, request: RequestFields, send
+        self,
+        plan: OperationPlan,
+        place: asyncio.Future[None],
+        headers: dict[bytes, bytes],
+        request: RequestFields,
+        send: Send,
     ) -> None:
         deadline_ms = headers.get(b"x-deadline-ms")
         timeout_s = None if deadline_ms is None else float(deadline_ms) / 1000
         ends_at_s = None if timeout_s is None else now_ms() / 1000 + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
-                await self.slots.acquire()
+                await self.slots.acquire(place)
         except TimeoutError:
             self.runs.shed += 1
             await respond(send, 503, b"deadline before start", NOT_RUN)
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
@@ -0,0 +1,279 @@
+"""A fleet of real processes on this machine, for tests, demo and bench."""
+
+import time
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from sassafraswinch_standins.caller_settings import CallerSettings
+from sassafraswinch_standins.control import answers_probe, call_json
+from sassafraswinch_standins.graph import AVAILABILITY_ZONES, Graph
+from sassafraswinch_standins.layout import Host, Layout
+from sassafraswinch_standins.processes import ManagedProcess
+
+START_TIMEOUT_S = 60.0
+"""Longest wait for all processes to serve, in seconds; most of it is imports."""
+
+PROBE_INTERVAL_S = 0.1
+"""Interval of the probes that wait for a node to reach every service, in seconds."""
+
+CALLER_GRACE_S = 30.0
+"""Time that callers get beyond their load to end their last requests, in seconds."""
+
+NODE_MODULE = "sassafraswinch_node.daemon"
+STANDINS = "sassafraswinch_standins"
+
+
+class Fleet:
+    """Starts, breaks and ends the processes of one run.
+
+    Use it as a context manager: whatever happens inside, everything that it started
+    is ended, each process by its id.
+
+    Args:
+        graph: services, operations and traffic.
+        directory: an empty directory for settings and logs.
+        gate: policy of the nodes: ``adaptive``, ``static`` or ``open``.
+        relay_links: whether links between availability zones go through a relay.
+        seed: seed of ports and service times.
+        backend: more settings of every backend server.
+        node: more settings of every node.
+        slots_hint: whether the nodes are told the slots.
+    """
+
+    def __init__(
+        self,
+        *,
+        graph: Graph,
+        directory: Path,
+        gate: str = "adaptive",
+        relay_links: bool = False,
+        seed: int = 1,
+        backend: Mapping[str, Any] | None = None,
+        node: Mapping[str, Any] | None = None,
+        slots_hint: bool = True,
+    ):
+        self.graph = graph
+        self.directory = directory
+        self.processes: dict[str, ManagedProcess] = {}
+        self.platforms: dict[str, str] = {}
+        self.relay_address = ""
+        self._gate = gate
+        self._relay_links = relay_links
+        self._seed = seed
+        self._backend = dict(backend or {})
+        self._node = dict(node or {})
+        self._slots_hint = slots_hint
+        self.layout = Layout(graph=graph, relay_links=relay_links)
+        self.hosts = self.layout.hosts
+
+    def __enter__(self) -> "Fleet":
+        """Start everything and wait until each node reaches each service."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exc) -> None:
+        """End everything."""
+        self.close()
+
+    def close(self) -> None:
+        """End all processes at once."""
+        for process in self.processes.values():
+            process.kill()
+
+    def entries(self, availability_zone: str) -> list[str]:
+        """Return the entry addresses of an availability zone."""
+        return [host.entry for host in self.layout.inside(availability_zone)]
+
+    def node(self, host: str) -> ManagedProcess:
+        """Return the node process of a host."""
+        return self.processes[f"node-{host}"]
+
+    def backend(self, host: str) -> ManagedProcess:
+        """Return the backend server process of a host."""
+        return self.processes[f"backend-{host}"]
+
+    def platform(self, availability_zone: str) -> ManagedProcess:
+        """Return the platform process that an availability zone reads."""
+        return self.processes[f"platform-{availability_zone}"]
+
+    def control_backend(self, host: str, **order: Any) -> Any:
+        """Send an order to a backend server, see ``BackendControl``."""
+        return call_json(self.hosts[host].backend, "/control", order)
+
+    def control_service(self, service: str, **order: Any) -> None:
+        """Send an order to all backend servers of a service."""
+        for host in self.hosts.values():
+            if host.service == service:
+                self.control_backend(host.name, **order)
+
+    def control_platform(
+        self, availability_zone: str | None = None, **order: Any
+    ) -> None:
+        """Send an order to one platform or all, see ``platform.Control``."""
+        for zone, address in self.platforms.items():
+            if availability_zone in (None, zone):
+                call_json(address, "/control", order)
+
+    def control_relay(self, routes: list[str], **order: Any) -> list[str]:
+        """Send an order about routes ``zone>host``, see ``RelayControl``."""
+        return call_json(self.relay_address, "/control", {"routes": routes, **order})
+
+    def partition(self, availability_zone: str) -> None:
+        """Cut the links between an availability zone and the others."""
+        self.control_relay(self.layout.across(availability_zone), fault="cut")
+
+    def heal(self, availability_zone: str) -> None:
+        """Join an availability zone with the others again."""
+        self.control_relay(self.layout.across(availability_zone), fault="none")
+
+    def publish_hosts(
+        self, *, states: Mapping[str, str] | None = None, after_ms: float = 0
+    ) -> None:
+        """Publish the host list, with states other than ``live`` as given."""
+        for zone in self.platforms:
+            hosts = self.layout.host_list(zone, states=states or {})
+            self.control_platform(zone, hosts=hosts, after_ms=after_ms)
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Return all runs of all backend servers that answer; see ``Run``."""
+        return [
+            run | {"host": host.name, "service": host.service}
+            for host in self.hosts.values()
+            if self.backend(host.name).alive
+            for run in call_json(host.backend, "/runs")
+            if not run["request_id"].startswith("probe")
+        ]
+
+    def start_caller(self, settings: CallerSettings) -> ManagedProcess:
+        """Start a caller; its report is fetched with ``collect``."""
+        report = self.directory / f"{settings.name}.json"
+        process = self._add(
+            settings.name,
+            f"{STANDINS}.caller",
+            settings.model_dump(mode="json") | {"report": str(report)},
+        )
+        process.start()
+        return process
+
+    def collect(self, caller: ManagedProcess, timeout_s: float) -> dict[str, Any]:
+        """Wait for the end of a caller and return its report."""
+        if caller.wait(timeout_s + CALLER_GRACE_S) != 0:
+            raise caller.failed("ended with an error")
+        return orjson.loads((self.directory / f"{caller.name}.json").read_bytes())
+
+    def node_cpu_s(self) -> float:
+        """Return the CPU time of all nodes that run, in seconds."""
+        nodes = [self.node(name) for name in self.hosts]
+        return sum(node.cpu_s() for node in nodes if node.alive)
+
+    def wait_ready(self, hosts: list[str] | None = None) -> None:
+        """Wait until each node reaches each service.
+
+        Raises:
+            ProcessFailedError: one doesn't within ``START_TIMEOUT_S``.
+        """
+        ends_at_s = time.monotonic() + START_TIMEOUT_S
+        pending = [self.hosts[name] for name in hosts or self.hosts]
+        with ThreadPoolExecutor(max_workers=len(pending)) as pool:
+            list(pool.map(lambda host: self._wait_host(host, ends_at_s), pending))
+
+    def _wait_host(self, host: Host, ends_at_s: float) -> None:
+        missing = [service.name for service in self.graph.services]
+        node = self.node(host.name)
+        while missing := [
+            name for name in missing if not answers_probe(host.entry, name)
+        ]:
+            if not node.alive:
+                raise node.failed("ended before it served")
+            if time.monotonic() > ends_at_s:
+                raise node.failed(f"doesn't reach {', '.join(missing)}")
+            time.sleep(PROBE_INTERVAL_S)
+
+    def _add(
+        self, name: str, module: str, settings: Mapping[str, Any]
+    ) -> ManagedProcess:
+        process = ManagedProcess(
+            name=name, module=module, settings=settings, directory=self.directory
+        )
+        self.processes[name] = process
+        return process
+
+    def _start(self) -> None:
+        for zone in AVAILABILITY_ZONES:
+            self.platforms[zone] = self.layout.free_address()
+            self._add(
+                f"platform-{zone}",
+                f"{STANDINS}.platform",
+                {
+                    "listen": self.platforms[zone],
+                    "document": self.graph.document(),
+                    "hosts": self.layout.host_list(zone, states={}),
+                },
+            )
+        if self._relay_links:
+            self._add_relay()
+        for number, host in enumerate(self.hosts.values()):
+            self._add_backend(host, number)
+        for process in self.processes.values():
+            process.start()
+        for process in self.processes.values():
+            process.listening(START_TIMEOUT_S)
+        for host in self.hosts.values():
+            self._add_node(host).start()
+        self.wait_ready()
+
+    def _add_relay(self) -> None:
+        self.relay_address = self.layout.free_address()
+        routes = [
+            {
+                "name": name,
+                "listen": address,
+                "target": self.hosts[name.partition(">")[2]].link,
+            }
+            for name, address in self.layout.routes.items()
+        ]
+        settings = {"listen": self.relay_address, "routes": routes}
+        self._add("relay", f"{STANDINS}.relay", settings)
+
+    def _add_backend(self, host: Host, number: int) -> None:
+        plans = [plan.model_dump(mode="json") for plan in host.plan.operations]
+        settings = {
+            "listen": host.backend,
+            "name": host.name,
+            "service": host.service,
+            "egress": host.egress,
+            "slots": host.plan.slots,
+            "backlog": 2 * host.plan.slots,
+            "seed": self._seed * 1000 + number,
+            "operations": plans,
+        }
+        self._add(
+            f"backend-{host.name}", f"{STANDINS}.backend", settings | self._backend
+        )
+
+    def _add_node(self, host: Host) -> ManagedProcess:
+        settings = {
+            "host": host.name,
+            "availability_zone": host.availability_zone,
+            "service": host.service,
+            "entry": host.entry,
+            "egress": host.egress,
+            "operators": host.operators,
+            "link": host.link,
+            "backend": host.backend,
+            "platform": [f"http://{self.platforms[host.availability_zone]}"],
+            "gate": self._gate,
+            "log_level": "warning",
+        }
+        if self._slots_hint:
+            settings["slots_hint"] = host.plan.slots
+        return self._add(f"node-{host.name}", NODE_MODULE, settings | self._node)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/http_client.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/http_client.py
@@ -169,6 +169,7 @@
 
         Raises:
             ExchangeError: no whole answer came.
+            TimeoutError: none came in time; the request may have run.
         """
         connection = await self._connection(address)
         request = serialize_request(
@@ -178,6 +179,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await connection.exchange(request)
+        except TimeoutError:
+            connection.abort()
+            raise
         except (OSError, httptools.HttpParserError) as error:
             connection.abort()
             raise ExchangeError(
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slots.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slots.py
@@ -28,13 +28,23 @@
         """Whether a call that came now would be shed."""
         return self.in_flight >= self.slots + self.backlog
 
-    async def acquire(self) -> None:
-        """Wait for a slot; a cancelled waiter takes none."""
+    def take_place(self) -> asyncio.Future[None]:
+        """Take a slot, or a place in the backlog; ``acquire`` must follow."""
+        waiter = asyncio.get_running_loop().create_future()
         if self.running < self.slots:
             self.running += 1
-            return
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiting.append(waiter)
+            waiter.set_result(None)
+        else:
+            self._waiting.append(waiter)
+        return waiter
+
+    async def acquire(self, waiter: asyncio.Future[None] | None = None) -> None:
+        """Wait for a slot; a cancelled waiter takes none.
+
+        Args:
+            waiter: the place taken before; None takes one now.
+        """
+        waiter = waiter or self.take_place()
         try:
             await waiter
         except asyncio.CancelledError:
--- /dev/null
+++ b/packages/sassafraswinch-standins/tests/test_relay.py
@@ -0,0 +1,95 @@
+"""Tests of the relay that makes silent links."""
+
+import asyncio
+
+import pytest
+
+from sassafraswinch_standins.relay import Direction, Fault, Relay, RouteSettings
+
+
+class Echo:
+    """Server that sends back what it reads, and keeps a copy."""
+
+    def __init__(self):
+        self.seen = b""
+
+    async def __call__(self, reader, writer):
+        while data := await reader.read(1000):
+            self.seen += data
+            writer.write(data)
+        writer.close()
+
+
+@pytest.fixture
+async def echo():
+    return Echo()
+
+
+@pytest.fixture
+async def route(echo):
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    target = "{}:{}".format(*server.sockets[0].getsockname())
+    relay = Relay(routes=[RouteSettings(name="r", target=target)])
+    await relay.start()
+    yield relay.routes["r"]
+    relay.stop()
+    server.close()
+
+
+async def dial(route):
+    host, _, port = route.address.partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def ask(connection, data, timeout_s=5.0):
+    reader, writer = connection
+    writer.write(data)
+    async with asyncio.timeout(timeout_s):
+        return await reader.readexactly(len(data))
+
+
+async def test_passes_bytes_in_order_with_a_changing_delay(route):
+    connection = await dial(route)
+    assert await ask(connection, b"one") == b"one"
+    route.delay_ms = 50
+    connection[1].write(b"slow ")
+    await asyncio.sleep(0.01)
+    route.delay_ms = 0
+    assert await ask(connection, b"fast ") + await connection[0].readexactly(5) == (
+        b"slow fast "
+    )
+    connection[1].close()
+
+
+async def test_old_connection_goes_silent_while_new_ones_work(route, echo):
+    """A middlebox forgets a connection: both ends keep it open and hear nothing."""
+    old = await dial(route)
+    assert await ask(old, b"a") == b"a"
+    route.set_fault(Fault.SILENT, only_open=True)
+    with pytest.raises(TimeoutError):
+        await ask(old, b"lost", timeout_s=0.05)
+    assert not old[0].at_eof()
+    assert await ask(await dial(route), b"new") == b"new"
+    assert b"lost" not in echo.seen
+
+
+async def test_one_direction_silent(route, echo):
+    """The answers vanish while the requests still arrive."""
+    connection = await dial(route)
+    assert await ask(connection, b"a") == b"a"
+    route.set_fault(Fault.SILENT, direction=Direction.TO_CLIENT)
+    with pytest.raises(TimeoutError):
+        await ask(connection, b"heard", timeout_s=0.1)
+    assert echo.seen == b"aheard"
+
+
+async def test_cut_resets_and_refuses(route):
+    connection = await dial(route)
+    assert await ask(connection, b"a") == b"a"
+    route.set_fault(Fault.CUT)
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await ask(connection, b"b")
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await ask(await dial(route), b"c")
+    route.set_fault(Fault.NONE)
+    assert await ask(await dial(route), b"d") == b"d"
