Choose gates by their present names

Trial: with temporary stand-ins for the platform client and the log module, twelve nodes, twelve backend servers and three platforms on loopback served a lookup, an approval with its calls below, and its repeat through a node of another zone, which got the recorded answer.

--- a/packages/sassafraswinch-node/sassafraswinch_node/building.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/building.py
@@ -2,14 +2,12 @@
 
 import random
 
+from sassafraswinch.admission import AdaptiveGate
 from sassafraswinch.document import digest, parse_document
-from sassafraswinch.gate import AdaptiveGate, Gate, OpenGate, StaticGate
+from sassafraswinch.gate import Gate, OpenGate, StaticGate
 from sassafraswinch.versions import ConfigKeeper
 from sassafraswinch_node.settings import Settings
 
-DEFAULT_SLOTS = 64
-"""Limit of a static gate whose backend server's slots nobody has told."""
-
 
 def make_gate(settings: Settings, rng: random.Random) -> Gate:
     """Return the gate that the settings name."""
@@ -17,7 +15,7 @@
         case "open":
             return OpenGate()
         case "static":
-            return StaticGate(limit=settings.slots_hint or DEFAULT_SLOTS)
+            return StaticGate(slots=settings.slots_hint)
         case _:
             return AdaptiveGate(slots=settings.slots_hint, rng=rng)
 
