Add the reads and watches of the platform

One call is one read of the platform's budget: nothing is tried again inside, and a failed read only moves the next one to the next address. aiosonic's HTTPClient was ruled out for it, since it reads up to three times when a kept connection drops.

--- /dev/null
+++ b/packages/sassafraswinch-node/tests/conftest.py
@@ -0,0 +1,57 @@
+"""A scripted HTTP server, shared by the tests of HTTP clients."""
+
+import asyncio
+
+import pytest
+
+
+class RawServer:
+    """Answers each request with the next reply of a script.
+
+    A reply is bytes to send; None closes the connection without a word, ``END``
+    after bytes closes it after them.
+    """
+
+    END = b"<end>"
+
+    def __init__(self):
+        self.requests = []
+        self.replies = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+        self.writers = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                self.requests.append(await self.read_request(reader))
+                reply = self.replies.pop(0)
+                if reply is None:
+                    break
+                writer.write(reply.removesuffix(self.END))
+                if reply.endswith(self.END):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.set()
+        writer.close()
+
+    async def read_request(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        return head + await reader.readexactly(int(size or 0))
+
+
+@pytest.fixture
+async def server():
+    server = RawServer()
+    server.address = await server.start()
+    yield server
+    server.server.close()
+    for writer in server.writers:
+        writer.transport.abort()
--- /dev/null
+++ b/packages/sassafraswinch-node/tests/test_platform.py
@@ -0,0 +1,132 @@
+"""Reads of the platform: typed results, bounds, and one read for each call."""
+
+import asyncio
+import json
+
+import pytest
+
+from sassafraswinch.membership import HostState
+from sassafraswinch_node import platform
+
+HOST = {
+    "name": "schvaleni-1",
+    "service": "schvaleni",
+    "availability_zone": "brno-a",
+    "state": "live",
+    "link": "10.0.0.1:7001",
+    "entry": "10.0.0.1:7002",
+    "operators": "10.0.0.1:7003",
+}
+
+
+def reply(body=b"", version="12", status="200 OK"):
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    head = f"HTTP/1.1 {status}\r\nX-Version: {version}\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@pytest.fixture
+async def client(server):
+    url = "http://{}:{}/base/".format(*server.address)
+    client = platform.PlatformClient(urls=[url], read_timeout_ms=200)
+    yield client
+    await client.close()
+
+
+def targets(server):
+    return [request.split()[1].decode() for request in server.requests]
+
+
+async def test_reads_and_watches(server, client):
+    server.replies = [
+        reply(b"version: 12"),
+        reply(status="304 Not Modified"),
+        reply([HOST]),
+        reply(b"version: 12"),
+    ]
+    document = await client.document()
+    assert document == platform.PublishedDocument(version=12, body=b"version: 12")
+    assert await client.document(after=12, wait_ms=5) is None
+    hosts = await client.hosts(after=3, wait_ms=5)
+    assert (hosts.version, hosts.records[0].state) == (12, HostState.LIVE)
+    assert hosts.records[0].link == HOST["link"]
+    assert await client.document(after=12) is None
+    assert targets(server) == [
+        "/base/v1/document",
+        "/base/v1/document?after=12&wait_ms=5",
+        "/base/v1/hosts?after=3&wait_ms=5",
+        "/base/v1/document",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (reply(status="500 Oops"), "status 500"),
+        (reply(version="-1"), "x-version"),
+        (reply(version=str(2**53)), "x-version"),
+        (reply(b"nonsense"), "Invalid JSON"),
+        (reply([HOST | {"link": "10.0.0.1"}]), "0.link: .*expected ip:port"),
+        (reply([HOST, HOST | {"state": "gone"}]), "1.state"),
+        (reply([HOST, HOST]), "named twice"),
+        (reply([{}] * 2), "and 9 more"),
+    ],
+)
+async def test_wrong_answer_is_refused_whole(server, client, answer, reason):
+    server.replies = [answer]
+    with pytest.raises(platform.PlatformAnswerError, match=reason):
+        await client.hosts()
+
+
+async def test_document_of_one_megabyte_is_read_and_a_longer_one_refused(
+    server, client
+):
+    longest = bytes(platform.MAX_PUBLISHED_BYTES)
+    server.replies = [reply(longest), reply(longest + b"x")]
+    assert (await client.document()).body == longest
+    with pytest.raises(platform.PlatformUnreachableError, match="too-large"):
+        await client.document()
+
+
+async def test_platform_that_hangs_costs_one_read_and_a_timeout(server, client):
+    """The platform takes connections but answers nothing.
+
+    A client that tried again by itself would multiply the reads of a fleet just
+    when the platform is in trouble.
+    """
+    server.replies = [b""]
+    with pytest.raises(platform.PlatformUnreachableError, match="200"):
+        await client.hosts()
+    assert len(server.requests) == 1
+
+
+async def test_dropped_watch_is_not_read_again(server, client):
+    server.replies = [reply(b"version: 12"), None, reply(b"version: 13")]
+    await client.document()
+    with pytest.raises(platform.PlatformUnreachableError):
+        await client.document(after=12, wait_ms=5)
+    assert len(server.requests) == 2
+
+
+async def test_failed_read_moves_all_streams_to_the_next_address(server):
+    good = "http://{}:{}".format(*server.address)
+    closed = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    port = closed.sockets[0].getsockname()[1]
+    closed.close()
+    await closed.wait_closed()
+    server.replies = [reply(b"version: 12"), reply([HOST])]
+    client = platform.PlatformClient(urls=[f"http://127.0.0.1:{port}", good])
+    failed = await asyncio.gather(
+        client.document(), client.hosts(), return_exceptions=True
+    )
+    assert {type(error) for error in failed} == {platform.PlatformUnreachableError}
+    assert (await client.document()).version == 12
+    assert (await client.hosts()).version == 12
+    await client.close()
+
+
+@pytest.mark.parametrize("url", ["https://10.0.0.1", "http://platform", "10.0.0.1:80"])
+def test_url_without_an_ip_number_is_refused(url):
+    with pytest.raises(ValueError):
+        platform.PlatformClient(urls=[url])
