Write logs as one line of key=value pairs per event

Cause: the node's events must be read by lines, and a fault that repeats or a value from a caller must not flood or forge them. The burn report takes the document's Objective instead of one of its own.

--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/key_values.py
@@ -0,0 +1,98 @@
+"""Events as one line of key=value pairs."""
+
+import enum
+import json
+import re
+from collections.abc import Iterable, Mapping
+from datetime import UTC, datetime
+
+MAX_VALUE_CHARACTERS = 1_000
+"""Longer values are cut; an answer's body in a reason would fill the log."""
+
+HIDDEN = "(hidden)"
+
+SECRET_WORDS = frozenset(
+    {
+        "authorization",
+        "cookie",
+        "credential",
+        "credentials",
+        "key",
+        "password",
+        "secret",
+        "ticket",
+        "token",
+    }
+)
+"""A field whose name has one of these words never shows its value."""
+
+LEVEL_NAMES = ("debug", "info", "warning", "error")
+
+_PLAIN = re.compile(r"[A-Za-z0-9_.:/+,@%()\[\]-]+")
+_NOT_IN_KEYS = re.compile(r"[^A-Za-z0-9_.]")
+_ELIOT_FIELDS = frozenset(
+    {"timestamp", "task_uuid", "task_level", "message_type", "action_type", "level"}
+)
+_FIRST_KEYS = frozenset({"time", "level", "event"})
+
+
+def serialize_event(message: Mapping[str, object]) -> str:
+    """Return the line of an eliot message, without its line end.
+
+    Args:
+        message: fields as eliot hands them to a destination.
+    """
+    return " ".join(f"{key}={value}" for key, value in _pairs(message))
+
+
+def _pairs(message: Mapping[str, object]) -> Iterable[tuple[str, str]]:
+    yield "time", format_moment(message.get("timestamp"))
+    level = message.get("level")
+    if level not in LEVEL_NAMES:
+        level = "error" if "exception" in message else "info"
+    yield "level", level
+    event = message.get("message_type") or message.get("action_type") or "unnamed"
+    yield "event", format_value(event)
+    for key, value in message.items():
+        if key not in _ELIOT_FIELDS:
+            yield format_key(key), HIDDEN if is_secret(key) else format_value(value)
+
+
+def format_moment(seconds: object) -> str:
+    """Return a time since the epoch in UTC, or ``unknown`` if it isn't one."""
+    try:
+        moment = datetime.fromtimestamp(seconds, UTC)
+    except (TypeError, ValueError, OverflowError, OSError):
+        return "unknown"
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+def format_key(key: object) -> str:
+    """Return a key that can't be taken for a value or for one of the first three."""
+    name = _NOT_IN_KEYS.sub("_", str(key)) or "_"
+    return f"field_{name}" if name in _FIRST_KEYS else name
+
+
+def is_secret(key: object) -> bool:
+    """Return whether a field's name says that its value is secret."""
+    words = re.split(r"[^a-z0-9]+", str(key).lower())
+    return not SECRET_WORDS.isdisjoint(words)
+
+
+def format_value(value: object) -> str:
+    """Return a value without spaces, quoted as in JSON where it isn't plain.
+
+    Failure: a reason taken from a caller's request holds a line break and forges a
+    line of its own. JSON in ASCII escapes every control character and every line
+    separator of Unicode, and a plain value has none.
+    """
+    if isinstance(value, bytes | bytearray | memoryview):
+        return f"({len(value)}_bytes)"
+    if isinstance(value, enum.Enum):
+        value = value.value
+    if isinstance(value, float):
+        value = round(value, 3)
+    text = str(value)
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = text[:MAX_VALUE_CHARACTERS] + "..."
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
--- a/packages/sassafraswinch/sassafraswinch/burn.py
+++ b/packages/sassafraswinch/sassafraswinch/burn.py
@@ -5,18 +5,17 @@
 from sassafraswinch.burn_rates import merge_reports
 from sassafraswinch.burn_report import (
     BurnReport,
-    Objective,
     parse_report,
     serialize_report,
 )
 from sassafraswinch.burn_series import BurnSeries
 from sassafraswinch.burn_windows import BURN_WINDOWS_MS
+from sassafraswinch.document import Objective
 from sassafraswinch.verdict import Reason, Verdict
 
 __all__ = [
     "BurnRecorder",
     "BurnReport",
-    "Objective",
     "merge_reports",
     "parse_report",
     "serialize_report",
--- a/packages/sassafraswinch/sassafraswinch/burn_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_rates.py
@@ -10,13 +10,13 @@
 from sassafraswinch.burn_report import (
     Alert,
     BurnReport,
-    Objective,
     SeriesBurn,
     Severity,
     WindowBurn,
     WindowLatency,
 )
 from sassafraswinch.burn_windows import MINUTE_MS, OutcomeCounts
+from sassafraswinch.document import Objective
 from sassafraswinch.latencies import add_histograms, quantiles_ms
 
 Window = TypeVar("Window", WindowBurn, WindowLatency)
--- a/packages/sassafraswinch/sassafraswinch/burn_report.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_report.py
@@ -8,6 +8,7 @@
 from pydantic import PlainSerializer, PlainValidator, TypeAdapter
 
 from sassafraswinch.burn_windows import OutcomeCounts
+from sassafraswinch.document import Objective
 from sassafraswinch.latencies import parse_histogram, serialize_histogram
 from sassafraswinch.records import parse_record, serialize_record
 
@@ -18,14 +19,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Objective:
-    """What a class is promised: so many calls answered, each within a latency."""
-
-    answered_percent: float
-    latency_ms: float
-
-
 class Severity(enum.Enum):
     """What an alert asks of the operators."""
 
--- a/packages/sassafraswinch/sassafraswinch/burn_series.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_series.py
@@ -16,7 +16,7 @@
 from copy import copy
 
 from sassafraswinch.burn_rates import find_alerts, window_burn, window_latency
-from sassafraswinch.burn_report import Objective, SeriesBurn
+from sassafraswinch.burn_report import SeriesBurn
 from sassafraswinch.burn_windows import (
     BURN_WINDOWS_MS,
     FOLD_MS,
@@ -26,6 +26,7 @@
     LatencyWindow,
     OutcomeCounts,
 )
+from sassafraswinch.document import Objective
 from sassafraswinch.latencies import LatencyCounts, count_latency, histogram_of
 from sassafraswinch.verdict import Reason, Verdict
 
--- a/packages/sassafraswinch/tests/test_burn.py
+++ b/packages/sassafraswinch/tests/test_burn.py
@@ -8,13 +8,13 @@
 from sassafraswinch.burn import (
     OTHER,
     BurnRecorder,
-    Objective,
     merge_reports,
     parse_report,
     serialize_report,
 )
 from sassafraswinch.burn_report import Severity
 from sassafraswinch.burn_windows import BURN_WINDOWS_MS, COUNT_SLOTS
+from sassafraswinch.document import Objective
 from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch.verdict import Reason, Verdict
 
