--- a/packages/sassafraswinch/sassafraswinch/document_fields.py
+++ b/packages/sassafraswinch/sassafraswinch/document_fields.py
@@ -2,7 +2,7 @@
 
 import enum
 import re
-from typing import Annotated
+from typing import Annotated, Self
 
 from pydantic import (
     AfterValidator,
@@ -11,6 +11,7 @@
     Field,
     PlainValidator,
     StringConstraints,
+    model_validator,
 )
 
 from sassafraswinch.errors import SelectorSyntaxError
@@ -125,6 +126,12 @@
     caller_header: HeaderName = "x-caller-id"
     organisation_header: HeaderName = "x-organisation-id"
 
+    @model_validator(mode="after")
+    def _check_distinct(self) -> Self:
+        if self.caller_header == self.organisation_header:
+            raise ValueError("the same header for caller and organisation")
+        return self
+
 
 class OrganisationFields(Fields):
     """One organisation; its name is the key of the map."""
