Evict lower classes whenever a call is refused for want of capacity

Cause of the inversions that were left: trial calls that waited when a paying call was refused (deadline, age or threshold) still started, the hold only turned new ones away. Ruled out: too short a hold (the starts came within 100 ms of the refusal, the hold is 250). Now one place refuses under pressure; it closes the classes below and evicts theirs.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -30,6 +30,9 @@
 """Time for which classes below a class that lost a call to overload stay closed,
 so that a slot that comes free just then doesn't go to a lower class."""
 
+UNKNOWN_CAPACITY_PER_S = 100.0
+"""Calls a second that returns are spread over before any call has ended."""
+
 SLOT_TIME_GAIN = 0.05
 """Weight of one call in the mean time that a call holds its slot: twenty calls."""
 
@@ -81,36 +84,25 @@
         self._threshold.offered(rank, progress)
         if self._threshold.due(now_ms):
             self._decide(now_ms)
-        left_ms = deadline_at_ms - now_ms
-        time = self._times.estimate(operation, now_ms)
-        if left_ms <= time.likely_ms:
-            return self._refuse(key, rank, Reason.DEADLINE, now_ms)
-        if self._closed(rank.class_order, now_ms):
-            return self._refuse(key, rank, Reason.OVERLOADED, now_ms)
         self._sequence += 1
-        claim = Claim(rank.class_order, -progress, rank.level, self._sequence)
         call = WaitingCall(
             key=key,
-            claim=claim,
+            claim=Claim(rank.class_order, -progress, rank.level, self._sequence),
             operation=operation,
             deadline_at_ms=deadline_at_ms,
             offered_at_ms=now_ms,
         )
+        if self._past_deadline(call, now_ms):
+            return GateDecision(refused=(self._refusal(call, Reason.DEADLINE, now_ms),))
+        if self._closed(rank.class_order, now_ms):
+            return GateDecision(
+                refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
+            )
         if not self._waiting and len(self._running) < self._limit.limit:
             self._start(call, now_ms)
             return GateDecision(start=(key,))
         self._limit.reached()
-        if not self._threshold.admits(rank, progress):
-            return self._refuse(key, rank, Reason.OVERLOADED, now_ms)
-        wait_ms = self._delay_ms(self._waiting.ahead_of(claim) + 1)
-        if left_ms <= wait_ms + time.safe_ms:
-            return self._refuse(key, rank, Reason.DEADLINE, now_ms, pressed=True)
-        self._waiting.add(call)
-        if len(self._waiting) <= self._queue_bound():
-            return NOTHING
-        last = self._waiting.pop_last()
-        reason = Reason.OVERLOADED if last is call else Reason.EVICTED
-        return GateDecision(refused=(self._lose(last, reason, now_ms),))
+        return self._queue(call, self._threshold.admits(rank, progress), now_ms)
 
     def finished(
         self, *, key: Key, self_time_ms: float, outcome: BackendOutcome, now_ms: float
@@ -145,20 +137,9 @@
         if self._threshold.due(now_ms):
             self._decide(now_ms)
         late = [call for call in self._waiting if self._late(call, now_ms)]
-        for call in late:
-            self._waiting.remove(call.key)
-        refused = [
-            self._lose(
-                call,
-                Reason.DEADLINE
-                if self._past_deadline(call, now_ms)
-                else Reason.OVERLOADED,
-                now_ms,
-            )
-            for call in late
-        ]
+        refused = self._lose(late, now_ms)
         filled = self._fill(now_ms)
-        return GateDecision(start=filled.start, refused=tuple(refused) + filled.refused)
+        return GateDecision(start=filled.start, refused=refused + filled.refused)
 
     def load(self, now_ms: float) -> Load:
         """Return counts, the delay a new call would meet, and the threshold."""
@@ -196,12 +177,26 @@
         )
         self._delays.started(call.claim.class_order, now_ms - call.offered_at_ms)
 
+    def _queue(self, call: WaitingCall, admitted: bool, now_ms: float) -> GateDecision:
+        if not admitted:
+            return GateDecision(refused=self._press(call, Reason.OVERLOADED, now_ms))
+        wait_ms = self._delay_ms(self._waiting.ahead_of(call.claim) + 1)
+        safe_ms = self._times.estimate(call.operation, now_ms).safe_ms
+        if call.deadline_at_ms - now_ms <= wait_ms + safe_ms:
+            return GateDecision(refused=self._press(call, Reason.DEADLINE, now_ms))
+        self._waiting.add(call)
+        if len(self._waiting) <= self._queue_bound():
+            return NOTHING
+        last = self._waiting.pop_last()
+        reason = Reason.OVERLOADED if last is call else Reason.EVICTED
+        return GateDecision(refused=self._press(last, reason, now_ms))
+
     def _fill(self, now_ms: float) -> GateDecision:
         start, refused = [], []
         while self._waiting and len(self._running) < self._limit.limit:
             call = self._waiting.pop_first()
             if self._past_deadline(call, now_ms):
-                refused.append(self._lose(call, Reason.DEADLINE, now_ms))
+                refused.extend(self._press(call, Reason.DEADLINE, now_ms))
                 continue
             self._start(call, now_ms)
             start.append(call.key)
@@ -250,27 +245,45 @@
         ranks = closers if threshold is None else [*closers, threshold]
         return min(ranks) if ranks else None
 
-    def _lose(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
-        rank = Rank(call.claim.class_order, call.claim.level)
-        return self._refuse(call.key, rank, reason, now_ms, pressed=True).refused[0]
+    def _lose(self, late: list[WaitingCall], now_ms: float) -> tuple[Refusal, ...]:
+        refused = []
+        for call in late:
+            if self._waiting.remove(call.key) is None:
+                continue
+            past = self._past_deadline(call, now_ms)
+            reason = Reason.DEADLINE if past else Reason.OVERLOADED
+            refused.extend(self._press(call, reason, now_ms))
+        return tuple(refused)
 
-    def _refuse(
-        self,
-        key: Key,
-        rank: Rank,
-        reason: Reason,
-        now_ms: float,
-        *,
-        pressed: bool = False,
-    ) -> GateDecision:
-        order = rank.class_order
-        if pressed or (reason is Reason.OVERLOADED and not self._closed(order, now_ms)):
-            self._closed_until_ms[order] = now_ms + HOLD_MS
+    def _press(
+        self, call: WaitingCall, reason: Reason, now_ms: float
+    ) -> tuple[Refusal, ...]:
+        """Refuse a call for want of capacity, and with it all lower classes.
+
+        Lower classes that wait are evicted and those that come are refused for
+        ``HOLD_MS``. Otherwise a slot that comes free a moment later goes to a
+        trial call just after a paying one was refused: an inversion, seen as
+        paying refusals and trial answers in the same interval.
+        """
+        order = call.claim.class_order
+        self._closed_until_ms[order] = now_ms + HOLD_MS
+        refused = [self._refusal(call, reason, now_ms)]
+        while self._waiting and self._waiting.last_class() > order:
+            evicted = self._waiting.pop_last()
+            refused.append(self._refusal(evicted, Reason.EVICTED, now_ms))
+        return tuple(refused)
+
+    def _refusal(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
+        order = call.claim.class_order
         returns = self._returns.setdefault(order, ReturnSchedule(rng=self._rng))
         gap_ms = self._delay_ms(1)
-        capacity = 1000 / gap_ms if gap_ms else 1000.0
-        spare = max(
-            capacity - self._threshold.rate_above_per_s(order + 1),
-            capacity * MIN_RETURNS_SHARE,
+        capacity_per_s = 1000 / gap_ms if gap_ms else UNKNOWN_CAPACITY_PER_S
+        spare_per_s = max(
+            capacity_per_s - self._threshold.rate_above_per_s(order + 1),
+            capacity_per_s * MIN_RETURNS_SHARE,
+        )
+        return Refusal(
+            key=call.key,
+            reason=reason,
+            retry_after_ms=returns.next_ms(spare_per_s=spare_per_s, now_ms=now_ms),
         )
-        return refuse(key, reason, returns.next_ms(spare_per_s=spare, now_ms=now_ms))
--- a/packages/sassafraswinch/sassafraswinch/waiting.py
+++ b/packages/sassafraswinch/sassafraswinch/waiting.py
@@ -57,6 +57,10 @@
         """Return how many calls would start before one of this claim."""
         return bisect_left(self._claims, claim)
 
+    def last_class(self) -> int:
+        """Return the class order of the lowest claim; there must be one."""
+        return self._claims[-1].class_order
+
     def pop_first(self) -> WaitingCall:
         """Take the call with the highest claim."""
         return self._forget(self._claims.pop(0))
