--- a/packages/sassafraswinch/sassafraswinch/document_checks.py
+++ b/packages/sassafraswinch/sassafraswinch/document_checks.py
@@ -91,7 +91,7 @@
             faults.add(
                 (*path, "path"),
                 f"ambiguous with operations.{other}: some paths match both, and "
-                "neither template is the more special one",
+                "neither template is the more specific one",
             )
         indexes[key].add(segments, path[1])
 
--- a/packages/sassafraswinch/sassafraswinch/explanation.py
+++ b/packages/sassafraswinch/sassafraswinch/explanation.py
@@ -44,7 +44,11 @@
 
     document_version: int
     caller: str
+    """As the request names it; empty where it names none."""
     organisation: str
+    """As the request names it; empty where it names none."""
+    effective_organisation: str | None
+    """The listed one whose labels count; None where none do."""
     operation: str
     identity: IdentityState
     caller_labels: Mapping[str, str]
@@ -72,6 +76,7 @@
         document_version=document.version,
         caller=caller,
         organisation=organisation,
+        effective_organisation=known.organisation.name or None,
         operation=operation.name,
         identity=known.state,
         caller_labels=known.caller.labels,
--- a/packages/sassafraswinch/sassafraswinch/labels.py
+++ b/packages/sassafraswinch/sassafraswinch/labels.py
@@ -185,7 +185,7 @@
         self._index += 1
         return token
 
-    def _fail(self, token: _Token, reason: str) -> SelectorSyntaxError:
+    def _error(self, token: _Token, reason: str) -> SelectorSyntaxError:
         return SelectorSyntaxError(
             selector=self._text, position=token.position, reason=reason
         )
@@ -193,7 +193,7 @@
     def _expect(self, text: str) -> None:
         if self._next.text != text:
             found = repr(self._next.text) if self._next.text else "the end"
-            raise self._fail(self._next, f"expected {text!r}, found {found}")
+            raise self._error(self._next, f"expected {text!r}, found {found}")
         self._index += 1
 
     def _requirement(self) -> Requirement:
@@ -216,15 +216,15 @@
                 return Requirement(
                     key=key, operator=Operator(token.text), values=self._value_set()
                 )
-        raise self._fail(token, "expected '=', '==', '!=', 'in', 'notin' or ','")
+        raise self._error(token, "expected '=', '==', '!=', 'in', 'notin' or ','")
 
     def _key(self) -> str:
         token = self._next
         if not token.is_word:
-            raise self._fail(token, "expected the key of a label")
+            raise self._error(token, "expected the key of a label")
         fault = key_fault(token.text)
         if fault is not None:
-            raise self._fail(token, fault)
+            raise self._error(token, fault)
         return self._take().text
 
     def _value(self) -> str:
@@ -232,13 +232,13 @@
             return ""
         fault = value_fault(self._next.text)
         if fault is not None:
-            raise self._fail(self._next, fault)
+            raise self._error(self._next, fault)
         return self._take().text
 
     def _value_set(self) -> frozenset[str]:
         self._expect("(")
         if self._next.text == ")":
-            raise self._fail(self._next, "expected at least one value")
+            raise self._error(self._next, "expected at least one value")
         values = {self._value()}
         while self._next.text == ",":
             self._take()
--- a/packages/sassafraswinch/sassafraswinch/paths.py
+++ b/packages/sassafraswinch/sassafraswinch/paths.py
@@ -59,9 +59,9 @@
 
 
 def ambiguous(one: Segments, other: Segments) -> bool:
-    """Return whether some path matches both, and neither is the more special one.
+    """Return whether some path matches both, and neither is the more specific one.
 
-    ``/orders/new`` is more special than ``/orders/{order}`` and wins;
+    ``/orders/new`` is more specific than ``/orders/{order}`` and wins;
     ``/{kind}/new`` and ``/orders/{order}`` are ambiguous.
     """
     if len(one) != len(other):
@@ -69,9 +69,9 @@
     pairs = tuple(zip(one, other, strict=True))
     if any(None not in pair and pair[0] != pair[1] for pair in pairs):
         return False
-    one_is_special = any(a is not None and b is None for a, b in pairs)
-    other_is_special = any(a is None and b is not None for a, b in pairs)
-    return one_is_special == other_is_special
+    one_is_specific = any(a is not None and b is None for a, b in pairs)
+    other_is_specific = any(a is None and b is not None for a, b in pairs)
+    return one_is_specific == other_is_specific
 
 
 def split_target(target: str) -> tuple[str, ...] | None:
@@ -133,9 +133,9 @@
 
 
 class PathTable(Generic[Value]):
-    """Values by path template; the most special template of a path wins.
+    """Values by path template; the most specific template of a path wins.
 
-    Literal segments are tried before placeholders, which finds the most special
+    Literal segments are tried before placeholders, which finds the most specific
     template because no two templates of a table are ambiguous.
     """
 
--- a/packages/sassafraswinch/tests/test_paths.py
+++ b/packages/sassafraswinch/tests/test_paths.py
@@ -37,7 +37,7 @@
     st.lists(SEGMENTS, max_size=20),
     st.lists(st.sampled_from("abcd"), max_size=4).map(tuple),
 )
-def test_most_special_template_wins(templates, path):
+def test_most_specific_template_wins(templates, path):
     table, index = PathTable(), AmbiguityIndex()
     accepted = []
     for template in templates:
