Check the head of a request by one expression

Two regular expressions and an all() over the fields took about 20 us under the profiler for nine fields. One match of the whole head and a count of its line breaks is as strict: 2.9 us (best of 5).

--- a/packages/sassafraswinch-node/sassafraswinch_node/http_client.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_client.py
@@ -40,8 +40,11 @@
 """Longest body of an answer."""
 
 _SET_HERE = frozenset({"content-length", "expect"})
-_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-_TARGET = re.compile(r"[\x21-\x7e\x80-\xff]+")
+_TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_HEAD = re.compile(
+    rf"{_TOKEN} [\x21-\x7e\x80-\xff]+ HTTP/1\.1\r\n"
+    rf"(?:{_TOKEN}: [^\r\n\0]*\r\n)*\r\n"
+)
 
 
 class HttpClientError(SassafraswinchError):
@@ -190,17 +193,11 @@
         ValueError: a part would be read as something else, such as a value with a
             line break, which could smuggle in a second request.
     """
-    lines = [f"{method} {target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in fields]
-    text = "\r\n".join(lines)
-    breaks = len(fields)
-    if text.count("\n") != breaks or text.count("\r") != breaks or "\0" in text:
-        raise ValueError("a line break or NUL in the head of a request")
-    if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(target):
-        raise ValueError(f"request line {lines[0]!r}")
-    if not all(_TOKEN.fullmatch(name) for name, _ in fields):
-        raise ValueError("a header field with a malformed name")
-    return (text + "\r\n\r\n").encode("latin-1")
+    lines = [f"{name}: {value}\r\n" for name, value in fields]
+    text = f"{method} {target} HTTP/1.1\r\n{''.join(lines)}\r\n"
+    if _HEAD.fullmatch(text) is None or text.count("\n") != len(fields) + 2:
+        raise ValueError("a part of the request's head has a character it can't have")
+    return text.encode("latin-1")
 
 
 class _IpResolver(AbstractResolver):
