Show status, burn, metrics and health of a node to operators

Cause: operators and their monitoring need to see what a node does. Ruled out: counters of prometheus_client on the call's path (a lock and a label look-up for each); a series for each pair of hosts (300,000 at 560 nodes); string templates for the page (names from documents and callers would need escaping by hand).

--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/metrics.py
@@ -0,0 +1,186 @@
+"""The node's metrics in the text format of Prometheus, from snapshots."""
+
+from collections.abc import Callable, Iterator
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.exposition import choose_encoder
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    InfoMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from sassafraswinch.burn_report import BurnReport, SeriesBurn
+from sassafraswinch.burn_windows import window_name
+from sassafraswinch.status import Status
+
+PREFIX = "sassafraswinch"
+SERIES_LABELS = ("class", "operation")
+OUTCOMES = ("good", "late", "refused", "unknown", "not_counted")
+MS_PER_S = 1000.0
+
+STATUS_GAUGES = {
+    "document_version": "Version of the document in force; 0 for none.",
+    "in_flight": "Calls on the local backend server.",
+    "queued": "Calls that wait for the local backend server.",
+    "limit": "Calls that the node lets onto the local backend server at once.",
+    "owned_calls": "Calls that this node owns and that have no outcome yet.",
+    "cpu_percent": "Share of one core that the process uses.",
+    "control_bytes_per_s": "Bytes sent for control.",
+}
+"""Fields of ``Status`` that are gauges as they stand, with their help."""
+
+
+class MetricsPage:
+    """Renders the metrics of one node."""
+
+    def __init__(
+        self, *, status: Callable[[], Status], burn: Callable[[], BurnReport]
+    ) -> None:
+        self._registry = CollectorRegistry()
+        self._registry.register(SnapshotCollector(status=status, burn=burn))
+
+    def render(self, accept: str) -> tuple[bytes, str]:
+        """Return the page and its content type.
+
+        Args:
+            accept: the ``Accept`` header of the reader; chooses the text format.
+        """
+        encode, content_type = choose_encoder(accept)
+        return encode(self._registry), content_type
+
+
+class SnapshotCollector(Collector):
+    """Turns a status and a burn report into metrics when they are asked for.
+
+    Nothing is counted here, so a call costs no more for being measured.
+    """
+
+    def __init__(
+        self, *, status: Callable[[], Status], burn: Callable[[], BurnReport]
+    ) -> None:
+        self._status = status
+        self._burn = burn
+
+    def describe(self) -> list[Metric]:
+        """Return nothing: registering must not take a snapshot."""
+        return []
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics of the moment."""
+        status, report = self._status(), self._burn()
+        yield from status_metrics(status)
+        yield from peer_metrics(status)
+        yield from outcome_metrics(report)
+        yield from burn_metrics(report)
+
+
+def status_metrics(status: Status) -> Iterator[Metric]:
+    """Yield what a node says of itself."""
+    facts = ("host", "availability_zone", "service", "state", "document_digest")
+    yield InfoMetricFamily(
+        f"{PREFIX}_node",
+        "The node and its state.",
+        {fact: str(getattr(status, fact)) for fact in facts},
+    )
+    for field, text in STATUS_GAUGES.items():
+        yield GaugeMetricFamily(f"{PREFIX}_{field}", text, getattr(status, field))
+    seconds = {
+        "document_age": ("Time since the document was taken.", status.document_age_ms),
+        "queue_delay": ("Delay of the local queue.", status.queue_delay_ms),
+    }
+    for name, (text, value_ms) in seconds.items():
+        yield GaugeMetricFamily(f"{PREFIX}_{name}_seconds", text, value_ms / MS_PER_S)
+    memory_bytes = status.memory_mb * 1_000_000
+    yield GaugeMetricFamily(f"{PREFIX}_memory_bytes", "Resident memory.", memory_bytes)
+    faults = len(status.document_faults)
+    yield GaugeMetricFamily(f"{PREFIX}_document_faults", "Faults reported.", faults)
+    for name, value in sorted(status.counters.items()):
+        yield CounterMetricFamily(
+            f"{PREFIX}_{name}", f"{name.replace('_', ' ')} since the start.", value
+        )
+
+
+def peer_metrics(status: Status) -> Iterator[Metric]:
+    """Yield how many links and hosts there are, not one series for each.
+
+    At 560 nodes a series for each pair would be 300,000 in the reader's store.
+    """
+    links = _gauge("links", "Links to other nodes.", ("state",))
+    for state in sorted({link.state for link in status.links}):
+        links.add_metric([state], sum(link.state == state for link in status.links))
+    yield links
+    hosts = _gauge("hosts", "Other hosts known, by service.", ("service", "state"))
+    kinds = [(host.service, _host_state(host)) for host in status.hosts]
+    for kind in sorted(set(kinds)):
+        hosts.add_metric(kind, kinds.count(kind))
+    yield hosts
+
+
+def _host_state(host) -> str:
+    if host.leaving:
+        return "leaving"
+    return "linked" if host.linked else "not_linked"
+
+
+def outcome_metrics(report: BurnReport) -> Iterator[Metric]:
+    """Yield counters of outcomes and of the reasons behind them."""
+    calls = CounterMetricFamily(
+        f"{PREFIX}_calls", "Calls by outcome.", labels=(*SERIES_LABELS, "outcome")
+    )
+    reasons = CounterMetricFamily(
+        f"{PREFIX}_not_answered",
+        "Calls that got no whole answer.",
+        labels=(*SERIES_LABELS, "reason"),
+    )
+    for series in report.series:
+        for outcome in OUTCOMES:
+            calls.add_metric(
+                [*_labels(series), outcome], getattr(series.total, outcome)
+            )
+        for reason, count in series.reasons.items():
+            reasons.add_metric([*_labels(series), reason], count)
+    yield calls
+    yield reasons
+
+
+def burn_metrics(report: BurnReport) -> Iterator[Metric]:
+    """Yield burn rates, alerts and the quantiles of hdrhistogram."""
+    rates = _gauge("burn_rate", "Burn rate.", (*SERIES_LABELS, "window"))
+    alerts = _gauge("alerts", "Alerts raised now.", (*SERIES_LABELS, "severity"))
+    latencies = _gauge(
+        "latency_seconds",
+        "Quantiles of the time to a whole answer.",
+        (*SERIES_LABELS, "window", "quantile"),
+    )
+    for series in report.series:
+        labels = _labels(series)
+        for window in series.windows:
+            if window.burn_rate is not None:
+                rates.add_metric(
+                    [*labels, window_name(window.window_ms)], window.burn_rate
+                )
+        for severity in sorted({alert.severity.value for alert in series.alerts}):
+            alerts.add_metric([*labels, severity], 1)
+        for window in series.latencies:
+            for quantile, value_ms in (
+                ("0.5", window.p50_ms),
+                ("0.9", window.p90_ms),
+                ("0.99", window.p99_ms),
+                ("1", window.max_ms),
+            ):
+                latencies.add_metric(
+                    [*labels, window_name(window.window_ms), quantile],
+                    value_ms / MS_PER_S,
+                )
+    yield from (rates, alerts, latencies)
+
+
+def _gauge(name: str, text: str, labels: tuple[str, ...]) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f"{PREFIX}_{name}", text, labels=labels)
+
+
+def _labels(series: SeriesBurn) -> tuple[str, str]:
+    return series.class_name, series.operation
--- a/packages/sassafraswinch/sassafraswinch/burn_windows.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_windows.py
@@ -32,6 +32,12 @@
 """Shortest slot of latencies."""
 
 
+def window_name(window_ms: int) -> str:
+    """Return a window's short name, such as ``5m`` or ``6h``."""
+    minutes = window_ms // MINUTE_MS
+    return f"{minutes // 60}h" if minutes % 60 == 0 else f"{minutes}m"
+
+
 @dataclass(slots=True, kw_only=True)
 class OutcomeCounts:
     """How many calls ended in which way, as seen by the objective."""
