Serve operators: status, burn, metrics and health of a running node

Cause: a running node could only be judged by its log. Router: an attempt that is given up, fenced or lost no longer counts as outstanding at its host for ever; only answers had lowered the count. uvicorn's proxy headers middleware is off: callers must not set client addresses.

--- a/packages/sassafraswinch-node/sassafraswinch_node/link.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link.py
@@ -3,11 +3,23 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from sassafraswinch.errors import SassafraswinchError
-from sassafraswinch.messages import Call, Forward, Hello, Message
+from sassafraswinch.messages import (
+    Acknowledge,
+    Call,
+    DocumentReply,
+    DocumentRequest,
+    Fence,
+    FenceReply,
+    Forward,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    Message,
+)
 from sassafraswinch_node.frames import FrameSplitter, frame_prefix
 from sassafraswinch_node.transit import TransitClock
 from sassafraswinch_node.wire import WireError, decode_frame, encode
@@ -61,6 +73,27 @@
         self.reason = reason
 
 
+CONTROL_MESSAGES = (
+    Acknowledge,
+    DocumentReply,
+    DocumentRequest,
+    Fence,
+    FenceReply,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+)
+"""Messages that carry no caller's request or answer."""
+
+
+@dataclass(slots=True, kw_only=True)
+class LinkTraffic:
+    """Bytes written by all links of a node since its start."""
+
+    control_bytes: int = 0
+    """Frames of ``CONTROL_MESSAGES``, without TCP's own overhead."""
+
+
 class Link(asyncio.Protocol):
     """Frames, coalesced writes and bounds of one connection.
 
@@ -69,6 +102,7 @@
         closed: called once with the link when the connection is gone.
         session: number of the link where this node dialled it; 0 until the
             peer's hello tells it otherwise.
+        traffic: counts what is written, together with other links.
 
     Attributes:
         hello: the peer's greeting; None until it is accepted.
@@ -83,10 +117,12 @@
         receive: Callable[["Link", Message], None],
         closed: Callable[["Link"], None],
         session: int = 0,
+        traffic: LinkTraffic | None = None,
     ):
         self.session = session
         self.hello: Hello | None = None
         self.fault: str | None = None
+        self._traffic = traffic or LinkTraffic()
         self._receive = receive
         self._closed = closed
         self._loop = asyncio.get_running_loop()
@@ -126,9 +162,10 @@
             FrameTooLargeError: the message exceeds the bound of a frame.
             WireError: a field doesn't fit its type on the wire.
         """
-        return self.send_payload(encode_now(message))
+        control = isinstance(message, CONTROL_MESSAGES)
+        return self.send_payload(encode_now(message), control=control)
 
-    def send_payload(self, payload: bytes) -> bool:
+    def send_payload(self, payload: bytes, *, control: bool) -> bool:
         """Queue a coded message, as ``send`` does."""
         prefix = frame_prefix(payload)
         if not self.is_open:
@@ -136,6 +173,8 @@
         held_bytes = self._unsent_bytes + self._transport.get_write_buffer_size()
         if held_bytes + len(payload) > MAX_UNSENT_BYTES:
             return False
+        if control:
+            self._traffic.control_bytes += len(prefix) + len(payload)
         self._unsent += (prefix, payload)
         self._unsent_bytes += len(payload)
         if not self._flush_planned:
--- a/packages/sassafraswinch-node/sassafraswinch_node/link_adapter.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link_adapter.py
@@ -7,7 +7,7 @@
 from sassafraswinch.link_plan import LinkPlan
 from sassafraswinch.membership import Membership
 from sassafraswinch.messages import Heartbeat, Hello, Message, NodeId
-from sassafraswinch_node.link import LinkRefusedError
+from sassafraswinch_node.link import LinkRefusedError, LinkTraffic
 from sassafraswinch_node.links import LinkPool, LinkServer
 from sassafraswinch_node.settings import Address, parse_address
 
@@ -42,6 +42,7 @@
         membership: knows the addresses of hosts.
         plan: says which hosts to keep links to.
         refused: told of connections that aren't taken as links.
+        traffic: counts what is written.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         membership: Membership,
         plan: LinkPlan,
         refused: Callable[[LinkRefusedError], None],
+        traffic: LinkTraffic,
     ):
         self.receiver = receiver
         self.membership = membership
@@ -67,9 +69,14 @@
             heartbeat=heartbeat,
             refused=refused,
             proved=self._proved,
+            traffic=traffic,
         )
         self.server = LinkServer(
-            hello=hello, events=self, heartbeat=heartbeat, refused=refused
+            hello=hello,
+            events=self,
+            heartbeat=heartbeat,
+            refused=refused,
+            traffic=traffic,
         )
 
     async def start(self, address: Address) -> Address:
--- a/packages/sassafraswinch-node/sassafraswinch_node/link_server.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link_server.py
@@ -13,7 +13,13 @@
     Message,
     NodeId,
 )
-from sassafraswinch_node.link import Link, LinkEvents, LinkRefusedError, encode_now
+from sassafraswinch_node.link import (
+    Link,
+    LinkEvents,
+    LinkRefusedError,
+    LinkTraffic,
+    encode_now,
+)
 from sassafraswinch_node.link_timing import LinkTiming, beats
 
 CLOSE_TIMEOUT_MS = 1_000
@@ -32,6 +38,7 @@
         heartbeat: makes the heartbeat of a sequence number.
         refused: told of connections that aren't taken as links.
         timing: time constants.
+        traffic: counts what is written.
     """
 
     def __init__(
@@ -42,12 +49,14 @@
         heartbeat: Callable[[int], Heartbeat],
         refused: Callable[[LinkRefusedError], None] = lambda error: None,
         timing: LinkTiming | None = None,
+        traffic: LinkTraffic | None = None,
     ):
         self._hello = hello
         self._events = events
         self._heartbeat = heartbeat
         self._refused = refused
         self._timing = timing or LinkTiming()
+        self._traffic = traffic or LinkTraffic()
         self._sequences = itertools.count(1)
         self._links: dict[tuple[NodeId, int], Link] = {}
         self._connections: set[Link] = set()
@@ -96,7 +105,7 @@
             link.abort()
 
     def _make_link(self) -> Link:
-        link = Link(receive=self._receive, closed=self._closed)
+        link = Link(receive=self._receive, closed=self._closed, traffic=self._traffic)
         self._connections.add(link)
         return link
 
@@ -108,7 +117,7 @@
                     link.forgive_silence()
                 self._check_silence(link)
                 if link.hello is not None:
-                    link.send_payload(payload)
+                    link.send_payload(payload, control=True)
 
     def _check_silence(self, link: Link) -> None:
         greeting_ms = self._timing.greeting_timeout_ms
--- a/packages/sassafraswinch-node/sassafraswinch_node/links.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/links.py
@@ -14,7 +14,13 @@
     Hello,
     Message,
 )
-from sassafraswinch_node.link import Link, LinkEvents, LinkRefusedError, encode_now
+from sassafraswinch_node.link import (
+    Link,
+    LinkEvents,
+    LinkRefusedError,
+    LinkTraffic,
+    encode_now,
+)
 from sassafraswinch_node.link_server import LinkServer
 from sassafraswinch_node.link_timing import LinkTiming, beats
 
@@ -51,6 +57,7 @@
             was answered: all that was written before it has been read.
         rng: jitter of redials.
         timing: time constants.
+        traffic: counts what is written.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
         proved: Callable[[str, int, float], None] = lambda host, session, sent: None,
         rng: random.Random | None = None,
         timing: LinkTiming | None = None,
+        traffic: LinkTraffic | None = None,
     ):
         self._hello = hello
         self._addresses = addresses
@@ -73,6 +81,7 @@
         self._proved = proved
         self._rng = rng or random.Random()
         self._timing = timing or LinkTiming()
+        self._traffic = traffic or LinkTraffic()
         self._sessions = itertools.count(1)
         self._sequences = itertools.count(1)
         self._peers: dict[str, _Peer] = {}
@@ -112,6 +121,10 @@
         peer = self._peers.get(host)
         return peer.link.session if peer and peer.link else None
 
+    def links(self) -> dict[str, Link]:
+        """Return the open link to each host that has one."""
+        return {peer.host: peer.link for peer in self._peers.values() if peer.link}
+
     def errors(self) -> dict[str, str]:
         """Return why the last dial failed, for each host without a link."""
         return {
@@ -152,7 +165,7 @@
                     peer.link.forgive_silence()
                 if peer.link.silent_for_ms() > self._timing.silence_ms:
                     self._start_dialling(peer)
-                peer.link.send_payload(payload)
+                peer.link.send_payload(payload, control=True)
                 peer.link.heartbeat_sent(sequence)
 
     def _start_dialling(self, peer: _Peer) -> None:
--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -37,6 +37,7 @@
             access_log=False,
             log_config=None,
             server_header=False,
+            proxy_headers=False,
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from sassafraswinch.burn import BurnRecorder
+from sassafraswinch.burn import BurnRecorder, BurnReport
 from sassafraswinch.document import Document
 from sassafraswinch.execution import ExecutionLedger
 from sassafraswinch.levels import EntryShedder
@@ -24,19 +24,23 @@
 from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
 from sassafraswinch.retry import CallerRetryBudget
 from sassafraswinch.routing import Router
+from sassafraswinch.status import Status
 from sassafraswinch.tickets import TicketLedger
 from sassafraswinch.wake import WakeDetector
 from sassafraswinch_node.backend import BackendClient
 from sassafraswinch_node.building import make_gate, make_keeper
 from sassafraswinch_node.dispatcher import Dispatcher
 from sassafraswinch_node.http_calls import CallListener, IdentityHeaders
-from sassafraswinch_node.link import LinkRefusedError
+from sassafraswinch_node.link import LinkRefusedError, LinkTraffic
 from sassafraswinch_node.link_adapter import LinkAdapter
 from sassafraswinch_node.listeners import HttpListener
 from sassafraswinch_node.logs import log_event
+from sassafraswinch_node.operators import operators_app
 from sassafraswinch_node.platform import PlatformClient
 from sassafraswinch_node.platform_watch import PlatformWatch
 from sassafraswinch_node.settings import Settings
+from sassafraswinch_node.snapshot import take_status
+from sassafraswinch_node.usage import UsageMeter
 
 TICK_MS = 25
 """Period of the node's own steps: short against queue delays of 10 ms and more."""
@@ -68,6 +72,8 @@
         )
         self._document: Document | None = None
         self.recorder = BurnRecorder(host=settings.host, now_ms=self.now_ms())
+        self._traffic = LinkTraffic()
+        self.usage = UsageMeter(now_ms=self.now_ms(), traffic=self._traffic)
         self.links = LinkAdapter(
             receiver=self,
             hello=self._hello,
@@ -77,6 +83,7 @@
                 host=settings.host, availability_zone=settings.availability_zone
             ),
             refused=_link_refused,
+            traffic=self._traffic,
         )
         self.dispatcher = Dispatcher(
             client=BackendClient(
@@ -112,6 +119,10 @@
         self.http = {
             "entry": HttpListener(app=self.entry, address=settings.entry),
             "egress": HttpListener(app=self.egress, address=settings.egress),
+            "operators": HttpListener(
+                app=operators_app(status=self.status, burn=self.burn),
+                address=settings.operators,
+            ),
         }
         for listener in self.http.values():
             await listener.start()
@@ -129,6 +140,20 @@
             **addresses,
         )
 
+    def status(self) -> Status:
+        """Return what operators see of this node."""
+        return take_status(
+            settings=self.settings,
+            node=self.node,
+            pool=self.links.pool,
+            usage=self.usage,
+            now_ms=self.now_ms(),
+        )
+
+    def burn(self) -> BurnReport:
+        """Return the service-level burn that this node has seen."""
+        return self.recorder.report(self.now_ms())
+
     def leave(self) -> None:
         """Begin a planned stop: refuse new work, finish what is in flight."""
         if self.node.lifecycle.leaving:
@@ -272,9 +297,7 @@
             now_ms = self._observe()
             self.node.tick(now_ms)
             if tick % PLAN_EVERY_TICKS == 0:
-                self.links.follow_plan()
-                if self.membership.self_leaving:
-                    self.leave()
+                self._look_around(now_ms)
             if self.node.lifecycle.state is NodeState.LEAVING:
                 self.node.lifecycle.tick(now_ms, in_flight=self.node.in_flight)
             if self.node.lifecycle.state is NodeState.STOPPED:
@@ -282,6 +305,12 @@
                 return
             await asyncio.sleep(TICK_MS / 1000)
 
+    def _look_around(self, now_ms: float) -> None:
+        self.usage.tick(now_ms)
+        self.links.follow_plan()
+        if self.membership.self_leaving:
+            self.leave()
+
     def _run(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/snapshot.py
@@ -0,0 +1,86 @@
+"""Takes the snapshot of a node that operators see."""
+
+from sassafraswinch.hosts import HostView
+from sassafraswinch.node import Node
+from sassafraswinch.offers import KeeperReport
+from sassafraswinch.status import HostStatus, LinkStatus, Status
+from sassafraswinch_node.links import LinkPool
+from sassafraswinch_node.settings import Settings
+from sassafraswinch_node.usage import UsageMeter
+
+
+def take_status(
+    *, settings: Settings, node: Node, pool: LinkPool, usage: UsageMeter, now_ms: float
+) -> Status:
+    """Return what a node says of itself at this moment."""
+    load = node.executor.load(now_ms)
+    report = node.configuration.keeper.report(now_ms)
+    return Status(
+        host=settings.host,
+        availability_zone=settings.availability_zone,
+        service=settings.service,
+        incarnation=node.node.incarnation,
+        state=node.lifecycle.state.value,
+        document_version=report.stamp.version,
+        document_digest=report.stamp.digest,
+        document_age_ms=report.age_ms,
+        document_faults=document_faults(report),
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        queue_delay_ms=load.queue_delay_ms,
+        threshold=load.threshold,
+        owned_calls=len(node.owner.open),
+        links=_links(pool),
+        hosts=tuple(_host_status(node, view) for view in node.membership.views(now_ms)),
+        counters=dict(node.counters()),
+        cpu_percent=usage.cpu_percent,
+        memory_mb=usage.memory_mb,
+        control_bytes_per_s=usage.control_bytes_per_s,
+    )
+
+
+def document_faults(report: KeeperReport) -> tuple[str, ...]:
+    """Return in words why a newer document isn't in force, or has two contents."""
+    faults = [str(error) for error in report.refusal.errors] if report.refusal else []
+    faults += [
+        f"version {conflict.version} was published with two contents:"
+        f" {conflict.kept} is kept, {conflict.dropped} dropped"
+        for conflict in report.conflicts
+    ]
+    faults += [
+        f"{peer} claims a newer version and didn't deliver it"
+        for peer in report.undelivered
+    ]
+    return tuple(faults)
+
+
+def _links(pool: LinkPool) -> tuple[LinkStatus, ...]:
+    errors = pool.errors()
+    open_links = [
+        LinkStatus(
+            host=host,
+            state="up",
+            session=link.session,
+            silent_ms=max(0.0, link.silent_for_ms()),
+        )
+        for host, link in pool.links().items()
+    ]
+    failed = [
+        LinkStatus(host=host, state=f"down: {reason}", session=0, silent_ms=0.0)
+        for host, reason in errors.items()
+    ]
+    return tuple(open_links + failed)
+
+
+def _host_status(node: Node, view: HostView) -> HostStatus:
+    load = node.router.load(view.name)
+    return HostStatus(
+        name=view.name,
+        service=view.service,
+        availability_zone=view.availability_zone,
+        leaving=view.leaving,
+        linked=view.linked,
+        in_flight=load.in_flight if load else 0,
+        queue_delay_ms=load.queue_delay_ms if load else 0.0,
+    )
--- a/packages/sassafraswinch/sassafraswinch/executor.py
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -113,6 +113,7 @@
         self.backend = backend
         self.rng = rng
         self.leaving = False
+        self.received = 0
         self.calls: dict[CallKey, RunningCall] = {}
         self._by_span: dict[str, RunningCall] = {}
         self._finished_spans: dict[str, None] = {}
@@ -149,6 +150,7 @@
         """Take in a call; its answer follows by ``take_replies``."""
         if not self.ledger.receive(owner, session, call.number):
             return
+        self.received += 1
         running = self._take_in(CallKey(owner, call.number), call, now_ms)
         self.calls[running.key] = running
         if self.leaving:
--- a/packages/sassafraswinch/sassafraswinch/forwarding.py
+++ b/packages/sassafraswinch/sassafraswinch/forwarding.py
@@ -49,6 +49,7 @@
         self.is_known = is_known
         self.respond = respond
         self.open: dict[int, Forwarded] = {}
+        self.forwarded = 0
         self._incarnations: dict[str, int] = {}
 
     def forward(
@@ -58,6 +59,7 @@
         if not self.is_known(owner.host):
             self._tell(waiter, Reason.TICKET_OWNER_UNREACHABLE)
             return
+        self.forwarded += 1
         forwarded = Forwarded(
             number=self.next_number(),
             request=request,
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -230,6 +230,14 @@
         self.links.announce(self.heartbeat(UNASKED_SEQUENCE, now_ms))
         self._settle(now_ms)
 
+    def counters(self) -> dict[str, int]:
+        """Return counts since the start, for operators."""
+        return {
+            "retries": self.owner.retries,
+            "calls_received": self.executor.received,
+            "forwarded": self.forwarder.forwarded,
+        }
+
     @property
     def in_flight(self) -> int:
         """Requests and calls that a planned stop has to wait for."""
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -157,8 +157,10 @@
             return
         owned = self.open[answer.number]
         attempt = owned.attempt
-        self._close(attempt)
-        latency_ms = now_ms - attempt.sent_at_ms
+        self._sent.settle(attempt.number)
+        del self.open[attempt.number]
+        ran = answer.verdict is Verdict.ANSWERED
+        latency_ms = now_ms - attempt.sent_at_ms if ran else None
         self.router.answered(peer.host, latency_ms, answer.load, now_ms)
         owned.allowance.give_back(attempt.number, answer.unspent)
         if answer.verdict is Verdict.ANSWERED:
@@ -171,8 +173,9 @@
         verdict = self._sent.fence_replied(peer, reply)
         if verdict is None:
             return
-        owned = self.open.pop(reply.number)
+        owned = self.open[reply.number]
         attempt = owned.attempt
+        self._close(attempt)
         reason = Reason.LINK_LOST
         if verdict is Verdict.NOT_RUN:
             owned.allowance.give_back(attempt.number, attempt.handed)
@@ -259,8 +262,10 @@
         return True
 
     def _close(self, attempt: Attempt) -> None:
+        """Await no answer of an attempt any more."""
         self._sent.settle(attempt.number)
         del self.open[attempt.number]
+        self.router.dropped(attempt.peer.host)
 
     def _failed(
         self, owned: OwnedCall, attempt: Attempt, answer: Answer, now_ms: float
--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -140,10 +140,18 @@
         state.load_at_ms = now_ms
         state.sent_since_load = 0
 
-    def failed(self, host: str, now_ms: float) -> None:
-        """Note that a call got no answer; the host rests before it is tried again."""
+    def load(self, host: str) -> Load | None:
+        """Return the last that a host said of its load."""
+        return self._hosts[host].load if host in self._hosts else None
+
+    def dropped(self, host: str) -> None:
+        """Note that the answer to a call is no longer awaited."""
         state = self._hosts.setdefault(host, _HostState())
         state.outstanding = max(0, state.outstanding - 1)
+
+    def failed(self, host: str, now_ms: float) -> None:
+        """Note that a host can't be reached; it rests before it is tried again."""
+        state = self._hosts.setdefault(host, _HostState())
         state.probing = False
         state.failures += 1
         backoff_ms = min(FIRST_BACKOFF_MS * 2 ** (state.failures - 1), MAX_BACKOFF_MS)
