--- a/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
@@ -36,6 +36,8 @@
     organisations: dict[str, dict[str, str]]
     callers: dict[str, dict[str, Any]]
     classes: tuple[dict[str, Any], ...]
+    non_repeatable: tuple[str, ...] = ()
+    """Selectors over labels of operations."""
 
     def service(self, name: str) -> ServicePlan:
         """Return a service by name."""
@@ -80,7 +82,7 @@
                 for plan in service.operations
             ],
             "classes": list(self.classes),
-            "non_repeatable": ["action in (approval, release)"],
+            "non_repeatable": list(self.non_repeatable),
             "retry": {"allowance": 3, "caller_share_percent": 10},
         }
 
@@ -215,6 +217,7 @@
             {"name": "trial", "organisations": "tier=trial", "deadline_ms": 2000},
             {"name": "rest", "deadline_ms": 2000},
         ),
+        non_repeatable=("action in (approval, release)",),
     )
 
 
