Cut the limit when the server queues inside, by rounds of calls

Cause: a server that queues instead of shedding never told the limit where to stop, so it grew 15% a round and the queue moved into the server, out of reach of rank order and eviction (paying p99 386 ms instead of 97). Now calls belong to the round they start in, the start time is a second regressor, about seven rounds are pooled, and a dithered round lowers the limit in its middle half so that there is something to compare; the middle, so that a trend over the round doesn't look like an effect of the count.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -14,6 +14,7 @@
 from sassafraswinch.limits import ConcurrencyLimit
 from sassafraswinch.messages import LEVELS, Load, Rank
 from sassafraswinch.queue_delay import QueueDelays
+from sassafraswinch.regression import Round
 from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 from sassafraswinch.service_time import ServiceTimes
 from sassafraswinch.threshold import Threshold
@@ -44,6 +45,7 @@
     operation: str
     started_at_ms: float
     in_flight: int
+    round: Round
 
 
 class AdaptiveGate:
@@ -98,7 +100,7 @@
             return GateDecision(
                 refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
             )
-        if not self._waiting and len(self._running) < self._limit.limit:
+        if not self._waiting and len(self._running) < self._limit.allowed(now_ms):
             self._start(call, now_ms)
             return GateDecision(start=(key,))
         self._limit.reached()
@@ -119,6 +121,7 @@
         elif outcome is BackendOutcome.CANCELLED:
             self._times.record_cut(running.operation, held_ms, now_ms)
         self._limit.finished(
+            started_in=running.round,
             started_in_flight=running.in_flight,
             started_at_ms=running.started_at_ms,
             self_time_ms=self_time_ms,
@@ -174,6 +177,7 @@
             operation=call.operation,
             started_at_ms=now_ms,
             in_flight=len(self._running) + 1,
+            round=self._limit.started(),
         )
         self._delays.started(call.claim.class_order, now_ms - call.offered_at_ms)
 
@@ -193,7 +197,7 @@
 
     def _fill(self, now_ms: float) -> GateDecision:
         start, refused = [], []
-        while self._waiting and len(self._running) < self._limit.limit:
+        while self._waiting and len(self._running) < self._limit.allowed(now_ms):
             call = self._waiting.pop_first()
             if self._past_deadline(call, now_ms):
                 refused.extend(self._press(call, Reason.DEADLINE, now_ms))
--- a/packages/sassafraswinch/sassafraswinch/limits.py
+++ b/packages/sassafraswinch/sassafraswinch/limits.py
@@ -1,7 +1,7 @@
 """How many calls a backend server can run at once, learnt from what the node sees."""
 
 from sassafraswinch.gate import BackendOutcome
-from sassafraswinch.regression import RoundSums
+from sassafraswinch.regression import Elasticity, Round
 
 MIN_LIMIT = 2
 """Calls; one would leave the server idle between an answer and the next call."""
@@ -29,6 +29,9 @@
 """Length of a round in mean times of a call, so that the calls of a step have
 ended before the next one."""
 
+MEAN_GAIN = 0.05
+"""Weight of a call in the mean time of calls: twenty calls."""
+
 BROKEN_STREAK = 5
 """Broken calls in a row that mean a server in trouble or restarted."""
 
@@ -38,11 +41,38 @@
 SHED_FLOOR = 0.5
 """Share of the limit kept at least by one cut after sheds."""
 
+QUEUEING_ELASTICITY = 0.5
+"""Elasticity above which there is a queue inside the server: more than half of a
+further call's share of the throughput is lost to the others."""
+
+SURE_ERRORS = 2.5
+"""Standard errors by which the elasticity must be above zero for a cut."""
+
+QUEUEING_FACTOR = 0.9
+"""Share of the limit kept by a cut for queueing."""
+
+DITHER_SHARE = 0.85
+"""Share of the limit in the middle half of a dithered round. At a steady limit all
+calls start at the same count in flight, and nothing could be compared."""
+
+DITHER_ROUNDS = 10
+"""Rounds at the limit from one dithered round to the next: 15% less for half of a
+tenth of the time costs 0.75% of the throughput."""
+
+DOUBT_DITHER_ROUNDS = 2
+"""The same while queueing is suspected but not sure."""
+
+REGROWTH_FACTOR = 1.03
+"""Growth a round above the ceiling, once it is tried again."""
+
+CEILING_SPAN = 1.5
+"""Multiple of the ceiling at which it no longer holds."""
+
 FIRST_RETRY_MS = 1_000.0
-"""Time after a cut until one call more than the ceiling is tried."""
+"""Time after a cut until the limit grows above the ceiling again."""
 
 MAX_RETRY_MS = 30_000.0
-"""Longest such time: it doubles with each try that fails."""
+"""Longest such time: it doubles with each cut that follows a try."""
 
 
 class ConcurrencyLimit:
@@ -53,46 +83,65 @@
     - a shed: the server refused a call that started as the n-th, so n - 1 is
       a bound on what it runs, and becomes the ceiling;
     - queueing inside the server: calls that start at a high count take longer
-      than calls that start at a low count *within the same round*. A server
-      that becomes slower as a whole changes both alike, and keeps its limit.
+      than calls of the same round that start at a low count. A server that
+      becomes slower as a whole changes both alike, and keeps its limit.
 
-    It grows while calls reach it and nothing speaks against growth.
+    It grows while calls reach it and nothing speaks against growth; above
+    the ceiling it does so late and slowly.
     """
 
     def __init__(self, *, slots: int | None):
         self._hint = slots
-        self._limit = 0.0
+        self._limit = clamp((slots or UNKNOWN_SLOTS) * COLD_SHARE)
         self._ceiling: float | None = None
         self._retry_ms = FIRST_RETRY_MS
         self._retry_at_ms = 0.0
         self._cut_at_ms = float("-inf")
         self._broken_streak = 0
         self._mean_ms = 0.0
+        self._elasticity = Elasticity()
+        self._round = Round()
+        self._ended_round = Round()
+        self._round_starts_ms = 0.0
         self._round_ends_ms = float("-inf")
+        self._rounds_since_dither = 0
+        self._dithers = False
         self._reached = False
-        self._sums = RoundSums()
-        self._start_cold()
 
     @property
     def limit(self) -> int:
         """Calls that may be in flight."""
         return int(self._limit)
 
+    def allowed(self, now_ms: float) -> int:
+        """Return the limit for calls that start now, lowered while dithering."""
+        if not self._dithers:
+            return int(self._limit)
+        quarter_ms = (self._round_ends_ms - self._round_starts_ms) / 4
+        into_ms = now_ms - self._round_starts_ms
+        lowered = quarter_ms <= into_ms < 3 * quarter_ms
+        return int(self._limit * DITHER_SHARE) if lowered else int(self._limit)
+
     def set_slots(self, slots: int | None) -> None:
         """Start again from a new hint; the same hint changes nothing."""
         if slots == self._hint:
             return
         self._hint = slots
         self._ceiling = None
-        self._limit = float(clamp(slots or UNKNOWN_SLOTS))
+        self._limit = clamp(slots or UNKNOWN_SLOTS)
 
     def reached(self) -> None:
         """Note that a call found the limit reached: growth would be of use."""
         self._reached = True
 
+    def started(self) -> Round:
+        """Return the round of a call that starts now, for ``finished``."""
+        return self._round
+
     def finished(
         self,
         *,
+        started_in: Round,
         started_in_flight: int,
         started_at_ms: float,
         self_time_ms: float,
@@ -102,6 +151,7 @@
         """Learn from a call.
 
         Args:
+            started_in: what ``started`` returned.
             started_in_flight: calls in flight just after its start, it included.
             started_at_ms: when it started.
             self_time_ms: time at the backend server less that of child calls.
@@ -110,9 +160,9 @@
         """
         if outcome is BackendOutcome.OK:
             self._broken_streak = 0
-            gain = 0.05 if self._mean_ms else 1.0
+            gain = MEAN_GAIN if self._mean_ms else 1.0
             self._mean_ms += gain * (self_time_ms - self._mean_ms)
-            self._sums.add(
+            started_in.add(
                 in_flight=started_in_flight,
                 started_at_ms=started_at_ms,
                 time_ms=self_time_ms,
@@ -124,9 +174,6 @@
         if now_ms >= self._round_ends_ms:
             self._end_round(now_ms)
 
-    def _start_cold(self) -> None:
-        self._limit = float(clamp((self._hint or UNKNOWN_SLOTS) * COLD_SHARE))
-
     def _shed(self, in_flight: int, started_at_ms: float, now_ms: float) -> None:
         if started_at_ms < self._cut_at_ms:
             return
@@ -140,21 +187,39 @@
         self._broken_streak += 1
         if self._broken_streak >= BROKEN_STREAK:
             self._broken_streak = 0
-            self._limit = float(clamp(self._limit * BROKEN_FACTOR))
+            self._limit = clamp(self._limit * BROKEN_FACTOR)
             self._cut_at_ms = now_ms
 
     def _cut(self, limit: float, now_ms: float) -> None:
-        self._limit = float(clamp(limit))
-        self._ceiling = self._limit
+        tried = self._ceiling is not None and self._limit > self._ceiling
+        self._retry_ms = (
+            min(self._retry_ms * 2, MAX_RETRY_MS) if tried else self._retry_ms
+        )
+        self._limit = self._ceiling = clamp(limit)
         self._cut_at_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_ms
-        self._retry_ms = min(self._retry_ms * 2, MAX_RETRY_MS)
+        self._elasticity = Elasticity()
 
     def _end_round(self, now_ms: float) -> None:
+        self._elasticity.take(self._ended_round)
+        value, error = self._elasticity.estimate()
+        queueing = value > QUEUEING_ELASTICITY
         if self._reached:
-            self._grow(now_ms)
-        self._sums = RoundSums()
+            if queueing and value > SURE_ERRORS * error:
+                self._cut(self._limit * QUEUEING_FACTOR, now_ms)
+            elif not queueing or value < error:
+                self._grow(now_ms)
+        self._begin_round(queueing and value > error, now_ms)
+
+    def _begin_round(self, doubt: bool, now_ms: float) -> None:
+        self._ended_round, self._round = self._round, Round()
+        self._rounds_since_dither += self._reached
+        pause = DOUBT_DITHER_ROUNDS if doubt else DITHER_ROUNDS
+        self._dithers = self._reached and self._rounds_since_dither >= pause
+        if self._dithers:
+            self._rounds_since_dither = 0
         self._reached = False
+        self._round_starts_ms = now_ms
         self._round_ends_ms = now_ms + max(
             ROUND_MS, ROUND_SERVICE_TIMES * self._mean_ms
         )
@@ -162,17 +227,19 @@
     def _grow(self, now_ms: float) -> None:
         goal = self._hint or UNKNOWN_SLOTS
         if self._ceiling is None:
-            ramping = self._limit < goal
-            factor = RAMP_FACTOR if ramping else GROWTH_FACTOR
-            grown = max(self._limit * factor, self._limit + 1)
-            self._limit = float(clamp(min(grown, goal) if ramping else grown))
+            if self._limit < goal:
+                self._limit = clamp(min(self._limit * RAMP_FACTOR, goal))
+            else:
+                self._limit = clamp(max(self._limit * GROWTH_FACTOR, self._limit + 1))
         elif self._limit < self._ceiling:
             self._limit = min(self._limit * RAMP_FACTOR, self._ceiling)
         elif now_ms >= self._retry_at_ms:
-            self._limit = self._ceiling = float(clamp(self._ceiling + 1))
-            self._retry_at_ms = now_ms + self._retry_ms
+            self._limit = clamp(max(self._limit * REGROWTH_FACTOR, self._limit + 1))
+            if self._limit > self._ceiling * CEILING_SPAN:
+                self._ceiling = None
+                self._retry_ms = FIRST_RETRY_MS
 
 
 def clamp(limit: float) -> float:
     """Return the limit within ``MIN_LIMIT`` and ``MAX_LIMIT``."""
-    return min(max(limit, MIN_LIMIT), MAX_LIMIT)
+    return float(min(max(limit, MIN_LIMIT), MAX_LIMIT))
--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -37,6 +37,7 @@
     rank: Rank
     offered_at_ms: float
     repeats_left: int
+    first: bool = True
     started_at_ms: float | None = None
 
 
@@ -88,6 +89,7 @@
         self.done: list[Done] = []
         self.starts: list[FakeCall] = []
         self.loads: list[tuple[float, object]] = []
+        self.fresh: list[FakeCall] = []
         self.entry_refusals = 0
         self._events: list = []
         self._order = itertools.count()
@@ -110,17 +112,20 @@
     def _arrive(self, stream: Stream) -> None:
         rate = stream.rate_per_s(self.now_ms)
         if rate > 0:
-            self._call(stream, stream.repeats)
+            self._call(stream, stream.repeats, first=True)
         pause_ms = self.rng.expovariate(rate / 1000) if rate > 0 else 10.0
         self._later(pause_ms, self._arrive, stream)
 
-    def _call(self, stream: Stream, repeats_left: int) -> None:
+    def _call(self, stream: Stream, repeats_left: int, first: bool = False) -> None:
         call = FakeCall(
             stream=stream,
             rank=Rank(stream.class_order, self.rng.randrange(LEVELS)),
             offered_at_ms=self.now_ms,
             repeats_left=repeats_left,
+            first=first,
         )
+        if first:
+            self.fresh.append(call)
         if self.shedder is None:
             self._offer(call)
         elif self.shedder.admits(stream.operation, call.rank, self.now_ms):
--- a/packages/sassafraswinch/tests/utils/figures.py
+++ b/packages/sassafraswinch/tests/utils/figures.py
@@ -37,10 +37,11 @@
     capacity = sum(
         10 * server.slots / (server.mean_ms * server.slowness(at)) for at in steps
     )
-    fresh = Counter()
-    for stream in trial.streams:
-        for at in steps:
-            fresh[stream.class_order] += stream.rate_per_s(at) / 100
+    fresh = Counter(
+        call.rank.class_order
+        for call in trial.fresh
+        if start_ms <= call.offered_at_ms < end_ms
+    )
     started = [c for c in trial.starts if start_ms <= c.started_at_ms < end_ms]
     waits = sorted(c.started_at_ms - c.offered_at_ms for c in started)
     latencies = sorted(d.at_ms - d.call.offered_at_ms for d in paying)
