Strip method override headers of callers

Cause: a caller could send an approval as a GET lookup with X-HTTP-Method-Override; the node would take it for repeatable, and a service that heeds it would run it. Change: the three usual names are stripped at both listeners. Conclusion: closes a way round the ticket; found by reading, not by a user.

--- a/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
@@ -29,8 +29,12 @@
     b"host",
     b"x-deadline-ms",
     b"expect",
+    b"x-http-method",
+    b"x-http-method-override",
+    b"x-method-override",
 }
-"""Not passed on: of one connection, or context that only the system may set."""
+"""Not passed on: of one connection, context that only the system may set, or a way to
+pass an approval for the lookup that its method and path name."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
