Make the listeners' sockets TCP by name, so that answers aren't delayed

Cause: every call over two nodes took 44 ms more than a direct one at p50. The listening sockets had protocol 0; asyncio sets TCP_NODELAY only where it is TCP, so the body of an answer waited for the peer's delayed acknowledgement of its head. Ruled out: the links (they are made by create_server, which names the protocol) and the decisions (microseconds in a profile). Conclusion: the cause is mended; p99 is to be measured again on a quiet machine.

--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -70,7 +70,8 @@
         OSError: if the address can't be bound.
     """
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
+    # Named, since asyncio sets TCP_NODELAY only on sockets whose protocol is TCP.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind((address.ip, address.port))
     bound.listen(BACKLOG)
