Come back at once after a server has shed every call

Cause: a server that drains or pauses for a second sheds calls whatever their number; the cuts followed its last running calls down to 2, and the ceiling stayed there: growth above a ceiling was made for a limit that is nearly right. Ruled out: the threshold (it followed the limit). A shed among two calls or fewer says that the number is not the matter; the ceiling goes back to the limit before the cuts, below which the limit doubles. Growth above a ceiling doubles its step each round, and the first try comes after 300 ms in place of 1 s.

--- a/packages/sassafraswinch/sassafraswinch/limits.py
+++ b/packages/sassafraswinch/sassafraswinch/limits.py
@@ -39,7 +39,10 @@
 """Share of the limit kept after such a streak."""
 
 SHED_FLOOR = 0.5
-"""Share of the limit kept at least by one cut after sheds."""
+"""Share of the limit kept at least by one cut after a shed."""
+
+CASCADE_MS = 1_000.0
+"""Time between cuts up to which they have one cause."""
 
 QUEUEING_ELASTICITY = 0.5
 """Elasticity above which there is a queue inside the server: more than half of a
@@ -62,13 +65,14 @@
 DOUBT_DITHER_ROUNDS = 2
 """The same while queueing is suspected but not sure."""
 
-REGROWTH_FACTOR = 1.03
-"""Growth a round above the ceiling, once it is tried again."""
+REGROWTH_SHARE = 0.03
+"""Growth in the first round above the ceiling, once it is tried again. It doubles
+each round up to ``GROWTH_FACTOR``, as the ceiling turns out to be outdated."""
 
 CEILING_SPAN = 1.5
 """Multiple of the ceiling at which it no longer holds."""
 
-FIRST_RETRY_MS = 1_000.0
+FIRST_RETRY_MS = 300.0
 """Time after a cut until the limit grows above the ceiling again."""
 
 MAX_RETRY_MS = 30_000.0
@@ -96,7 +100,9 @@
         self._ceiling: float | None = None
         self._retry_ms = FIRST_RETRY_MS
         self._retry_at_ms = 0.0
+        self._regrowth = REGROWTH_SHARE
         self._cut_at_ms = float("-inf")
+        self._before_cascade = self._limit
         self._broken_streak = 0
         self._mean_ms = 0.0
         self._elasticity = Elasticity()
@@ -177,10 +183,24 @@
     def _shed(self, in_flight: int, started_at_ms: float, now_ms: float) -> None:
         if started_at_ms < self._cut_at_ms:
             return
+        if in_flight <= MIN_LIMIT:
+            self._reopen_at_once()
+            return
         bound = max(in_flight - 1.0, self._limit * SHED_FLOOR)
         if bound < self._limit:
             self._cut(bound, now_ms)
 
+    def _reopen_at_once(self) -> None:
+        """Let the limit double back, once calls are answered again.
+
+        A server that drains or pauses sheds calls whatever their number, and
+        the cuts follow its last running calls down to nothing. They said
+        nothing about its slots: with the lowest cut as the ceiling, a drain
+        of one second would cost many.
+        """
+        self._ceiling = self._before_cascade
+        self._retry_ms = FIRST_RETRY_MS
+
     def _broken(self, started_at_ms: float, now_ms: float) -> None:
         if started_at_ms < self._cut_at_ms:
             return
@@ -191,6 +211,8 @@
             self._cut_at_ms = now_ms
 
     def _cut(self, limit: float, now_ms: float) -> None:
+        if now_ms - self._cut_at_ms > CASCADE_MS:
+            self._before_cascade = self._limit
         tried = self._ceiling is not None and self._limit > self._ceiling
         self._retry_ms = (
             min(self._retry_ms * 2, MAX_RETRY_MS) if tried else self._retry_ms
@@ -198,6 +220,7 @@
         self._limit = self._ceiling = clamp(limit)
         self._cut_at_ms = now_ms
         self._retry_at_ms = now_ms + self._retry_ms
+        self._regrowth = REGROWTH_SHARE
         self._elasticity = Elasticity()
 
     def _end_round(self, now_ms: float) -> None:
@@ -234,7 +257,9 @@
         elif self._limit < self._ceiling:
             self._limit = min(self._limit * RAMP_FACTOR, self._ceiling)
         elif now_ms >= self._retry_at_ms:
-            self._limit = clamp(max(self._limit * REGROWTH_FACTOR, self._limit + 1))
+            grown = max(self._limit * (1 + self._regrowth), self._limit + 1)
+            self._limit = clamp(grown)
+            self._regrowth = min(self._regrowth * 2, GROWTH_FACTOR - 1)
             if self._limit > self._ceiling * CEILING_SPAN:
                 self._ceiling = None
                 self._retry_ms = FIRST_RETRY_MS
--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -64,6 +64,8 @@
     mean_ms: float
     sheds: bool = True
     slowness: Callable[[float], float] = lambda now_ms: 1.0
+    available: Callable[[float], bool] = lambda now_ms: True
+    """Sheds every call while false, as a server that drains."""
     running: int = 0
     backlog: deque = field(default_factory=deque)
 
@@ -166,8 +168,9 @@
 
     def _serve(self, key: int) -> None:
         server = self.server
-        if server.running >= server.slots:
-            if server.sheds:
+        up = server.available(self.now_ms)
+        if server.running >= server.slots or not up:
+            if server.sheds or not up:
                 self._later(SHED_MS, self._finish, key, BackendOutcome.SHED)
             else:
                 server.backlog.append(key)
--- a/packages/sassafraswinch/tests/utils/gate_bench.py
+++ b/packages/sassafraswinch/tests/utils/gate_bench.py
@@ -39,6 +39,8 @@
     obeys: bool = True
     slots: int = SLOTS
     deadline_ms: float = 1000.0
+    drains: bool = False
+    """Sheds all calls for a second in the middle of the pressure."""
 
     def run(self, gate: Gate, seed: int, shedder: EntryShedder | None) -> Figures:
         rates = self.slots / MEAN_MS * 1000
@@ -57,6 +59,7 @@
             mean_ms=MEAN_MS,
             sheds=self.sheds,
             slowness=during(self.slowness, 1.0),
+            available=lambda now_ms: not (self.drains and 4000 <= now_ms < 5000),
         )
         trial = Trial(
             gate=gate, server=server, streams=streams, seed=seed, shedder=shedder
@@ -66,6 +69,7 @@
 
 
 SCENARIOS = [
+    Scenario(name="drains 1 s", paying=(0.6, 0.6), drains=True),
     Scenario(name="calm"),
     Scenario(name="surge x3", paying=(0.9, 0.3), trial=(0.9, 0.3)),
     Scenario(name="surge x3, paying > capacity", paying=(1.5, 0.5), trial=(0.9, 0.3)),
