Ramp the limit by each answered call in place of each round

Cause: after a drain or a cold start the limit doubled once a round, and a round is at least 100 ms, so 2 -> 60 slots took half a second in which calls were refused. Doubling in the time of one call is what an idle server bears: each answer shows that it took the call.

--- a/packages/sassafraswinch/sassafraswinch/limits.py
+++ b/packages/sassafraswinch/sassafraswinch/limits.py
@@ -15,8 +15,9 @@
 COLD_SHARE = 0.25
 """Share of the hint that a cold server gets first."""
 
-RAMP_FACTOR = 2.0
-"""Growth a round up to the hint: a quarter to the whole takes two rounds."""
+RAMP_STEP = 1.0
+"""Growth for each call that is answered while the limit is below its goal and calls
+wait: it doubles in the time of one call."""
 
 GROWTH_FACTOR = 1.15
 """Growth a round beyond the hint, while nothing speaks against it: a hint of half
@@ -173,6 +174,8 @@
                 started_at_ms=started_at_ms,
                 time_ms=self_time_ms,
             )
+            if self._reached and self._limit < self._goal():
+                self._limit = clamp(min(self._limit + RAMP_STEP, self._goal()))
         elif outcome is BackendOutcome.SHED:
             self._shed(started_in_flight, started_at_ms, now_ms)
         elif outcome is BackendOutcome.BROKEN:
@@ -247,15 +250,14 @@
             ROUND_MS, ROUND_SERVICE_TIMES * self._mean_ms
         )
 
+    def _goal(self) -> float:
+        return self._ceiling or self._hint or UNKNOWN_SLOTS
+
     def _grow(self, now_ms: float) -> None:
-        goal = self._hint or UNKNOWN_SLOTS
+        if self._limit < self._goal():
+            return
         if self._ceiling is None:
-            if self._limit < goal:
-                self._limit = clamp(min(self._limit * RAMP_FACTOR, goal))
-            else:
-                self._limit = clamp(max(self._limit * GROWTH_FACTOR, self._limit + 1))
-        elif self._limit < self._ceiling:
-            self._limit = min(self._limit * RAMP_FACTOR, self._ceiling)
+            self._limit = clamp(max(self._limit * GROWTH_FACTOR, self._limit + 1))
         elif now_ms >= self._retry_at_ms:
             grown = max(self._limit * (1 + self._regrowth), self._limit + 1)
             self._limit = clamp(grown)
