--- a/packages/sassafraswinch-standins/sassafraswinch_standins/relay.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/relay.py
@@ -1,7 +1,6 @@
 """TCP relay that can make a connection silent, slow, or cut it."""
 
 import asyncio
-import enum
 from pathlib import Path
 
 import defopt
@@ -10,8 +9,14 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route as HttpRoute
 
+from sassafraswinch_standins.relay_settings import (
+    Direction,
+    Fault,
+    RelayControl,
+    RelaySettings,
+    RouteSettings,
+)
 from sassafraswinch_standins.serving import (
-    StrictModel,
     bind,
     load_settings,
     parse_address,
@@ -22,54 +27,6 @@
 """Distance of two delayed writes, in seconds: timers of one time have no order."""
 
 
-class Direction(enum.Enum):
-    """Which way the bytes go."""
-
-    TO_TARGET = "to-target"
-    TO_CLIENT = "to-client"
-    BOTH = "both"
-
-
-class Fault(enum.Enum):
-    """What the relay does to connections."""
-
-    NONE = "none"
-    SILENT = "silent"
-    """Drops bytes and the end of a connection, so that neither end learns of it."""
-    CUT = "cut"
-    """Resets open connections; new ones are refused while it lasts."""
-
-
-class RouteSettings(StrictModel):
-    """One relayed listener."""
-
-    name: str
-    listen: str = "127.0.0.1:0"
-    target: str
-    delay_ms: float = 0.0
-    """Added to the bytes of each direction."""
-
-
-class RelaySettings(StrictModel):
-    """Settings file of the relay."""
-
-    listen: str = "127.0.0.1:0"
-    """Address of the control endpoint."""
-    routes: list[RouteSettings] = []
-
-
-class RelayControl(StrictModel):
-    """Body of ``POST /control``."""
-
-    routes: list[str]
-    """Names of routes, or beginnings of names that end in ``*``."""
-    fault: Fault | None = None
-    direction: Direction = Direction.BOTH
-    only_open: bool = False
-    """Only connections that are open now; new ones work."""
-    delay_ms: float | None = None
-
-
 class Pipe(asyncio.Protocol):
     """One end of a relayed connection; writes what it reads to the other end."""
 
--- /dev/null
+++ b/packages/sassafraswinch-standins/tests/test_figures.py
@@ -0,0 +1,86 @@
+"""Tests of the bench's figures, on small made-up reports."""
+
+import pytest
+
+from sassafraswinch_standins.figures import (
+    SERIES_FIELDS,
+    Series,
+    Timeline,
+    amplification,
+    doubled,
+    goodput,
+    inversions,
+    recovery_ms,
+    wasted_share,
+)
+from sassafraswinch_standins.graph import brno
+
+GRAPH = brno()
+TIMELINE = Timeline(before_ms=0, from_ms=1000, until_ms=2000, end_ms=8000)
+INTERVALS = 80
+
+
+def series(**by_traffic):
+    """Return a series where each kind of traffic is perfect but for what is given."""
+    perfect = {field: [2] * INTERVALS for field in SERIES_FIELDS}
+    perfect["refused"] = [0] * INTERVALS
+    traffic = {
+        t.name: perfect | by_traffic.get(t.name.replace("-", "_"), {})
+        for t in GRAPH.traffic
+    }
+    return Series([{"traffic": traffic}])
+
+
+def run(request_id, busy_ms=10.0, service="prehled", at_ms=0.0, operation="x"):
+    return {
+        "request_id": request_id,
+        "busy_ms": busy_ms,
+        "service": service,
+        "started_at_ms": at_ms,
+        "operation": operation,
+    }
+
+
+def test_recovery_is_the_first_time_that_holds():
+    bad = [2] * 10 + [0] * 20 + [2] * 5 + [0] * 5 + [2] * 40
+    assert recovery_ms(GRAPH, series(), TIMELINE) == 0
+    late = series(approve={"objective_by_start": bad})
+    # Approvals are a third of the paying ones: the window from 3.9 s, with one bad
+    # interval of ten, has 58 of 60 within the objective, and the one before has 56.
+    assert recovery_ms(GRAPH, late, TIMELINE) == 1900
+    never = series(trial_lookup={"good_by_start": [2] * 20 + [0] * 60})
+    assert recovery_ms(GRAPH, never, TIMELINE) is None
+
+
+def test_wasted_work_is_that_of_tries_without_an_answer():
+    runs = [run("c:approve:1.0"), run("c:approve:1.0/1"), run("c:approve:2.0/0", 20)]
+    assert wasted_share(runs, {"c:approve:1.0"}) == pytest.approx(0.5)
+
+
+def test_repeats_count_whatever_try_they_belong_to():
+    runs = [
+        run("c:approve:1.0", operation="approve-order"),
+        run("c:approve:1.1", operation="approve-order"),
+        run("c:approve:1.1/0"),
+        run("c:approve:2.0/0"),
+    ]
+    assert amplification(runs) == pytest.approx(4 / 3)
+    assert doubled(runs, {"approve-order"}) == 1
+
+
+def test_inversion_needs_a_lower_class_on_the_way_in_the_same_interval():
+    refused = [0] * INTERVALS
+    refused[3], refused[5] = 2, 1
+    figures = series(paying_lookup={"refused": refused})
+    runs = [run("c:trial-lookup:1.0/0/0", service="archiv", at_ms=350.0)]
+    assert inversions(GRAPH, figures, runs, 0.0, TIMELINE) == (2, 3)
+    higher = [run("c:approve:1.0", service="prehled", at_ms=350.0)]
+    assert inversions(GRAPH, figures, higher, 0.0, TIMELINE) == (0, 3)
+
+
+def test_goodput_is_measured_against_what_slots_carry():
+    half = series(approve={"good": [1] * INTERVALS})
+    figures = goodput(GRAPH, half, TIMELINE, slow={})
+    assert figures["ideal_per_s"]["approve"] == 20
+    assert figures["paying_share"] == pytest.approx(50 / 60)
+    assert figures["whole_share"] == pytest.approx(70 / 80)
--- /dev/null
+++ b/packages/sassafraswinch-standins/tests/test_processes.py
@@ -0,0 +1,42 @@
+"""Tests of starting, freezing and ending processes."""
+
+import signal
+
+import pytest
+
+from sassafraswinch_standins.control import call_json
+from sassafraswinch_standins.processes import ManagedProcess, ProcessFailedError
+
+
+def make(tmp_path, **settings):
+    return ManagedProcess(
+        name="platform",
+        module="sassafraswinch_standins.platform",
+        settings=settings,
+        directory=tmp_path,
+    )
+
+
+def test_process_serves_freezes_and_restarts(tmp_path):
+    process = make(tmp_path, document={"version": 1})
+    process.start()
+    try:
+        address = process.listening(30)
+        assert call_json(address, "/stats")["reads"] == 0
+        process.pause()
+        process.kill()
+        assert not process.alive
+        process.start()
+        assert call_json(process.listening(30), "/stats")["reads"] == 0
+        assert process.cpu_s() > 0
+        process.terminate()
+        assert process.wait(30) == -signal.SIGTERM
+    finally:
+        process.kill()
+
+
+def test_failure_shows_the_log(tmp_path):
+    process = make(tmp_path, no_such_field=1)
+    process.start()
+    with pytest.raises(ProcessFailedError, match="no_such_field"):
+        process.listening(30)
--- a/packages/sassafraswinch-standins/tests/test_relay.py
+++ b/packages/sassafraswinch-standins/tests/test_relay.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sassafraswinch_standins.relay import Direction, Fault, Relay, RouteSettings
+from sassafraswinch_standins.relay import Relay
+from sassafraswinch_standins.relay_settings import Direction, Fault, RouteSettings
 
 
 class Echo:
