Add the operators' tool: check, explain, status, burn, watch

Cause: operators and scripts need to check files before they are published and to see one node or the whole fleet. Ruled out: one exit code for all that is wrong (a script can't tell an alert from a node that is down); aiosonic's own client (it sends a request again by itself), so the node's client of one address is used; a platform outage that ends a watch. Change: a porcelain of functions that return data, a thin command line over it, text, JSON, page and picture; names from nodes can't drive the terminal. Conclusion: tests run the commands against a fleet of real listeners, with a dead node, a platform that fails, and Ctrl-C on a child process.

--- a/packages/sassafraswinch-node/sassafraswinch_node/burn_page.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/burn_page.py
@@ -5,6 +5,12 @@
 from sassafraswinch.burn_rates import ALERT_RULES
 from sassafraswinch.burn_report import BurnReport, SeriesBurn, WindowBurn
 from sassafraswinch.burn_windows import BURN_WINDOWS_MS, MINUTE_MS, window_name
+from sassafraswinch.burn_words import (
+    describe_alerts,
+    format_objective,
+    format_rate,
+    series_name,
+)
 
 SHARE_WINDOW_MS = 5 * MINUTE_MS
 """Window whose shares of outcomes are drawn."""
@@ -82,13 +88,6 @@
     return HIGH if burn_rate < rates[1] else WORST
 
 
-def format_rate(burn_rate: float | None) -> str:
-    """Return a burn rate in at most four characters; a dash for none."""
-    if burn_rate is None:
-        return "-"
-    return f"{burn_rate:.1f}" if burn_rate < 100 else f"{burn_rate:.0f}"
-
-
 def _summary(report: BurnReport) -> str:
     hosts = ", ".join(report.hosts) if len(report.hosts) <= 8 else len(report.hosts)
     return (
@@ -98,13 +97,7 @@
 
 
 def _add_alerts(body: ElementTree.Element, report: BurnReport) -> None:
-    lines = [
-        f"{alert.severity.value}: {series.class_name} / {series.operation} burns at "
-        f"{format_rate(alert.burn_rate)} over {window_name(alert.short_ms)} and "
-        f"{window_name(alert.long_ms)}"
-        for series in report.series
-        for alert in series.alerts
-    ]
+    lines = describe_alerts(report)
     for line in lines:
         _add(body, "p", line, **{"class": "alert"})
     if not lines:
@@ -119,7 +112,7 @@
 
 
 def _add_row(picture: ElementTree.Element, series: SeriesBurn, y: int) -> None:
-    _text(picture, 0, y, _shorten(f"{series.class_name} / {series.operation}"))
+    _text(picture, 0, y, _shorten(series_name(series)))
     by_length = {window.window_ms: window for window in series.windows}
     if shares := by_length.get(SHARE_WINDOW_MS):
         _add_shares(picture, shares, y)
@@ -165,18 +158,15 @@
 
 
 def _cells(series: SeriesBurn) -> list[str]:
-    objective, total = series.objective, series.total
-    promise = "none"
-    if objective is not None:
-        promise = f"{objective.answered_percent:g}% in {objective.latency_ms:g} ms"
+    total = series.total
     counts = (total.good, total.late, total.refused, total.unknown, total.not_counted)
     quantiles = [
         f"{value_ms:.1f}"
         for latency in series.latencies
         for value_ms in (latency.p50_ms, latency.p99_ms)
     ]
-    name = f"{series.class_name} / {series.operation}"
-    return [name, promise, *map(str, counts), *quantiles]
+    texts = [series_name(series), format_objective(series), *map(str, counts)]
+    return texts + quantiles
 
 
 def _shorten(name: str) -> str:
--- /dev/null
+++ b/packages/sassafraswinch-tool/sassafraswinch_tool/status_text.py
@@ -0,0 +1,161 @@
+"""Statuses of nodes as text, and the problems that they show."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+from sassafraswinch.status import Status
+from sassafraswinch_tool.nodes import Reply
+from sassafraswinch_tool.porcelain import NodeList
+from sassafraswinch_tool.tables import format_table, printable
+
+HEADS = (
+    "host",
+    "zone",
+    "service",
+    "state",
+    "document",
+    "age",
+    "in flight",
+    "limit",
+    "queued",
+    "delay ms",
+    "refused above",
+    "owned",
+    "links",
+    "cpu %",
+    "MB",
+)
+HEALTHY_STATES = frozenset({"serving", "leaving"})
+
+
+def render_statuses(
+    replies: Sequence[Reply[Status]], *, details: bool = True
+) -> list[str]:
+    """Return a table of the nodes, details if there is one only, and problems."""
+    if not replies:
+        return ["no nodes"]
+    statuses = [reply.said for reply in replies if reply.said]
+    lines = []
+    if statuses:
+        lines += format_table(HEADS, map(_row, statuses))
+    if details and len(replies) == 1 and statuses:
+        lines += _details(statuses[0])
+    lines += render_unreachable(replies)
+    lines += [printable(f"problem: {problem}") for problem in find_problems(statuses)]
+    return lines
+
+
+def render_unreachable(replies: Iterable[Reply]) -> list[str]:
+    """Return a line for each node that gave no answer."""
+    return [
+        printable(f"{reply.address}  unreachable: {reply.error}")
+        for reply in replies
+        if reply.said is None
+    ]
+
+
+def render_list_error(nodes: NodeList) -> list[str]:
+    """Return a line if the platform gave no list of hosts."""
+    if not nodes.list_error:
+        return []
+    return [printable(f"platform unreachable: {nodes.list_error}")]
+
+
+def find_problems(statuses: Sequence[Status]) -> list[str]:
+    """Return what an operator should look into, in words."""
+    problems = [
+        f"{status.host} is {status.state}"
+        for status in statuses
+        if status.state not in HEALTHY_STATES
+    ]
+    problems += [
+        f"{status.host}: {fault}"
+        for status in statuses
+        for fault in status.document_faults
+    ]
+    return problems + _differing_documents(statuses)
+
+
+def _differing_documents(statuses: Sequence[Status]) -> list[str]:
+    hosts = defaultdict(list)
+    for status in statuses:
+        hosts[status.document_version, status.document_digest].append(status.host)
+    if len(hosts) < 2:
+        return []
+    groups = [
+        f"{version} ({digest or 'no digest'}) on {_some(names)}"
+        for (version, digest), names in sorted(hosts.items())
+    ]
+    return [f"documents in force differ: {'; '.join(groups)}"]
+
+
+def _some(names: list[str], most: int = 4) -> str:
+    shown = ", ".join(names[:most])
+    return f"{shown} and {len(names) - most} more" if len(names) > most else shown
+
+
+def _row(status: Status) -> tuple[object, ...]:
+    threshold = status.threshold
+    rank = f"{threshold.class_order}.{threshold.level}" if threshold else "-"
+    up = sum(link.state == "up" for link in status.links)
+    return (
+        status.host,
+        status.availability_zone,
+        status.service,
+        status.state,
+        status.document_version or "none",
+        format_age(status.document_age_ms) if status.document_version else "-",
+        status.in_flight,
+        status.limit,
+        status.queued,
+        f"{status.queue_delay_ms:.1f}",
+        rank,
+        status.owned_calls,
+        f"{up}/{len(status.links)}",
+        f"{status.cpu_percent:.1f}",
+        f"{status.memory_mb:.0f}",
+    )
+
+
+def format_age(age_ms: float) -> str:
+    """Return an age in its largest fitting unit, such as ``12s`` or ``3h``."""
+    seconds = int(age_ms // 1000)
+    for size, unit in ((86_400, "d"), (3_600, "h"), (60, "m")):
+        if seconds >= 2 * size:
+            return f"{seconds // size}{unit}"
+    return f"{seconds}s"
+
+
+def _details(status: Status) -> list[str]:
+    lines = [
+        "",
+        f"incarnation {status.incarnation}",
+        f"document digest {printable(status.document_digest) or 'none'}",
+        f"control {status.control_bytes_per_s:.0f} bytes/s",
+    ]
+    if status.links:
+        heads = ("link to", "state", "session", "silent ms")
+        rows = [
+            (link.host, link.state, link.session, f"{link.silent_ms:.0f}")
+            for link in status.links
+        ]
+        lines += ["", *format_table(heads, rows)]
+    if status.hosts:
+        heads = ("host", "service", "zone", "state", "in flight", "delay ms")
+        lines += ["", *format_table(heads, map(_host_row, status.hosts))]
+    if status.counters:
+        rows = sorted(status.counters.items())
+        lines += ["", *format_table(("since the start", "count"), rows)]
+    return lines
+
+
+def _host_row(host) -> tuple[object, ...]:
+    state = "leaving" if host.leaving else "linked" if host.linked else "not linked"
+    return (
+        host.name,
+        host.service,
+        host.availability_zone,
+        state,
+        host.in_flight,
+        f"{host.queue_delay_ms:.1f}",
+    )
--- /dev/null
+++ b/packages/sassafraswinch-tool/tests/conftest.py
@@ -0,0 +1,111 @@
+"""A small fleet of operators' endpoints, served from a thread."""
+
+import asyncio
+import dataclasses
+import threading
+
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from sassafraswinch.burn import BurnRecorder
+from sassafraswinch.document import Objective
+from sassafraswinch.status import LinkStatus, Status
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch_node.listeners import HttpListener, bind
+from sassafraswinch_node.operators import operators_app
+from sassafraswinch_node.settings import parse_address
+
+STATUS = Status(
+    host="",
+    availability_zone="brno-a",
+    service="schvaleni",
+    incarnation=7,
+    state="serving",
+    document_version=3,
+    document_digest="00ff",
+    links=(LinkStatus(host="brno-b-1", state="up", session=1, silent_ms=2.0),),
+    counters={"retries": 5},
+)
+
+
+class Node:
+    """What one endpoint shows."""
+
+    def __init__(self, host):
+        self.status = dataclasses.replace(STATUS, host=host)
+        self.recorder = BurnRecorder(host=host, now_ms=0)
+        objective = Objective(answered_percent=99.0, latency_ms=100.0)
+        self.recorder.set_objectives({"paying": objective}, document_version=3)
+
+    def change(self, **fields):
+        self.status = dataclasses.replace(self.status, **fields)
+
+    def record(self, *, good=0, refused=0, operation="approve"):
+        outcomes = [(Verdict.ANSWERED, None)] * good
+        outcomes += [(Verdict.NOT_RUN, Reason.OVERLOADED)] * refused
+        for verdict, reason in outcomes:
+            self.recorder.record(
+                class_name="paying",
+                operation=operation,
+                verdict=verdict,
+                reason=reason,
+                latency_ms=20.0,
+                now_ms=5.0,
+            )
+
+
+class Fleet:
+    """Two nodes, a dead address, and a platform that lists all three."""
+
+    def __init__(self):
+        self.one, self.two = Node("brno-a-1"), Node("brno-b-1")
+        self.list_status = 200
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._listeners = [self._listener(self._app(n)) for n in (self.one, self.two)]
+        self.addresses = [str(listener.address) for listener in self._listeners]
+        unused = bind(parse_address("127.0.0.1:0"))
+        self.dead = f"127.0.0.1:{unused.getsockname()[1]}"
+        unused.close()
+        platform = Starlette(routes=[Route("/v1/hosts", self._hosts)])
+        self._listeners.append(self._listener(platform))
+        self.platform = f"http://{self._listeners[-1].address}"
+
+    def start(self):
+        self._thread.start()
+        for listener in self._listeners:
+            self._run(listener.start())
+
+    def stop(self):
+        for listener in self._listeners:
+            self._run(listener.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _run(self, coroutine):
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10)
+
+    @staticmethod
+    def _listener(app):
+        return HttpListener(app=app, address=parse_address("127.0.0.1:0"))
+
+    @staticmethod
+    def _app(node):
+        return operators_app(
+            status=lambda: node.status, burn=lambda: node.recorder.report(10.0)
+        )
+
+    async def _hosts(self, request):
+        listed = [{"operators": address} for address in (*self.addresses, self.dead)]
+        return JSONResponse(listed, status_code=self.list_status)
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    fleet.start()
+    yield fleet
+    fleet.stop()
