Don't let a young fleet page; tell reasons; keep link errors out of labels

Cause: the tool, run against the stand-ins' fleet, showed a page 'over 5m and 1h' nine seconds after the start: each window held the same nine seconds. The metric of links took the error text of a link that is down for a label value, a new series for each text. Ruled out: no alerts until a window is full (blind for six hours after each restart). Change: the part of an alert's long window before the start counts as time without burn; links are counted by the word before the colon; tables name the commonest reasons. Conclusion: alerts of young and old fleets mean the same.

--- a/packages/sassafraswinch-node/sassafraswinch_node/burn_page.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/burn_page.py
@@ -9,6 +9,7 @@
     describe_alerts,
     format_objective,
     format_rate,
+    format_reasons,
     series_name,
 )
 
@@ -146,6 +147,7 @@
     table = _add(body, "table")
     heads = ["class / operation", "objective", "good", "late", "refused", "unknown"]
     heads += ["not counted", "p50 ms (5m)", "p99 ms (5m)", "p50 ms (1h)", "p99 ms (1h)"]
+    heads += ["reasons"]
     row = _add(_add(table, "thead"), "tr")
     for head in heads:
         _add(row, "th", head)
@@ -154,7 +156,7 @@
         row = _add(rows, "tr")
         for cell in _cells(series):
             _add(row, "td", cell)
-    _add(body, "p", "Counts are since the start of each node.")
+    _add(body, "p", "Counts and reasons are since the start of each node.")
 
 
 def _cells(series: SeriesBurn) -> list[str]:
@@ -166,7 +168,7 @@
         for value_ms in (latency.p50_ms, latency.p99_ms)
     ]
     texts = [series_name(series), format_objective(series), *map(str, counts)]
-    return texts + quantiles
+    return [*texts, *quantiles, format_reasons(series)]
 
 
 def _shorten(name: str) -> str:
--- a/packages/sassafraswinch-node/sassafraswinch_node/metrics.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/metrics.py
@@ -109,8 +109,9 @@
     At 560 nodes a series for each pair would be 300,000 in the reader's store.
     """
     links = _gauge("links", "Links to other nodes.", ("state",))
-    for state in sorted({link.state for link in status.links}):
-        links.add_metric([state], sum(link.state == state for link in status.links))
+    states = [link.state.partition(":")[0] for link in status.links]
+    for state in sorted(set(states)):
+        links.add_metric([state], states.count(state))
     yield links
     hosts = _gauge("hosts", "Other hosts known, by service.", ("service", "state"))
     kinds = [(host.service, _host_state(host)) for host in status.hosts]
--- a/packages/sassafraswinch-tool/sassafraswinch_tool/burn_text.py
+++ b/packages/sassafraswinch-tool/sassafraswinch_tool/burn_text.py
@@ -6,6 +6,7 @@
     describe_alerts,
     format_objective,
     format_rate,
+    format_reasons,
     series_name,
 )
 from sassafraswinch_tool.tables import format_table, printable
@@ -23,6 +24,7 @@
     "unknown",
     "p50 ms 5m",
     "p99 ms 5m",
+    "reasons since the start",
 )
 
 
@@ -68,4 +70,5 @@
         counts.refused,
         counts.unknown,
         *quantiles,
+        format_reasons(series),
     )
--- a/packages/sassafraswinch/sassafraswinch/burn_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_rates.py
@@ -98,23 +98,35 @@
 
 
 def find_alerts(windows: tuple[WindowBurn, ...]) -> tuple[Alert, ...]:
-    """Return the alerts that the rules raise over these windows."""
+    """Return the alerts that the rules raise over these windows.
+
+    Failure: a fleet that started ten seconds ago meets its first overload, and as
+    its one-hour window holds nothing but that, it pages as if an hour had burnt. So
+    the part of a long window before the start counts as time without burn.
+    """
     by_length = {window.window_ms: window for window in windows}
+    pairs = [
+        (rule, by_length[rule.short_ms], by_length[rule.long_ms])
+        for rule in ALERT_RULES
+        if rule.short_ms in by_length and rule.long_ms in by_length
+    ]
     return tuple(
         Alert(
             severity=rule.severity,
             short_ms=rule.short_ms,
             long_ms=rule.long_ms,
-            burn_rate=min(short.burn_rate or 0.0, long.burn_rate or 0.0),
+            burn_rate=rate,
         )
-        for rule in ALERT_RULES
-        if (short := by_length.get(rule.short_ms))
-        and (long := by_length.get(rule.long_ms))
-        and min(short.burn_rate or 0.0, long.burn_rate or 0.0) >= rule.burn_rate
+        for rule, short, long in pairs
+        if (rate := min(short.burn_rate or 0.0, _spread_rate(long))) >= rule.burn_rate
         and long.counts.bad >= ALERT_BAD_CALLS
     )
 
 
+def _spread_rate(window: WindowBurn) -> float:
+    return (window.burn_rate or 0.0) * window.covered_ms / window.window_ms
+
+
 def merge_reports(reports: list[BurnReport]) -> BurnReport:
     """Add the reports of several nodes up to one.
 
--- a/packages/sassafraswinch/sassafraswinch/burn_words.py
+++ b/packages/sassafraswinch/sassafraswinch/burn_words.py
@@ -24,6 +24,12 @@
     return f"{series.class_name} / {series.operation}"
 
 
+def format_reasons(series: SeriesBurn, *, most: int = 3) -> str:
+    """Return the commonest reasons of calls without an answer, with their counts."""
+    ordered = sorted(series.reasons.items(), key=lambda item: -item[1])
+    return ", ".join(f"{reason} {count}" for reason, count in ordered[:most]) or "-"
+
+
 def describe_alerts(report: BurnReport) -> list[str]:
     """Return a sentence for each alert."""
     return [
--- a/packages/sassafraswinch/sassafraswinch/status.py
+++ b/packages/sassafraswinch/sassafraswinch/status.py
@@ -14,6 +14,7 @@
 
     host: str
     state: str
+    """``up``, or ``down:`` and why."""
     session: int
     silent_ms: float
     """Time since the last frame of the peer."""
--- a/packages/sassafraswinch/tests/test_burn.py
+++ b/packages/sassafraswinch/tests/test_burn.py
@@ -144,6 +144,24 @@
     assert Severity.PAGE not in {alert.severity for alert in series.alerts}
 
 
+def test_a_young_fleet_pages_as_late_as_an_old_one():
+    """A fleet has just started when its first calls are refused.
+
+    All its windows hold the same ten seconds, so each rule saw an hour or six of
+    burn and paged at once. It must page when five minutes' worth is burnt.
+    """
+    burn = recorder()
+    for second in range(10):
+        record(burn, second * SECOND_MS, Verdict.NOT_RUN, Reason.OVERLOADED)
+    (series,) = burn.report(10 * SECOND_MS).series
+    assert series.windows[-1].burn_rate == pytest.approx(100.0)
+    assert series.alerts == ()
+    for second in range(10, 140):
+        record(burn, second * SECOND_MS, Verdict.NOT_RUN, Reason.OVERLOADED)
+    (series,) = burn.report(140 * SECOND_MS).series
+    assert [alert.severity for alert in series.alerts] == [Severity.PAGE]
+
+
 def test_one_bad_call_of_a_rare_operation_raises_no_alert():
     burn = recorder()
     record(burn, 1.0, Verdict.NOT_RUN, Reason.OVERLOADED)
