--- a/packages/sassafraswinch-node/sassafraswinch_node/daemon.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/daemon.py
@@ -9,7 +9,7 @@
 import defopt
 
 from sassafraswinch.errors import InvalidFieldsError
-from sassafraswinch_node.logs import configure_logs, log_event
+from sassafraswinch_node.logs import configure_logs, flush_logs, log_event
 from sassafraswinch_node.process import NodeProcess
 from sassafraswinch_node.settings import Settings, load_settings
 
@@ -70,6 +70,8 @@
     except OSError as error:
         log_event("start_failed", level="error", reason=str(error))
         return EXIT_BAD_SETTINGS
+    finally:
+        flush_logs()
     return 0 if finished else EXIT_CUT
 
 
