Hold classes at the entry as at the gate, pace its returns by what it admits

Cause: an entry's place drifts open between answers, past the end of a class within a fraction of a second, so a trial call could pass just after a paying one was refused there; and its Retry-After took a made-up 10 returns a second. The hold is now one class that both use.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from sassafraswinch.class_hold import ClassHold
 from sassafraswinch.gate import (
     NOTHING,
     BackendOutcome,
@@ -27,10 +28,6 @@
 MIN_QUEUE = 4
 """Calls that may wait however slowly slots come free."""
 
-HOLD_MS = 250.0
-"""Time for which classes below a class that lost a call to overload stay closed,
-so that a slot that comes free just then doesn't go to a lower class."""
-
 UNKNOWN_CAPACITY_PER_S = 100.0
 """Calls a second that returns are spread over before any call has ended."""
 
@@ -53,7 +50,7 @@
 
     A higher claim starts first and is refused last: a full queue evicts its
     lowest claim, and a class that loses a call to overload closes the classes
-    below it for ``HOLD_MS``.
+    below it for a while.
     """
 
     def __init__(self, *, slots: int | None, rng: random.Random):
@@ -63,7 +60,7 @@
         self._threshold = Threshold()
         self._running: dict[Key, _Running] = {}
         self._waiting = WaitingCalls()
-        self._closed_until_ms: dict[int, float] = {}
+        self._hold = ClassHold()
         self._returns: dict[int, ReturnSchedule] = {}
         self._slot_time_ms = 0.0
         self._delays = QueueDelays()
@@ -96,7 +93,7 @@
         )
         if self._past_deadline(call, now_ms):
             return GateDecision(refused=(self._refusal(call, Reason.DEADLINE, now_ms),))
-        if self._closed(rank.class_order, now_ms):
+        if self._hold.closes(rank.class_order, now_ms):
             return GateDecision(
                 refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
             )
@@ -231,23 +228,13 @@
         waited_ms = now_ms - call.offered_at_ms
         return waited_ms > MAX_WAIT_MS or self._past_deadline(call, now_ms)
 
-    def _closed(self, class_order: int, now_ms: float) -> bool:
-        if not self._closed_until_ms:
-            return False
-        return any(
-            order < class_order and now_ms < until_ms
-            for order, until_ms in self._closed_until_ms.items()
-        )
-
     def _strictest(self, now_ms: float) -> Rank | None:
-        closers = [
-            Rank(order, LEVELS - 1)
-            for order, until_ms in self._closed_until_ms.items()
-            if now_ms < until_ms
-        ]
         threshold = self._threshold.rank
-        ranks = closers if threshold is None else [*closers, threshold]
-        return min(ranks) if ranks else None
+        lowest = self._hold.lowest_open(now_ms)
+        if lowest is None:
+            return threshold
+        held = Rank(lowest, LEVELS - 1)
+        return held if threshold is None else min(held, threshold)
 
     def _lose(self, late: list[WaitingCall], now_ms: float) -> tuple[Refusal, ...]:
         refused = []
@@ -264,13 +251,11 @@
     ) -> tuple[Refusal, ...]:
         """Refuse a call for want of capacity, and with it all lower classes.
 
-        Lower classes that wait are evicted and those that come are refused for
-        ``HOLD_MS``. Otherwise a slot that comes free a moment later goes to a
-        trial call just after a paying one was refused: an inversion, seen as
-        paying refusals and trial answers in the same interval.
+        Lower classes that wait are evicted, those that come are held off. A
+        slot that comes free a moment later would else go to one of them.
         """
         order = call.claim.class_order
-        self._closed_until_ms[order] = now_ms + HOLD_MS
+        self._hold.refused(order, now_ms)
         refused = [self._refusal(call, reason, now_ms)]
         while self._waiting and self._waiting.last_class() > order:
             evicted = self._waiting.pop_last()
@@ -279,7 +264,7 @@
 
     def _refusal(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
         order = call.claim.class_order
-        returns = self._returns.setdefault(order, ReturnSchedule(rng=self._rng))
+        returns = self._returns.setdefault(order, ReturnSchedule())
         gap_ms = self._delay_ms(1)
         capacity_per_s = 1000 / gap_ms if gap_ms else UNKNOWN_CAPACITY_PER_S
         spare_per_s = max(
@@ -289,5 +274,7 @@
         return Refusal(
             key=call.key,
             reason=reason,
-            retry_after_ms=returns.next_ms(spare_per_s=spare_per_s, now_ms=now_ms),
+            retry_after_ms=returns.next_ms(
+                spare_per_s=spare_per_s, now_ms=now_ms, rng=self._rng
+            ),
         )
--- a/packages/sassafraswinch/sassafraswinch/levels.py
+++ b/packages/sassafraswinch/sassafraswinch/levels.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from math import ceil, inf
 
+from sassafraswinch.class_hold import ClassHold
 from sassafraswinch.messages import LEVELS, Rank
-from sassafraswinch.retry_after import ReturnSchedule
+from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 
 REOPEN_MS = 1_000.0
 """Time in which an entry opens from the strictest threshold to none, unless
@@ -21,9 +22,6 @@
 MAX_OPERATIONS = 1024
 """Operations whose thresholds an entry remembers."""
 
-RATE_WINDOW_MS = 1_000.0
-"""Time constant of an entry's count of admitted calls."""
-
 
 def position(rank: Rank) -> float:
     """Return a place on one axis of ranks: 1 for each class."""
@@ -38,14 +36,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Learnt:
-    """What an entry knows of one operation."""
+    """What an entry knows of one operation that is held back."""
 
     place: float
     updated_at_ms: float
-    admitted_per_s: float = 0.0
-    returns: ReturnSchedule = field(
-        default_factory=lambda: ReturnSchedule(rng=random.Random(0))
-    )
+    since_ms: float
+    admitted: int = 0
+    hold: ClassHold = field(default_factory=ClassHold)
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
 
 
 class EntryShedder:
@@ -54,7 +52,8 @@
     One place on the axis of ranks is kept for each operation, so a lower
     class or a greater level is never admitted where a higher one is refused.
     The place follows the thresholds on answers, and drifts open by itself:
-    the few calls that pass by the drift are the probes.
+    the few calls that pass by the drift are the probes. Operations that are
+    not held back take no memory.
     """
 
     def __init__(self):
@@ -67,8 +66,9 @@
         if learnt is None:
             if threshold is None or len(self._learnt) >= MAX_OPERATIONS:
                 return
-            learnt = _Learnt(place=float(self._classes), updated_at_ms=now_ms)
-            self._learnt[operation] = learnt
+            learnt = self._learnt[operation] = _Learnt(
+                place=float(self._classes), updated_at_ms=now_ms, since_ms=now_ms
+            )
         self._drift(learnt, now_ms)
         told = inf if threshold is None else position(threshold) + 1 / LEVELS
         told = min(told, float(self._classes))
@@ -83,10 +83,16 @@
         if learnt is None:
             return True
         self._drift(learnt, now_ms)
-        if learnt.place >= self._classes:
+        if learnt.hold.closes(rank.class_order, now_ms):
+            return False
+        if position(rank) >= learnt.place:
+            learnt.hold.refused(rank.class_order, now_ms)
+            return False
+        held = learnt.hold.lowest_open(now_ms) is not None
+        if learnt.place >= self._classes and not held:
             del self._learnt[operation]
-            return True
-        return position(rank) < learnt.place
+        learnt.admitted += 1
+        return True
 
     def retry_after_ms(
         self, operation: str, rank: Rank, now_ms: float, rng: random.Random
@@ -100,10 +106,14 @@
             rng: source of the jitter.
         """
         learnt = self._learnt.get(operation)
-        returns = learnt.returns if learnt else ReturnSchedule(rng=rng)
-        return returns.next_ms(spare_per_s=10.0, now_ms=now_ms)
+        if learnt is None:
+            return ReturnSchedule().next_ms(spare_per_s=inf, now_ms=now_ms, rng=rng)
+        seconds = max(now_ms - learnt.since_ms, REOPEN_MS) / 1000
+        spare_per_s = learnt.admitted / seconds * MIN_RETURNS_SHARE
+        return learnt.returns.next_ms(spare_per_s=spare_per_s, now_ms=now_ms, rng=rng)
 
     def _drift(self, learnt: _Learnt, now_ms: float) -> None:
         elapsed_ms = max(0.0, now_ms - learnt.updated_at_ms)
-        learnt.place += self._classes * elapsed_ms / REOPEN_MS
+        drifted = learnt.place + self._classes * elapsed_ms / REOPEN_MS
+        learnt.place = min(drifted, float(self._classes))
         learnt.updated_at_ms = now_ms
--- a/packages/sassafraswinch/sassafraswinch/retry_after.py
+++ b/packages/sassafraswinch/sassafraswinch/retry_after.py
@@ -12,6 +12,9 @@
 """Waits are spread by this share to both sides, so that no front of refused
 callers comes back as one."""
 
+MIN_PACE_PER_S = 0.1
+"""Slowest line of returning callers, calls a second."""
+
 MIN_RETURNS_SHARE = 0.05
 """Share of the capacity that returning callers may take while nothing is spare:
 they are probes, and most of them are refused again cheaply."""
@@ -25,23 +28,23 @@
     caller is sent to the end of this line.
     """
 
-    def __init__(self, *, rng: random.Random):
-        self._rng = rng
+    def __init__(self):
         self._due = 0.0
         self._updated_at_ms = 0.0
 
-    def next_ms(self, *, spare_per_s: float, now_ms: float) -> int:
+    def next_ms(self, *, spare_per_s: float, now_ms: float, rng: random.Random) -> int:
         """Return the wait for one more refused caller, in whole milliseconds.
 
         Args:
             spare_per_s: returning calls that can be served, a second.
             now_ms: monotonic time.
+            rng: source of the jitter.
         """
-        pace_per_ms = max(spare_per_s, 0.1) / 1000
+        pace_per_ms = max(spare_per_s, MIN_PACE_PER_S) / 1000
         elapsed_ms = max(0.0, now_ms - self._updated_at_ms)
         self._due = max(0.0, self._due - elapsed_ms * pace_per_ms)
         self._updated_at_ms = now_ms
         self._due = min(self._due + 1, MAX_MS * pace_per_ms + 1)
         wait_ms = min(MIN_MS + self._due / pace_per_ms, MAX_MS)
-        spread = 1 + JITTER_SHARE * (2 * self._rng.random() - 1)
+        spread = 1 + JITTER_SHARE * (2 * rng.random() - 1)
         return int(wait_ms * spread)
--- a/packages/sassafraswinch/tests/test_gate_properties.py
+++ b/packages/sassafraswinch/tests/test_gate_properties.py
@@ -11,7 +11,8 @@
     rule,
 )
 
-from sassafraswinch.admission import HOLD_MS, AdaptiveGate
+from sassafraswinch.admission import AdaptiveGate
+from sassafraswinch.class_hold import HOLD_MS
 from sassafraswinch.gate import BackendOutcome, OpenGate, StaticGate
 from sassafraswinch.messages import Rank
 from sassafraswinch.verdict import Reason
--- a/packages/sassafraswinch/tests/utils/figures.py
+++ b/packages/sassafraswinch/tests/utils/figures.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch.gate import BackendOutcome
+from sassafraswinch.verdict import Reason
 
 from .fake_server import Trial
 
@@ -25,6 +26,8 @@
     paying_p99_ms: float
     shed_percent: float
     wasted_percent: float
+    refused_below_percent: float
+    """Share of the refusals that the gate made, the entry having let them pass."""
 
 
 def measure(trial: Trial, *, start_ms: float, end_ms: float, run_ms: float) -> Figures:
@@ -47,6 +50,8 @@
     latencies = sorted(d.at_ms - d.call.offered_at_ms for d in paying)
     ran = [d for d in inside if d.outcome is BackendOutcome.OK]
     sheds = sum(d.outcome is BackendOutcome.SHED for d in inside)
+    refused = sum(isinstance(d.outcome, Reason) for d in trial.done)
+    below = refused - trial.entry_refusals
     inversions, mixed = _inversions(trial)
     return Figures(
         paying_percent=100 * len(paying) / max(min(fresh[0], capacity), 1),
@@ -57,6 +62,7 @@
         queue_p99_ms=waits[int(len(waits) * 0.99)] if waits else 0.0,
         paying_p99_ms=latencies[int(len(latencies) * 0.99)] if latencies else 0.0,
         shed_percent=100 * sheds / max(len(started), 1),
+        refused_below_percent=100 * below / max(below + trial.entry_refusals, 1),
         wasted_percent=100 * sum(not d.good for d in ran) / max(len(ran), 1),
     )
 
