--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
@@ -0,0 +1,233 @@
+"""A backend server in memory: counts its runs, calls onward, sheds, stalls, dies."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from sassafraswinch.executor import SHED_HEADER, SHED_STATUS
+from sassafraswinch.messages import Call
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch_standins.memory_checks import Asked, Checks
+from sassafraswinch_standins.memory_schedule import Action, Schedule
+
+MARK_HEADER = "x-mark"
+"""Names an attempt, or all attempts that may run once in all."""
+PURPOSE_HEADER = "x-purpose"
+"""What a call is for within its whole request; retries share it."""
+
+LOOPBACK_MS = 0.1
+SERVICE_MS = 12.0
+MAX_REPEATS = 2
+"""Repeats of a failed child call by a backend server."""
+
+CHILDREN = {
+    "order-history": (("lookup", "archiv", "GET"), ("lookup2", "archiv", "GET")),
+    "approve-order": (("lookup", "archiv", "GET"), ("release", "vydej", "POST")),
+}
+"""Name, service and method of the calls that an operation makes, in order."""
+
+
+class Front(Protocol):
+    """The node process beside a backend server."""
+
+    def post(self, action: Action) -> None:
+        """Run an action in the process once it isn't paused."""
+
+    def backend_done(self, key: CallKey, result: BackendResult) -> None:
+        """Take the end of a dispatch."""
+
+    def submit_child(
+        self, request: Request, asked: Asked, told: Callable[[Outcome], None]
+    ) -> None:
+        """Take a call of the backend server."""
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Exchange:
+    """One connection of a node to its backend server, for one call."""
+
+    key: CallKey
+    call: Call
+    traceparent: str
+    front: Front
+    due_at_ms: float
+    is_open: bool = True
+
+    @property
+    def identity(self) -> str:
+        """What the answer must echo."""
+        return self.call.body.decode()
+
+    def end(self, result: BackendResult) -> None:
+        """Report the end to the node, once."""
+        if self.is_open:
+            self.is_open = False
+            self.front.post(lambda: self.front.backend_done(self.key, result))
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Run:
+    """A call that a backend server has begun to serve."""
+
+    exchange: Exchange
+    number: int
+    mark: str
+    children: list[tuple[str, str, str]]
+    failed: bool = False
+    repeats: int = 0
+    ended: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class BackendFaults:
+    """How a backend server misbehaves; shares are between 0 and 1."""
+
+    slow_factor: float = 1.0
+    shed_share: float = 0.0
+    die_share: float = 0.0
+    unreachable: bool = False
+    impatient_share: float = 0.0
+    """Children repeated although their first answer is still on its way."""
+    deaf_share: float = 0.5
+    """Runs that go on although their connection was closed."""
+
+
+@dataclass(slots=True, kw_only=True)
+class MemoryBackend:
+    """The backend server of one host; it outlives the node process."""
+
+    schedule: Schedule
+    checks: Checks
+    host: str
+    faults: BackendFaults = field(default_factory=BackendFaults)
+    running: set[Run] = field(default_factory=set)
+    _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    def take(self, exchange: Exchange) -> None:
+        """Receive a call after its way over the loopback interface."""
+        self.schedule.after(LOOPBACK_MS, lambda: self._begin(exchange))
+        left_ms = exchange.due_at_ms - self.schedule.now_ms
+        self.schedule.after(left_ms, lambda: exchange.end(_broken()))
+
+    def die(self) -> None:
+        """Drop all runs, as the end of the host does."""
+        for run in tuple(self.running):
+            self._end(run, _broken())
+
+    def _begin(self, exchange: Exchange) -> None:
+        rng, faults = self.schedule.rng, self.faults
+        if not exchange.is_open and rng.random() < 0.5:
+            return
+        if faults.unreachable:
+            exchange.end(
+                BackendResult(
+                    verdict=Verdict.NOT_RUN, reason=Reason.BACKEND_UNREACHABLE
+                )
+            )
+            return
+        if rng.random() < faults.shed_share:
+            exchange.end(_shed())
+            return
+        headers = dict(exchange.call.headers)
+        run = Run(
+            exchange=exchange,
+            number=next(self._numbers),
+            mark=headers[MARK_HEADER],
+            children=list(CHILDREN.get(exchange.call.operation, ())),
+        )
+        self.running.add(run)
+        self.checks.ran(run.mark, self.host)
+        if rng.random() < faults.die_share:
+            self._later(lambda: self._end(run, _broken()))
+        else:
+            self._later(lambda: self._next(run))
+
+    def _later(self, action: Action) -> None:
+        factor = self.schedule.rng.uniform(0.3, 1.0) * self.faults.slow_factor
+        self.schedule.after(SERVICE_MS * factor, action)
+
+    def _next(self, run: Run) -> None:
+        if run.ended:
+            return
+        deaf = self.schedule.rng.random() < self.faults.deaf_share
+        if not run.exchange.is_open and not deaf:
+            self._end(run, _broken())
+        elif run.children:
+            run.repeats = 0
+            self._call_child(run)
+        else:
+            self._later(lambda: self._end(run, _answer(run)))
+
+    def _call_child(self, run: Run) -> None:
+        self._ask(run, lambda outcome: self._child_told(run, outcome))
+        if self.schedule.rng.random() < self.faults.impatient_share:
+            self._later(lambda: self._ask_again(run))
+
+    def _ask_again(self, run: Run) -> None:
+        if run.children and not run.ended:
+            self._ask(run, lambda outcome: None)
+
+    def _ask(self, run: Run, told: Callable[[Outcome], None]) -> None:
+        name, service, method = run.children[0]
+        exchange = run.exchange
+        identity = f"{exchange.identity}/{name}"
+        once = method == "POST"
+        attempt = next(self._numbers)
+        mark = identity if once else f"{run.mark}/{self.host}.{attempt}/{name}"
+        if once:
+            self.checks.once.add(mark)
+        purpose = f"{self.host}.{run.number}/{name}"
+        request = Request(
+            handle=0,
+            service=service,
+            method=method,
+            target=f"/orders/{name}/release" if once else f"/orders/{name}",
+            headers=((MARK_HEADER, mark), (PURPOSE_HEADER, purpose)),
+            body=identity.encode(),
+            traceparent=exchange.traceparent,
+        )
+        asked = Asked(
+            mark=mark, identity=identity, host=self.host, due_at_ms=exchange.due_at_ms
+        )
+        exchange.front.submit_child(request, asked, told)
+
+    def _child_told(self, run: Run, outcome: Outcome) -> None:
+        if run.ended:
+            return
+        if outcome.verdict is not Verdict.ANSWERED and run.repeats < MAX_REPEATS:
+            run.repeats += 1
+            self._later(lambda: self._repeat(run))
+            return
+        run.failed |= outcome.verdict is not Verdict.ANSWERED
+        run.children.pop(0)
+        self._next(run)
+
+    def _repeat(self, run: Run) -> None:
+        if not run.ended:
+            self._ask(run, lambda outcome: self._child_told(run, outcome))
+
+    def _end(self, run: Run, result: BackendResult) -> None:
+        if not run.ended:
+            run.ended = True
+            self.running.discard(run)
+            run.exchange.end(result)
+
+
+def _answer(run: Run) -> BackendResult:
+    return BackendResult(
+        verdict=Verdict.ANSWERED,
+        status=500 if run.failed else 200,
+        body=run.exchange.identity.encode(),
+    )
+
+
+def _broken() -> BackendResult:
+    return BackendResult(verdict=Verdict.MAY_HAVE_RUN, reason=Reason.BACKEND_BROKEN)
+
+
+def _shed() -> BackendResult:
+    return BackendResult(
+        verdict=Verdict.ANSWERED, status=SHED_STATUS, headers=((SHED_HEADER, "1"),)
+    )
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
@@ -0,0 +1,143 @@
+"""Random faults and load on a fleet in memory, as one seed decides."""
+
+from sassafraswinch_standins.memory_fleet import CONVERGE_MS, ZONES, Fleet
+
+STEP_MS = (5.0, 400.0)
+"""Shortest and longest time between two actions."""
+STORY_ACTIONS = 60
+"""Actions between two repairs of everything."""
+HEALED_MS = 20_000.0
+"""Time that passes after a repair: late frames arrive, late calls would run."""
+SURGE_CALLS = 60
+
+
+class Chaos:
+    """Draws what happens next."""
+
+    def __init__(self, *, fleet: Fleet):
+        self.fleet = fleet
+        self.rng = fleet.schedule.rng
+        self._faults = (
+            self._kill,
+            self._restart,
+            self._pause,
+            self._wake,
+            self._silence,
+            self._cut,
+            self._heal,
+            self._platform,
+            self._publish,
+            self._backend,
+            self._leave,
+            self._surge,
+        )
+
+    def story(self) -> None:
+        """Run one stretch of load and faults, then repair all and check the end."""
+        for _ in range(STORY_ACTIONS):
+            self._load()
+            if self.rng.random() < 0.5:
+                self.rng.choice(self._faults)()
+            self.fleet.run_for(self.rng.uniform(*STEP_MS))
+        self.fleet.repair()
+        self.fleet.run_for(CONVERGE_MS)
+        self.fleet.check_converged()
+        self.fleet.run_for(HEALED_MS - CONVERGE_MS)
+
+    def _load(self) -> None:
+        for _ in range(self.rng.randrange(6)):
+            self.call()
+
+    def call(self) -> None:
+        """Begin one request of any kind."""
+        callers = self.fleet.callers
+        impatient = self.rng.random() < 0.1
+        callers.call(
+            self.rng.choice(
+                ("lookup-order", "order-history", "approve-order", "release-order")
+            ),
+            organisation=self.rng.choice(("acme", "brnovar", "zkusebna", "unknown")),
+            repeats=self.rng.randrange(4),
+            patience_ms=self.rng.uniform(1, 300) if impatient else None,
+        )
+        if self.rng.random() < 0.3:
+            callers.repeat(self.rng.choice(callers.demands[-30:]))
+
+    def _host(self) -> str:
+        return self.rng.choice(sorted(self.fleet.records))
+
+    def _kill(self) -> None:
+        self.fleet.kill(self._host(), quiet=self.rng.random() < 0.4)
+
+    def _restart(self) -> None:
+        for host in self.fleet.records:
+            if self.rng.random() < 0.7:
+                self.fleet.restart(host)
+
+    def _pause(self) -> None:
+        host = self._host()
+        self.fleet.pause(host)
+        later_ms = self.rng.choice((300, 2_500, 8_000))
+        self.fleet.schedule.after(later_ms, lambda: self.fleet.wake(host))
+
+    def _wake(self) -> None:
+        for host in self.fleet.records:
+            self.fleet.wake(host)
+
+    def _silence(self) -> None:
+        first, second = self.rng.sample(sorted(self.fleet.records), 2)
+        how = self.rng.choice(
+            (self.fleet.silence, self.fleet.silence_outward, self.fleet.swallow)
+        )
+        how(first, second)
+        later_ms = self.rng.choice((200, 2_000, 5_000, 9_000))
+        self.fleet.schedule.after(later_ms, self.fleet.release)
+
+    def _cut(self) -> None:
+        zones = self.rng.sample((*ZONES, "platform"), self.rng.randrange(1, 3))
+        self.fleet.cut_zones(*zones)
+
+    def _heal(self) -> None:
+        self.fleet.heal_zones()
+
+    def _platform(self) -> None:
+        platform = self.fleet.platform
+        if platform.is_down or platform.stale_by or platform.list_is_empty:
+            platform.repair()
+            return
+        self.rng.choice(
+            (
+                self.fleet.platform_down,
+                self.fleet.platform_stale,
+                self.fleet.platform_empty,
+            )
+        )()
+
+    def _publish(self) -> None:
+        self.rng.choice(
+            (
+                self.fleet.publish,
+                self.fleet.publish,
+                self.fleet.publish_again,
+                self.fleet.publish_back,
+            )
+        )()
+
+    def _backend(self) -> None:
+        host = self._host()
+        faults = self.fleet.backends[host].faults
+        kind = self.rng.choice(("slow", "shed", "die", "unreachable", "impatient"))
+        self.fleet.note_backend(kind, host)
+        faults.slow_factor = 30.0 if kind == "slow" else 1.0
+        faults.shed_share = 0.5 if kind == "shed" else 0.0
+        faults.die_share = 0.5 if kind == "die" else 0.0
+        faults.unreachable = kind == "unreachable"
+        faults.impatient_share = 0.5 if kind == "impatient" else 0.0
+
+    def _leave(self) -> None:
+        self.fleet.leave(self._host())
+
+    def _surge(self) -> None:
+        self.fleet.note_surge()
+        for _ in range(SURGE_CALLS):
+            self.call()
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -0,0 +1,262 @@
+"""A fleet of whole nodes in memory, with everything around it and its faults."""
+
+import itertools
+from collections import Counter, deque
+
+from sassafraswinch.membership import HostRecord, HostState
+from sassafraswinch.version_claims import Stamp
+from sassafraswinch_standins.memory_backend import MemoryBackend
+from sassafraswinch_standins.memory_callers import MemoryCallers
+from sassafraswinch_standins.memory_checks import Checks
+from sassafraswinch_standins.memory_document import digest_of, make_document
+from sassafraswinch_standins.memory_network import MemoryNetwork
+from sassafraswinch_standins.memory_platform import MemoryPlatform
+from sassafraswinch_standins.memory_process import (
+    PLATFORM_ZONE,
+    MemoryProcess,
+    Surroundings,
+)
+from sassafraswinch_standins.memory_schedule import Schedule
+
+ZONES = ("brno-a", "brno-b", "ostrava-c")
+HOSTS = {
+    "archiv": ("brno-a", "brno-b"),
+    "schvaleni": ZONES,
+    "vydej": ("brno-a", "ostrava-c"),
+}
+"""Availability zones of the hosts of each service."""
+
+CONVERGE_MS = 9_000.0
+"""Time in which a change is in force everywhere."""
+LOOK_EVERY_MS = 100.0
+"""Time between two looks for requests that are overdue."""
+KEPT_EVENTS = 40
+"""Latest events kept for the report of a failure."""
+
+
+class Fleet:
+    """Nodes, backend servers, platform, network and callers on one clock.
+
+    Each public method that brings about a fault counts and notes it. ``run_for``
+    lets time pass and raises ``InvariantError`` as soon as something is wrong.
+    """
+
+    def __init__(self, *, seed: int):
+        self.schedule = Schedule(seed=seed)
+        self.checks = Checks(schedule=self.schedule)
+        self.records = {record.name: record for record in _records()}
+        self.platform = MemoryPlatform(
+            schedule=self.schedule, records=tuple(self.records.values())
+        )
+        self.network = MemoryNetwork(schedule=self.schedule, running=self.running)
+        self.around = Surroundings(
+            schedule=self.schedule,
+            checks=self.checks,
+            network=self.network,
+            platform=self.platform,
+        )
+        self.backends = {
+            name: MemoryBackend(schedule=self.schedule, checks=self.checks, host=name)
+            for name in self.records
+        }
+        self.processes: dict[str, MemoryProcess] = {}
+        self.callers = MemoryCallers(
+            schedule=self.schedule,
+            checks=self.checks,
+            nodes=lambda: list(self.processes.values()),
+        )
+        self.faults: Counter[str] = Counter()
+        self.events: deque[str] = deque(maxlen=KEPT_EVENTS)
+        self.stamp = Stamp(1, digest_of(make_document(1)))
+        self._variants = itertools.count(1)
+        self._disturbed_at_ms = 0.0
+        for name in self.records:
+            self.start(name)
+        self.schedule.every(LOOK_EVERY_MS, self._look)
+
+    def running(self, host: str) -> MemoryProcess | None:
+        """Return the process of a host, None if there is none."""
+        return self.processes.get(host)
+
+    def run_for(self, duration_ms: float) -> None:
+        """Let time pass."""
+        self.schedule.run_for(duration_ms)
+
+    def start(self, host: str) -> None:
+        """Start a node process with an empty memory."""
+        process = MemoryProcess(
+            record=self.records[host],
+            around=self.around,
+            backend=self.backends[host],
+        )
+        self.processes[host] = process
+        process.start()
+
+    def kill(self, host: str, *, quiet: bool = False) -> None:
+        """End a node process; ``quiet``: with its whole host, nobody is told."""
+        process = self.processes.pop(host, None)
+        if process is None:
+            return
+        self._note("kill host" if quiet else "kill process", host)
+        self.network.process_gone(process, quiet=quiet)
+        self.checks.host_gone(host)
+        process.end()
+        if quiet:
+            self.backends[host].die()
+
+    def restart(self, host: str) -> None:
+        """Start a process where there is none."""
+        if host not in self.processes:
+            self._note("restart", host)
+            self.start(host)
+
+    def pause(self, host: str) -> None:
+        """Pause a process."""
+        process = self.processes.get(host)
+        if process is not None and not process.paused:
+            self._note("pause", host)
+            process.pause()
+
+    def wake(self, host: str) -> None:
+        """Let a paused process go on."""
+        process = self.processes.get(host)
+        if process is not None and process.paused:
+            self._note("wake", host)
+            process.wake()
+
+    def silence(self, first: str, second: str) -> None:
+        """Let the connections between two hosts go silent, to go on later."""
+        self._note("silence", f"{first} {second}")
+        self.network.silence(first, second)
+
+    def silence_outward(self, first: str, second: str) -> None:
+        """Let what one host wrote to another go silent, one way."""
+        self._note("silence one way", f"{first} {second}")
+        self.network.silence_outward(first, second)
+
+    def swallow(self, first: str, second: str) -> None:
+        """Let the connections between two hosts go silent for good."""
+        self._note("swallow", f"{first} {second}")
+        self.network.swallow(first, second)
+
+    def release(self) -> None:
+        """Let silent connections go on."""
+        self._note("release", "")
+        self.network.release()
+
+    def cut_zones(self, *zones: str) -> None:
+        """Separate availability zones from the others; may name the platform."""
+        self._note("cut zones", " ".join(zones))
+        self.network.cut_zones(frozenset(zones))
+
+    def heal_zones(self) -> None:
+        """Join all availability zones."""
+        self._note("heal zones", "")
+        self.network.heal_zones()
+
+    def leave(self, host: str) -> None:
+        """Begin the planned stop of a host."""
+        process = self.processes.get(host)
+        if process is None or process.paused or process.left_at_ms is not None:
+            return
+        self._note("leave", host)
+        self.platform.host_is(host, HostState.LEAVING)
+        process.leave()
+
+    def publish(self, *, skip: int = 1) -> None:
+        """Publish a newer document."""
+        version = self.platform.version + skip
+        self._publish(version, "publish")
+
+    def publish_again(self) -> None:
+        """Publish another content under the newest version."""
+        self._publish(self.platform.version, "publish conflict")
+
+    def publish_back(self) -> None:
+        """Publish an older version, as operators do by mistake."""
+        self._publish(max(1, self.platform.version - 1), "publish back")
+
+    def platform_down(self) -> None:
+        """Let the platform answer nothing."""
+        self._note("platform down", "")
+        self.platform.is_down = True
+
+    def platform_stale(self) -> None:
+        """Let the platform hand out old documents."""
+        self._note("platform stale", "")
+        self.platform.stale_by = 2
+
+    def platform_empty(self) -> None:
+        """Let the platform hand out a host list without hosts."""
+        self._note("host list empty", "")
+        self.platform.empty_list()
+
+    def note_backend(self, kind: str, host: str) -> None:
+        """Note that a backend server begins to misbehave."""
+        self._note(f"backend {kind}", host)
+
+    def note_surge(self) -> None:
+        """Note a burst of calls."""
+        self._note("surge", "")
+
+    def repair(self) -> None:
+        """End all faults; processes that ended start again."""
+        self.events.append(f"{self.schedule.now_ms:.0f} repair")
+        self._disturbed_at_ms = self.schedule.now_ms
+        self.platform.repair()
+        self.network.heal_zones()
+        for backend in self.backends.values():
+            backend.faults = type(backend.faults)()
+        for host, process in list(self.processes.items()):
+            process.wake() if process.paused else None
+        for host in self.records:
+            self.restart(host)
+
+    def check_converged(self) -> None:
+        """Check that all nodes hold the newest document."""
+        stamps = {
+            host: process.node.configuration.keeper.stamp
+            for host, process in self.processes.items()
+        }
+        self.checks.converged(stamps, self.stamp)
+
+    def _publish(self, version: int, kind: str) -> None:
+        variant = f"v{next(self._variants)}"
+        body = make_document(version, variant=variant)
+        self._note(kind, str(version))
+        self.platform.publish(body, version)
+        stamp = Stamp(version, digest_of(body))
+        if version > self.stamp.version:
+            self.stamp = stamp
+
+    def _note(self, kind: str, what: str) -> None:
+        self.faults[kind] += 1
+        self._disturbed_at_ms = self.schedule.now_ms
+        self.events.append(f"{self.schedule.now_ms:.0f} {kind} {what}")
+
+    def _look(self) -> None:
+        paused = {host for host, p in self.processes.items() if p.paused}
+        self.checks.late(paused)
+        for host, process in list(self.processes.items()):
+            if process.is_stopped and not process.paused:
+                self.checks.stopped(host, process.unanswered, process.exchanges)
+                del self.processes[host]
+                self.network.process_gone(process, quiet=False)
+                process.end()
+                self.platform.host_is(host, HostState.LIVE)
+
+
+def _records() -> tuple[HostRecord, ...]:
+    return tuple(
+        HostRecord(
+            name=f"{service}-{zone[-1]}",
+            service=service,
+            availability_zone=zone,
+            state=HostState.LIVE,
+            link="127.0.0.1:1",
+            entry="127.0.0.1:1",
+            operators="127.0.0.1:1",
+        )
+        for service, zones in HOSTS.items()
+        for zone in zones
+    )
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -0,0 +1,412 @@
+"""One node process in memory: a whole ``Node`` behind fakes of its ports."""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from sassafraswinch.admission import AdaptiveGate
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.gate import Gate, GateDecision
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.lifecycle import NodeState
+from sassafraswinch.membership import HostRecord, Membership
+from sassafraswinch.messages import (
+    PROTOCOL_VERSION,
+    Call,
+    Hello,
+    Message,
+    NodeId,
+)
+from sassafraswinch.node import Node
+from sassafraswinch.ports import LinkPort
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.retry import CallerRetryBudget
+from sassafraswinch.routing import Router
+from sassafraswinch.tickets import TicketLedger
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch.versions import ConfigKeeper
+from sassafraswinch.wake import WakeDetector
+from sassafraswinch_standins.memory_backend import (
+    PURPOSE_HEADER,
+    Exchange,
+    MemoryBackend,
+)
+from sassafraswinch_standins.memory_checks import Asked, Checks
+from sassafraswinch_standins.memory_document import digest_of, read_document
+from sassafraswinch_standins.memory_links import HEARTBEAT_MS, MemoryLinks
+from sassafraswinch_standins.memory_network import MemoryNetwork
+from sassafraswinch_standins.memory_platform import MemoryPlatform, PlatformDownError
+from sassafraswinch_standins.memory_schedule import Action, Schedule
+
+TICK_MS = 25.0
+READ_EVERY_MS = (200.0, 1_200.0)
+"""Shortest and longest pause between two reads of the platform."""
+TICKET_LIFETIME_MS = 20_000
+MAX_ANSWER_BYTES = 200_000
+PLATFORM_ZONE = "platform"
+"""Where the platform is; cut together with zones that lose it."""
+
+
+class WatchedGate:
+    """A gate whose decisions are shown to the checks."""
+
+    def __init__(self, *, gate: Gate, host: str, checks: Checks):
+        self._gate = gate
+        self._host = host
+        self._checks = checks
+        self._orders: dict[object, int] = {}
+
+    def offer(self, *, key, rank, **rest) -> GateDecision:
+        """Pass on and watch."""
+        self._orders[key] = rank.class_order
+        return self._watch(self._gate.offer(key=key, rank=rank, **rest))
+
+    def finished(self, *, key, **rest) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.finished(key=key, **rest))
+
+    def withdraw(self, key, now_ms: float) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.withdraw(key, now_ms))
+
+    def tick(self, now_ms: float) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.tick(now_ms))
+
+    def load(self, now_ms: float):
+        """Pass on."""
+        return self._gate.load(now_ms)
+
+    def leave(self) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.leave())
+
+    def set_slots(self, slots: int | None) -> None:
+        """Pass on."""
+        self._gate.set_slots(slots)
+
+    def _watch(self, decision: GateDecision) -> GateDecision:
+        self._checks.decided(self._host, self._orders, decision)
+        return decision
+
+
+class WatchedLinks:
+    """The owner's way to other nodes; shows each call sent to the checks."""
+
+    def __init__(self, *, links: LinkPort, checks: Checks):
+        self._links = links
+        self._checks = checks
+
+    def send(self, host: str, message: Message) -> int | None:
+        """Pass on, and count a call that was written."""
+        session = self._links.send(host, message)
+        if session is not None and isinstance(message, Call):
+            self._checks.sent(message, dict(message.headers)[PURPOSE_HEADER])
+        return session
+
+
+@dataclass(slots=True, kw_only=True)
+class Surroundings:
+    """What all processes of a fleet share."""
+
+    schedule: Schedule
+    checks: Checks
+    network: MemoryNetwork
+    platform: MemoryPlatform
+
+
+class MemoryProcess:
+    """One run of a node process on a host."""
+
+    def __init__(
+        self, *, record: HostRecord, around: Surroundings, backend: MemoryBackend
+    ):
+        self.host = record.name
+        self.availability_zone = record.availability_zone
+        self.record = record
+        self.around = around
+        self.schedule = around.schedule
+        self.checks = around.checks
+        self.backend = backend
+        self.rng = random.Random(self.schedule.rng.getrandbits(64))
+        self.node_id = NodeId(self.host, self.rng.getrandbits(63))
+        self.alive = True
+        self.paused = False
+        self.left_at_ms: float | None = None
+        self.membership = Membership(self_host=self.host)
+        self.membership.learn((record,), self.schedule.now_ms)
+        self.wake_detector = WakeDetector(tick_ms=TICK_MS)
+        self._mailbox: deque[Action] = deque()
+        self._handles = itertools.count(1)
+        self._told: dict[int, Callable[[Outcome], None]] = {}
+        self._abandoned: set[int] = set()
+        self._exchanges: dict[CallKey, Exchange] = {}
+        self._document_version = 0
+        self.links = MemoryLinks(
+            node=self.node_id,
+            schedule=self.schedule,
+            connect=lambda links, link: around.network.connect(self, link),
+            post=self.post,
+            receiver=self,
+            hello=self._hello,
+            heartbeat=lambda sequence: self.node.heartbeat(sequence, self.now_ms),
+        )
+        self.node = self._make_node()
+        self.node.owner.links = WatchedLinks(links=self.node.links, checks=self.checks)
+
+    @property
+    def now_ms(self) -> float:
+        """The one clock."""
+        return self.schedule.now_ms
+
+    def start(self) -> None:
+        """Open the listeners and begin to tick, beat and read the platform."""
+        self.node.start(self.now_ms)
+        self._repeat(TICK_MS, self._tick)
+        self._repeat(HEARTBEAT_MS, self._beat)
+        self._read_later()
+
+    def post(self, action: Action) -> None:
+        """Run an action now, or on waking; never if the process is dead."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._mailbox.append(action)
+        else:
+            action()
+            self._look()
+
+    def pause(self) -> None:
+        """Stop as a process does that gets no processor."""
+        self.paused = True
+
+    def wake(self) -> None:
+        """Go on: first with what lies in the sockets, then with timers."""
+        self.paused = False
+        self.checks.resumed(self.host)
+        mailbox, self._mailbox = self._mailbox, deque()
+        for action in mailbox:
+            self.post(action)
+
+    def end(self) -> None:
+        """Stop for good; callers that wait see their connection break."""
+        self.alive = False
+        told, self._told = self._told, {}
+        for callback in told.values():
+            callback(None)
+        for exchange in self._exchanges.values():
+            exchange.is_open = False
+
+    def submit(
+        self, request: Request, asked: Asked, told: Callable[[Outcome], None]
+    ) -> int:
+        """Take a request of a caller; returns its handle."""
+        return self._submit(self.node.submit, request, asked, told)
+
+    def abandon(self, handle: int) -> None:
+        """Note that a caller has gone."""
+        if self._told.pop(handle, None) is not None:
+            self.checks.withdrawn((self.host, handle))
+            self._abandoned.add(handle)
+            self.post(lambda: self._pass_abandon(handle))
+
+    def submit_child(
+        self, request: Request, asked: Asked, told: Callable[[Outcome], None]
+    ) -> None:
+        """Take a call of the local backend server."""
+        if not self.alive:
+            self.schedule.after(0.1, lambda: told(None))
+            return
+        self._submit(self.node.submit_child, request, asked, told)
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Give a request its outcome (the caller port)."""
+        if handle in self._abandoned:
+            return
+        self.checks.responded((self.host, handle), outcome)
+        told = self._told.pop(handle, None)
+        if told is not None:
+            self.schedule.after(0.1, lambda: told(outcome))
+
+    def dispatch(self, key: CallKey, call: Call, traceparent: str) -> None:
+        """Start a call (the backend port)."""
+        if self.left_at_ms is not None:
+            self.checks.started_while_leaving(self.host, self.left_at_ms, call)
+        exchange = self._exchanges[key] = Exchange(
+            key=key,
+            call=call,
+            traceparent=traceparent,
+            front=self,
+            due_at_ms=self.now_ms + call.remaining_ms,
+        )
+        self.backend.take(exchange)
+
+    def cancel(self, key: CallKey) -> None:
+        """Close the connection of a call (the backend port)."""
+        exchange = self._exchanges[key]
+        result = BackendResult(verdict=Verdict.MAY_HAVE_RUN, reason=Reason.CANCELLED)
+        self.schedule.after(0, lambda: exchange.end(result))
+
+    def backend_done(self, key: CallKey, result: BackendResult) -> None:
+        """Take the end of a dispatch."""
+        self._observe()
+        del self._exchanges[key]
+        self.node.backend_done(key, result, self.now_ms)
+
+    def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
+        """Pass on a new link and the version in its greeting."""
+        self._observe()
+        self.node.link_up(hello.node, session, dialled=dialled, now_ms=self.now_ms)
+        self.node.configuration.greeted(hello, self.now_ms)
+
+    def link_message(
+        self, node: NodeId, session: int, message: Message, *, dialled: bool
+    ) -> None:
+        """Pass on a message."""
+        self._observe()
+        self.node.message(node, session, message, self.now_ms)
+
+    def link_lost(
+        self, node: NodeId, session: int, *, dialled: bool, replaced: bool
+    ) -> None:
+        """Pass on the end of a link."""
+        self._observe()
+        self.node.link_lost(
+            node, session, dialled=dialled, replaced=replaced, now_ms=self.now_ms
+        )
+
+    def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
+        """Pass on that a heartbeat was answered."""
+        self._observe()
+        self.node.link_proved(node, sent_at_ms, self.now_ms)
+
+    def leave(self) -> None:
+        """Begin a planned stop."""
+        if not self.node.lifecycle.leaving:
+            self.left_at_ms = self.now_ms
+            self._observe()
+            self.node.leave(self.now_ms)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether a planned stop is complete."""
+        return self.node.lifecycle.state is NodeState.STOPPED
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that wait here, of callers and of the backend server."""
+        return len(self._told)
+
+    @property
+    def exchanges(self) -> int:
+        """Calls at the backend server."""
+        return len(self._exchanges)
+
+    def _submit(self, submit, request: Request, asked: Asked, told) -> int:
+        handle = next(self._handles)
+        self._told[handle] = told
+        self.checks.asked((self.host, handle), asked)
+        numbered = replace(request, handle=handle)
+        self.post(lambda: self._hand_in(submit, numbered))
+        return handle
+
+    def _pass_abandon(self, handle: int) -> None:
+        self._observe()
+        self.node.abandon(handle, self.now_ms)
+
+    def _hand_in(self, submit, request: Request) -> None:
+        self._observe()
+        submit(request, self.now_ms)
+
+    def _hello(self, session: int) -> Hello:
+        stamp = self.node.configuration.keeper.stamp
+        return Hello(
+            protocol_version=PROTOCOL_VERSION,
+            node=self.node_id,
+            availability_zone=self.availability_zone,
+            service=self.record.service,
+            session=session,
+            document_version=stamp.version,
+            document_digest=stamp.digest,
+        )
+
+    def _observe(self) -> None:
+        if self.wake_detector.observe(monotonic_ms=self.now_ms, wall_ms=self.now_ms):
+            self.node.woke(self.now_ms)
+
+    def _look(self) -> None:
+        self.checks.holds(self.node_id, self.node.configuration.keeper.stamp)
+
+    def _repeat(self, period_ms: float, action: Action) -> None:
+        """Run an action each period; one that falls in a pause runs once, on waking."""
+
+        def again() -> None:
+            action()
+            self.schedule.after(period_ms, lambda: self.post(again))
+
+        first_ms = self.rng.uniform(0, period_ms)
+        self.schedule.after(first_ms, lambda: self.post(again))
+
+    def _tick(self) -> None:
+        self._observe()
+        self.node.tick(self.now_ms)
+        if self.membership.self_leaving:
+            self.leave()
+        lifecycle = self.node.lifecycle
+        if lifecycle.state is NodeState.LEAVING:
+            lifecycle.tick(self.now_ms, in_flight=self.node.in_flight)
+
+    def _beat(self) -> None:
+        self.links.beat()
+        self.links.want(record.name for record in self.membership.peers(self.now_ms))
+
+    def _read_later(self) -> None:
+        delay_ms = self.rng.uniform(*READ_EVERY_MS)
+        self.schedule.after(delay_ms, lambda: self.post(self._read))
+
+    def _read(self) -> None:
+        self._read_later()
+        if not self.around.network.reachable(self.availability_zone, PLATFORM_ZONE):
+            return
+        self._observe()
+        platform = self.around.platform
+        try:
+            hosts = platform.hosts(self.membership.list_version)
+            published = platform.document(self._document_version)
+        except PlatformDownError:
+            return
+        if hosts is not None:
+            self.membership.replace(hosts[1], hosts[0], self.now_ms)
+        if published is not None:
+            self._document_version = published.version
+            candidate = self.node.configuration.keeper.read(published.body)
+            self.node.configuration.platform_read(candidate, self.now_ms)
+
+    def _make_node(self) -> Node:
+        return Node(
+            node=self.node_id,
+            links=self.links,
+            backend=self,
+            callers=self,
+            gate=WatchedGate(
+                gate=AdaptiveGate(slots=6, rng=self.rng),
+                host=self.host,
+                checks=self.checks,
+            ),
+            membership=self.membership,
+            router=Router(availability_zone=self.availability_zone, rng=self.rng),
+            tickets=TicketLedger(
+                node=self.node_id,
+                secret=self.rng.randbytes(32),
+                lifetime_ms=TICKET_LIFETIME_MS,
+                max_answer_bytes=MAX_ANSWER_BYTES,
+            ),
+            ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
+            shedder=EntryShedder(),
+            budget=CallerRetryBudget(share_percent=10),
+            keeper=ConfigKeeper(parse=read_document, digest=digest_of, rng=self.rng),
+            service=self.record.service,
+            rng=self.rng,
+        )
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/soak.py
@@ -0,0 +1,66 @@
+"""Long random runs of a fleet in memory, with all invariants checked.
+
+The same seed gives the same run, so a failure replays.
+"""
+
+import sys
+import time
+import traceback
+
+import defopt
+
+from sassafraswinch_standins.memory_chaos import Chaos
+from sassafraswinch_standins.memory_fleet import Fleet
+
+STORIES_PER_FLEET = 8
+"""Stories after which a new fleet takes over, so that memory stays small."""
+
+
+def report(fleets: list[Fleet]) -> str:
+    """Return the figures of all fleets, one a line."""
+    faults = sum((fleet.faults for fleet in fleets), start=fleets[0].faults.copy())
+    faults.subtract(fleets[0].faults)
+    verdicts = sum((f.checks.verdicts for f in fleets), start=type(faults)())
+    unproved = [fleet.checks.unproved() for fleet in fleets]
+    simulated_ms = sum(fleet.schedule.now_ms for fleet in fleets)
+    lines = [
+        f"simulated seconds: {simulated_ms / 1000:.0f}",
+        f"events: {sum(fleet.schedule.actions_run for fleet in fleets)}",
+        f"runs on backend servers: {sum(f.checks.runs.total() for f in fleets)}",
+        *(f"fault {kind}: {count}" for kind, count in sorted(faults.items())),
+        *(f"verdict {name}: {count}" for name, count in sorted(verdicts.items())),
+        f"requests whose last word was may-have-run: {sum(m for m, _ in unproved)}",
+        f"of these never ran: {sum(never for _, never in unproved)}",
+    ]
+    return "\n".join(lines)
+
+
+def main(*, seed: int = 1, minutes: float = 1.0) -> None:
+    """Run random schedules until the time is over.
+
+    Args:
+        seed: seed of the first fleet; each further one has the next.
+        minutes: wall time to run for.
+    """
+    ends_at_s = time.monotonic() + 60 * minutes
+    fleets: list[Fleet] = []
+    while time.monotonic() < ends_at_s:
+        fleet = Fleet(seed=seed + len(fleets))
+        fleets.append(fleet)
+        chaos = Chaos(fleet=fleet)
+        try:
+            fleet.run_for(4_000)
+            for _ in range(STORIES_PER_FLEET):
+                if time.monotonic() < ends_at_s:
+                    chaos.story()
+        except Exception:
+            print(*fleet.events, sep="\n")
+            traceback.print_exc(file=sys.stdout)
+            print(f"failed with seed {seed + len(fleets) - 1}")
+            print(report(fleets))
+            sys.exit(1)
+    print(report(fleets))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
