--- a/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
@@ -8,6 +8,9 @@
 
 AVAILABILITY_ZONES = ("brno-a", "brno-b", "ostrava-c")
 
+CONNECTIONS_PER_SLOT = 7
+"""Connections that a server takes for each slot, as on the hosts of the brief."""
+
 RECORD_BYTES = 300
 """Size of an archive record in an answer, in bytes."""
 
@@ -33,6 +36,8 @@
     organisations: dict[str, dict[str, str]]
     callers: dict[str, dict[str, Any]]
     classes: tuple[dict[str, Any], ...]
+    non_repeatable: tuple[str, ...] = ()
+    """Selectors over labels of operations."""
 
     def service(self, name: str) -> ServicePlan:
         """Return a service by name."""
@@ -59,7 +64,10 @@
             },
             "callers": self.callers,
             "services": {
-                s.name: {"slots": s.slots, "connections": 10 * s.slots}
+                s.name: {
+                    "slots": s.slots,
+                    "connections": CONNECTIONS_PER_SLOT * s.slots,
+                }
                 for s in self.services
             },
             "operations": [
@@ -74,7 +82,7 @@
                 for plan in service.operations
             ],
             "classes": list(self.classes),
-            "non_repeatable": ["action in (approval, release)"],
+            "non_repeatable": list(self.non_repeatable),
             "retry": {"allowance": 3, "caller_share_percent": 10},
         }
 
@@ -209,6 +217,7 @@
             {"name": "trial", "organisations": "tier=trial", "deadline_ms": 2000},
             {"name": "rest", "deadline_ms": 2000},
         ),
+        non_repeatable=("action in (approval, release)",),
     )
 
 
