Refuse calls before a document is served, and know orphans across restarts

Two faults of the composition, each a failing test first:

The executing side now refuses NO_DOCUMENT, which the owner retries elsewhere. Ruled out: classifying the child calls by the document not yet served, since it may be a stale copy. - A backend server that outlives its node repeats a child call through the new node, which took it for a stray call and told NOT_RUN, TICKET_REQUIRED, though the child had run. Six digits of a span now follow from the rest, so any node knows a span of the system's whose parent isn't here. This also replaces the bounded memory of finished spans, past which the same happened.

The stand-in now counts runs of one action over all its tickets, which is stricter.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
@@ -30,7 +30,7 @@
 
 
 class Front(Protocol):
-    """The node process beside a backend server."""
+    """The node process that made a call."""
 
     def post(self, action: Action) -> None:
         """Run an action in the process once it isn't paused."""
@@ -38,6 +38,10 @@
     def backend_done(self, key: CallKey, result: BackendResult) -> None:
         """Take the end of a dispatch."""
 
+
+class Egress(Protocol):
+    """The node process that runs beside a backend server now."""
+
     def submit_child(
         self, request: Request, asked: Asked, told: Callable[[Outcome | None], None]
     ) -> None:
@@ -77,6 +81,8 @@
     children: list[tuple[str, str, str]]
     failed: bool = False
     repeats: int = 0
+    generation: int = 0
+    """Rises with each proof that a child call wasn't run: a repeat is a new one."""
     ended: bool = False
 
 
@@ -101,6 +107,8 @@
     schedule: Schedule
     checks: Checks
     host: str
+    egress: Callable[[], Egress | None]
+    """Finds the process at the egress port, None if nothing listens there."""
     faults: BackendFaults = field(default_factory=BackendFaults)
     running: set[Run] = field(default_factory=set)
     _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
@@ -138,7 +146,7 @@
             children=list(CHILDREN.get(exchange.call.operation, ())),
         )
         self.running.add(run)
-        self.checks.ran(run.mark, self.host)
+        self.checks.ran(run.mark, exchange.identity, self.host)
         if rng.random() < faults.die_share:
             self._later(lambda: self._end(run, _broken()))
         else:
@@ -175,9 +183,10 @@
         identity = f"{exchange.identity}/{name}"
         once = method == "POST"
         attempt = next(self._numbers)
-        mark = identity if once else f"{run.mark}/{self.host}.{attempt}/{name}"
+        mark = f"{run.mark}/{self.host}.{attempt}/{name}"
         if once:
-            self.checks.once.add(mark)
+            self.checks.once.add(identity)
+            mark = f"{identity}.{run.generation}"
         purpose = f"{self.host}.{run.number}/{name}"
         request = Request(
             handle=0,
@@ -194,12 +203,18 @@
             host=self.host,
             due_at_ms=max(exchange.due_at_ms, self.schedule.now_ms),
         )
-        exchange.front.submit_child(request, asked, told)
+        egress = self.egress()
+        if egress is None:
+            self.schedule.after(LOOPBACK_MS, lambda: told(None))
+        else:
+            egress.submit_child(request, asked, told)
 
     def _child_told(self, run: Run, outcome: Outcome | None) -> None:
         if run.ended:
             return
         answered = outcome is not None and outcome.verdict is Verdict.ANSWERED
+        if outcome is not None and outcome.verdict is Verdict.NOT_RUN:
+            run.generation += 1
         if not answered and run.repeats < MAX_REPEATS:
             run.repeats += 1
             self._later(lambda: self._repeat(run))
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
@@ -183,7 +183,7 @@
             return
         traffic = attempt.demand.traffic
         if traffic.once:
-            self.checks.once.add(attempt.mark)
+            self.checks.once.add(attempt.demand.identity)
         asked = Asked(
             mark=attempt.mark,
             identity=attempt.demand.identity,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -47,9 +47,10 @@
     def __init__(self, *, schedule: Schedule):
         self.schedule = schedule
         self.runs: Counter[str] = Counter()
-        """Runs on all backend servers, by mark of the attempt or the ticket."""
+        """Runs on all backend servers, by mark: what one verdict is told of."""
         self.once: set[str] = set()
-        """Marks that may run once at most."""
+        """Identities of what may run once at most, whatever is told meanwhile."""
+        self.once_runs: Counter[str] = Counter()
         self.told: dict[str, Verdict] = {}
         """The last verdict told of each mark."""
         self.not_run: set[str] = set()
@@ -69,11 +70,13 @@
         at = f"at {self.schedule.now_ms:.1f} ms: "
         raise InvariantError(invariant=invariant, facts=at + facts)
 
-    def ran(self, mark: str, host: str) -> None:
+    def ran(self, mark: str, identity: str, host: str) -> None:
         """A backend server began to run a request."""
         self.runs[mark] += 1
-        if mark in self.once and self.runs[mark] > 1:
-            self.fail("at most once", f"{mark} ran again, on {host}")
+        if identity in self.once:
+            self.once_runs[identity] += 1
+            if self.once_runs[identity] > 1:
+                self.fail("at most once", f"{identity} ran again, on {host}: {mark}")
         if mark in self.not_run:
             self.fail("NOT_RUN means not run", f"{mark} ran later, on {host}")
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter, deque
+from functools import partial
 
 from sassafraswinch.membership import HostRecord, HostState
 from sassafraswinch_standins.memory_backend import MemoryBackend
@@ -55,7 +56,12 @@
             stopped=self._stopped,
         )
         self.backends = {
-            name: MemoryBackend(schedule=self.schedule, checks=self.checks, host=name)
+            name: MemoryBackend(
+                schedule=self.schedule,
+                checks=self.checks,
+                host=name,
+                egress=partial(self.running, name),
+            )
             for name in self.records
         }
         self.processes: dict[str, MemoryProcess] = {}
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -217,9 +217,6 @@
         self, request: Request, asked: Asked, told: Callable[[Outcome], None]
     ) -> None:
         """Take a call of the local backend server."""
-        if not self.alive:
-            self.schedule.after(0.1, lambda: told(None))
-            return
         self._submit(self.node.submit_child, request, asked, told)
 
     def respond(self, handle: int, outcome: Outcome) -> None:
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -145,3 +145,65 @@
     told = desk.release("archiv-b", "goods", ticket)
     desk.fleet.run_for(1)
     assert [outcome.verdict for outcome in told] == [Verdict.MAY_HAVE_RUN]
+
+
+def test_restarted_node_takes_no_calls_before_it_serves_a_document():
+    """A host of schvaleni restarts. For three seconds it asks its peers for the newest
+    document; meanwhile others already send it calls.
+
+    It started approvals whose own calls it then refused for want of a document: the
+    order was looked at by nobody, and no goods were released.
+    """
+    desk = Desk()
+    ticket_told = desk.ask(
+        "archiv-a", "none", "schvaleni", "POST", "/orders/17/approval"
+    )
+    desk.fleet.run_for(1)
+    for host in ("schvaleni-a", "schvaleni-b", "schvaleni-c"):
+        desk.fleet.kill(host)
+    desk.fleet.restart("schvaleni-a")
+    desk.fleet.run_for(1_500)
+    told = desk.ask(
+        "archiv-a",
+        "approval",
+        "schvaleni",
+        "POST",
+        "/orders/17/approval",
+        ticket_told[0].ticket,
+    )
+    desk.fleet.run_for(2_000)
+    assert [outcome.verdict for outcome in told] == [Verdict.NOT_RUN]
+    assert told[0].reason is Reason.NO_DOCUMENT
+
+
+def test_child_of_a_lost_node_is_not_called_not_run():
+    """An approval's backend server has a release under way when its node restarts.
+    The backend server lives on and repeats the release through the new node.
+
+    The new node knew no such parent, took the release for a stray call and answered
+    not-run, so that the backend server could ask for a ticket and release twice.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    ticket_told = desk.ask(
+        "archiv-a", "none", "schvaleni", "POST", "/orders/17/approval"
+    )
+    fleet.run_for(1)
+    for host in ("schvaleni-b", "schvaleni-c"):
+        fleet.kill(host)
+    desk.ask(
+        "archiv-a",
+        "approval",
+        "schvaleni",
+        "POST",
+        "/orders/17/approval",
+        ticket_told[0].ticket,
+        2_000,
+    )
+    while not fleet.checks.once_runs["approval/release"]:
+        fleet.run_for(1)
+    fleet.backends["schvaleni-a"].faults.slow_factor = 400.0
+    fleet.kill("schvaleni-a")
+    fleet.restart("schvaleni-a")
+    fleet.run_for(12_000)
+    assert fleet.checks.told["approval/release.0"] is Verdict.MAY_HAVE_RUN
--- a/packages/sassafraswinch/sassafraswinch/egress.py
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -5,7 +5,7 @@
 from sassafraswinch.claims import Dispatch, Join, Recorded, Refused
 from sassafraswinch.classify import Classification, Classifier
 from sassafraswinch.entry import Entry, outcome_of
-from sassafraswinch.executor import Executor, RunningCall
+from sassafraswinch.executor import Executor, RunningCall, is_own_span
 from sassafraswinch.owner import Finished, OwnedCall, Owner
 from sassafraswinch.pending import LocalWaiter, Pending
 from sassafraswinch.requests import CallKey, Outcome, Request
@@ -44,19 +44,21 @@
         Returns:
             The owned call that the waiter now waits for, if there is one.
         """
-        if self.classifier is None:
-            return self._refuse(waiter, Reason.NO_DOCUMENT)
-        operation = self.classifier.operation(
-            request.service, request.method, request.target
-        )
+        parent = self.executor.parent(request.traceparent)
+        orphan = parent is None and is_own_span(request.traceparent)
+        operation = None
+        if self.classifier is not None:
+            operation = self.classifier.operation(
+                request.service, request.method, request.target
+            )
         if operation is None:
-            return self._refuse(waiter, Reason.UNKNOWN_OPERATION)
+            return self._refuse_unread(parent, orphan, waiter)
         classification = self.classifier.lowest(operation)
-        parent = self.executor.parent(request.traceparent)
         if parent is not None:
             return self._submit_child(request, classification, parent, waiter, now_ms)
-        if self.executor.parent_is_finished(request.traceparent):
-            return self._refuse_orphan(classification, waiter)
+        if orphan:
+            doubt = not classification.repeatable
+            return self._refuse(waiter, Reason.CANCELLED, doubt=doubt)
         return self.entry.submit_classified(request, classification, waiter, now_ms)
 
     def finished(self, finished: Finished, now_ms: float) -> None:
@@ -157,21 +159,24 @@
         owned.context.waiters.append(waiter)
         return owned
 
-    def _refuse_orphan(
-        self, classification: Classification, waiter: LocalWaiter
+    def _refuse_unread(
+        self, parent: RunningCall | None, orphan: bool, waiter: LocalWaiter
     ) -> None:
-        """Refuse a call below a parent that has ended.
-
-        Story: an approval is given up while its backend server waits for a release;
-        the backend server repeats the release. What was known of the first one went
-        with the parent, and it may run yet: only a repeatable call is NOT_RUN.
+        """Refuse what the document, or the lack of one, leaves unread."""
+        lacking = self.classifier is None
+        reason = Reason.NO_DOCUMENT if lacking else Reason.UNKNOWN_OPERATION
+        doubt = orphan or (parent is not None and parent.began_children)
+        self._refuse(waiter, reason, doubt=doubt)
+
+    def _refuse(self, waiter: LocalWaiter, reason: Reason, *, doubt: bool) -> None:
+        """Refuse a call; in doubt nothing is said of earlier calls for the same.
+
+        Story: an approval is given up, or its node restarts, while its backend server
+        waits for a release; the backend server repeats the release. What was known
+        of the first went with the parent, and it may have run or run yet.
         """
-        repeatable = classification.repeatable
-        verdict = Verdict.NOT_RUN if repeatable else Verdict.MAY_HAVE_RUN
-        self.respond(waiter, Outcome(verdict=verdict, reason=Reason.CANCELLED))
-
-    def _refuse(self, waiter: LocalWaiter, reason: Reason) -> None:
-        self.respond(waiter, Outcome(verdict=Verdict.NOT_RUN, reason=reason))
+        verdict = Verdict.MAY_HAVE_RUN if doubt else Verdict.NOT_RUN
+        self.respond(waiter, Outcome(verdict=verdict, reason=reason))
 
 
 def child_mark(request: Request) -> bytes:
--- a/packages/sassafraswinch/sassafraswinch/executor.py
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -1,5 +1,6 @@
 """The executing side of a node: runs calls of owners on the local backend server."""
 
+import hashlib
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -32,8 +33,29 @@
 MAX_CHILD_ANSWER_BYTES = 8_388_608
 """Answers of non-repeatable child calls, kept until their parent ends."""
 
-FINISHED_SPAN_LIMIT = 4096
-"""Spans kept after their run, to tell a late child from an unknown parent."""
+SPAN_MARK_DIGITS = 6
+"""Digits of a span that follow from the rest: a foreign one has them by chance once in
+16 million calls."""
+
+
+def make_span(root_id: str, rng: random.Random) -> str:
+    """Return a span of 16 hex digits that ``is_own_span`` recognises on any node."""
+    drawn = f"{rng.getrandbits(64) | 1:016x}"[SPAN_MARK_DIGITS:]
+    return drawn + _span_mark(root_id, drawn)
+
+
+def is_own_span(traceparent: str | None) -> bool:
+    """Return whether a node, of whatever host and run, made the span in the header."""
+    ids = parse_traceparent(traceparent)
+    if ids is None:
+        return False
+    drawn, mark = ids[1][:-SPAN_MARK_DIGITS], ids[1][-SPAN_MARK_DIGITS:]
+    return mark == _span_mark(ids[0], drawn)
+
+
+def _span_mark(root_id: str, drawn: str) -> str:
+    digest = hashlib.blake2b(f"{root_id} {drawn}".encode(), digest_size=4)
+    return digest.hexdigest()[:SPAN_MARK_DIGITS]
 
 
 def parse_traceparent(text: str | None) -> tuple[str, str] | None:
@@ -67,6 +89,11 @@
     waiting_since_ms: float = 0.0
     waited_ms: float = 0.0
 
+    @property
+    def began_children(self) -> bool:
+        """Whether any call was made below it."""
+        return self.open_children + self.finished_children > 0
+
     def child_opened(self, now_ms: float) -> None:
         """Note that a child call began; time with open children isn't self time."""
         if not self.open_children:
@@ -113,10 +140,11 @@
         self.backend = backend
         self.rng = rng
         self.leaving = False
+        self.has_document = False
+        """Set with the first document served, by which child calls are classified."""
         self.received = 0
         self.calls: dict[CallKey, RunningCall] = {}
         self._by_span: dict[str, RunningCall] = {}
-        self._finished_spans: dict[str, None] = {}
         self._child_answers: AnswerStore[tuple[CallKey, int]] = AnswerStore(
             max_bytes=MAX_CHILD_ANSWER_BYTES
         )
@@ -141,13 +169,13 @@
             return None
         return running
 
-    def parent_is_finished(self, traceparent: str | None) -> bool:
-        """Return whether the header names a run of this node that has ended."""
-        ids = parse_traceparent(traceparent)
-        return bool(ids) and ids[1] in self._finished_spans
-
     def receive(self, owner: NodeId, session: int, call: Call, now_ms: float) -> None:
-        """Take in a call; its answer follows by ``take_replies``."""
+        """Take in a call; its answer follows by ``take_replies``.
+
+        Story: a restarted node is sent an approval while it still asks its peers for
+        the newest document. Were it started, the calls it makes in turn would be
+        refused for want of a document, and its work wasted.
+        """
         if not self.ledger.receive(owner, session, call.number):
             return
         self.received += 1
@@ -156,6 +184,9 @@
         if self.leaving:
             self._refuse(running, Reason.LEAVING, 0, now_ms)
             return
+        if not self.has_document:
+            self._refuse(running, Reason.NO_DOCUMENT, 0, now_ms)
+            return
         if call.depth > MAX_DEPTH:
             self._refuse(running, Reason.BAD_REQUEST, 0, now_ms)
             return
@@ -182,7 +213,7 @@
             call=call,
             deadline_at_ms=now_ms + call.remaining_ms,
             allowance=allowance,
-            span_id=f"{self.rng.getrandbits(64) | 1:016x}",
+            span_id=make_span(call.root_id, self.rng),
             children=children,
         )
 
@@ -223,9 +254,10 @@
         running = self.calls.get(key)
         if running is None:
             return
-        began_children = running.open_children + running.finished_children > 0
         verdict, reason, outcome = judge(
-            result, cancelled=running.cancelled, began_children=began_children
+            result,
+            cancelled=running.cancelled,
+            began_children=running.began_children,
         )
         decision = self.gate.finished(
             key=key,
@@ -299,9 +331,6 @@
     ) -> None:
         del self.calls[running.key]
         del self._by_span[running.span_id]
-        self._finished_spans[running.span_id] = None
-        if len(self._finished_spans) > FINISHED_SPAN_LIMIT:
-            del self._finished_spans[next(iter(self._finished_spans))]
         running.children.close()
         self._ended.append(running)
         answered = verdict is Verdict.ANSWERED
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -311,6 +311,7 @@
         if document is None:
             return
         self.egress.classifier = classifier
+        self.executor.has_document = True
         service = document.services.get(self.service)
         self.executor.gate.set_slots(service.slots if service else None)
         self.document_changed(document)
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -33,6 +33,7 @@
 RETRIED_REASONS = frozenset(
     {
         Reason.LEAVING,
+        Reason.NO_DOCUMENT,
         Reason.BACKEND_SHED,
         Reason.BACKEND_UNREACHABLE,
         Reason.LINK_LOST,
