Test the whole path with real processes

The decisions are proved in memory; nothing yet ran caller, nodes, backend servers and platform together as processes.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
@@ -109,6 +109,16 @@
         """Return the platform process that an availability zone reads."""
         return self.processes[f"platform-{availability_zone}"]
 
+    def status(self, host: str) -> dict[str, Any]:
+        """Return what a node tells operators of itself."""
+        return call_json(self.hosts[host].operators, "/status")
+
+    def sees_all(self, host: str) -> bool:
+        """Whether a node serves and may send calls to every host."""
+        status = self.status(host)
+        linked = [view["linked"] and not view["leaving"] for view in status["hosts"]]
+        return status["state"] == "serving" and linked == [True] * len(self.hosts)
+
     def control_backend(self, host: str, **order: Any) -> Any:
         """Send an order to a backend server, see ``BackendControl``."""
         return call_json(self.hosts[host].backend, "/control", order)
