Sharpen tests of unasked answers, replaced links and closed connections

Five guards could be taken out of the code without a red test: the abort of a replaced link, of a connection with unasked bytes, both marks of a second answer in one read, and the refusal of a connection that closes at once. Each now has one.

--- a/packages/sassafraswinch-node/tests/test_backend.py
+++ b/packages/sassafraswinch-node/tests/test_backend.py
@@ -64,15 +64,28 @@
     assert (len(server.requests), server.connections) == (3, 3)
 
 
-async def test_unasked_answer_is_never_taken_for_the_next_one(server, client):
-    """A backend server sends two answers to one request.
+@pytest.mark.parametrize(
+    ("method", "reply"),
+    [
+        ("GET", OK + OK.replace(b"ok", b"no")),
+        ("GET", OK + b"HTTP/1.1 204 No Content\r\n\r\n"),
+        ("HEAD", OK),
+    ],
+)
+async def test_unasked_bytes_never_reach_the_next_caller(server, client, method, reply):
+    """A backend server sends more than the answer to a request.
 
-    The second one must not be given to the next caller on that connection.
+    The rest must not be given to the next caller on that connection, nor what
+    comes later while nobody waits for it.
     """
-    server.replies = [OK + OK.replace(b"ok", b"no"), OK]
-    assert (await call(client)).body == b"ok"
+    server.replies = [reply, OK, OK]
+    await call(client, method)
     assert (await call(client)).body == b"ok"
     assert server.connections == 2
+    server.writers[1].write(OK.replace(b"ok", b"no"))
+    await asyncio.sleep(0.02)
+    assert (await call(client)).body == b"ok"
+    assert server.connections == 3
 
 
 async def test_cancelled_call_closes_its_connection(server, client):
@@ -92,6 +105,22 @@
     assert (error.verdict, error.reason) == (NOT_RUN, Reason.BACKEND_UNREACHABLE)
 
 
+async def test_connection_that_is_closed_at_once_is_not_run():
+    """A backend server at its limit of connections closes new ones at once.
+
+    Nothing of the request was written yet, so it has not run for certain.
+    """
+    closing = await asyncio.start_server(
+        lambda reader, writer: writer.close(), "127.0.0.1", 0
+    )
+    ip, port = closing.sockets[0].getsockname()
+    client = backend.BackendClient(ip=ip, port=port, max_connections=2)
+    errors = [await failure(client) for _ in range(10)]
+    facts = {(error.verdict, error.reason) for error in errors}
+    assert facts == {(NOT_RUN, Reason.BACKEND_UNREACHABLE)}
+    closing.close()
+
+
 async def test_timeout_tells_whether_the_request_was_written(server, client):
     server.replies = [b"", b""]
     waiting = [asyncio.create_task(call(client)) for _ in range(2)]
--- a/packages/sassafraswinch-node/tests/test_links.py
+++ b/packages/sassafraswinch-node/tests/test_links.py
@@ -132,6 +132,12 @@
     await server.close()
 
 
+async def until(condition):
+    async with asyncio.timeout(TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 async def linked(pair):
     pair.pool.want(["b"])
     await pair.dialling.until("up", "b")
@@ -246,6 +252,11 @@
     route.set_fault(Fault.SILENT, direction=Direction.TO_TARGET, only_open=True)
     await pair.dialling.until("lost", "b", 1)
     assert pair.dialling.log[1] == ("up", "b", 2)
+    pair.server.send(Pair.a, 1, Cancel(number=1))
+    pair.server.send(Pair.a, 2, Cancel(number=2))
+    await pair.dialling.until("message", 2)
+    await asyncio.sleep(0.05)
+    assert pair.dialling.log[3:] == [("message", 2, Cancel(number=2))]
 
 
 async def test_links_survive_a_pause_of_the_process_itself(pair):
@@ -285,8 +296,7 @@
     pair.pool._hello = make_hello(Pair.a, version=99)
     pair.server._hello = make_hello(NodeId("b", 2), version=98)
     pair.pool.want(["b"])
-    while len(pair.refused) < 2:
-        await asyncio.sleep(0.01)
+    await until(lambda: len(pair.refused) >= 2)
     reasons = sorted(error.reason for error in pair.refused[:2])
     assert reasons == [
         f"a speaks protocol version 99, this node {PROTOCOL_VERSION}",
@@ -302,8 +312,7 @@
     """
     pair.addresses["gone"] = pair.address
     pair.pool.want(["gone"])
-    while "gone" not in pair.pool.errors():
-        await asyncio.sleep(0.01)
+    await until(pair.pool.errors)
     assert pair.pool.errors() == {"gone": "its address now belongs to host b"}
     assert pair.dialling.log == []
 
