Let a host rest that didn't answer, and try it again when its probe is lost

Cause: a resting host is tried with one call, and only the answer to it ended the rest. When that call was given up at its deadline, the host never got work again from this node: 300 of 300 lookups went to its neighbour 10 s after it was well. Ruled out: counting late answers instead, as a lost frame brings none.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
@@ -110,6 +110,7 @@
     egress: Callable[[], Egress | None]
     """Finds the process at the egress port, None if nothing listens there."""
     faults: BackendFaults = field(default_factory=BackendFaults)
+    runs: int = 0
     running: set[Run] = field(default_factory=set)
     _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
@@ -146,6 +147,7 @@
             children=list(CHILDREN.get(exchange.call.operation, ())),
         )
         self.running.add(run)
+        self.runs += 1
         self.checks.ran(run.mark, exchange.identity, self.host)
         if rng.random() < faults.die_share:
             self._later(lambda: self._end(run, _broken()))
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -207,3 +207,32 @@
     fleet.restart("schvaleni-a")
     fleet.run_for(12_000)
     assert fleet.checks.told["approval/release.0"] is Verdict.MAY_HAVE_RUN
+
+
+def test_host_whose_probe_was_lost_gets_work_again():
+    """A host restarts, so others try it with one call first. It is paused just then
+    and the call is given up at its deadline; a moment later the host is well.
+
+    The others waited for the end of that call and never sent the host work again.
+    """
+    desk = Desk(seed=5)
+    fleet = desk.fleet
+    fleet.kill("archiv-b")
+    fleet.run_for(500)
+    fleet.restart("archiv-b")
+    fleet.run_for(SETTLED_MS)
+    fleet.pause("archiv-b")
+    looked_up(fleet, 50)
+    fleet.run_for(1_000)
+    fleet.wake("archiv-b")
+    fleet.run_for(10_000)
+    before = fleet.backends["archiv-b"].runs
+    looked_up(fleet, 100)
+    assert fleet.backends["archiv-b"].runs - before > 20
+
+
+def looked_up(fleet: Fleet, count: int) -> None:
+    """Look up orders through one node, one after the other."""
+    for _ in range(count):
+        fleet.callers.call("lookup-order", host="vydej-c")
+        fleet.run_for(20)
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -314,7 +314,13 @@
         self._failed(owned, attempt, answer, now_ms)
 
     def _give_up(self, owned: OwnedCall, now_ms: float) -> None:
+        """End the wait for a call past its deadline.
+
+        The executing node answers by the deadline even where its backend server
+        doesn't. So its silence is the node's or the link's: the host rests.
+        """
         attempt = owned.attempt
+        self.router.failed(attempt.peer.host, now_ms)
         self.links.send(attempt.peer.host, Cancel(number=attempt.number))
         if owned.repeatable or now_ms > _detached_until_ms(owned):
             self._close(attempt)
--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -145,9 +145,14 @@
         return self._hosts[host].load if host in self._hosts else None
 
     def dropped(self, host: str) -> None:
-        """Note that the answer to a call is no longer awaited."""
+        """Note that the answer to a call is no longer awaited.
+
+        Were it the probe of a host that rests, none but its answer would end the
+        rest, and the host would never get work again.
+        """
         state = self._hosts.setdefault(host, _HostState())
         state.outstanding = max(0, state.outstanding - 1)
+        state.probing = False
 
     def failed(self, host: str, now_ms: float) -> None:
         """Note that a host can't be reached; it rests before it is tried again."""
