Let tickets hold without a document, and with a differing one

Cause: a node that serves no document, at start or after a wake, refused requests with a ticket unread. Forwarding needs no document, and a waking node still has the one its own tickets were issued by, so it answers repeats and refuses first claims with a proof. Second fault, by a test: where a node's document calls the operation repeatable, it ran the same ticket each time it came; a ticket now always counts.

--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -236,3 +236,67 @@
     for _ in range(count):
         fleet.callers.call("lookup-order", host="vydej-c")
         fleet.run_for(20)
+
+
+def test_waking_node_still_knows_its_tickets():
+    """A release has run at its ticket's owner, which is then paused. On waking it asks
+    its peers for the newest document first; the caller repeats just then.
+
+    The node holds the whole first answer, and told the caller may-have-run.
+    """
+    desk = Desk()
+    ticket, unused = desk.ticket("archiv-a"), desk.ticket("archiv-a")
+    desk.release("archiv-a", "goods", ticket)
+    desk.fleet.run_for(500)
+    desk.fleet.pause("archiv-a")
+    desk.fleet.run_for(5_000)
+    desk.fleet.cut_zones("brno-a")
+    desk.fleet.wake("archiv-a")
+    told = desk.release("archiv-a", "goods", ticket)
+    first = desk.release("archiv-a", "other", unused)
+    desk.fleet.run_for(1)
+    assert [outcome.verdict for outcome in told] == [Verdict.ANSWERED]
+    assert [outcome.reason for outcome in first] == [Reason.NO_DOCUMENT]
+    assert [outcome.verdict for outcome in first] == [Verdict.NOT_RUN]
+
+
+def test_node_without_a_document_passes_tickets_on():
+    """A caller repeats a release through a node that has just started and has no
+    document; the ticket's owner is linked and holds the answer.
+
+    The node need not read the request to know where its ticket belongs.
+    """
+    desk = Desk()
+    ticket = desk.ticket("archiv-a")
+    desk.release("archiv-a", "goods", ticket)
+    desk.fleet.run_for(500)
+    desk.fleet.kill("archiv-b")
+    desk.fleet.restart("archiv-b")
+    desk.fleet.run_for(1_500)
+    told = desk.release("archiv-b", "goods", ticket)
+    desk.fleet.run_for(100)
+    assert [outcome.verdict for outcome in told] == [Verdict.ANSWERED]
+
+
+def test_ticket_holds_where_the_document_differs():
+    """Operators have just said that lookups of history may run once only. One node
+    has the new document and gives a ticket out; then it goes back to the old one.
+
+    By the old document the operation is repeatable, so the node ran the same ticket
+    once for each time it came.
+    """
+    desk = Desk()
+    process = desk.fleet.processes["schvaleni-a"]
+    operation = process.node.entry.classifier.operation(
+        "schvaleni", "GET", "/orders/17/history"
+    )
+    ticket = process.node.entry.ledger.issue(
+        "acme", operation.name, desk.fleet.schedule.now_ms
+    )
+    desk.fleet.checks.once.add("history")
+    for _ in range(2):
+        told = desk.ask(
+            "schvaleni-a", "history", "schvaleni", "GET", "/orders/17/history", ticket
+        )
+        desk.fleet.run_for(500)
+        assert [outcome.verdict for outcome in told] == [Verdict.ANSWERED]
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -19,6 +19,9 @@
 NO_DOCUMENT_RETRY_MS = 1000
 """A node without a document asks its peers and the platform in about this time."""
 
+UNREAD_MS = 1_000.0
+"""Deadline of a request that is passed on by a node which never had a document."""
+
 LEAVING_RETRY_MS = 100
 """Another node of the availability zone can be asked at once."""
 
@@ -51,9 +54,16 @@
         self.recorder = recorder
         self.rng = rng
         self.classifier: Classifier | None = None
+        """By the document served; None while there is none, as after a wake."""
+        self._newest: Classifier | None = None
         self.leaving = False
         self._by_ticket: dict[int, OwnedCall] = {}
 
+    def use(self, classifier: Classifier | None) -> None:
+        """Classify by this from now on; None: let no request in."""
+        self.classifier = classifier
+        self._newest = classifier or self._newest
+
     def submit(
         self, request: Request, waiter: Waiter, now_ms: float
     ) -> OwnedCall | None:
@@ -62,23 +72,17 @@
         Returns:
             The owned call that the waiter now waits for, if there is one.
         """
-        classifier = self.classifier
+        ticket = self._ticket(request)
+        if ticket is not None and ticket.owner != self.node:
+            return self._forward(request, ticket, waiter, now_ms)
+        classifier = self.classifier if ticket is None else self._newest
         if classifier is None:
-            self._refuse_unread(
-                request, waiter, Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS
-            )
+            self._refuse(request, waiter, Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
             return None
-        operation = classifier.operation(
-            request.service, request.method, request.target
-        )
-        if operation is None:
-            self._refuse_unread(request, waiter, Reason.UNKNOWN_OPERATION, 0)
+        classification = _classify(classifier, request)
+        if classification is None:
+            self._refuse(request, waiter, Reason.UNKNOWN_OPERATION, 0)
             return None
-        classification = classifier.classify(
-            caller=request.caller,
-            organisation=request.organisation,
-            operation=operation,
-        )
         return self.submit_classified(request, classification, waiter, now_ms)
 
     def submit_classified(
@@ -88,8 +92,15 @@
         waiter: Waiter,
         now_ms: float,
     ) -> OwnedCall | None:
-        """Take a request whose class is known already."""
-        if classification.repeatable:
+        """Take a request whose class is known already.
+
+        A ticket holds also where the operation is repeatable by this node's document:
+        the caller has it from a node with another one.
+        """
+        ticket = self._ticket(request)
+        if ticket is not None and ticket.owner != self.node:
+            return self._forward(request, ticket, waiter, now_ms)
+        if ticket is None and classification.repeatable:
             return self._admit(request, classification, waiter, None, now_ms)
         if request.ticket is None:
             ticket = self._fresh_ticket(request.organisation, classification, now_ms)
@@ -98,9 +109,6 @@
             )
             self.respond(waiter, outcome)
             return None
-        ticket = tickets.parse_ticket(request.ticket)
-        if ticket is not None and ticket.owner != self.node:
-            return self._forward(request, ticket, classification, waiter, now_ms)
         return self._claim(request, classification, waiter, now_ms)
 
     def finished(self, finished: Finished, now_ms: float) -> None:
@@ -123,21 +131,26 @@
         self,
         request: Request,
         ticket: tickets.Ticket,
-        classification: Classification,
         waiter: Waiter,
         now_ms: float,
     ) -> None:
+        """Pass a request on to its ticket's owner; this needs no document."""
         if isinstance(waiter, RemoteWaiter):
-            self._refuse(waiter, Reason.TICKET_OWNER_RESTARTED, 0, Verdict.MAY_HAVE_RUN)
+            self._refuse(request, waiter, Reason.TICKET_OWNER_RESTARTED, 0)
             return
+        classification = self._newest and _classify(self._newest, request)
+        deadline_ms = classification.deadline_ms if classification else UNREAD_MS
         self.forwarder.forward(
             request,
             ticket.owner,
             waiter,
-            deadline_ms=classification.deadline_ms,
+            deadline_ms=deadline_ms,
             now_ms=now_ms,
         )
 
+    def _ticket(self, request: Request) -> tickets.Ticket | None:
+        return tickets.parse_ticket(request.ticket) if request.ticket else None
+
     def _claim(
         self,
         request: Request,
@@ -209,7 +222,7 @@
             service=request.service,
             operation=classification.operation.name,
             class_name=classification.class_name,
-            repeatable=classification.repeatable,
+            repeatable=classification.repeatable and ticket_number is None,
             rank=rank,
             root_id=root_id,
             depth=0,
@@ -234,6 +247,8 @@
         A caller that comes back before its time is refused only where its class is
         being shed anyway. So a paying caller's haste never lets trial work pass it.
         """
+        if self.classifier is None:
+            return _not_run(Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
         if self.leaving:
             return _not_run(Reason.LEAVING, LEAVING_RETRY_MS)
         operation = pending.classification.operation.name
@@ -285,25 +300,16 @@
     ) -> str:
         return self.ledger.issue(organisation, classification.operation.name, now_ms)
 
-    def _refuse_unread(
+    def _refuse(
         self, request: Request, waiter: Waiter, reason: Reason, retry_after_ms: int
     ) -> None:
-        """Refuse what this node's document, or the lack of one, leaves unread.
+        """Refuse what this node can't look into; with a ticket that proves nothing.
 
         Story: an approval runs; its caller repeats it through a node that has just
         started. This node never ran it, but the ticket's owner may have: told
         NOT_RUN, the caller would take a new ticket and the approval ran twice.
         """
         verdict = Verdict.MAY_HAVE_RUN if request.ticket else Verdict.NOT_RUN
-        self._refuse(waiter, reason, retry_after_ms, verdict)
-
-    def _refuse(
-        self,
-        waiter: Waiter,
-        reason: Reason,
-        retry_after_ms: int,
-        verdict: Verdict = Verdict.NOT_RUN,
-    ) -> None:
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_ms=retry_after_ms)
         self.respond(waiter, outcome)
 
@@ -341,6 +347,15 @@
     return who + tickets.fingerprint(request.method, request.target, request.body)
 
 
+def _classify(classifier: Classifier, request: Request) -> Classification | None:
+    operation = classifier.operation(request.service, request.method, request.target)
+    if operation is None:
+        return None
+    return classifier.classify(
+        caller=request.caller, organisation=request.organisation, operation=operation
+    )
+
+
 def _deadline_ms(request: Request, classification: Classification) -> float:
     """Return the time left for a request that may have been forwarded."""
     if request.deadline_ms is None:
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -307,7 +307,7 @@
     def _use_document(self, document: Document | None) -> None:
         """Classify by ``document`` from now on; calls under way keep their class."""
         classifier = Classifier(document=document) if document else None
-        self.entry.classifier = classifier
+        self.entry.use(classifier)
         if document is None:
             return
         self.egress.classifier = classifier
