Judge the standing queue by its length, not by the calls that start

Cause: the threshold stayed at the end of the trial class with 150 trial calls waiting, since the least delay of the calls that start is small in a queue ordered by claim: low levels pass the others. So levels were not used, entries let through what the gate then refused. Ruled out: the rates (they were right) and the entry (it followed the threshold). Now the least length of the queue up to each class, in time, must exceed the target.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -134,6 +134,7 @@
 
     def tick(self, now_ms: float) -> GateDecision:
         """Refuse what has waited too long or is past its time; fill free slots."""
+        self._delays.sample(self._waiting, self._delay_ms(1))
         if self._threshold.due(now_ms):
             self._decide(now_ms)
         late = [call for call in self._waiting if self._late(call, now_ms)]
@@ -176,7 +177,6 @@
             in_flight=len(self._running) + 1,
             round=self._limit.started(),
         )
-        self._delays.started(call.claim.class_order, now_ms - call.offered_at_ms)
 
     def _queue(self, call: WaitingCall, admitted: bool, now_ms: float) -> GateDecision:
         if not admitted:
@@ -205,11 +205,10 @@
 
     def _decide(self, now_ms: float) -> None:
         slot_gap_ms = self._delay_ms(1)
+        self._delays.sample(self._waiting, slot_gap_ms)
         self._threshold.decide(
             capacity_per_s=1000 / slot_gap_ms if slot_gap_ms else float("inf"),
-            standing=self._delays.standing(
-                waiting=self._waiting, slot_gap_ms=slot_gap_ms, now_ms=now_ms
-            ),
+            standing=self._delays.standing(slot_gap_ms),
             now_ms=now_ms,
         )
 
