Test nodes that are killed while calls run; answer for an own earlier run at once

Found by test_killed_owner_never_lets_its_tickets_run_again: a restarted node that is brought a ticket of its earlier run took the ticket's host for another node, waited 1 s for a link to itself and then said ticket-owner-unreachable. Ruled out: a slow redial, as it also happened with all links up. Entry now answers at once that the owner has restarted; the verdict was and is may-have-run.

--- /dev/null
+++ b/packages/sassafraswinch-node/tests/test_process_kill.py
@@ -0,0 +1,191 @@
+"""Nodes that are killed while calls run: honest verdicts, and no second run."""
+
+from collections import Counter
+
+import pytest
+
+from sassafraswinch_standins.asker import Asker
+from sassafraswinch_standins.chain import APPROVE, ORDER_STATE, PROBE, chain
+from sassafraswinch_standins.fleet import Fleet
+from sassafraswinch_standins.polling import wait_until
+
+RETRY_ALLOWANCE = 3
+"""Of the chain's document."""
+
+APPROVALS = 8
+LOOKUPS = 8
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    graph = chain(approval_ms=1_000, lookup_ms=400)
+    with Fleet(graph=graph, directory=tmp_path_factory.mktemp("kill")) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def asker(fleet):
+    asker = Asker()
+    yield asker
+    asker.close()
+    for host in fleet.hosts:
+        if not fleet.node(host).alive:
+            fleet.node(host).start()
+    fleet.wait_ready()
+    wait_until("all linked again", lambda: all(map(fleet.sees_all, fleet.hosts)))
+    wait_until("routed as before", lambda: routed_to_own_zone(fleet))
+
+
+def routed_to_own_zone(fleet):
+    """Whether the rest that a failed host is given is over."""
+    asker = Asker()
+    pairs = [("vydej-1", "schvaleni-1"), ("vydej-2", "schvaleni-2")]
+    probes = [
+        asker.ask(entry(fleet, host), asker.new("GET", PROBE)) for host, _ in pairs
+    ]
+    asker.close()
+    return [probe.server for probe in probes] == [server for _, server in pairs]
+
+
+def entry(fleet, host):
+    return fleet.hosts[host].entry
+
+
+def runs_by_id(fleet, requests, operation):
+    ids = {request.request_id for request in requests}
+    return Counter(
+        run["request_id"].partition("/")[0]
+        for run in fleet.runs()
+        if run["operation"] == operation and run["request_id"].partition("/")[0] in ids
+    )
+
+
+def wait_all_started(fleet, requests, operation):
+    def started():
+        return len(runs_by_id(fleet, requests, operation)) == len(requests)
+
+    wait_until(f"{len(requests)} runs of {operation} started", started)
+
+
+def assert_at_most_once(fleet, requests):
+    for operation in ("approve-order", "release-order"):
+        runs = runs_by_id(fleet, requests, operation)
+        assert not [i for i, count in runs.items() if count > 1], runs
+
+
+def test_killed_executing_node_leaves_approvals_that_may_have_run(fleet, asker):
+    """SIGKILL of the executing node while eight approvals run on its backend server.
+
+    The owner can't know whether they ran: so it says, and not before a new run of
+    the node is there or the deadline has passed. The callers then send the same
+    tickets again, through the owner and through another node: nothing runs twice.
+    """
+    through = entry(fleet, "vydej-1")
+    approvals = [
+        asker.with_ticket(through, asker.new("POST", APPROVE)) for _ in range(APPROVALS)
+    ]
+    replies = asker.together(lambda a: asker.ask(through, a), approvals)
+    wait_all_started(fleet, approvals, "approve-order")
+    fleet.node("schvaleni-1").kill()
+    fleet.node("schvaleni-1").start()
+
+    told = Counter(reply.result().verdict for reply in replies)
+    assert told == {"may-have-run": APPROVALS}
+    for host in ("vydej-1", "vydej-2", "schvaleni-1"):
+        again = asker.together(
+            lambda a, h=host: asker.ask(entry(fleet, h), a), approvals
+        )
+        assert {reply.result().verdict for reply in again} == {"may-have-run"}
+    assert_at_most_once(fleet, approvals)
+
+
+def test_killed_executing_node_costs_a_lookup_one_retry(fleet, asker):
+    """SIGKILL of the executing node while eight lookups run on its backend server.
+
+    They are repeatable: each is retried on the host of the other availability zone,
+    within its allowance, and the callers notice nothing but the time.
+    """
+    through = entry(fleet, "vydej-1")
+    lookups = [asker.new("GET", ORDER_STATE) for _ in range(LOOKUPS)]
+    replies = asker.together(lambda a: asker.ask(through, a), lookups)
+    wait_all_started(fleet, lookups, "order-state")
+    fleet.node("schvaleni-1").kill()
+
+    assert {reply.result().told for reply in replies} == {(200, "answered", None)}
+    assert {reply.result().fault for reply in replies} == {None}
+    runs = runs_by_id(fleet, lookups, "order-state")
+    assert set(runs.values()) == {2}
+    deeper = runs_by_id(fleet, lookups, "stock")
+    assert max(deeper.values()) <= 1 + RETRY_ALLOWANCE
+
+
+def test_killed_node_is_avoided_until_it_is_back(fleet, asker):
+    """Requests that come after the kill meet a node that isn't there any more.
+
+    Nothing was written for them, so all are served by the other host at once.
+    """
+    through = entry(fleet, "vydej-1")
+    fleet.node("schvaleni-1").kill()
+    lookups = [asker.new("GET", ORDER_STATE) for _ in range(4)]
+    approvals = [
+        asker.with_ticket(through, asker.new("POST", APPROVE)) for _ in range(4)
+    ]
+    replies = asker.together(lambda a: asker.ask(through, a), lookups + approvals)
+
+    told = Counter(reply.result().told for reply in replies)
+    assert told == {(200, "answered", None): 8}
+    assert_at_most_once(fleet, approvals)
+
+
+def test_killed_owner_never_lets_its_tickets_run_again(fleet, asker):
+    """SIGKILL of the owner while approvals that it dispatched run elsewhere.
+
+    The callers' connections break. They repeat the same tickets through other nodes
+    while the owner is gone, and through its new run: each time the honest word is
+    "may have run", for all that dispatched them is forgotten.
+    """
+    owner = "vydej-1"
+    approvals = [
+        asker.with_ticket(entry(fleet, owner), asker.new("POST", APPROVE))
+        for _ in range(APPROVALS)
+    ]
+    unused = asker.with_ticket(entry(fleet, owner), asker.new("POST", APPROVE))
+    replies = asker.together(lambda a: asker.ask(entry(fleet, owner), a), approvals)
+    wait_all_started(fleet, approvals, "approve-order")
+    fleet.node(owner).kill()
+    assert all(reply.result().broken for reply in replies)
+
+    again = asker.together(lambda a: asker.ask(entry(fleet, "vydej-2"), a), approvals)
+    assert {reply.result().told for reply in again} == {
+        (502, "may-have-run", "ticket-owner-unreachable")
+    }
+    fleet.node(owner).start()
+    fleet.wait_ready([owner])
+    wait_until("owner linked again", lambda: fleet.sees_all("vydej-2"))
+    for host in (owner, "vydej-2"):
+        again = asker.together(
+            lambda a, h=host: asker.ask(entry(fleet, h), a), [*approvals, unused]
+        )
+        assert {reply.result().told for reply in again} == {
+            (502, "may-have-run", "ticket-owner-restarted")
+        }
+    assert_at_most_once(fleet, [*approvals, unused])
+    assert not runs_by_id(fleet, [unused], "approve-order")
+
+
+def test_killed_owner_of_a_child_call_never_repeats_it(fleet, asker):
+    """SIGKILL of the node whose backend server has just called on to a release.
+
+    That node owned the release. Its backend server gets no answer and the approval
+    fails; the caller's repeat must not release a second time.
+    """
+    through = entry(fleet, "vydej-2")
+    approval = asker.with_ticket(through, asker.new("POST", APPROVE))
+    (reply,) = asker.together(lambda a: asker.ask(through, a), [approval])
+    wait_all_started(fleet, [approval], "release-order")
+    fleet.node("schvaleni-2").kill()
+    fleet.node("schvaleni-2").start()
+
+    assert reply.result().verdict == "may-have-run"
+    assert asker.ask(through, approval).verdict == "may-have-run"
+    assert_at_most_once(fleet, [approval])
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/asker.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/asker.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+import orjson
+
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch_standins.answers import (
     AnswerFault,
@@ -61,6 +63,11 @@
         """What is wrong with the body of an answer; None when nothing is."""
         return check_answer(self.body, request_id=self.request_id)
 
+    @property
+    def server(self) -> str | None:
+        """Name of the backend server that made the answer."""
+        return None if self.fault else orjson.loads(self.body.splitlines()[0])["server"]
+
     @property
     def told(self) -> tuple[int, str | None, str | None]:
         """Status, verdict and reason, for messages of assertions."""
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/chain.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/chain.py
@@ -13,6 +13,7 @@
 APPROVE = "/schvaleni/orders/{id}/approval"
 RELEASE = "/vydej/orders/{id}/release"
 ORDER_STATE = "/schvaleni/orders/{id}/state"
+PROBE = "/schvaleni/probe"
 STOCK = "/vydej/stock/{id}"
 ARCHIVE = "/prehled/archive/{id}"
 LOOKUP = "/prehled/orders/{id}"
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -124,7 +124,7 @@
         waiter: Waiter,
         now_ms: float,
     ) -> None:
-        if isinstance(waiter, RemoteWaiter):
+        if isinstance(waiter, RemoteWaiter) or ticket.owner.host == self.node.host:
             self._refuse(waiter, Reason.TICKET_OWNER_RESTARTED, 0, Verdict.MAY_HAVE_RUN)
             return
         self.forwarder.forward(request, ticket.owner, waiter, now_ms)
