--- a/packages/sassafraswinch-standins/tests/test_processes.py
+++ b/packages/sassafraswinch-standins/tests/test_processes.py
@@ -1,9 +1,11 @@
 """Tests of starting, freezing and ending processes."""
 
+import random
 import signal
 
 import pytest
 
+from sassafraswinch_standins import processes
 from sassafraswinch_standins.control import call_json
 from sassafraswinch_standins.processes import ManagedProcess, ProcessFailedError
 
@@ -40,3 +42,16 @@
     process.start()
     with pytest.raises(ProcessFailedError, match="no_such_field"):
         process.listening(30)
+
+
+def test_no_port_is_given_twice(monkeypatch):
+    """A fleet failed to start about once in twelve: "address already in use".
+
+    Ports are drawn before any listener is bound, so a port that was drawn twice
+    looked free both times, and the second process ended.
+    """
+    monkeypatch.setattr(processes, "FIRST_PORT", 12_000)
+    monkeypatch.setattr(processes, "LAST_PORT", 12_255)
+    rng = random.Random(1)
+    addresses = [processes.free_address(rng) for _ in range(64)]
+    assert len(set(addresses)) == 64
