--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -135,7 +135,7 @@
         now_ms: float,
     ) -> None:
         """Pass a request on to its ticket's owner; this needs no document."""
-        if isinstance(waiter, RemoteWaiter):
+        if isinstance(waiter, RemoteWaiter) or ticket.owner.host == self.node.host:
             self._refuse(request, waiter, Reason.TICKET_OWNER_RESTARTED, 0)
             return
         classification = self._newest and _classify(self._newest, request)
