Keep the entry's thresholds by service, not by operation

Each operation had its own threshold at an entry, though lookups and releases need the same archive: a release that lately heard a stricter word was refused while trial lookups were let in. A refused call's missing thresholds also counted as 'all open'. Change: answers carry the strictest threshold of each service under pressure that they met; the entry keeps one place for each service and, for each operation, which services it needs. Only whole answers say that a service admits all.

--- a/packages/sassafraswinch-node/link.thrift
+++ b/packages/sassafraswinch-node/link.thrift
@@ -54,6 +54,12 @@
   2: required i32 level
 }
 
+struct ServiceThreshold {
+  1: required string service_name
+  2: required i32 class_order
+  3: required i32 level
+}
+
 struct Load {
   1: required i32 in_flight
   2: required i32 queued
@@ -101,7 +107,7 @@
   5: required FlatHeaders headers
   6: required binary body
   7: required i32 unspent
-  8: optional Rank threshold
+  8: required list<ServiceThreshold> thresholds
   9: required i32 retry_after_ms
   10: optional Load load
 }
--- a/packages/sassafraswinch-node/sassafraswinch_node/link_protocol/ttypes.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link_protocol/ttypes.py
@@ -223,6 +223,104 @@
         return not (self == other)
 
 
+class ServiceThreshold(object):
+    """
+    Attributes:
+     - service_name
+     - class_order
+     - level
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'class_order',
+        'level',
+    )
+
+
+    def __init__(self, service_name=None, class_order=None, level=None,):
+        self.service_name = service_name
+        self.class_order = class_order
+        self.level = level
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.class_order = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.level = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceThreshold')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.class_order is not None:
+            oprot.writeFieldBegin('class_order', TType.I32, 2)
+            oprot.writeI32(self.class_order)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I32, 3)
+            oprot.writeI32(self.level)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.class_order is None:
+            raise TProtocolException(message='Required field class_order is unset!')
+        if self.level is None:
+            raise TProtocolException(message='Required field level is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -816,7 +914,7 @@
      - headers
      - body
      - unspent
-     - threshold
+     - thresholds
      - retry_after_ms
      - load
 
@@ -830,13 +928,13 @@
         'headers',
         'body',
         'unspent',
-        'threshold',
+        'thresholds',
         'retry_after_ms',
         'load',
     )
 
 
-    def __init__(self, number=None, verdict=None, reason=None, status=None, headers=None, body=None, unspent=None, threshold=None, retry_after_ms=None, load=None,):
+    def __init__(self, number=None, verdict=None, reason=None, status=None, headers=None, body=None, unspent=None, thresholds=None, retry_after_ms=None, load=None,):
         self.number = number
         self.verdict = verdict
         self.reason = reason
@@ -844,7 +942,7 @@
         self.headers = headers
         self.body = body
         self.unspent = unspent
-        self.threshold = threshold
+        self.thresholds = thresholds
         self.retry_after_ms = retry_after_ms
         self.load = load
 
@@ -898,9 +996,14 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.STRUCT:
-                    self.threshold = Rank()
-                    self.threshold.read(iprot)
+                if ftype == TType.LIST:
+                    self.thresholds = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = ServiceThreshold()
+                        _elem18.read(iprot)
+                        self.thresholds.append(_elem18)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
@@ -943,8 +1046,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter13 in self.headers:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.headers:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -955,9 +1058,12 @@
             oprot.writeFieldBegin('unspent', TType.I32, 7)
             oprot.writeI32(self.unspent)
             oprot.writeFieldEnd()
-        if self.threshold is not None:
-            oprot.writeFieldBegin('threshold', TType.STRUCT, 8)
-            self.threshold.write(oprot)
+        if self.thresholds is not None:
+            oprot.writeFieldBegin('thresholds', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.thresholds))
+            for iter20 in self.thresholds:
+                iter20.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.retry_after_ms is not None:
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 9)
@@ -983,6 +1089,8 @@
             raise TProtocolException(message='Required field body is unset!')
         if self.unspent is None:
             raise TProtocolException(message='Required field unspent is unset!')
+        if self.thresholds is None:
+            raise TProtocolException(message='Required field thresholds is unset!')
         if self.retry_after_ms is None:
             raise TProtocolException(message='Required field retry_after_ms is unset!')
         return
@@ -1111,10 +1219,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readI64()
-                        self.numbers.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI64()
+                        self.numbers.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1135,8 +1243,8 @@
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter20 in self.numbers:
-                oprot.writeI64(iter20)
+            for iter27 in self.numbers:
+                oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1279,10 +1387,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.numbers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readI64()
-                        self.numbers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI64()
+                        self.numbers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1299,8 +1407,8 @@
         if self.numbers is not None:
             oprot.writeFieldBegin('numbers', TType.LIST, 1)
             oprot.writeListBegin(TType.I64, len(self.numbers))
-            for iter27 in self.numbers:
-                oprot.writeI64(iter27)
+            for iter34 in self.numbers:
+                oprot.writeI64(iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1756,10 +1864,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1814,8 +1922,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter34 in self.headers:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter41 in self.headers:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2103,6 +2211,13 @@
     (1, TType.I32, 'class_order', None, None, ),  # 1
     (2, TType.I32, 'level', None, None, ),  # 2
 )
+all_structs.append(ServiceThreshold)
+ServiceThreshold.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'class_order', None, None, ),  # 2
+    (3, TType.I32, 'level', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -2154,7 +2269,7 @@
     (5, TType.LIST, 'headers', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
     (7, TType.I32, 'unspent', None, None, ),  # 7
-    (8, TType.STRUCT, 'threshold', [Rank, None], None, ),  # 8
+    (8, TType.LIST, 'thresholds', (TType.STRUCT, [ServiceThreshold, None], False), None, ),  # 8
     (9, TType.I32, 'retry_after_ms', None, None, ),  # 9
     (10, TType.STRUCT, 'load', [Load, None], None, ),  # 10
 )
--- a/packages/sassafraswinch-node/sassafraswinch_node/structs.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/structs.py
@@ -18,6 +18,7 @@
     Load,
     NodeId,
     Rank,
+    ServiceThreshold,
 )
 from sassafraswinch.verdict import Reason, Verdict
 from sassafraswinch_node.link_protocol import ttypes
@@ -149,6 +150,11 @@
     )
 
 
+def _parse_threshold(struct: ttypes.ServiceThreshold) -> ServiceThreshold:
+    struct.validate()
+    return ServiceThreshold(struct.service_name, Rank(struct.class_order, struct.level))
+
+
 def serialize_answer(answer: Answer) -> ttypes.Answer:
     """Return the struct of a answer."""
     return ttypes.Answer(
@@ -159,7 +165,10 @@
         _serialize_headers(answer.headers),
         answer.body,
         answer.unspent,
-        _serialize_rank(answer.threshold),
+        [
+            ttypes.ServiceThreshold(service, rank.class_order, rank.level)
+            for service, rank in answer.thresholds
+        ],
         answer.retry_after_ms,
         _serialize_load(answer.load),
     )
@@ -175,7 +184,7 @@
         headers=_parse_headers(struct.headers),
         body=struct.body,
         unspent=struct.unspent,
-        threshold=_parse_rank(struct.threshold),
+        thresholds=tuple(map(_parse_threshold, struct.thresholds)),
         retry_after_ms=struct.retry_after_ms,
         load=_parse_load(struct.load),
     )
--- a/packages/sassafraswinch-node/tests/test_wire.py
+++ b/packages/sassafraswinch-node/tests/test_wire.py
@@ -28,7 +28,9 @@
     "numbers": NUMBERS,
     "headers": HEADERS,
     "rank": RANKS,
-    "threshold": st.none() | RANKS,
+    "thresholds": st.lists(
+        st.builds(messages.ServiceThreshold, TEXT, RANKS), max_size=4
+    ).map(tuple),
     "load": LOADS,
     "node": st.builds(messages.NodeId, TEXT, I64),
     "session": I64,
--- a/packages/sassafraswinch/sassafraswinch/egress.py
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -71,7 +71,7 @@
             del self._running[parent.key, number]
             parent.allowance.give_back(number, owned.allowance.unspent)
             parent.children.finish(number, finished.answer, repeatable=owned.repeatable)
-            parent.child_closed(now_ms, finished.answer.threshold)
+            parent.child_closed(now_ms, finished.answer.thresholds)
         waiters, pending.waiters = pending.waiters, []
         for waiter in waiters:
             self.respond(waiter, outcome_of(finished.answer))
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -108,7 +108,12 @@
         pending: Pending = finished.owned.context
         answer = finished.answer
         classification = pending.classification
-        self.shedder.learn(classification.operation.name, answer.threshold, now_ms)
+        self.shedder.learn(
+            classification.operation.name,
+            answer.thresholds,
+            now_ms,
+            whole=answer.verdict is Verdict.ANSWERED,
+        )
         if pending.ticket_number is not None and not finished.given_up:
             self.ledger.finish(pending.ticket_number, answer, now_ms)
             self._by_ticket.pop(pending.ticket_number, None)
--- a/packages/sassafraswinch/sassafraswinch/executor.py
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -1,9 +1,10 @@
 """The executing side of a node: runs calls of owners on the local backend server."""
 
 import hashlib
+import itertools
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sassafraswinch.answer_store import AnswerStore
 from sassafraswinch.errors import InvariantError
@@ -15,8 +16,10 @@
     Cancel,
     Fence,
     FenceReply,
+    Load,
     NodeId,
     Rank,
+    ServiceThreshold,
 )
 from sassafraswinch.ports import BackendPort
 from sassafraswinch.requests import BackendResult, CallKey
@@ -83,7 +86,8 @@
     children: ChildCalls
     started_at_ms: float | None = None
     cancelled: bool = False
-    threshold: Rank | None = None
+    thresholds: dict[str, Rank] = field(default_factory=dict)
+    """Strictest threshold of each service that child calls met."""
     open_children: int = 0
     finished_children: int = 0
     waiting_since_ms: float = 0.0
@@ -100,11 +104,14 @@
             self.waiting_since_ms = now_ms
         self.open_children += 1
 
-    def child_closed(self, now_ms: float, threshold: Rank | None) -> None:
-        """Note that a child call ended and the strictest threshold it met."""
+    def child_closed(
+        self, now_ms: float, thresholds: Iterable[ServiceThreshold]
+    ) -> None:
+        """Note that a child call ended and the thresholds it met."""
         self.open_children -= 1
         self.finished_children += 1
-        self.threshold = strictest(self.threshold, threshold)
+        for service, rank in thresholds:
+            self.thresholds[service] = min(rank, self.thresholds.get(service, rank))
         if not self.open_children:
             self.waited_ms += now_ms - self.waiting_since_ms
 
@@ -308,6 +315,7 @@
                 invariant="NOT_RUN means not run", facts=f"{running.key} was started"
             )
         del self.calls[running.key]
+        load = self.load(now_ms)
         self._answer(
             running,
             Answer(
@@ -315,9 +323,9 @@
                 verdict=Verdict.NOT_RUN,
                 reason=reason,
                 unspent=running.allowance.close(),
-                threshold=self._threshold(running, now_ms),
+                thresholds=thresholds_met(running, load),
                 retry_after_ms=retry_after_ms,
-                load=self.load(now_ms),
+                load=load,
             ),
         )
 
@@ -334,6 +342,7 @@
         running.children.close()
         self._ended.append(running)
         answered = verdict is Verdict.ANSWERED
+        load = self.load(now_ms)
         self._answer(
             running,
             Answer(
@@ -344,8 +353,8 @@
                 headers=result.headers if answered else (),
                 body=result.body if answered else b"",
                 unspent=running.allowance.close(),
-                threshold=self._threshold(running, now_ms),
-                load=self.load(now_ms),
+                thresholds=thresholds_met(running, load),
+                load=load,
             ),
         )
 
@@ -353,17 +362,18 @@
         self.ledger.finish(running.key.owner, running.key.number, answer)
         self._replies.append(Reply(owner=running.key.owner, message=answer))
 
-    def _threshold(self, running: RunningCall, now_ms: float) -> Rank | None:
-        return strictest(running.threshold, self.gate.load(now_ms).threshold)
-
-    def load(self, now_ms: float):
+    def load(self, now_ms: float) -> Load:
         """Return the load of the backend server, as told to other nodes."""
         return self.gate.load(now_ms)
 
 
-def strictest(*thresholds: Rank | None) -> Rank | None:
-    """Return the threshold that admits least; None admits all."""
-    return min((rank for rank in thresholds if rank is not None), default=None)
+def thresholds_met(running: RunningCall, load: Load) -> tuple[ServiceThreshold, ...]:
+    """Return the thresholds that a call met here and below."""
+    met = dict(running.thresholds)
+    if load.threshold is not None:
+        service = running.call.service
+        met[service] = min(load.threshold, met.get(service, load.threshold))
+    return tuple(itertools.starmap(ServiceThreshold, met.items()))
 
 
 def judge(
--- a/packages/sassafraswinch/sassafraswinch/levels.py
+++ b/packages/sassafraswinch/sassafraswinch/levels.py
@@ -1,11 +1,12 @@
 """Thresholds on rank: what an overloaded node asks for, and what an entry learns."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import ceil, inf
 
 from sassafraswinch.class_hold import ClassHold
-from sassafraswinch.messages import LEVELS, Rank
+from sassafraswinch.messages import LEVELS, Rank, ServiceThreshold
 from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 
 REOPEN_MS = 1_000.0
@@ -20,7 +21,10 @@
 learnt threshold halfway to them."""
 
 MAX_OPERATIONS = 1024
-"""Operations whose thresholds an entry remembers."""
+"""Operations whose needed services an entry remembers; the oldest goes first."""
+
+MAX_SERVICES = 128
+"""Services under pressure that an entry follows; twice the fifty designed for."""
 
 
 def position(rank: Rank) -> float:
@@ -35,8 +39,8 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Learnt:
-    """What an entry knows of one operation that is held back."""
+class _ServiceLevel:
+    """What an entry knows of one service that holds calls back."""
 
     place: float
     updated_at_ms: float
@@ -45,53 +49,87 @@
     hold: ClassHold = field(default_factory=ClassHold)
     returns: ReturnSchedule = field(default_factory=ReturnSchedule)
 
+    def drift(self, classes: int, now_ms: float) -> None:
+        """Open with time, unless answers say otherwise."""
+        elapsed_ms = max(0.0, now_ms - self.updated_at_ms)
+        drifted = self.place + classes * elapsed_ms / REOPEN_MS
+        self.place = min(drifted, float(classes))
+        self.updated_at_ms = now_ms
+
+    def told(self, place: float) -> None:
+        """Move towards the place that an answer tells."""
+        gain = STRICTER_GAIN if place < self.place else LAXER_GAIN
+        self.place += gain * (place - self.place)
+
+    def refuses(self, rank: Rank, now_ms: float) -> bool:
+        """Return whether a call of this rank would be held back."""
+        if self.hold.closes(rank.class_order, now_ms):
+            return True
+        if position(rank) < self.place:
+            return False
+        self.hold.refused(rank.class_order, now_ms)
+        return True
+
+    def is_open(self, classes: int, now_ms: float) -> bool:
+        """Return whether nothing is held back any more."""
+        return self.place >= classes and self.hold.lowest_open(now_ms) is None
+
 
 class EntryShedder:
     """Refuses at the entry what nodes below would refuse.
 
-    One place on the axis of ranks is kept for each operation, so a lower
-    class or a greater level is never admitted where a higher one is refused.
-    The place follows the thresholds on answers, and drifts open by itself:
-    the few calls that pass by the drift are the probes. Operations that are
-    not held back take no memory.
+    One place on the axis of ranks is kept for each service under pressure, and
+    for each operation the services that its calls were seen to need. So
+    operations that need the same service are held back by the same place: a
+    lower class is never let in to a service where a higher one is refused. The
+    place follows the thresholds on answers, and drifts open by itself: the few
+    calls that pass by the drift are the probes. Services that hold nothing back
+    take no memory.
     """
 
     def __init__(self):
-        self._learnt: dict[str, _Learnt] = {}
+        self._services: dict[str, _ServiceLevel] = {}
+        self._needed: dict[str, dict[str, None]] = {}
         self._classes = 1
 
-    def learn(self, operation: str, threshold: Rank | None, now_ms: float) -> None:
-        """Take in the threshold of one answer; None: all were admitted."""
-        learnt = self._learnt.get(operation)
-        if learnt is None:
-            if threshold is None or len(self._learnt) >= MAX_OPERATIONS:
-                return
-            learnt = self._learnt[operation] = _Learnt(
-                place=float(self._classes), updated_at_ms=now_ms, since_ms=now_ms
-            )
-        self._drift(learnt, now_ms)
-        told = inf if threshold is None else position(threshold) + 1 / LEVELS
-        told = min(told, float(self._classes))
-        gain = STRICTER_GAIN if told < learnt.place else LAXER_GAIN
-        learnt.place += gain * (told - learnt.place)
+    def learn(
+        self,
+        operation: str,
+        thresholds: Iterable[ServiceThreshold],
+        now_ms: float,
+        *,
+        whole: bool,
+    ) -> None:
+        """Take in the thresholds of one answer.
+
+        Args:
+            operation: name of the operation that was answered.
+            thresholds: of the services under pressure that it met.
+            now_ms: monotonic time.
+            whole: whether the call went its whole way. Then the services that
+                it needs and that told no threshold admit all; a refused call
+                hasn't asked them.
+        """
+        met = dict(thresholds)
+        needed = self._needed.get(operation, {})
+        if whole:
+            for service in needed.keys() - met.keys():
+                self._told(service, inf, now_ms)
+        for service, rank in met.items():
+            self._need(operation, service)
+            self._told(service, position(rank) + 1 / LEVELS, now_ms)
 
     def admits(self, operation: str, rank: Rank, now_ms: float) -> bool:
         """Return whether a call of this rank may go on."""
         if rank.class_order >= self._classes:
             self._classes = rank.class_order + 1
-        learnt = self._learnt.get(operation)
-        if learnt is None:
-            return True
-        self._drift(learnt, now_ms)
-        if learnt.hold.closes(rank.class_order, now_ms):
+        held = self._held(operation, now_ms)
+        if any(level.refuses(rank, now_ms) for _, level in held):
             return False
-        if position(rank) >= learnt.place:
-            learnt.hold.refused(rank.class_order, now_ms)
-            return False
-        held = learnt.hold.lowest_open(now_ms) is not None
-        if learnt.place >= self._classes and not held:
-            del self._learnt[operation]
-        learnt.admitted += 1
+        for service, level in held:
+            level.admitted += 1
+            if level.is_open(self._classes, now_ms):
+                del self._services[service]
         return True
 
     def retry_after_ms(
@@ -105,15 +143,43 @@
             now_ms: monotonic time.
             rng: source of the jitter.
         """
-        learnt = self._learnt.get(operation)
-        if learnt is None:
+        levels = [level for _, level in self._held(operation, now_ms)]
+        if not levels:
             return ReturnSchedule().next_ms(spare_per_s=inf, now_ms=now_ms, rng=rng)
-        seconds = max(now_ms - learnt.since_ms, REOPEN_MS) / 1000
-        spare_per_s = learnt.admitted / seconds * MIN_RETURNS_SHARE
-        return learnt.returns.next_ms(spare_per_s=spare_per_s, now_ms=now_ms, rng=rng)
-
-    def _drift(self, learnt: _Learnt, now_ms: float) -> None:
-        elapsed_ms = max(0.0, now_ms - learnt.updated_at_ms)
-        drifted = learnt.place + self._classes * elapsed_ms / REOPEN_MS
-        learnt.place = min(drifted, float(self._classes))
-        learnt.updated_at_ms = now_ms
+        level = min(levels, key=lambda level: level.place)
+        seconds = max(now_ms - level.since_ms, REOPEN_MS) / 1000
+        spare_per_s = level.admitted / seconds * MIN_RETURNS_SHARE
+        return level.returns.next_ms(spare_per_s=spare_per_s, now_ms=now_ms, rng=rng)
+
+    def _held(self, operation: str, now_ms: float) -> list[tuple[str, _ServiceLevel]]:
+        """Return the services under pressure that an operation needs, as of now."""
+        if not self._services:
+            return []
+        held = [
+            (service, self._services[service])
+            for service in self._needed.get(operation, ())
+            if service in self._services
+        ]
+        for _, level in held:
+            level.drift(self._classes, now_ms)
+        return held
+
+    def _need(self, operation: str, service: str) -> None:
+        needed = self._needed.get(operation)
+        if needed is None:
+            if len(self._needed) >= MAX_OPERATIONS:
+                del self._needed[next(iter(self._needed))]
+            needed = self._needed[operation] = {}
+        if len(needed) < MAX_SERVICES:
+            needed[service] = None
+
+    def _told(self, service: str, place: float, now_ms: float) -> None:
+        level = self._services.get(service)
+        if level is None:
+            if place >= self._classes or len(self._services) >= MAX_SERVICES:
+                return
+            level = self._services[service] = _ServiceLevel(
+                place=float(self._classes), updated_at_ms=now_ms, since_ms=now_ms
+            )
+        level.drift(self._classes, now_ms)
+        level.told(min(place, float(self._classes)))
--- a/packages/sassafraswinch/sassafraswinch/messages.py
+++ b/packages/sassafraswinch/sassafraswinch/messages.py
@@ -24,6 +24,14 @@
     """Stable hash of organisation and root request, 0 to ``LEVELS - 1``."""
 
 
+class ServiceThreshold(NamedTuple):
+    """What one service under pressure admits."""
+
+    service: str
+    rank: Rank
+    """Calls of a greater rank would be refused there."""
+
+
 class NodeId(NamedTuple):
     """One run of a node process."""
 
@@ -97,8 +105,8 @@
     body: bytes = b""
     unspent: int = 0
     """Retries of the allowance that were not used."""
-    threshold: Rank | None = None
-    """Strictest threshold met at this node and below it."""
+    thresholds: tuple[ServiceThreshold, ...] = ()
+    """Strictest threshold of each service under pressure, here and below."""
     retry_after_ms: int = 0
     load: Load | None = None
 
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -346,7 +346,7 @@
                 number=answer.number,
                 verdict=Verdict.MAY_HAVE_RUN,
                 reason=answer.reason,
-                threshold=answer.threshold,
+                thresholds=answer.thresholds,
                 retry_after_ms=answer.retry_after_ms,
             )
         owned.attempt = None
--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -9,7 +9,7 @@
 
 from sassafraswinch.gate import BackendOutcome, Gate
 from sassafraswinch.levels import EntryShedder
-from sassafraswinch.messages import LEVELS, Rank
+from sassafraswinch.messages import LEVELS, Rank, ServiceThreshold
 from sassafraswinch.verdict import Reason
 
 TICK_MS = 10.0
@@ -205,7 +205,8 @@
             self._later(WAY_MS, self._learn, operation, threshold)
 
     def _learn(self, operation: str, threshold: Rank | None) -> None:
-        self.shedder.learn(operation, threshold, self.now_ms)
+        met = () if threshold is None else (ServiceThreshold("server", threshold),)
+        self.shedder.learn(operation, met, self.now_ms, whole=True)
 
     def _end(self, call: FakeCall, outcome, retry_after_ms: float) -> None:
         self.done.append(Done(call=call, at_ms=self.now_ms, outcome=outcome))
