Check platform URLs in the settings; tell the backend client's own reasons

Cause: a platform URL without an IP number passed the settings and ended the node at start with a traceback; a backend server's late answer was told as broken. Change: the field is named at start; reasons of the client go through.

--- a/packages/sassafraswinch-node/sassafraswinch_node/dispatcher.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/dispatcher.py
@@ -63,12 +63,7 @@
                 timeout_ms=call.remaining_ms,
             )
         except BackendError as error:
-            reason = (
-                Reason.BACKEND_UNREACHABLE
-                if error.verdict is Verdict.NOT_RUN
-                else Reason.BACKEND_BROKEN
-            )
-            return BackendResult(verdict=error.verdict, reason=reason)
+            return BackendResult(verdict=error.verdict, reason=error.reason)
         return BackendResult(
             verdict=Verdict.ANSWERED,
             status=answer.status,
--- a/packages/sassafraswinch-node/sassafraswinch_node/settings.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/settings.py
@@ -1,8 +1,10 @@
 """Settings of a node: what it can't learn from the platform."""
 
+import ipaddress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Literal
+from urllib.parse import urlsplit
 
 import yaml
 from pydantic import (
@@ -10,7 +12,6 @@
     BaseModel,
     ConfigDict,
     Field,
-    HttpUrl,
     ValidationError,
     model_validator,
 )
@@ -50,6 +51,18 @@
     return text
 
 
+def _check_platform_url(text: str) -> str:
+    parts = urlsplit(text)
+    if parts.scheme != "http" or parts.query or parts.fragment:
+        raise ValueError("expected http://ip:port")
+    try:
+        ipaddress.ip_address(parts.hostname or "")
+    except ValueError:
+        raise ValueError(f"{parts.hostname!r} is not an IP number") from None
+    return text.rstrip("/")
+
+
+PlatformUrl = Annotated[str, AfterValidator(_check_platform_url)]
 AddressText = Annotated[str, AfterValidator(_check_address)]
 
 
@@ -66,7 +79,7 @@
     operators: AddressText
     link: AddressText
     backend: AddressText
-    platform: list[Annotated[HttpUrl, Field(strict=False)]] = Field(min_length=1)
+    platform: list[PlatformUrl] = Field(min_length=1)
     gate: Literal["adaptive", "static", "open"] = "adaptive"
     slots_hint: int | None = Field(default=None, ge=1, le=100_000)
     max_connections: int = Field(default=512, ge=1, le=100_000)
@@ -138,7 +151,7 @@
         raise _faults(source, found) from None
     fields = model.model_dump()
     fields |= {name: parse_address(fields[name]) for name in ADDRESS_FIELDS}
-    fields["platform"] = tuple(str(url).rstrip("/") for url in model.platform)
+    fields["platform"] = tuple(model.platform)
     return Settings(**fields)
 
 
--- a/packages/sassafraswinch-node/tests/test_settings.py
+++ b/packages/sassafraswinch-node/tests/test_settings.py
@@ -63,8 +63,11 @@
     assert set(found) == {"host", "gate", "colour"}
 
 
-def test_platform_url_is_named_by_its_place():
-    found = faults_of(GOOD | {"platform": ["http://127.0.0.1:9000", "nonsense"]})
+@pytest.mark.parametrize(
+    "url", ["nonsense", "https://127.0.0.1:1", "http://platform:1", "http://127.0.0.1?"]
+)
+def test_platform_url_is_named_by_its_place(url):
+    found = faults_of(GOOD | {"platform": ["http://127.0.0.1:9000", url + "x=1"]})
     assert list(found) == ["platform.1"]
 
 
