Measure rates only where entries let calls through throughout

Cause: the threshold swung between the end of the paying class and half of the trial class. While a hold or a stricter threshold kept calls back at the entries, their missing calls counted as a low rate, and the next threshold opened too wide. Now offers are counted in 16 parts of a class, and those parts give the rate that were open throughout this interval and the one before.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -205,6 +205,9 @@
 
     def _decide(self, now_ms: float) -> None:
         slot_gap_ms = self._delay_ms(1)
+        lowest = self._hold.lowest_open(now_ms)
+        if lowest is not None:
+            self._threshold.held(lowest)
         self._delays.sample(self._waiting, slot_gap_ms)
         self._threshold.decide(
             capacity_per_s=1000 / slot_gap_ms if slot_gap_ms else float("inf"),
@@ -255,6 +258,7 @@
         """
         order = call.claim.class_order
         self._hold.refused(order, now_ms)
+        self._threshold.held(order)
         refused = [self._refusal(call, reason, now_ms)]
         while self._waiting and self._waiting.last_class() > order:
             evicted = self._waiting.pop_last()
--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -1,5 +1,8 @@
 """The threshold on rank that keeps the queue of one backend server short."""
 
+from dataclasses import dataclass, field
+from math import inf
+
 from sassafraswinch.levels import position, rank_at
 from sassafraswinch.messages import LEVELS, Rank
 
@@ -28,23 +31,53 @@
 """The strictest threshold: the first levels of the first class always pass."""
 
 
+BUCKETS = 16
+"""Parts of a class in which offered calls are counted: eight levels each."""
+
+BUCKET_LEVELS = LEVELS // BUCKETS
+
+
+@dataclass(slots=True, kw_only=True)
+class _ClassRate:
+    """What is offered of one class."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+    progressed: int = 0
+    fresh_per_s: float = 0.0
+    """Rate of calls without progress, of all levels, whether seen or not."""
+    progressed_per_s: float = 0.0
+
+    def measure(self, open_share: float, seconds: float) -> None:
+        """Take the counts of an interval in which this share could be seen."""
+        seen = int(open_share * BUCKETS)
+        if seen:
+            fresh_per_s = sum(self.counts[:seen]) * BUCKETS / seen / seconds
+            self.fresh_per_s += RATE_GAIN * (fresh_per_s - self.fresh_per_s)
+            progressed_per_s = self.progressed / seconds
+            self.progressed_per_s += RATE_GAIN * (
+                progressed_per_s - self.progressed_per_s
+            )
+        self.counts = [0] * BUCKETS
+        self.progressed = 0
+
+
 class Threshold:
     """Decides the greatest rank that is admitted.
 
     It measures the rate of offered calls for each class and admits as many
     ranks as the capacity carries; the queue delay corrects what the rates
     can't tell. Ranks that entries hold back aren't seen: the levels of a class
-    are a uniform hash, so its whole rate follows from the open levels.
+    are a uniform hash, so its whole rate follows from the levels that were open
+    throughout the last two intervals. Entries follow a threshold within one.
     """
 
     def __init__(self):
         self._place: float | None = None
         self._trim = 1.0
         self._calm_intervals = 0
-        self._counts: list[int] = [0]
-        self._fixed_counts: list[int] = [0]
-        self._rates_per_s: list[float] = [0.0]
-        self._fixed_per_s: list[float] = [0.0]
+        self._classes = [_ClassRate()]
+        self._seen_place = inf
+        self._seen_place_before = inf
         self._started_at_ms: float | None = None
 
     @property
@@ -67,20 +100,24 @@
 
     def offered(self, rank: Rank, progress: int) -> None:
         """Count a call that was offered."""
-        order = rank.class_order
-        while order >= len(self._counts):
-            self._counts.append(0)
-            self._fixed_counts.append(0)
-            self._rates_per_s.append(0.0)
-            self._fixed_per_s.append(0.0)
+        while rank.class_order >= len(self._classes):
+            self._classes.append(_ClassRate())
+        of_class = self._classes[rank.class_order]
         if progress:
-            self._fixed_counts[order] += 1
-        elif self._place is None or position(rank) < self._place:
-            self._counts[order] += 1
+            of_class.progressed += 1
+        else:
+            of_class.counts[rank.level // BUCKET_LEVELS] += 1
+
+    def held(self, lowest_open: int) -> None:
+        """Note that entries are told to hold back all below a class."""
+        self._seen_place = min(self._seen_place, lowest_open + 1.0)
 
     def rate_above_per_s(self, class_order: int) -> float:
         """Return the rate offered by more important classes, calls a second."""
-        return sum(self._rates_per_s[:class_order] + self._fixed_per_s[:class_order])
+        return sum(
+            of_class.fresh_per_s + of_class.progressed_per_s
+            for of_class in self._classes[:class_order]
+        )
 
     def due(self, now_ms: float) -> bool:
         """Return whether an interval has ended."""
@@ -105,6 +142,7 @@
         self._measure(now_ms)
         if self._place is None:
             if standing is None:
+                self._seen_place_before, self._seen_place = self._seen_place, inf
                 return
             self._trim = 1.0
         else:
@@ -115,38 +153,26 @@
     def _measure(self, now_ms: float) -> None:
         seconds = max(now_ms - (self._started_at_ms or 0.0), 1.0) / 1000
         self._started_at_ms = now_ms
-        for order in range(len(self._counts)):
-            open_share = self._open_share(order)
-            if open_share > 0:
-                rate = self._counts[order] / open_share / seconds
-                self._rates_per_s[order] += RATE_GAIN * (
-                    rate - self._rates_per_s[order]
-                )
-                fixed = self._fixed_counts[order] / seconds
-                self._fixed_per_s[order] += RATE_GAIN * (
-                    fixed - self._fixed_per_s[order]
-                )
-            self._counts[order] = self._fixed_counts[order] = 0
-
-    def _open_share(self, order: int) -> float:
-        if self._place is None:
-            return 1.0
-        return min(max(self._place - order, 0.0), 1.0)
+        place = min(self._seen_place, self._seen_place_before)
+        for order, of_class in enumerate(self._classes):
+            of_class.measure(min(max(place - order, 0.0), 1.0), seconds)
 
     def _fitting(self, rate_per_s: float) -> float:
         left = rate_per_s
-        for order, rate in enumerate(self._rates_per_s):
-            left -= self._fixed_per_s[order]
-            if rate > max(left, 0.0):
-                return order + max(left, 0.0) / rate
-            left -= rate
-        return float(len(self._rates_per_s))
+        for order, of_class in enumerate(self._classes):
+            left = max(left - of_class.progressed_per_s, 0.0)
+            if of_class.fresh_per_s > left:
+                return order + left / of_class.fresh_per_s
+            left -= of_class.fresh_per_s
+        return float(len(self._classes))
 
     def _move(self, place: float, standing: int | None) -> None:
-        classes = len(self._rates_per_s)
+        classes = len(self._classes)
         before = classes if self._place is None else self._place
         lowest = before if standing is None else standing
         place = max(min(place, before + OPEN_STEP * classes), lowest, MIN_OPEN)
         calm = place >= classes and standing is None
         self._calm_intervals = self._calm_intervals + 1 if calm else 0
         self._place = None if self._calm_intervals >= OPEN_INTERVALS else place
+        self._seen_place_before = self._seen_place
+        self._seen_place = inf if self._place is None else self._place
