Measure the threshold by the limit that a ramp leads to

Cause: after a drain the limit was 2 and rising, the threshold took it for the capacity, entries refused paying calls by it, and the ramp, which needs calls to go on, took 700 ms. Ruled out: the ramp itself (without an entry it took 200 ms).

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -28,8 +28,8 @@
 MIN_QUEUE = 4
 """Calls that may wait however slowly slots come free."""
 
-UNKNOWN_CAPACITY_PER_S = 100.0
-"""Calls a second that returns are spread over before any call has ended."""
+UNKNOWN_CAPACITY_PER_S = 1_000.0
+"""Calls a second that are taken to fit before any call has ended."""
 
 SLOT_TIME_GAIN = 0.05
 """Weight of one call in the mean time that a call holds its slot: twenty calls."""
@@ -210,7 +210,7 @@
             self._threshold.held(lowest)
         self._delays.sample(self._waiting, slot_gap_ms)
         self._threshold.decide(
-            capacity_per_s=1000 / slot_gap_ms if slot_gap_ms else float("inf"),
+            capacity_per_s=self._capacity_per_s(),
             standing=self._delays.standing(slot_gap_ms),
             now_ms=now_ms,
         )
@@ -218,6 +218,16 @@
     def _delay_ms(self, calls: int) -> float:
         return calls * self._slot_time_ms / self._limit.limit
 
+    def _capacity_per_s(self) -> float:
+        """Return the calls a second that can be finished once a ramp is over.
+
+        Measured by the limit of the moment, a server that comes back would
+        make entries refuse the very calls that its ramp needs to go on.
+        """
+        if not self._slot_time_ms:
+            return UNKNOWN_CAPACITY_PER_S
+        return 1000 * self._limit.goal / self._slot_time_ms
+
     def _queue_bound(self) -> int:
         gap_ms = self._delay_ms(1)
         return max(MIN_QUEUE, int(MAX_WAIT_MS / gap_ms)) if gap_ms else MIN_QUEUE
@@ -268,8 +278,7 @@
     def _refusal(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
         order = call.claim.class_order
         returns = self._returns.setdefault(order, ReturnSchedule())
-        gap_ms = self._delay_ms(1)
-        capacity_per_s = 1000 / gap_ms if gap_ms else UNKNOWN_CAPACITY_PER_S
+        capacity_per_s = self._capacity_per_s()
         spare_per_s = max(
             capacity_per_s - self._threshold.rate_above_per_s(order + 1),
             capacity_per_s * MIN_RETURNS_SHARE,
--- a/packages/sassafraswinch/sassafraswinch/limits.py
+++ b/packages/sassafraswinch/sassafraswinch/limits.py
@@ -121,6 +121,11 @@
         """Calls that may be in flight."""
         return int(self._limit)
 
+    @property
+    def goal(self) -> int:
+        """The limit that a running ramp leads to within a few service times."""
+        return int(max(self._limit, self._goal()))
+
     def allowed(self, now_ms: float) -> int:
         """Return the limit for calls that start now, lowered while dithering."""
         if not self._dithers:
