Jitter returns by a fixed time, and spread them where the line is full

Cause: a jitter of a quarter of the wait moved returns of late turns into earlier seconds: test_returns_match_the_spare_capacity, with 100 a second spare and 300 refused, failed on it (80 to 120 a second asked). Ruled out: the line itself, whose turns are exact. At the cap all waits were 5 s +-25%, as steep as the refusals; they are now spread over half of it.

--- a/packages/sassafraswinch/sassafraswinch/retry_after.py
+++ b/packages/sassafraswinch/sassafraswinch/retry_after.py
@@ -8,9 +8,13 @@
 MAX_MS = 5_000.0
 """Longest wait told: a caller that could be served shall not stay away longer."""
 
-JITTER_SHARE = 0.25
-"""Waits are spread by this share to both sides, so that no front of refused
-callers comes back as one."""
+JITTER_MS = 100.0
+"""Random part of a wait: callers refused in one instant don't come back in one. A
+share of the wait would move returns of late turns into earlier seconds."""
+
+FULL_SHARE = 0.5
+"""Least share of ``MAX_MS`` told when the line is longer than that: all waits would
+be the same there, and the returns would be as steep as the refusals."""
 
 MIN_PACE_PER_S = 0.1
 """Slowest line of returning callers, calls a second."""
@@ -45,6 +49,7 @@
         self._due = max(0.0, self._due - elapsed_ms * pace_per_ms)
         self._updated_at_ms = now_ms
         self._due = min(self._due + 1, MAX_MS * pace_per_ms + 1)
-        wait_ms = min(MIN_MS + self._due / pace_per_ms, MAX_MS)
-        spread = 1 + JITTER_SHARE * (2 * rng.random() - 1)
-        return int(wait_ms * spread)
+        wait_ms = MIN_MS + self._due / pace_per_ms
+        if wait_ms < MAX_MS:
+            return int(wait_ms + rng.uniform(0, JITTER_MS))
+        return int(rng.uniform(FULL_SHARE * MAX_MS, MAX_MS))
