--- a/packages/sassafraswinch/sassafraswinch/claims.py
+++ b/packages/sassafraswinch/sassafraswinch/claims.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from sassafraswinch.messages import DocumentRequest
+from sassafraswinch.messages import DocumentRequest, NodeId
 
 FETCH_TIMEOUT_MS = 1_500
 """An unanswered request is given up after this long and another peer is asked."""
@@ -46,7 +46,7 @@
 class Fetch:
     """A request to send to one peer."""
 
-    peer: str
+    peer: NodeId
     request: DocumentRequest
 
 
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Open:
-    peer: str
+    peer: NodeId
     stamp: Stamp
     sent_at_ms: float
 
@@ -78,22 +78,26 @@
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
-        self._claims: dict[str, _Claim] = {}
+        self._claims: dict[NodeId, _Claim] = {}
         self._open: _Open | None = None
 
-    def heard(self, peer: str, stamp: Stamp, *, near: bool) -> None:
-        """Replace the claim of a peer; a repeated one keeps its failures."""
+    def heard(self, peer: NodeId, stamp: Stamp, *, near: bool) -> None:
+        """Raise the claim of a peer; a repeated one keeps its failures.
+
+        One run of a peer only moves up, so a lower claim is an old message
+        that another link to it delivers late.
+        """
         claim = self._claims.get(peer)
-        if claim is None or claim.stamp != stamp:
+        if claim is None or supersedes(stamp, claim.stamp):
             self._claims[peer] = _Claim(stamp=stamp, near=near)
 
-    def drop(self, peer: str) -> None:
+    def drop(self, peer: NodeId) -> None:
         """Forget a peer."""
         self._claims.pop(peer, None)
         if self._open and self._open.peer == peer:
             self._open = None
 
-    def failed(self, peer: str, now_ms: float) -> None:
+    def failed(self, peer: NodeId, now_ms: float) -> None:
         """Note that a peer didn't deliver, and close the request to it."""
         if self._open and self._open.peer == peer:
             self._open = None
@@ -104,7 +108,7 @@
         claim.failures = min(claim.failures + 1, 16)
         claim.retry_at_ms = now_ms + pause_ms * self._rng.uniform(0.5, 1.5)
 
-    def delivered(self, peer: str, stamp: Stamp, now_ms: float) -> None:
+    def delivered(self, peer: NodeId, stamp: Stamp, now_ms: float) -> None:
         """Note what a peer delivered; less than it claimed is a failure."""
         claim = self._claims.get(peer)
         if claim and supersedes(claim.stamp, stamp):
@@ -144,20 +148,20 @@
     def undelivered(
         self, held: Stamp, is_refused: Callable[[Stamp], bool]
     ) -> tuple[str, ...]:
-        """Return the peers that claim a newer content and failed to deliver it."""
+        """Return the hosts that claim a newer content and failed to deliver it."""
         wanted = self._wanted(held, is_refused)
-        return tuple(sorted(peer for peer, claim in wanted if claim.failures))
+        return tuple(sorted(peer.host for peer, claim in wanted if claim.failures))
 
     def _wanted(
         self, held: Stamp, is_refused: Callable[[Stamp], bool]
-    ) -> list[tuple[str, _Claim]]:
+    ) -> list[tuple[NodeId, _Claim]]:
         return [
             (peer, claim)
             for peer, claim in self._claims.items()
             if supersedes(claim.stamp, held) and not is_refused(claim.stamp)
         ]
 
-    def _preference(self, item: tuple[str, _Claim]) -> tuple:
+    def _preference(self, item: tuple[NodeId, _Claim]) -> tuple:
         _, claim = item
         return (
             -claim.stamp.version,
--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -1,9 +1,9 @@
 """Which configuration document is in force: versions only rise, on every node alike."""
 
+import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 from sassafraswinch.claims import (
     NO_STAMP,
@@ -18,7 +18,7 @@
     InvalidFieldsError,
     InvariantError,
 )
-from sassafraswinch.messages import DocumentReply, DocumentRequest
+from sassafraswinch.messages import DocumentReply, DocumentRequest, NodeId
 from sassafraswinch.offers import (
     Candidate,
     Conflict,
@@ -29,12 +29,7 @@
     Refusal,
     Source,
 )
-
-SYNC_WAIT_MS = 3_000
-"""How long a node listens to its peers before it serves on a copy of its own."""
-
-SYNC_LIMIT_MS = 15_000
-"""How long a claim of a newer version that no peer delivers may hold a node back."""
+from sassafraswinch.sync import PeerSync
 
 KNOWN_CONTENTS = 64
 """Contents remembered by digest, so that none is parsed or refused twice."""
@@ -43,18 +38,6 @@
 """Latest conflicts kept for the report."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Sync:
-    """A wait for the peers' word on the newest version."""
-
-    started_ms: float
-    expected: set[str]
-    confirmed: set[str] = field(default_factory=set)
-
-    def heard_all(self) -> bool:
-        return bool(self.expected) and self.expected <= self.confirmed
-
-
 class ConfigKeeper:
     """Keeps the document in force on one node.
 
@@ -85,7 +68,7 @@
         self._stamp = NO_STAMP
         self._source: Source | None = None
         self._since_ms = 0.0
-        self._sync: _Sync | None = _Sync(started_ms=float("inf"), expected=set())
+        self._sync: PeerSync | None = PeerSync(started_ms=math.inf)
         self._refusal: Refusal | None = None
         self._conflicts: deque[Conflict] = deque(maxlen=REPORTED_CONFLICTS)
 
@@ -110,15 +93,13 @@
         Called at start and after a wake. Failure guarded against: a node that
         lost its memory reads a stale copy from the platform, or a paused one
         acts on what it held before, and serves an older version than its peers.
-        The wait ends once every expected peer answered and nothing newer is
-        claimed, or after ``SYNC_WAIT_MS``; a claim not yet delivered prolongs
-        it up to ``SYNC_LIMIT_MS``.
+        ``PeerSync`` says when the wait ends.
 
         Args:
             now_ms: monotonic milliseconds.
             expected: hosts whose answer ends the wait early.
         """
-        self._sync = _Sync(started_ms=now_ms, expected=set(expected))
+        self._sync = PeerSync(started_ms=now_ms, expected=expected)
 
     def read(self, body: bytes) -> Candidate:
         """Parse a body; changes nothing, so that a thread may run it."""
@@ -165,12 +146,18 @@
         )
 
     def heard(
-        self, peer: str, version: int, digest: str, now_ms: float, *, near: bool = True
+        self,
+        peer: NodeId,
+        version: int,
+        digest: str,
+        now_ms: float,
+        *,
+        near: bool = True,
     ) -> tuple[Fetch, ...]:
         """Take in the version that a peer says it holds.
 
         Args:
-            peer: name of the peer's host.
+            peer: the peer, one run of it.
             version: version in force there; 0 for none.
             digest: digest in force there.
             now_ms: monotonic milliseconds.
@@ -186,26 +173,23 @@
         return self.tick(now_ms)
 
     def confirmed(
-        self, peer: str, sent_at_ms: float, now_ms: float
+        self, peer: NodeId, sent_at_ms: float, now_ms: float
     ) -> tuple[Fetch, ...]:
-        """Take in that a peer answered a heartbeat sent at ``sent_at_ms``.
-
-        A link keeps order, so all that the peer said before has been heard by
-        now. Only an answer to a heartbeat sent after the sync began counts:
-        what lay in the buffers of a paused process is as old as the pause.
-        """
-        if self._sync and sent_at_ms >= self._sync.started_ms:
-            self._sync.confirmed.add(peer)
+        """Take in that a peer answered a heartbeat sent at ``sent_at_ms``."""
+        if self._sync:
+            self._sync.confirmed(peer.host, sent_at_ms)
         return self.tick(now_ms)
 
-    def reply(self, peer: str, reply: DocumentReply, now_ms: float) -> Offered | None:
+    def reply(
+        self, peer: NodeId, reply: DocumentReply, now_ms: float
+    ) -> Offered | None:
         """Take in a peer's answer to a request; None if it sent no document."""
         if not reply.body:
             self._claims.failed(peer, now_ms)
             return None
         return self.fetched(peer, self.read(reply.body), now_ms)
 
-    def fetched(self, peer: str, candidate: Candidate, now_ms: float) -> Offered:
+    def fetched(self, peer: NodeId, candidate: Candidate, now_ms: float) -> Offered:
         """Take in what ``read`` made of a peer's answer."""
         self._claims.delivered(peer, candidate.stamp, now_ms)
         return self.take(candidate, Source.PEER, now_ms)
@@ -219,11 +203,11 @@
             return DocumentReply(version=request.version, body=b"")
         return DocumentReply(version=document.version, body=document.body)
 
-    def peer_lost(self, peer: str, now_ms: float) -> tuple[Fetch, ...]:
+    def peer_lost(self, peer: NodeId, now_ms: float) -> tuple[Fetch, ...]:
         """Drop the claim of a peer whose last link is lost."""
         self._claims.drop(peer)
         if self._sync:
-            self._sync.expected.discard(peer)
+            self._sync.lost(peer.host)
         return self.tick(now_ms)
 
     def tick(self, now_ms: float) -> tuple[Fetch, ...]:
@@ -298,13 +282,8 @@
         return known is not None and bool(known.errors)
 
     def _end_sync(self, now_ms: float) -> None:
-        sync = self._sync
-        if sync is None or self._document is None:
-            return
-        waited_ms = now_ms - sync.started_ms
-        if waited_ms < SYNC_WAIT_MS and not sync.heard_all():
+        if self._sync is None or self._document is None:
             return
         unmet = self._claims.is_unmet(self._stamp, self._is_refused)
-        if unmet and waited_ms < SYNC_LIMIT_MS:
-            return
-        self._sync = None
+        if self._sync.is_over(now_ms, unmet=unmet):
+            self._sync = None
