--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -170,14 +170,17 @@
         self._claims.heard(peer, stamp, near=near)
         if version and version == self._stamp.version and stamp != self._stamp:
             self._note_conflict(stamp, now_ms)
+        if self._sync is None and not supersedes(stamp, self._stamp):
+            return ()
         return self.tick(now_ms)
 
     def confirmed(
         self, peer: NodeId, sent_at_ms: float, now_ms: float
     ) -> tuple[Fetch, ...]:
         """Take in that a peer answered a heartbeat sent at ``sent_at_ms``."""
-        if self._sync:
-            self._sync.confirmed(peer.host, sent_at_ms)
+        if self._sync is None:
+            return ()
+        self._sync.confirmed(peer.host, sent_at_ms)
         return self.tick(now_ms)
 
     def reply(
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_lifecycle.py
@@ -0,0 +1,54 @@
+"""States of a node, and the detector of pauses."""
+
+from sassafraswinch.lifecycle import LEAVE_NOTICE_MS, Lifecycle, NodeState
+from sassafraswinch.wake import WakeDetector
+
+
+def test_a_planned_stop_waits_for_notice_and_for_calls_in_flight():
+    """A host is drained while a call runs and peers still send to it.
+
+    The node refuses new calls at once, stays up until its peers have had time
+    to hear and the call is answered, and never serves again.
+    """
+    node = Lifecycle()
+    node.listening()
+    node.synced()
+    assert node.takes_calls
+    node.leave(1_000.0)
+    node.leave(9_000.0)
+    node.woke()
+    node.synced()
+    assert node.leaving and not node.takes_calls
+    node.tick(1_000.0 + LEAVE_NOTICE_MS - 1, in_flight=0)
+    node.tick(1_000.0 + LEAVE_NOTICE_MS, in_flight=1)
+    assert node.state is NodeState.LEAVING
+    node.tick(1_000.0 + LEAVE_NOTICE_MS, in_flight=0)
+    assert node.state is NodeState.STOPPED
+
+
+def test_ticks_before_leaving_stop_nothing():
+    node = Lifecycle()
+    node.tick(1e9, in_flight=0)
+    node.listening()
+    node.synced()
+    node.tick(1e9, in_flight=0)
+    assert node.state is NodeState.SERVING
+    node.woke()
+    assert not node.takes_calls
+    node.cut()
+    assert node.state is NodeState.STOPPED
+
+
+def test_a_pause_is_noticed_by_the_first_event_after_it():
+    """SIGSTOP for a minute, and a suspended virtual machine.
+
+    The first shows as a gap of the monotonic clock, the second as a step of the
+    wall clock alone. Regular ticks are no pause.
+    """
+    detector = WakeDetector(tick_ms=250)
+    assert not detector.observe(monotonic_ms=1_000, wall_ms=5_000_000)
+    assert not detector.observe(monotonic_ms=1_250, wall_ms=5_000_250)
+    assert detector.observe(monotonic_ms=61_250, wall_ms=5_060_250)
+    assert not detector.observe(monotonic_ms=61_500, wall_ms=5_060_500)
+    assert detector.observe(monotonic_ms=61_750, wall_ms=5_160_750)
+    assert not detector.observe(monotonic_ms=62_000, wall_ms=5_161_000)
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_read_budget.py
@@ -0,0 +1,104 @@
+"""Reads of the platform by a whole fleet, in simulated time."""
+
+import heapq
+import itertools
+import random
+from bisect import bisect_left
+
+import pytest
+
+from sassafraswinch.read_budget import (
+    HOST_WATCHES,
+    READS_PER_S,
+    WatchOutcome,
+    WatchSchedule,
+)
+
+NODES = 560
+DOWN_MS, UP_MS, END_MS = 60_000, 180_000, 300_000
+CHANGES_MS = (30_000, UP_MS, 240_000)
+"""Document and host list both change at these times."""
+
+
+def finish(schedule, at_ms, seen):
+    """Return when a read issued at ``at_ms`` ends, how, and the version seen."""
+    if DOWN_MS <= at_ms < UP_MS:
+        return at_ms + 5, WatchOutcome.FAILED, seen
+    version = sum(change <= at_ms for change in CHANGES_MS)
+    if version > seen:
+        return at_ms + 5, WatchOutcome.CHANGED, version
+    ends_ms = at_ms + schedule.wait_ms()
+    if at_ms < DOWN_MS <= ends_ms:
+        return DOWN_MS, WatchOutcome.FAILED, seen
+    change = next((c for c in CHANGES_MS if at_ms < c <= ends_ms), None)
+    if change is None:
+        return ends_ms, WatchOutcome.UNCHANGED, seen
+    return change, WatchOutcome.CHANGED, seen + 1
+
+
+def simulate(schedules):
+    """Run all schedules; return (begin, end, outcome) of each read."""
+    due = [(s.first_delay_ms(), i, 0) for i, s in enumerate(schedules)]
+    heapq.heapify(due)
+    reads = []
+    while due[0][0] < END_MS:
+        at_ms, i, seen = heapq.heappop(due)
+        ends_ms, outcome, seen = finish(schedules[i], at_ms, seen)
+        reads.append((at_ms, ends_ms, outcome))
+        pause_ms = schedules[i].next_delay_ms(outcome)
+        heapq.heappush(due, (ends_ms + pause_ms, i, seen))
+    return reads
+
+
+def busiest_second(reads, *, waiting):
+    """Return the most reads in any second; ``waiting`` adds those still open."""
+    begins = sorted(begin for begin, _, _ in reads)
+    ends = sorted(end for _, end, _ in reads)
+
+    def load(begin):
+        last = bisect_left(begins, begin + 1_000)
+        first = bisect_left(ends if waiting else begins, begin)
+        return last - first
+
+    return max(load(begin) for begin in begins)
+
+
+def fleet(rng):
+    documents = [WatchSchedule(rng=rng, nodes=NODES) for _ in range(NODES)]
+    lists = [
+        WatchSchedule(rng=rng, nodes=NODES, watches=HOST_WATCHES) for _ in range(NODES)
+    ]
+    return documents, lists
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_fleet_stays_within_the_read_budget(seed):
+    """All nodes start at once; the platform fails for two minutes and returns.
+
+    Both streams have changed at its return, so each read is answered at once
+    and followed by another. A waiting watch is counted in each of its seconds.
+    """
+    documents, lists = fleet(random.Random(seed))
+    reads = simulate(documents + lists)
+    assert busiest_second(reads, waiting=False) < READS_PER_S / 2
+    assert busiest_second(reads, waiting=True) < READS_PER_S
+
+
+def test_a_change_is_seen_at_once_by_some_node_and_an_outage_ends_soon():
+    """Few watches wait at a time; some of them must always be there."""
+    documents, _ = fleet(random.Random(7))
+    reads = simulate(documents)
+    changed = sorted(e for _, e, o in reads if o is WatchOutcome.CHANGED)
+    first_after = [changed[bisect_left(changed, change)] for change in CHANGES_MS]
+    assert all(
+        seen < change + 1_000
+        for seen, change in zip(first_after, CHANGES_MS, strict=True)
+    )
+
+
+def test_without_peers_a_node_reads_often():
+    """A node without links hears of a change from the platform alone."""
+    schedule = WatchSchedule(rng=random.Random(1), nodes=NODES)
+    schedule.set_isolated(True)
+    delays = (schedule.next_delay_ms(WatchOutcome.UNCHANGED) for _ in itertools.count())
+    assert max(itertools.islice(delays, 1_000)) < 3_000
