--- a/packages/sassafraswinch-standins/sassafraswinch_standins/bench.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/bench.py
@@ -32,6 +32,8 @@
     "wrong_answers",
     "told_not_run_but_ran",
     "doubled_actions",
+    "unsure_actions",
+    "unsure_actions_not_run",
     "node_cores_normal",
 )
 """Figures that are summed up over the seeds."""
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/bench_run.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/bench_run.py
@@ -1,7 +1,10 @@
 """One run of the bench: a fleet, a scenario, a policy and a seed."""
 
+import itertools
 import tempfile
 import time
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +18,8 @@
     goodput,
     inversions,
     recovery_ms,
+    request_of,
+    traffic_of,
     wasted_share,
 )
 from sassafraswinch_standins.fleet import Fleet
@@ -26,6 +31,7 @@
 """Time that callers get to import before the load starts, in milliseconds."""
 
 NON_REPEATABLE = {"approve-order", "release-order"}
+NON_REPEATABLE_TRAFFIC = {"approve", "release"}
 
 
 def _callers(
@@ -103,7 +109,9 @@
     series = Series(reports)
     everything = [traffic.name for traffic in graph.traffic]
     good_tries = {i for report in reports for i in report["ids"]["good"]}
-    not_run = {i for report in reports for i in report["ids"]["not_run"]}
+    not_run = merged(report["ids"]["not_run"] for report in reports)
+    unsure = merged(report["ids"]["may_have_run"] for report in reports)
+    ran = {run["request_id"] for run in runs}
     calls = {n: d.calls for n, d in traffic_demands(graph, slow={}).items()}
     figures = [item for r in reports for item in r["traffic"].items()]
     inverted, refused = inversions(graph, series, runs, started_at_ms, timeline)
@@ -123,8 +131,11 @@
         "honoured_hints_good_share": sum(f["hinted_good"] for _, f in figures)
         / max(1, hinted),
         "wrong_answers": sum(f["outcomes"]["wrong"] for _, f in figures),
-        "told_not_run_but_ran": len(not_run & {run["request_id"] for run in runs}),
+        "told_not_run_but_ran": len(ran & set(not_run)),
+        "unsure_actions": len(actions_of(unsure)),
+        "unsure_actions_not_run": len(actions_of(unsure) - ran),
         "doubled_actions": doubled(runs, NON_REPEATABLE),
+        "violations": violations(runs, not_run),
         "outcomes": _outcomes(figures),
         "latency": _latencies(figures),
         "reasons": _reasons(figures),
@@ -137,6 +148,32 @@
     }
 
 
+def merged(groups: Iterable[Mapping[str, str]]) -> dict[str, str]:
+    """Join mappings of ids to reasons."""
+    return dict(itertools.chain.from_iterable(group.items() for group in groups))
+
+
+def actions_of(tries: Iterable[str]) -> set[str]:
+    """Return the tries of traffic that must not repeat."""
+    return {i for i in tries if traffic_of(i) in NON_REPEATABLE_TRAFFIC}
+
+
+def violations(
+    runs: Sequence[Mapping[str, Any]], not_run: Mapping[str, str]
+) -> list[dict[str, Any]]:
+    """Return the runs that speak against what a caller was told, or that doubled."""
+    actions: dict[str, list[Mapping[str, Any]]] = defaultdict(list)
+    for run in runs:
+        if run["operation"] in NON_REPEATABLE:
+            actions[request_of(run["request_id"])].append(run)
+    doubles = [run for group in actions.values() if len(group) > 1 for run in group]
+    told = [run for run in runs if run["request_id"] in not_run]
+    return [
+        {**run, "told_not_run": not_run.get(run["request_id"])}
+        for run in {id(run): run for run in [*told, *doubles]}.values()
+    ]
+
+
 def _outcomes(figures) -> dict[str, dict[str, int]]:
     sums: dict[str, dict[str, int]] = {}
     for _, item in figures:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/caller.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/caller.py
@@ -59,8 +59,9 @@
     """Ids of tries by what the caller was told last about each."""
 
     good: list[str] = field(default_factory=list)
-    not_run: list[str] = field(default_factory=list)
-    may_have_run: list[str] = field(default_factory=list)
+    not_run: dict[str, str] = field(default_factory=dict)
+    """With the reason that the node gave."""
+    may_have_run: dict[str, str] = field(default_factory=dict)
 
 
 class Caller:
@@ -139,7 +140,7 @@
             result = await self._attempt(pending)
             pause_ms = self._next_pause_ms(pending, result)
             if pause_ms is None:
-                self._end(pending, result.outcome)
+                self._end(pending, result)
                 return
             if pause_ms > 0:
                 await asyncio.sleep(pause_ms / 1000)
@@ -202,7 +203,7 @@
             pending.tally.hinted_good += pending.hinted
             self.ids.good.append(pending.request_id)
         elif result.outcome is Outcome.NOT_RUN:
-            self.ids.not_run.append(pending.request_id)
+            self.ids.not_run[pending.request_id] = result.reason or "backend-shed"
         if result.ticket is not None:
             ticket = KeptTicket(
                 text=result.ticket, entry=pending.entry, kept_at_ms=now_ms()
@@ -241,12 +242,12 @@
         pause_ms = result.retry_after_ms if pending.hinted else retries.pause_ms
         return pause_ms if pause_ms < left_ms else None
 
-    def _end(self, pending: Pending, outcome: Outcome) -> None:
+    def _end(self, pending: Pending, result: AttemptResult) -> None:
         ended_at_ms = now_ms()
-        if outcome is Outcome.MAY_HAVE_RUN:
-            self.ids.may_have_run.append(pending.request_id)
+        if result.outcome is Outcome.MAY_HAVE_RUN:
+            self.ids.may_have_run[pending.request_id] = result.reason or "unknown"
         pending.tally.end(
-            outcome,
+            result.outcome,
             at_ms=ended_at_ms - self._started_at_ms,
             latency_ms=ended_at_ms - pending.scheduled_at_ms,
             objective_ms=pending.traffic.objective_ms,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
@@ -213,7 +213,7 @@
 
     def _start(self) -> None:
         for zone in AVAILABILITY_ZONES:
-            self.platforms[zone] = self.layout.free_address()
+            self.platforms[zone] = self.layout.addresses.free_address()
             self._add(
                 f"platform-{zone}",
                 f"{STANDINS}.platform",
@@ -236,7 +236,7 @@
         self.wait_ready()
 
     def _add_relay(self) -> None:
-        self.relay_address = self.layout.free_address()
+        self.relay_address = self.layout.addresses.free_address()
         routes = [
             {
                 "name": name,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/layout.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/layout.py
@@ -1,11 +1,10 @@
 """Hosts of a fleet, their addresses, and how each availability zone sees them."""
 
-import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from sassafraswinch_standins.graph import AVAILABILITY_ZONES, Graph, ServicePlan
-from sassafraswinch_standins.processes import free_address
+from sassafraswinch_standins.processes import AddressBook
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,7 +35,7 @@
     """
 
     def __init__(self, *, graph: Graph, relay_links: bool):
-        self._ports = random.Random()
+        self.addresses = AddressBook()
         hosts = [
             self._make_host(plan, number)
             for plan in graph.services
@@ -46,10 +45,6 @@
         self.routes = self._make_routes() if relay_links else {}
         """Addresses of the relay by ``zone>host``."""
 
-    def free_address(self) -> str:
-        """Return ``ip:port`` of a port that is free now."""
-        return free_address(self._ports)
-
     def inside(self, availability_zone: str) -> list[Host]:
         """Return the hosts of an availability zone."""
         return [
@@ -96,12 +91,12 @@
             name=f"{plan.name}-{number + 1}",
             plan=plan,
             availability_zone=AVAILABILITY_ZONES[number % len(AVAILABILITY_ZONES)],
-            **{listener: self.free_address() for listener in listeners},
+            **{listener: self.addresses.free_address() for listener in listeners},
         )
 
     def _make_routes(self) -> dict[str, str]:
         return {
-            f"{zone}>{host.name}": self.free_address()
+            f"{zone}>{host.name}": self.addresses.free_address()
             for zone in AVAILABILITY_ZONES
             for host in self.hosts.values()
             if host.availability_zone != zone
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
@@ -30,8 +30,6 @@
 those takes a number between the look and the bind.
 """
 
-LOCAL_IP = "127.0.0.1"
-
 POLL_S = 0.02
 """Interval of looks at a process that starts, in seconds."""
 
@@ -57,13 +55,30 @@
         self.log_tail = log_tail
 
 
-def free_address(rng: random.Random) -> str:
-    """Return ``ip:port`` of a port that is free now."""
-    while True:
-        port = rng.randint(FIRST_PORT, LAST_PORT)
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind((LOCAL_IP, port))
-            return f"{LOCAL_IP}:{port}"
+class AddressBook:
+    """Gives addresses of ports that are free now, each of them once.
+
+    A port is bound only when its process starts, seconds later. Two fleets that run
+    at once would take each other's, and the node that comes second would end with
+    "address already in use"; so each book draws its own loopback IP number.
+    """
+
+    def __init__(self):
+        rng = random.SystemRandom()
+        self._rng = rng
+        self._ip = f"127.{rng.randint(1, 254)}.{rng.randint(1, 254)}.1"
+        self._given: set[int] = set()
+
+    def free_address(self) -> str:
+        """Return ``ip:port``."""
+        while True:
+            port = self._rng.randint(FIRST_PORT, LAST_PORT)
+            if port in self._given:
+                continue
+            with contextlib.suppress(OSError), socket.socket() as probe:
+                probe.bind((self._ip, port))
+                self._given.add(port)
+                return f"{self._ip}:{port}"
 
 
 def child_environment() -> dict[str, str]:
