--- a/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
@@ -30,6 +30,19 @@
 those takes a number between the look and the bind.
 """
 
+
+def _own_loopback_ip() -> str:
+    rng = random.SystemRandom()
+    return f"127.{rng.randint(1, 254)}.{rng.randint(1, 254)}.1"
+
+
+LOCAL_IP = _own_loopback_ip()
+"""IP number of all listeners that this process lays out.
+
+Failure guarded against: fleets of two test runs draw the same port seconds before it
+is bound; shows as "address already in use". Each run has its own number.
+"""
+
 POLL_S = 0.02
 """Interval of looks at a process that starts, in seconds."""
 
@@ -55,30 +68,24 @@
         self.log_tail = log_tail
 
 
-class AddressBook:
-    """Gives addresses of ports that are free now, each of them once.
+_given_ports: set[int] = set()
 
-    A port is bound only when its process starts, seconds later. Two fleets that run
-    at once would take each other's, and the node that comes second would end with
-    "address already in use"; so each book draws its own loopback IP number.
-    """
 
-    def __init__(self):
-        rng = random.SystemRandom()
-        self._rng = rng
-        self._ip = f"127.{rng.randint(1, 254)}.{rng.randint(1, 254)}.1"
-        self._given: set[int] = set()
-
-    def free_address(self) -> str:
-        """Return ``ip:port``."""
-        while True:
-            port = self._rng.randint(FIRST_PORT, LAST_PORT)
-            if port in self._given:
-                continue
-            with contextlib.suppress(OSError), socket.socket() as probe:
-                probe.bind((self._ip, port))
-                self._given.add(port)
-                return f"{self._ip}:{port}"
+def free_address(rng: random.Random) -> str:
+    """Return ``ip:port`` of a port that is free now and wasn't given before.
+
+    Failure guarded against: two listeners of a fleet draw the same port, since none
+    is bound until its process runs; shows as "address already in use" in about one
+    start of 60 ports out of twelve.
+    """
+    while True:
+        port = rng.randint(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((LOCAL_IP, port))
+            _given_ports.add(port)
+            return f"{LOCAL_IP}:{port}"
 
 
 def child_environment() -> dict[str, str]:
