--- a/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/processes.py
@@ -30,7 +30,18 @@
 those takes a number between the look and the bind.
 """
 
-LOCAL_IP = "127.0.0.1"
+
+def _own_loopback_ip() -> str:
+    rng = random.SystemRandom()
+    return f"127.{rng.randint(1, 254)}.{rng.randint(1, 254)}.1"
+
+
+LOCAL_IP = _own_loopback_ip()
+"""IP number of all listeners that this process lays out.
+
+Failure guarded against: fleets of two test runs draw the same port seconds before it
+is bound; shows as "address already in use". Each run has its own number.
+"""
 
 POLL_S = 0.02
 """Interval of looks at a process that starts, in seconds."""
