--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_channels.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_channels.py
@@ -44,6 +44,8 @@
         self._on_the_way: deque[Frame] = deque()
         self.holding = False
         self.is_cut = False
+        self.disturbed = False
+        """Whether anything was ever held or lost."""
 
     def write(self, frame: Frame) -> None:
         """Send a frame on its way."""
@@ -60,7 +62,7 @@
 
     def hold(self) -> None:
         """Let nothing through from now on, not even what is on its way."""
-        self.holding = True
+        self.holding = self.disturbed = True
         self._held.extend(self._on_the_way)
         self._on_the_way.clear()
 
@@ -75,7 +77,7 @@
 
     def cut(self) -> None:
         """Drop what is on its way and all that is written from now on."""
-        self.is_cut = True
+        self.is_cut = self.disturbed = True
         self._held.clear()
         self._on_the_way.clear()
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
@@ -39,7 +39,7 @@
             if self.rng.random() < 0.5:
                 self.rng.choice(self._faults)()
             self.fleet.run_for(self.rng.uniform(*STEP_MS))
-        self.fleet.repair()
+        self.fleet.repair(stale_ms=self.rng.choice((0.0, 5_000.0)))
         self.fleet.run_for(CONVERGE_MS)
         self.fleet.check_converged()
         self.fleet.run_for(HEALED_MS - CONVERGE_MS)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -16,6 +16,9 @@
 """Time past its deadline by which a request must have its outcome: the owner's own
 grace of 50 ms, two ticks, and a round trip to another availability zone."""
 
+LEAVE_KNOWN_MS = 3_000.0
+"""Time by which all peers know that a host leaves."""
+
 REFUSED_FOR_LOAD = frozenset({Reason.OVERLOADED, Reason.EVICTED})
 
 
@@ -58,8 +61,10 @@
         self.open: dict[tuple[str, int], Asked] = {}
         self.tries: defaultdict[str, Tries] = defaultdict(Tries)
         self.stamps: dict[NodeId, Stamp] = {}
+        self.served: dict[str, Stamp] = {}
+        self.calm = False
+        """Whether nothing fails and all processes run, though some just started."""
         self.instants: dict[str, tuple[float, int]] = {}
-        self.inversions = 0
 
     def fail(self, invariant: str, facts: str) -> None:
         """Stop the run.
@@ -184,6 +189,22 @@
             self.fail("version never falls", f"{node.host}: {before}, then {stamp}")
         self.stamps[node] = stamp
 
+    def serves(self, host: str, stamp: Stamp) -> None:
+        """Note by which document a host lets requests in, over all its processes."""
+        before = self.served.get(host, stamp)
+        if self.calm and supersedes(before, stamp):
+            self.fail("a change never reverts", f"{host}: {before}, then {stamp}")
+        self.served[host] = stamp
+
+    def sent_to_leaving(self, sender: str, host: str, left_at_ms: float) -> None:
+        """A node sent a call to one that leaves, on a link that never failed."""
+        since_ms = self.schedule.now_ms - left_at_ms
+        if since_ms > LEAVE_KNOWN_MS:
+            self.fail(
+                "no new work for a leaving host",
+                f"{sender} sent {host} a call {since_ms:.0f} ms after it left",
+            )
+
     def decided(
         self, host: str, orders: dict[object, int], decision: GateDecision
     ) -> None:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -73,7 +73,6 @@
         self.faults: Counter[str] = Counter()
         self.events: deque[str] = deque(maxlen=KEPT_EVENTS)
         self._variants = itertools.count(1)
-        self._disturbed_at_ms = 0.0
         for name in self.records:
             self.start(name)
         self.schedule.every(LOOK_EVERY_MS, self._look)
@@ -203,11 +202,17 @@
         """Note a burst of calls."""
         self._note("surge", "")
 
-    def repair(self) -> None:
-        """End all faults; processes that ended start again."""
+    def repair(self, *, stale_ms: float = 0.0) -> None:
+        """End all faults; processes that ended start again.
+
+        Args:
+            stale_ms: time for which the platform still hands out old documents.
+        """
         self.events.append(f"{self.schedule.now_ms:.0f} repair")
-        self._disturbed_at_ms = self.schedule.now_ms
         self.platform.repair()
+        if stale_ms:
+            self.platform.stale_by = 2
+            self.schedule.after(stale_ms, self.platform.repair)
         self.network.heal_zones()
         for backend in self.backends.values():
             backend.faults = type(backend.faults)()
@@ -216,6 +221,7 @@
                 process.wake()
         for host in self.records:
             self.restart(host)
+        self.checks.calm = True
 
     def check_converged(self) -> None:
         """Check that all nodes hold one document, and none older than published."""
@@ -234,7 +240,7 @@
 
     def _note(self, kind: str, what: str) -> None:
         self.faults[kind] += 1
-        self._disturbed_at_ms = self.schedule.now_ms
+        self.checks.calm = False
         self.events.append(f"{self.schedule.now_ms:.0f} {kind} {what}")
 
     def _look(self) -> None:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_network.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_network.py
@@ -145,6 +145,15 @@
                 channel.cut()
         self._connections = [c for c in self._connections if c not in own]
 
+    def undisturbed(self, dialler: Process, host: str) -> bool:
+        """Return whether no connection of these two processes ever failed."""
+        return not any(
+            channel.disturbed
+            for connection in self._connections
+            if connection.dialler is dialler and connection.acceptor.host == host
+            for channel in connection.channels
+        )
+
     def reachable(self, first: str, second: str) -> bool:
         """Return whether two availability zones reach one another."""
         return (first in self.zones_cut) == (second in self.zones_cut)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -95,15 +95,15 @@
 class WatchedLinks:
     """The owner's way to other nodes; shows each call sent to the checks."""
 
-    def __init__(self, *, links: LinkPort, checks: Checks):
+    def __init__(self, *, links: LinkPort, process: "MemoryProcess"):
         self._links = links
-        self._checks = checks
+        self._process = process
 
     def send(self, host: str, message: Message) -> int | None:
         """Pass on, and count a call that was written."""
         session = self._links.send(host, message)
         if session is not None and isinstance(message, Call):
-            self._checks.sent(message, dict(message.headers)[PURPOSE_HEADER])
+            self._process.sent(host, message)
         return session
 
 
@@ -137,6 +137,7 @@
         self.alive = True
         self.paused = False
         self.left_at_ms: float | None = None
+        self.reads_platform = True
         self.membership = Membership(self_host=self.host)
         self.membership.learn((record,), self.schedule.now_ms)
         self.wake_detector = WakeDetector(tick_ms=TICK_MS)
@@ -157,7 +158,7 @@
             heartbeat=lambda sequence: self.node.heartbeat(sequence, self.now_ms),
         )
         self.node = self._make_node()
-        self.node.owner.links = WatchedLinks(links=self.node.links, checks=self.checks)
+        self.node.owner.links = WatchedLinks(links=self.node.links, process=self)
 
     @property
     def now_ms(self) -> float:
@@ -219,6 +220,15 @@
         """Take a call of the local backend server."""
         self._submit(self.node.submit_child, request, asked, told)
 
+    def sent(self, host: str, call: Call) -> None:
+        """Show a call that was written to the checks."""
+        self.checks.sent(call, dict(call.headers)[PURPOSE_HEADER])
+        network = self.around.network
+        target = network.running(host)
+        leaving = target is not None and target.left_at_ms is not None
+        if leaving and network.undisturbed(self, host):
+            self.checks.sent_to_leaving(self.host, host, target.left_at_ms)
+
     def respond(self, handle: int, outcome: Outcome) -> None:
         """Give a request its outcome (the caller port)."""
         if handle in self._abandoned:
@@ -334,7 +344,10 @@
             self.node.woke(self.now_ms)
 
     def _look(self) -> None:
-        self.checks.holds(self.node_id, self.node.configuration.keeper.stamp)
+        keeper = self.node.configuration.keeper
+        self.checks.holds(self.node_id, keeper.stamp)
+        if self.node.entry.classifier is not None:
+            self.checks.serves(self.host, keeper.stamp)
 
     def _repeat(self, period_ms: float, action: Action) -> None:
         """Run an action each period; one that falls in a pause runs once, on waking."""
@@ -367,7 +380,9 @@
 
     def _read(self) -> None:
         self._read_later()
-        if not self.around.network.reachable(self.availability_zone, PLATFORM_ZONE):
+        network = self.around.network
+        reachable = network.reachable(self.availability_zone, PLATFORM_ZONE)
+        if not (reachable and self.reads_platform):
             return
         self._observe()
         platform = self.around.platform
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -300,3 +300,60 @@
         )
         desk.fleet.run_for(500)
         assert [outcome.verdict for outcome in told] == [Verdict.ANSWERED]
+
+
+def test_planned_stop_cuts_off_nothing():
+    """Each host of the fleet is stopped in turn while callers go on, and the
+    platform's list shows it 30 s later.
+
+    Whatever was in flight there, or is sent there by the old list, is answered or
+    provably not run.
+    """
+    fleet = Desk().fleet
+    for host in fleet.records:
+        for step in range(200):
+            for operation in ("approve-order", "order-history", "lookup-order"):
+                fleet.callers.call(operation, repeats=3)
+            if step == 20:
+                fleet.leave(host)
+            fleet.run_for(25)
+        fleet.run_for(2_000)
+        assert host not in fleet.processes
+        fleet.restart(host)
+        fleet.run_for(SETTLED_MS)
+    assert fleet.checks.verdicts["may-have-run"] == 0
+    assert fleet.checks.verdicts["answered"] > 4_000
+
+
+def test_change_is_in_force_within_nine_seconds_of_a_zone_without_platform():
+    """Two availability zones lose the platform, and each other's links are silent in
+    part; a change is published that only the third zone reads.
+
+    It reaches the others from peers, and none of them holds an older one later.
+    """
+    fleet = Desk().fleet
+    fleet.silence("archiv-a", "schvaleni-b")
+    fleet.silence("schvaleni-a", "schvaleni-c")
+    for process in fleet.processes.values():
+        process.reads_platform = process.availability_zone == "brno-a"
+    for _ in range(5):
+        fleet.publish()
+        fleet.run_for(9_000)
+        fleet.check_converged()
+
+
+def test_restarted_node_does_not_serve_a_stale_copy():
+    """A node restarts while the platform hands out a document two versions old.
+
+    Its peers hold the newer one, so the node must not serve the older one even for
+    the moment until it hears of that.
+    """
+    fleet = Desk().fleet
+    for _ in range(3):
+        fleet.publish()
+        fleet.run_for(3_000)
+    for host in fleet.records:
+        fleet.kill(host)
+        fleet.repair(stale_ms=20_000)
+        fleet.run_for(9_000)
+        fleet.check_converged()
--- a/packages/sassafraswinch-standins/tests/test_memory_fleet.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_fleet.py
@@ -126,7 +126,7 @@
     def teardown(self):
         if not hasattr(self, "fleet"):
             return
-        self.fleet.repair()
+        self.fleet.repair(stale_ms=5_000)
         self.fleet.run_for(CONVERGE_MS)
         self.fleet.check_converged()
         self.fleet.run_for(LATE_MS)
