Tell callers whether a ticket was passed on, and give fresh ones with it

A planned stop of each host in turn under load gave 21 may-have-run, all for tickets that the leaving node had issued after it began to leave; none had run. A leaving node now issues none. A request that was forwarded gets a fresh ticket of its own node with any answer, as local ones do, and the reason tells an attempt that was passed to nobody (ticket-owner-unreachable, ticket-owner-restarted) from one that was written (link-lost, peer-restarted): after the first use of a ticket the former lets a caller go on. The callers in memory follow that rule, and each action runs once over all tickets.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch.requests import Outcome, Request
-from sassafraswinch.verdict import Verdict
+from sassafraswinch.verdict import Reason, Verdict
 from sassafraswinch_standins.memory_backend import MARK_HEADER, PURPOSE_HEADER
 from sassafraswinch_standins.memory_checks import Asked, Checks
 from sassafraswinch_standins.memory_document import (
@@ -57,6 +57,7 @@
     generation: int = 0
     ticket: str | None = None
     attempts: int = 0
+    ticket_uses: int = 0
     done: bool = False
 
     @property
@@ -65,6 +66,22 @@
         return f"{self.identity}.{self.generation}"
 
 
+def is_not_run(outcome: Outcome, *, first: bool) -> bool:
+    """Return whether a caller may go on with a new ticket.
+
+    Args:
+        outcome: what it was told.
+        first: whether it has sent this ticket just once. Then it knows that nothing
+            ran if that attempt was passed on to nobody.
+    """
+    if outcome.verdict is Verdict.NOT_RUN:
+        return True
+    return first and outcome.reason in (
+        Reason.TICKET_OWNER_UNREACHABLE,
+        Reason.TICKET_OWNER_RESTARTED,
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
     """One sending of a demand to one node."""
@@ -154,6 +171,7 @@
         if traffic.once and demand.ticket is None and tickets:
             demand.ticket = tickets.pop()
         demand.attempts += 1
+        demand.ticket_uses += demand.ticket is not None
         keyed = traffic.once and demand.ticket is not None
         mark = demand.mark if keyed else f"{demand.mark}.{demand.attempts}"
         request = Request(
@@ -207,8 +225,11 @@
         if outcome is not None and outcome.verdict is Verdict.ANSWERED:
             demand.done = True
             return
-        if outcome is not None and outcome.verdict is Verdict.NOT_RUN:
+        first = demand.ticket_uses == 1
+        latest = attempt.request.ticket == demand.ticket
+        if outcome is not None and latest and is_not_run(outcome, first=first):
             demand.generation += 1
+            demand.ticket_uses = 0
             demand.ticket = outcome.ticket
         if demand.repeats_left:
             demand.repeats_left -= 1
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -58,6 +58,7 @@
         """The last verdict told of each mark."""
         self.not_run: set[str] = set()
         self.verdicts: Counter[str] = Counter()
+        self.reasons: Counter[tuple[Verdict, Reason | None]] = Counter()
         self.open: dict[tuple[str, int], Asked] = {}
         self.tries: defaultdict[str, Tries] = defaultdict(Tries)
         self.stamps: dict[NodeId, Stamp] = {}
@@ -106,6 +107,7 @@
     def tell(self, asked: Asked, outcome: Outcome) -> None:
         """Hold what is told of a request against the truth."""
         self.verdicts[outcome.verdict.value] += 1
+        self.reasons[outcome.verdict, outcome.reason] += 1
         self.told[asked.mark] = outcome.verdict
         if outcome.verdict is Verdict.NOT_RUN:
             self.not_run.add(asked.mark)
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -300,9 +300,23 @@
             now_ms=now_ms,
         )
 
+    def fresh_ticket(self, request: Request, now_ms: float) -> str | None:
+        """Return a ticket of this node for another request like this one."""
+        classification = self._newest and _classify(self._newest, request)
+        if not classification or classification.repeatable:
+            return None
+        return self._fresh_ticket(request.organisation, classification, now_ms)
+
     def _fresh_ticket(
         self, organisation: str, classification: Classification, now_ms: float
-    ) -> str:
+    ) -> str | None:
+        """Return a ticket for the next request; none once this node leaves.
+
+        It would be used up by a refusal, or find its owner gone: nobody could say
+        then that it was never used.
+        """
+        if self.leaving:
+            return None
         return self.ledger.issue(organisation, classification.operation.name, now_ms)
 
     def _refuse(
--- a/packages/sassafraswinch/sassafraswinch/forwarding.py
+++ b/packages/sassafraswinch/sassafraswinch/forwarding.py
@@ -1,7 +1,7 @@
 """Requests whose ticket another node issued: passed on to that node, their owner."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sassafraswinch.messages import Answer, Forward, NodeId
 from sassafraswinch.pending import LocalWaiter
@@ -29,6 +29,8 @@
     deadline_at_ms: float
     session: int | None = None
     """The link it was last written on; None while there is none."""
+    written: bool = False
+    """Whether its owner may have received it, on whatever link."""
 
 
 class Forwarder:
@@ -44,11 +46,13 @@
         links: LinkPort,
         next_number: Callable[[], int],
         is_known: Callable[[str], bool],
+        fresh_ticket: Callable[[Request, float], str | None],
         respond: Callable[[LocalWaiter, Outcome], None],
     ):
         self.links = links
         self.next_number = next_number
         self.is_known = is_known
+        self.fresh_ticket = fresh_ticket
         self.respond = respond
         self.open: dict[int, Forwarded] = {}
         self.forwarded = 0
@@ -64,9 +68,6 @@
         now_ms: float,
     ) -> None:
         """Pass a request on to the node that issued its ticket."""
-        if not self.is_known(owner.host):
-            self._tell(waiter, Reason.TICKET_OWNER_UNREACHABLE)
-            return
         self.forwarded += 1
         forwarded = Forwarded(
             number=self.next_number(),
@@ -76,12 +77,15 @@
             begun_at_ms=now_ms,
             deadline_at_ms=now_ms + deadline_ms,
         )
+        if not self.is_known(owner.host):
+            self._tell_unreachable(forwarded, now_ms)
+            return
         self.open[forwarded.number] = forwarded
         self.links.connect(owner.host)
         if owner.host in self._incarnations:
             self._send(forwarded, now_ms)
 
-    def answered(self, host: str, answer: Answer) -> bool:
+    def answered(self, host: str, answer: Answer, now_ms: float) -> bool:
         """Take in an owner's answer; False if it answers no forwarded request."""
         forwarded = self.open.get(answer.number)
         if forwarded is None or forwarded.owner.host != host:
@@ -95,7 +99,7 @@
             body=answer.body,
             retry_after_ms=answer.retry_after_ms,
         )
-        self.respond(forwarded.waiter, outcome)
+        self._tell(forwarded, outcome, now_ms)
         return True
 
     def abandon(self, handle: int) -> None:
@@ -147,12 +151,14 @@
             late_ms = now_ms - forwarded.deadline_at_ms
             if unsent or late_ms > FORWARD_GRACE_MS:
                 del self.open[forwarded.number]
-                self._tell(forwarded.waiter, Reason.TICKET_OWNER_UNREACHABLE)
+                self._tell_unreachable(forwarded, now_ms)
 
     def _send(self, forwarded: Forwarded, now_ms: float) -> None:
         if self._incarnations[forwarded.owner.host] != forwarded.owner.incarnation:
             del self.open[forwarded.number]
-            self._tell(forwarded.waiter, Reason.TICKET_OWNER_RESTARTED)
+            lost = Reason.PEER_RESTARTED if forwarded.written else None
+            reason = lost or Reason.TICKET_OWNER_RESTARTED
+            self._tell(forwarded, unproved(reason), now_ms)
             return
         request = forwarded.request
         left_ms = forwarded.deadline_at_ms - now_ms
@@ -169,6 +175,25 @@
             remaining_ms=max(0, int(left_ms)),
         )
         forwarded.session = self.links.send(forwarded.owner.host, message)
+        forwarded.written |= forwarded.session is not None
+
+    def _tell_unreachable(self, forwarded: Forwarded, now_ms: float) -> None:
+        """End a request whose owner gave no answer.
+
+        Nothing is proved of the ticket, which may have come through another node. The
+        reason tells whether this attempt was passed on: a caller that sends a ticket
+        for the first time may conclude from the second one that nothing ran.
+        """
+        lost = Reason.LINK_LOST if forwarded.written else None
+        reason = lost or Reason.TICKET_OWNER_UNREACHABLE
+        self._tell(forwarded, unproved(reason), now_ms)
+
+    def _tell(self, forwarded: Forwarded, outcome: Outcome, now_ms: float) -> None:
+        """Respond with a fresh ticket of this node, to go on with."""
+        ticket = self.fresh_ticket(forwarded.request, now_ms)
+        self.respond(forwarded.waiter, replace(outcome, ticket=ticket))
+
 
-    def _tell(self, waiter: LocalWaiter, reason: Reason) -> None:
-        self.respond(waiter, Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=reason))
+def unproved(reason: Reason) -> Outcome:
+    """Return the outcome of a request whose fate isn't known here."""
+    return Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=reason)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -88,6 +88,9 @@
             links=self.links,
             next_number=self.owner.next_number,
             is_known=membership.knows,
+            fresh_ticket=lambda request, now_ms: self.entry.fresh_ticket(
+                request, now_ms
+            ),
             respond=self._respond,
         )
         self.entry = Entry(
@@ -194,11 +197,13 @@
         if dialled:
             self.membership.link_lost(node.host, now_ms, session=session)
             if not replaced:
-                self.configuration.peer_lost(node.host, now_ms)
+                self.configuration.peer_lost(node, now_ms)
             self.owner.link_lost(node.host, session, now_ms)
             self.forwarder.link_lost(
                 node.host, session, replaced=replaced, now_ms=now_ms
             )
+        elif not replaced and not self.owner.is_linked(node):
+            self.configuration.peer_lost(node, now_ms)
         self._settle(now_ms)
 
     def message(
@@ -211,7 +216,7 @@
     def link_proved(self, node: NodeId, sent_at_ms: float, now_ms: float) -> None:
         """Note that ``node`` answered a heartbeat sent at ``sent_at_ms``."""
         self.membership.round_trip(node.host, sent_at_ms, now_ms)
-        self.configuration.confirmed(node.host, sent_at_ms, now_ms)
+        self.configuration.confirmed(node, sent_at_ms, now_ms)
         self._settle(now_ms)
 
     def tick(self, now_ms: float) -> None:
@@ -319,7 +324,7 @@
     def _take_answer(self, node: NodeId, answer: Answer, now_ms: float) -> None:
         if answer.load is not None:
             self._hear(node, answer.load, now_ms)
-        if not self.forwarder.answered(node.host, answer):
+        if not self.forwarder.answered(node.host, answer, now_ms):
             self.owner.answered(node, answer, now_ms)
 
     def _take_forward(self, node: NodeId, forward: Forward, now_ms: float) -> None:
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -235,6 +235,11 @@
             self._give_up(owned, now_ms)
         self._send_acknowledgements()
 
+    def is_linked(self, node: NodeId) -> bool:
+        """Return whether this node has a link of its own to another."""
+        peer = self._peers.get(node.host)
+        return peer is not None and peer.node == node
+
     def _on_host(self, host: str) -> list[OwnedCall]:
         return [
             owned for owned in self.open.values() if owned.attempt.peer.host == host
