--- /dev/null
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -0,0 +1,292 @@
+"""The adaptive gate: learnt limit, queue by rank, deadlines and threshold."""
+
+import random
+from dataclasses import dataclass
+
+from sassafraswinch.class_hold import ClassHold
+from sassafraswinch.gate import (
+    NOTHING,
+    BackendOutcome,
+    GateDecision,
+    Key,
+    Refusal,
+    refuse,
+)
+from sassafraswinch.limits import ConcurrencyLimit
+from sassafraswinch.messages import LEVELS, Load, Rank
+from sassafraswinch.queue_delay import QueueDelays
+from sassafraswinch.regression import Round
+from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
+from sassafraswinch.service_time import ServiceTimes
+from sassafraswinch.threshold import Threshold
+from sassafraswinch.verdict import Reason
+from sassafraswinch.waiting import Claim, WaitingCall, WaitingCalls
+
+MAX_WAIT_MS = 100.0
+"""Longest wait in the queue, and the queue's length in time."""
+
+MIN_QUEUE = 4
+"""Calls that may wait however slowly slots come free."""
+
+UNKNOWN_CAPACITY_PER_S = 1_000.0
+"""Calls a second that are taken to fit before any call has ended."""
+
+SLOT_TIME_GAIN = 0.05
+"""Weight of one call in the mean time that a call holds its slot: twenty calls."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Running:
+    """A started call."""
+
+    operation: str
+    started_at_ms: float
+    in_flight: int
+    round: Round
+
+
+class AdaptiveGate:
+    """Strict classes, a learnt limit and a short queue, for one backend server.
+
+    A higher claim starts first and is refused last: a full queue evicts its
+    lowest claim, and a class that loses a call to overload closes the classes
+    below it for a while.
+    """
+
+    def __init__(self, *, slots: int | None, rng: random.Random):
+        self._rng = rng
+        self._limit = ConcurrencyLimit(slots=slots)
+        self._times = ServiceTimes()
+        self._threshold = Threshold()
+        self._running: dict[Key, _Running] = {}
+        self._waiting = WaitingCalls()
+        self._hold = ClassHold()
+        self._returns: dict[int, ReturnSchedule] = {}
+        self._slot_time_ms = 0.0
+        self._delays = QueueDelays()
+        self._sequence = 0
+        self._leaving = False
+
+    def offer(
+        self,
+        *,
+        key: Key,
+        rank: Rank,
+        progress: int,
+        operation: str,
+        deadline_at_ms: float,
+        now_ms: float,
+    ) -> GateDecision:
+        """Start, queue or refuse a call; a full queue loses its lowest claim."""
+        if self._leaving:
+            return refuse(key, Reason.LEAVING, 0)
+        self._threshold.offered(rank, progress)
+        if self._threshold.due(now_ms):
+            self._decide(now_ms)
+        self._sequence += 1
+        call = WaitingCall(
+            key=key,
+            claim=Claim(rank.class_order, -progress, rank.level, self._sequence),
+            operation=operation,
+            deadline_at_ms=deadline_at_ms,
+            offered_at_ms=now_ms,
+        )
+        if self._past_deadline(call, now_ms):
+            return GateDecision(refused=(self._refusal(call, Reason.DEADLINE, now_ms),))
+        if self._hold.closes(rank.class_order, now_ms):
+            return GateDecision(
+                refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
+            )
+        if not self._waiting and len(self._running) < self._limit.allowed(now_ms):
+            self._start(call, now_ms)
+            return GateDecision(start=(key,))
+        self._limit.reached()
+        return self._queue(call, self._threshold.admits(rank, progress), now_ms)
+
+    def finished(
+        self, *, key: Key, self_time_ms: float, outcome: BackendOutcome, now_ms: float
+    ) -> GateDecision:
+        """Learn from a call and give its slot to the highest claim."""
+        running = self._running.pop(key, None)
+        if running is None:
+            return NOTHING
+        held_ms = now_ms - running.started_at_ms
+        if outcome is BackendOutcome.OK:
+            self._times.record(running.operation, held_ms, now_ms)
+            gain = SLOT_TIME_GAIN if self._slot_time_ms else 1.0
+            self._slot_time_ms += gain * (held_ms - self._slot_time_ms)
+        elif outcome is BackendOutcome.CANCELLED:
+            self._times.record_cut(running.operation, held_ms, now_ms)
+        self._limit.finished(
+            started_in=running.round,
+            started_in_flight=running.in_flight,
+            started_at_ms=running.started_at_ms,
+            self_time_ms=self_time_ms,
+            outcome=outcome,
+            now_ms=now_ms,
+        )
+        return self._fill(now_ms) if self._waiting else NOTHING
+
+    def withdraw(self, key: Key, now_ms: float) -> GateDecision:
+        """Drop the call if it waits."""
+        self._waiting.remove(key)
+        return NOTHING
+
+    def tick(self, now_ms: float) -> GateDecision:
+        """Refuse what has waited too long or is past its time; fill free slots."""
+        self._delays.sample(self._waiting, self._delay_ms(1))
+        if self._threshold.due(now_ms):
+            self._decide(now_ms)
+        late = [call for call in self._waiting if self._late(call, now_ms)]
+        refused = self._lose(late, now_ms)
+        filled = self._fill(now_ms)
+        return GateDecision(start=filled.start, refused=refused + filled.refused)
+
+    def load(self, now_ms: float) -> Load:
+        """Return counts, the delay a new call would meet, and the threshold."""
+        full = bool(self._waiting) or len(self._running) >= self._limit.limit
+        return Load(
+            in_flight=len(self._running),
+            queued=len(self._waiting),
+            limit=self._limit.limit,
+            queue_delay_ms=self._delay_ms(len(self._waiting) + 1) if full else 0.0,
+            leaving=self._leaving,
+            threshold=self._strictest(now_ms),
+        )
+
+    def leave(self) -> GateDecision:
+        """Refuse what waits and all that comes; what runs may finish."""
+        self._leaving = True
+        calls = list(self._waiting)
+        self._waiting = WaitingCalls()
+        return GateDecision(
+            refused=tuple(
+                Refusal(key=call.key, reason=Reason.LEAVING, retry_after_ms=0)
+                for call in calls
+            )
+        )
+
+    def set_slots(self, slots: int | None) -> None:
+        """Take a new hint; the same one changes nothing."""
+        self._limit.set_slots(slots)
+
+    def _start(self, call: WaitingCall, now_ms: float) -> None:
+        self._running[call.key] = _Running(
+            operation=call.operation,
+            started_at_ms=now_ms,
+            in_flight=len(self._running) + 1,
+            round=self._limit.started(),
+        )
+
+    def _queue(self, call: WaitingCall, admitted: bool, now_ms: float) -> GateDecision:
+        if not admitted:
+            return GateDecision(refused=self._press(call, Reason.OVERLOADED, now_ms))
+        wait_ms = self._delay_ms(self._waiting.ahead_of(call.claim) + 1)
+        safe_ms = self._times.estimate(call.operation, now_ms).safe_ms
+        if call.deadline_at_ms - now_ms <= wait_ms + safe_ms:
+            return GateDecision(refused=self._press(call, Reason.DEADLINE, now_ms))
+        self._waiting.add(call)
+        if len(self._waiting) <= self._queue_bound():
+            return NOTHING
+        last = self._waiting.pop_last()
+        reason = Reason.OVERLOADED if last is call else Reason.EVICTED
+        return GateDecision(refused=self._press(last, reason, now_ms))
+
+    def _fill(self, now_ms: float) -> GateDecision:
+        start, refused = [], []
+        while self._waiting and len(self._running) < self._limit.allowed(now_ms):
+            call = self._waiting.pop_first()
+            if self._past_deadline(call, now_ms):
+                refused.extend(self._press(call, Reason.DEADLINE, now_ms))
+                continue
+            self._start(call, now_ms)
+            start.append(call.key)
+        return GateDecision(start=tuple(start), refused=tuple(refused))
+
+    def _decide(self, now_ms: float) -> None:
+        slot_gap_ms = self._delay_ms(1)
+        lowest = self._hold.lowest_open(now_ms)
+        if lowest is not None:
+            self._threshold.held(lowest)
+        self._delays.sample(self._waiting, slot_gap_ms)
+        self._threshold.decide(
+            capacity_per_s=self._capacity_per_s(),
+            standing=self._delays.standing(slot_gap_ms),
+            now_ms=now_ms,
+        )
+
+    def _delay_ms(self, calls: int) -> float:
+        return calls * self._slot_time_ms / self._limit.limit
+
+    def _capacity_per_s(self) -> float:
+        """Return the calls a second that can be finished once a ramp is over.
+
+        Measured by the limit of the moment, a server that comes back would
+        make entries refuse the very calls that its ramp needs to go on.
+        """
+        if not self._slot_time_ms:
+            return UNKNOWN_CAPACITY_PER_S
+        return 1000 * self._limit.goal / self._slot_time_ms
+
+    def _queue_bound(self) -> int:
+        gap_ms = self._delay_ms(1)
+        return max(MIN_QUEUE, int(MAX_WAIT_MS / gap_ms)) if gap_ms else MIN_QUEUE
+
+    def _past_deadline(self, call: WaitingCall, now_ms: float) -> bool:
+        time = self._times.estimate(call.operation, now_ms)
+        return call.deadline_at_ms - now_ms <= time.likely_ms
+
+    def _late(self, call: WaitingCall, now_ms: float) -> bool:
+        waited_ms = now_ms - call.offered_at_ms
+        return waited_ms > MAX_WAIT_MS or self._past_deadline(call, now_ms)
+
+    def _strictest(self, now_ms: float) -> Rank | None:
+        threshold = self._threshold.rank
+        lowest = self._hold.lowest_open(now_ms)
+        if lowest is None:
+            return threshold
+        held = Rank(lowest, LEVELS - 1)
+        return held if threshold is None else min(held, threshold)
+
+    def _lose(self, late: list[WaitingCall], now_ms: float) -> tuple[Refusal, ...]:
+        refused = []
+        for call in late:
+            if self._waiting.remove(call.key) is None:
+                continue
+            past = self._past_deadline(call, now_ms)
+            reason = Reason.DEADLINE if past else Reason.OVERLOADED
+            refused.extend(self._press(call, reason, now_ms))
+        return tuple(refused)
+
+    def _press(
+        self, call: WaitingCall, reason: Reason, now_ms: float
+    ) -> tuple[Refusal, ...]:
+        """Refuse a call for want of capacity, and with it all lower classes.
+
+        Lower classes that wait are evicted, those that come are held off. A
+        slot that comes free a moment later would else go to one of them.
+        """
+        order = call.claim.class_order
+        self._hold.refused(order, now_ms)
+        self._threshold.held(order)
+        refused = [self._refusal(call, reason, now_ms)]
+        while self._waiting and self._waiting.last_class() > order:
+            evicted = self._waiting.pop_last()
+            refused.append(self._refusal(evicted, Reason.EVICTED, now_ms))
+        return tuple(refused)
+
+    def _refusal(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
+        order = call.claim.class_order
+        returns = self._returns.setdefault(order, ReturnSchedule())
+        capacity_per_s = self._capacity_per_s()
+        spare_per_s = max(
+            capacity_per_s - self._threshold.rate_above_per_s(order + 1),
+            capacity_per_s * MIN_RETURNS_SHARE,
+        )
+        return Refusal(
+            key=call.key,
+            reason=reason,
+            retry_after_ms=returns.next_ms(
+                spare_per_s=spare_per_s, now_ms=now_ms, rng=self._rng
+            ),
+        )
--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -5,14 +5,6 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 
-from sassafraswinch.claims import (
-    NO_STAMP,
-    Claims,
-    Fetch,
-    ServeBudget,
-    Stamp,
-    supersedes,
-)
 from sassafraswinch.errors import (
     InvalidFieldError,
     InvalidFieldsError,
@@ -30,6 +22,14 @@
     Source,
 )
 from sassafraswinch.sync import PeerSync
+from sassafraswinch.version_claims import (
+    NO_STAMP,
+    Claims,
+    Fetch,
+    ServeBudget,
+    Stamp,
+    supersedes,
+)
 
 KNOWN_CONTENTS = 64
 """Contents remembered by digest, so that none is parsed or refused twice."""
--- a/packages/sassafraswinch/tests/test_versions.py
+++ b/packages/sassafraswinch/tests/test_versions.py
@@ -8,11 +8,11 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from sassafraswinch.claims import FETCH_TIMEOUT_MS, NO_STAMP, Stamp, supersedes
 from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
 from sassafraswinch.messages import DocumentReply, DocumentRequest, NodeId
 from sassafraswinch.offers import Outcome, Source
 from sassafraswinch.sync import SYNC_LIMIT_MS, SYNC_WAIT_MS
+from sassafraswinch.version_claims import FETCH_TIMEOUT_MS, NO_STAMP, Stamp, supersedes
 from sassafraswinch.versions import ConfigKeeper
 
 HOSTS = ("a", "b", "c", "d")
