Take claims per run of a peer, and hosts by name, in the keeper

Cause: the merged node hands the keeper host names, while the keeper had come to expect runs of a node: a confirmed heartbeat or a lost peer during a sync ended in an AttributeError. Ruled out: keying claims by host alone, since a claim that only rises would outlive the run that made it and hold back a restarted peer's. Change: heard and reply take the run (NodeId); confirmed and peer_lost take the host; an answer from another run drops the claim of the run that is gone. Conclusion: the parts' tests pass with the two calls in configuration mended.

--- a/packages/sassafraswinch/sassafraswinch/configuration.py
+++ b/packages/sassafraswinch/sassafraswinch/configuration.py
@@ -71,7 +71,7 @@
 
     def _hear(self, peer: NodeId, version: int, digest: str, now_ms: float) -> None:
         self._nodes[peer.host] = peer
-        self._fetch(self.keeper.heard(peer.host, version, digest, now_ms))
+        self._fetch(self.keeper.heard(peer, version, digest, now_ms))
         self._apply(now_ms)
 
     def confirmed(self, host: str, sent_at_ms: float, now_ms: float) -> None:
@@ -85,7 +85,7 @@
 
     def replied(self, peer: NodeId, reply: DocumentReply, now_ms: float) -> None:
         """Take in a document that a peer sent."""
-        offered = self.keeper.reply(peer.host, reply, now_ms)
+        offered = self.keeper.reply(peer, reply, now_ms)
         if offered is not None:
             self._after_offer(offered, now_ms)
 
--- a/packages/sassafraswinch/sassafraswinch/version_claims.py
+++ b/packages/sassafraswinch/sassafraswinch/version_claims.py
@@ -44,9 +44,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fetch:
-    """A request to send to one peer."""
+    """A request to send to the node of one host."""
 
-    peer: NodeId
+    peer: str
     request: DocumentRequest
 
 
@@ -91,16 +91,16 @@
         if claim is None or supersedes(stamp, claim.stamp):
             self._claims[peer] = _Claim(stamp=stamp, near=near)
 
-    def drop(self, peer: NodeId) -> None:
-        """Forget a peer."""
-        self._claims.pop(peer, None)
-        if self._open and self._open.peer == peer:
+    def drop(self, host: str) -> None:
+        """Forget every run of the node on a host."""
+        for peer in [peer for peer in self._claims if peer.host == host]:
+            del self._claims[peer]
+        if self._open and self._open.peer.host == host:
             self._open = None
 
     def failed(self, peer: NodeId, now_ms: float) -> None:
         """Note that a peer didn't deliver, and close the request to it."""
-        if self._open and self._open.peer == peer:
-            self._open = None
+        self._close(peer)
         claim = self._claims.get(peer)
         if claim is None:
             return
@@ -113,8 +113,8 @@
         claim = self._claims.get(peer)
         if claim and supersedes(claim.stamp, stamp):
             self.failed(peer, now_ms)
-        elif self._open and self._open.peer == peer:
-            self._open = None
+        else:
+            self._close(peer)
 
     def next_fetch(
         self, held: Stamp, is_refused: Callable[[Stamp], bool], now_ms: float
@@ -139,7 +139,9 @@
             return None
         peer, claim = min(due, key=self._preference)
         self._open = _Open(peer=peer, stamp=claim.stamp, sent_at_ms=now_ms)
-        return Fetch(peer=peer, request=DocumentRequest(version=claim.stamp.version))
+        return Fetch(
+            peer=peer.host, request=DocumentRequest(version=claim.stamp.version)
+        )
 
     def is_unmet(self, held: Stamp, is_refused: Callable[[Stamp], bool]) -> bool:
         """Return whether some peer claims what would supersede ``held``."""
@@ -152,6 +154,17 @@
         wanted = self._wanted(held, is_refused)
         return tuple(sorted(peer.host for peer, claim in wanted if claim.failures))
 
+    def _close(self, peer: NodeId) -> None:
+        """Close the request that ``peer`` answered.
+
+        An answer of another run of the node shows that the run which made the
+        claim is gone, and the claim with it.
+        """
+        if self._open and self._open.peer.host == peer.host:
+            if self._open.peer != peer:
+                self._claims.pop(self._open.peer, None)
+            self._open = None
+
     def _wanted(
         self, held: Stamp, is_refused: Callable[[Stamp], bool]
     ) -> list[tuple[NodeId, _Claim]]:
--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -175,12 +175,12 @@
         return self.tick(now_ms)
 
     def confirmed(
-        self, peer: NodeId, sent_at_ms: float, now_ms: float
+        self, host: str, sent_at_ms: float, now_ms: float
     ) -> tuple[Fetch, ...]:
-        """Take in that a peer answered a heartbeat sent at ``sent_at_ms``."""
+        """Take in that a host answered a heartbeat sent at ``sent_at_ms``."""
         if self._sync is None:
             return ()
-        self._sync.confirmed(peer.host, sent_at_ms)
+        self._sync.confirmed(host, sent_at_ms)
         return self.tick(now_ms)
 
     def reply(
@@ -206,11 +206,11 @@
             return DocumentReply(version=request.version, body=b"")
         return DocumentReply(version=document.version, body=document.body)
 
-    def peer_lost(self, peer: NodeId, now_ms: float) -> tuple[Fetch, ...]:
-        """Drop the claim of a peer whose last link is lost."""
-        self._claims.drop(peer)
+    def peer_lost(self, host: str, now_ms: float) -> tuple[Fetch, ...]:
+        """Drop the claims of a host whose last link is lost."""
+        self._claims.drop(host)
         if self._sync:
-            self._sync.lost(peer.host)
+            self._sync.lost(host)
         return self.tick(now_ms)
 
     def tick(self, now_ms: float) -> tuple[Fetch, ...]:
--- a/packages/sassafraswinch/tests/test_membership.py
+++ b/packages/sassafraswinch/tests/test_membership.py
@@ -132,7 +132,10 @@
             for peer in self.peers.values():
                 self.beat(peer, self.now_ms)
                 self.deliver(peer)
-                if self.now_ms - peer.answered_ms >= SILENT_MS or not peer.linked:
+                if self.now_ms - peer.answered_ms >= SILENT_MS and peer.linked:
+                    self.members.silent(peer.name, self.now_ms, session=peer.session)
+                    peer.linked = False
+                if not peer.linked:
                     self.dial(peer)
             self.members.tick(self.now_ms)
             self.check()
@@ -217,6 +220,14 @@
     assert linked(members) == {"x", "y"}
 
 
+def test_the_old_link_is_lost_after_the_new_one_is_up():
+    """A link goes silent, a new one is made beside it, then the old one closes."""
+    members = linked_members("x")
+    members.link_up("x", 1, 1.0, session=2)
+    members.link_lost("x", 2.0, session=0)
+    assert linked(members) == {"x"}
+
+
 def test_an_absent_host_is_kept_through_a_long_partition():
     """The list is emptied and the regions lose each other for an hour.
 
--- a/packages/sassafraswinch/tests/test_versions.py
+++ b/packages/sassafraswinch/tests/test_versions.py
@@ -85,7 +85,7 @@
         run = Run(node=NodeId(host, self.starts), keeper=new_keeper(self.starts))
         old, self.runs[host] = self.runs.get(host), run
         for peer in (p for p in self.runs.values() if old and p is not run):
-            self.forget(peer, old.node)
+            self.forget(peer, host)
         for other in HOSTS:
             self.connect(host, other)
         self.sync(run)
@@ -96,10 +96,10 @@
                 self.lanes[sender, receiver, lane].clear()
                 self.say(sender, receiver, lane)
 
-    def forget(self, run, node):
-        run.heard.pop(node, None)
-        run.peers_at_sync.pop(node.host, None)
-        self.send(run, run.keeper.peer_lost(node, self.now_ms))
+    def forget(self, run, host):
+        run.heard.pop(host, None)
+        run.peers_at_sync.pop(host, None)
+        self.send(run, run.keeper.peer_lost(host, self.now_ms))
 
     def sync(self, run, expected=HOSTS):
         others = [self.runs[h] for h in expected if h in self.runs]
@@ -119,8 +119,7 @@
             run.serving = True
             self.check_first_serving(run, self.now_ms - run.synced_from_ms)
         for fetch in fetches:
-            if self.runs[fetch.peer.host].node == fetch.peer:
-                self.lanes[run.node.host, fetch.peer.host, 0].append(fetch.request)
+            self.lanes[run.node.host, fetch.peer, 0].append(fetch.request)
 
     def took(self, run, offered):
         if offered is None:
@@ -140,13 +139,13 @@
             return False
         message, run, peer = queue.popleft(), self.runs[receiver], self.runs[sender]
         if isinstance(message, Stamp):
-            if not supersedes(run.heard.get(peer.node, NO_STAMP), message):
-                run.heard[peer.node] = message
+            if not supersedes(run.heard.get(sender, NO_STAMP), message):
+                run.heard[sender] = message
             self.send(run, run.keeper.heard(peer.node, *message, self.now_ms))
         elif isinstance(message, float):
             self.lanes[receiver, sender, lane].append(("pong", message))
         elif isinstance(message, tuple):
-            fetches = run.keeper.confirmed(peer.node, message[1], self.now_ms)
+            fetches = run.keeper.confirmed(sender, message[1], self.now_ms)
             self.send(run, fetches)
         elif isinstance(message, DocumentRequest) and not run.mute:
             reply = run.keeper.answer(message, self.now_ms)
@@ -201,8 +200,8 @@
     @rule(host=hosts, other=hosts)
     def lose_links(self, host, other):
         if host != other:
-            self.forget(self.runs[host], self.runs[other].node)
-            self.forget(self.runs[other], self.runs[host].node)
+            self.forget(self.runs[host], other)
+            self.forget(self.runs[other], host)
             self.connect(host, other)
 
     @rule(host=hosts)
@@ -299,10 +298,10 @@
     mute, far = NodeId("mute", 1), NodeId("far", 1)
     stamp = stamp_of(body_of(2))
     (first,) = keeper.heard(mute, *stamp, 0.0, near=True)
-    assert (first.peer, first.request.version) == (mute, 2)
+    assert (first.peer, first.request.version) == ("mute", 2)
     assert keeper.heard(far, *stamp, 1.0, near=False) == ()
     (second,) = keeper.tick(FETCH_TIMEOUT_MS)
-    assert second.peer == far
+    assert second.peer == "far"
     assert keeper.report(FETCH_TIMEOUT_MS).undelivered == ("mute",)
     reply = DocumentReply(version=2, body=body_of(2))
     assert keeper.reply(far, reply, FETCH_TIMEOUT_MS).changed
@@ -318,10 +317,10 @@
     keeper, peer = new_keeper(), NodeId("peer", 1)
     keeper.offer(body_of(1), Source.PLATFORM, 0.0)
     keeper.start_sync(60_000.0, expected={"peer"})
-    keeper.confirmed(peer, 1_000.0, 60_001.0)
+    keeper.confirmed("peer", 1_000.0, 60_001.0)
     assert keeper.serving is None
     keeper.heard(peer, *stamp_of(body_of(2)), 60_002.0)
-    keeper.confirmed(peer, 60_000.0, 60_003.0)
+    keeper.confirmed("peer", 60_000.0, 60_003.0)
     assert keeper.serving is None
     keeper.reply(peer, DocumentReply(version=2, body=body_of(2)), 60_004.0)
     assert keeper.serving.version == 2
@@ -340,7 +339,7 @@
     keeper.heard(peer, *stamp_of(body_of(1)), 2.0)
     keeper.tick(SYNC_WAIT_MS)
     assert keeper.serving is None
-    keeper.peer_lost(peer, SYNC_WAIT_MS)
+    keeper.peer_lost("peer", SYNC_WAIT_MS)
     assert keeper.serving.version == 1
 
 
