Let faults strike calls in flight, and repeat tickets seconds later

Each fault now comes some milliseconds after calls began, with slow backend servers; a ticket may come again up to 15 s later, also after its answer.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
@@ -155,9 +155,8 @@
         return demand
 
     def repeat(self, demand: Demand) -> None:
-        """Send a request again through any node, also while it runs."""
-        if not demand.done:
-            self._attempt(demand, None, None)
+        """Send a request again through any node, also while it runs or after."""
+        self._attempt(demand, None, None)
 
     def _attempt(
         self, demand: Demand, host: str | None, patience_ms: float | None
@@ -234,4 +233,8 @@
         if demand.repeats_left:
             demand.repeats_left -= 1
             pause_ms = self.schedule.rng.uniform(1, 200)
-            self.schedule.after(pause_ms, lambda: self.repeat(demand))
+            self.schedule.after(pause_ms, lambda: self._go_on(demand))
+
+    def _go_on(self, demand: Demand) -> None:
+        if not demand.done:
+            self._attempt(demand, None, None)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
@@ -52,7 +52,7 @@
         """Begin one request of any kind."""
         callers = self.fleet.callers
         impatient = self.rng.random() < 0.1
-        callers.call(
+        demand = callers.call(
             self.rng.choice(
                 ("lookup-order", "order-history", "approve-order", "release-order")
             ),
@@ -61,7 +61,8 @@
             patience_ms=self.rng.uniform(1, 300) if impatient else None,
         )
         if self.rng.random() < 0.3:
-            callers.repeat(self.rng.choice(callers.demands[-30:]))
+            later_ms = self.rng.choice((1, 50, 500, 2_000, 6_000, 15_000))
+            self.fleet.schedule.after(later_ms, lambda: callers.repeat(demand))
 
     def _host(self) -> str:
         return self.rng.choice(sorted(self.fleet.records))
--- a/packages/sassafraswinch-standins/tests/test_memory_fleet.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_fleet.py
@@ -22,29 +22,44 @@
 pairs = st.tuples(hosts, hosts).filter(lambda pair: pair[0] != pair[1])
 operations = st.sampled_from([operation for operation, *_ in OPERATIONS])
 organisations = st.sampled_from([*ORGANISATIONS, "unknown"])
+loads = st.lists(st.tuples(operations, hosts, st.integers(0, 2)), max_size=4)
+leads_ms = st.sampled_from((1, 4, 8, 30))
+pauses_ms = st.sampled_from((1, 10, 100, 1_000, 3_500))
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """The fleet itself raises as soon as an invariant doesn't hold."""
+    """The fleet itself raises as soon as an invariant doesn't hold.
 
-    @initialize(seed=st.integers(0, 3))
-    def start(self, seed):
+    Each fault strikes ``lead_ms`` after some calls have begun, so that it finds them
+    on their way, queued or running; then some time passes.
+    """
+
+    @initialize(seed=st.integers(0, 3), slow_factor=st.sampled_from((1.0, 6.0, 25.0)))
+    def start(self, seed, slow_factor):
         self.fleet = Fleet(seed=seed)
         self.fleet.run_for(SETTLED_MS)
+        for backend in self.fleet.backends.values():
+            backend.faults.slow_factor = slow_factor
+
+    def begin(self, load, lead_ms):
+        for operation, host, repeats in load:
+            self.fleet.callers.call(operation, host=host, repeats=repeats)
+        self.fleet.run_for(lead_ms)
 
-    @rule(operation=operations, organisation=organisations, repeats=st.integers(0, 3))
-    def call(self, operation, organisation, repeats):
-        self.fleet.callers.call(operation, organisation=organisation, repeats=repeats)
+    @rule(load=loads, pause_ms=pauses_ms)
+    def call(self, load, pause_ms):
+        self.begin(load, pause_ms)
 
     @rule(operation=operations, host=hosts, patience_ms=st.integers(1, 300))
     def call_and_hang_up(self, operation, host, patience_ms):
         self.fleet.callers.call(operation, host=host, patience_ms=patience_ms)
 
     @precondition(lambda self: self.fleet.callers.demands)
-    @rule(back=st.integers(1, 20))
-    def repeat_through_another_node(self, back):
+    @rule(back=st.integers(1, 12), lead_ms=leads_ms)
+    def repeat_through_another_node(self, back, lead_ms):
         demands = self.fleet.callers.demands
         self.fleet.callers.repeat(demands[-min(back, len(demands))])
+        self.fleet.run_for(lead_ms)
 
     @rule(operation=operations, organisation=organisations)
     def surge(self, operation, organisation):
@@ -52,41 +67,51 @@
         for _ in range(30):
             self.fleet.callers.call(operation, organisation=organisation, repeats=2)
 
-    @rule(host=hosts, quiet=st.booleans())
-    def kill(self, host, quiet):
+    @rule(load=loads, lead_ms=leads_ms, host=hosts, quiet=st.booleans())
+    def kill(self, load, lead_ms, host, quiet):
+        self.begin(load, lead_ms)
         self.fleet.kill(host, quiet=quiet)
 
-    @rule(host=hosts)
-    def restart(self, host):
+    @rule(load=loads, lead_ms=leads_ms, host=hosts, pause_ms=pauses_ms)
+    def restart(self, load, lead_ms, host, pause_ms):
+        self.begin(load, lead_ms)
         self.fleet.kill(host)
         self.fleet.restart(host)
+        self.fleet.run_for(pause_ms)
 
-    @rule(host=hosts)
-    def pause(self, host):
+    @rule(load=loads, lead_ms=leads_ms, host=hosts, pause_ms=pauses_ms)
+    def pause(self, load, lead_ms, host, pause_ms):
+        self.begin(load, lead_ms)
         self.fleet.pause(host)
+        self.fleet.run_for(pause_ms)
 
     @rule(host=hosts)
     def wake(self, host):
         self.fleet.wake(host)
 
-    @rule(pair=pairs)
-    def silence(self, pair):
-        self.fleet.silence(*pair)
-
-    @rule(pair=pairs)
-    def silence_one_way(self, pair):
-        self.fleet.silence_outward(*pair)
-
-    @rule(pair=pairs)
-    def swallow(self, pair):
-        self.fleet.swallow(*pair)
+    @rule(
+        how=st.sampled_from(("silence", "silence_outward", "swallow")),
+        pair=pairs,
+        load=loads,
+        lead_ms=leads_ms,
+        pause_ms=pauses_ms,
+    )
+    def lose_links(self, how, pair, load, lead_ms, pause_ms):
+        getattr(self.fleet, how)(*pair)
+        self.begin(load, lead_ms)
+        self.fleet.run_for(pause_ms)
 
     @rule()
     def release(self):
         self.fleet.release()
 
-    @rule(zones=st.sets(st.sampled_from((*ZONES, "platform")), min_size=1, max_size=2))
-    def cut_zones(self, zones):
+    @rule(
+        load=loads,
+        lead_ms=leads_ms,
+        zones=st.sets(st.sampled_from((*ZONES, "platform")), min_size=1, max_size=2),
+    )
+    def cut_zones(self, load, lead_ms, zones):
+        self.begin(load, lead_ms)
         self.fleet.cut_zones(*sorted(zones))
 
     @rule()
@@ -97,12 +122,17 @@
     def platform_fails(self, fault):
         getattr(self.fleet, fault)()
 
-    @rule(kind=st.sampled_from(("publish", "publish_again", "publish_back")))
-    def publish(self, kind):
+    @rule(
+        kind=st.sampled_from(("publish", "publish_again", "publish_back")),
+        pause_ms=pauses_ms,
+    )
+    def publish(self, kind, pause_ms):
         getattr(self.fleet, kind)()
+        self.fleet.run_for(pause_ms)
 
-    @rule(host=hosts)
-    def leave(self, host):
+    @rule(load=loads, lead_ms=leads_ms, host=hosts)
+    def leave(self, load, lead_ms, host):
+        self.begin(load, lead_ms)
         self.fleet.leave(host)
 
     @rule(
--- a/packages/sassafraswinch/sassafraswinch/configuration.py
+++ b/packages/sassafraswinch/sassafraswinch/configuration.py
@@ -70,21 +70,18 @@
         self._hear(peer, version, heartbeat.document_digest, now_ms)
 
     def _hear(self, peer: NodeId, version: int, digest: str, now_ms: float) -> None:
-        before = self._nodes.get(peer.host, peer)
-        if before != peer:
-            self.peer_lost(before, now_ms)
         self._nodes[peer.host] = peer
         self._fetch(self.keeper.heard(peer, version, digest, now_ms))
         self._apply(now_ms)
 
-    def confirmed(self, peer: NodeId, sent_at_ms: float, now_ms: float) -> None:
+    def confirmed(self, host: str, sent_at_ms: float, now_ms: float) -> None:
         """Note that all a peer said before it answered has been heard."""
-        self._fetch(self.keeper.confirmed(peer, sent_at_ms, now_ms))
+        self._fetch(self.keeper.confirmed(host, sent_at_ms, now_ms))
         self._apply(now_ms)
 
     def requested(self, peer: NodeId, request: DocumentRequest, now_ms: float) -> None:
         """Send a peer the document that it asks for."""
-        self._send(peer, self.keeper.answer(request, now_ms))
+        self._send(peer.host, self.keeper.answer(request, now_ms))
 
     def replied(self, peer: NodeId, reply: DocumentReply, now_ms: float) -> None:
         """Take in a document that a peer sent."""
@@ -92,11 +89,10 @@
         if offered is not None:
             self._after_offer(offered, now_ms)
 
-    def peer_lost(self, peer: NodeId, now_ms: float) -> None:
-        """Drop what a peer claimed that is gone, or whose last link is lost."""
-        if self._nodes.get(peer.host) == peer:
-            del self._nodes[peer.host]
-        self._fetch(self.keeper.peer_lost(peer, now_ms))
+    def peer_lost(self, host: str, now_ms: float) -> None:
+        """Drop what a peer claimed whose last link is lost."""
+        self._nodes.pop(host, None)
+        self._fetch(self.keeper.peer_lost(host, now_ms))
 
     def tick(self, now_ms: float) -> None:
         """Let time pass: fetches that are due, the end of a sync."""
@@ -122,7 +118,7 @@
         for fetch in fetches:
             self._send(fetch.peer, fetch.request)
 
-    def _send(self, peer: NodeId, message: Message) -> None:
+    def _send(self, host: str, message: Message) -> None:
         """Send on the link that this node dialled, else on the peer's own."""
-        if self.links.send(peer.host, message) is None:
-            self.links.reply(peer, message)
+        if self.links.send(host, message) is None and host in self._nodes:
+            self.links.reply(self._nodes[host], message)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -197,13 +197,13 @@
         if dialled:
             self.membership.link_lost(node.host, now_ms, session=session)
             if not replaced:
-                self.configuration.peer_lost(node, now_ms)
+                self.configuration.peer_lost(node.host, now_ms)
             self.owner.link_lost(node.host, session, now_ms)
             self.forwarder.link_lost(
                 node.host, session, replaced=replaced, now_ms=now_ms
             )
         elif not replaced and not self.owner.is_linked(node):
-            self.configuration.peer_lost(node, now_ms)
+            self.configuration.peer_lost(node.host, now_ms)
         self._settle(now_ms)
 
     def message(
@@ -216,7 +216,7 @@
     def link_proved(self, node: NodeId, sent_at_ms: float, now_ms: float) -> None:
         """Note that ``node`` answered a heartbeat sent at ``sent_at_ms``."""
         self.membership.round_trip(node.host, sent_at_ms, now_ms)
-        self.configuration.confirmed(node, sent_at_ms, now_ms)
+        self.configuration.confirmed(node.host, sent_at_ms, now_ms)
         self._settle(now_ms)
 
     def tick(self, now_ms: float) -> None:
