--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -207,6 +207,10 @@
                 f"{sender} sent {host} a call {since_ms:.0f} ms after it left",
             )
 
+    def sent_on_old_view(self, sender: str, host: str) -> None:
+        """A node that woke sent a call to a host which hasn't answered it since."""
+        self.fail("no call on an old view", f"{sender} sent {host} a call on waking")
+
     def decided(
         self, host: str, orders: dict[object, int], decision: GateDecision
     ) -> None:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -43,6 +43,8 @@
 TICK_MS = 25.0
 READ_EVERY_MS = (200.0, 1_200.0)
 """Shortest and longest pause between two reads of the platform."""
+LONG_PAUSE_MS = 2_000.0
+"""A pause after which a node must not act on what it knew before."""
 TICKET_LIFETIME_MS = 20_000
 MAX_ANSWER_BYTES = 200_000
 PLATFORM_ZONE = "platform"
@@ -138,6 +140,9 @@
         self.paused = False
         self.left_at_ms: float | None = None
         self.reads_platform = True
+        self._paused_at_ms = 0.0
+        self._woke_at_ms = 0.0
+        self._proved_ms: dict[str, float] = {}
         self.membership = Membership(self_host=self.host)
         self.membership.learn((record,), self.schedule.now_ms)
         self.wake_detector = WakeDetector(tick_ms=TICK_MS)
@@ -183,10 +188,13 @@
     def pause(self) -> None:
         """Stop as a process does that gets no processor."""
         self.paused = True
+        self._paused_at_ms = self.now_ms
 
     def wake(self) -> None:
         """Go on: first with what lies in the sockets, then with timers."""
         self.paused = False
+        if self.now_ms - self._paused_at_ms > LONG_PAUSE_MS:
+            self._woke_at_ms = self.now_ms
         self.checks.resumed(self.host)
         for queue in (self._mailbox, self._timers):
             while queue:
@@ -224,6 +232,8 @@
         """Show a call that was written to the checks."""
         self.checks.sent(call, dict(call.headers)[PURPOSE_HEADER])
         network = self.around.network
+        if host != self.host and self._proved_ms.get(host, 0.0) < self._woke_at_ms:
+            self.checks.sent_on_old_view(self.host, host)
         target = network.running(host)
         leaving = target is not None and target.left_at_ms is not None
         if leaving and network.undisturbed(self, host):
@@ -288,6 +298,7 @@
     def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
         """Pass on that a heartbeat was answered."""
         self._observe()
+        self._proved_ms[node.host] = sent_at_ms
         self.node.link_proved(node, sent_at_ms, self.now_ms)
 
     def leave(self) -> None:
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -362,3 +362,33 @@
         fleet.repair(stale_ms=20_000)
         fleet.run_for(9_000)
         fleet.check_converged()
+
+
+def test_waking_node_sends_no_child_call_on_an_old_view():
+    """The node of schvaleni-a is paused while its backend server runs an approval,
+    which calls for a release meanwhile; the host that would run it stops and goes.
+
+    On waking the node read the release before the news of that host, and sent it to
+    one that wasn't there any more: the release may have run, as far as anyone knew.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    for host in ("schvaleni-b", "schvaleni-c"):
+        fleet.kill(host)
+    ticket_told = desk.ask(
+        "archiv-a", "none", "schvaleni", "POST", "/orders/17/approval"
+    )
+    fleet.run_for(1)
+    ticket = ticket_told[0].ticket
+    path = "/orders/17/approval"
+    desk.ask("archiv-a", "go", "schvaleni", "POST", path, ticket, 2_000)
+    while not fleet.checks.runs["go"]:
+        fleet.run_for(1)
+    fleet.pause("schvaleni-a")
+    fleet.run_for(200)
+    for host in ("archiv-a", "archiv-b", "vydej-a", "vydej-c"):
+        fleet.leave(host)
+    fleet.run_for(8_000)
+    fleet.wake("schvaleni-a")
+    fleet.run_for(100)
+    assert not fleet.checks.runs["go/release.0"]
