--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
@@ -43,6 +43,7 @@
         self.fleet.run_for(CONVERGE_MS)
         self.fleet.check_converged()
         self.fleet.run_for(HEALED_MS - CONVERGE_MS)
+        self.fleet.check_quiet()
 
     def _load(self) -> None:
         for _ in range(self.rng.randrange(6)):
@@ -120,6 +121,7 @@
                 self.fleet.publish,
                 self.fleet.publish,
                 self.fleet.publish_again,
+                self.fleet.publish_invalid,
                 self.fleet.publish_back,
             )
         )()
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -184,6 +184,11 @@
         if len(set(stamps.values())) > 1 or min(stamps.values()).version < version:
             self.fail("in force everywhere", f"platform has {version}, nodes {stamps}")
 
+    def quiet(self, left: dict[str, list]) -> None:
+        """Nothing may be left in flight long after the last call."""
+        if left:
+            self.fail("nothing is left behind", str(left))
+
     def holds(self, node: NodeId, stamp: Stamp) -> None:
         """Note which document a node holds."""
         before = self.stamps.get(node)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -194,6 +194,13 @@
         self._note("host list empty", "")
         self.platform.empty_list()
 
+    def publish_invalid(self) -> None:
+        """Publish what isn't a document."""
+        version = self.platform.version + 1
+        self._note("publish invalid", str(version))
+        body = b'{"version": %d, "classes": []}' % version
+        self.platform.publish(body, version, valid=False)
+
     def note_backend(self, kind: str, host: str) -> None:
         """Note that a backend server begins to misbehave."""
         self._note(f"backend {kind}", host)
@@ -230,7 +237,16 @@
             for host, process in self.processes.items()
         }
         published = self.platform.document(after=0)
-        self.checks.converged(stamps, published.version)
+        self.checks.converged(stamps, published.version if published.valid else 0)
+
+    def check_quiet(self) -> None:
+        """Check that nothing is left in flight; callers have been quiet for long."""
+        left = {
+            host: list(process.node.owner.open) + list(process.node.executor.calls)
+            for host, process in self.processes.items()
+            if process.node.in_flight or process.node.owner.open
+        }
+        self.checks.quiet(left)
 
     def _publish(self, version: int, kind: str) -> None:
         variant = f"v{next(self._variants)}"
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_platform.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_platform.py
@@ -20,6 +20,7 @@
 
     version: int
     body: bytes
+    valid: bool = True
 
 
 class MemoryPlatform:
@@ -45,9 +46,9 @@
         """Version of the newest document."""
         return max(published.version for published in self._documents)
 
-    def publish(self, body: bytes, version: int) -> None:
+    def publish(self, body: bytes, version: int, *, valid: bool = True) -> None:
         """Publish a document; operators may also go back or use a version twice."""
-        self._documents.append(Published(version=version, body=body))
+        self._documents.append(Published(version=version, body=body, valid=valid))
 
     def document(self, after: int) -> Published | None:
         """Return the document if its version is above ``after``.
--- a/packages/sassafraswinch-standins/tests/test_memory_fleet.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_fleet.py
@@ -123,7 +123,9 @@
         getattr(self.fleet, fault)()
 
     @rule(
-        kind=st.sampled_from(("publish", "publish_again", "publish_back")),
+        kind=st.sampled_from(
+            ("publish", "publish_again", "publish_invalid", "publish_back")
+        ),
         pause_ms=pauses_ms,
     )
     def publish(self, kind, pause_ms):
@@ -160,6 +162,7 @@
         self.fleet.run_for(CONVERGE_MS)
         self.fleet.check_converged()
         self.fleet.run_for(LATE_MS)
+        self.fleet.check_quiet()
 
 
 FleetMachine.TestCase.settings = settings(
