Try another host when one refuses a call while others take lower classes

Ruled out: a blind retry on overload (it would amplify when the whole service is overloaded); a longer hold of classes at the entry (it sees its own refusals only).

--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -40,7 +40,11 @@
         Reason.FENCED,
     }
 )
-"""NOT_RUN for one host's own reason; an overloaded service is left alone."""
+"""NOT_RUN for one host's own reason."""
+
+OVERLOAD_REASONS = frozenset({Reason.OVERLOADED, Reason.EVICTED, Reason.DEADLINE})
+"""NOT_RUN for want of capacity: only a host that still takes lower classes is tried,
+since a service that is overloaded as a whole is left alone."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -288,6 +292,8 @@
             owned.may_have_run = True
         if self._may_retry(owned, answer, now_ms):
             owned.failed_hosts |= {attempt.peer.host}
+            if answer.reason in OVERLOAD_REASONS:
+                owned.failed_hosts |= self._without_room(owned, now_ms)
             if self._has_other_host(owned, now_ms) and owned.allowance.spend():
                 self.retries += 1
                 self._place(owned, answer, now_ms)
@@ -299,7 +305,19 @@
             return False
         if answer.verdict is Verdict.MAY_HAVE_RUN:
             return owned.repeatable
-        return answer.reason in RETRIED_REASONS
+        return answer.reason in RETRIED_REASONS or answer.reason in OVERLOAD_REASONS
+
+    def _without_room(self, owned: OwnedCall, now_ms: float) -> frozenset[str]:
+        """Return the hosts not known to take classes below that of the call.
+
+        Failure guarded against: a paying call is refused by the busiest host while
+        another host of the service still serves trial calls.
+        """
+        return frozenset(
+            view.name
+            for view in self.membership.candidates(owned.service, now_ms)
+            if not self.router.takes_below(view.name, owned.rank, now_ms)
+        )
 
     def _has_other_host(self, owned: OwnedCall, now_ms: float) -> bool:
         return any(
--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch.hosts import HostView
-from sassafraswinch.messages import Load
+from sassafraswinch.messages import Load, Rank
 
 WAY_ACROSS_MS = 1.5
 """One way between availability zones, from the sizes in the design notes."""
@@ -144,6 +144,17 @@
         """Return the last that a host said of its load."""
         return self._hosts[host].load if host in self._hosts else None
 
+    def takes_below(self, host: str, rank: Rank, now_ms: float) -> bool:
+        """Return whether a host is known to take classes below that of ``rank``."""
+        state = self._hosts.get(host)
+        if state is None or state.load is None:
+            return False
+        if now_ms - state.load_at_ms > LOAD_FRESH_MS:
+            return False
+        if state.load.threshold is None:
+            return not state.full(now_ms)
+        return state.load.threshold.class_order > rank.class_order
+
     def dropped(self, host: str) -> None:
         """Note that the answer to a call is no longer awaited.
 
