--- a/packages/sassafraswinch-standins/sassafraswinch_standins/bench.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/bench.py
@@ -19,6 +19,7 @@
 """Policies of the nodes: no control, static limits, ours."""
 
 FIGURES = (
+    "highest_class_share",
     "paying_share",
     "whole_share",
     "inversions",
@@ -35,6 +36,8 @@
     "unsure_actions",
     "unsure_actions_not_run",
     "node_cores_normal",
+    "node_control_bytes_per_s",
+    "node_memory_mb",
 )
 """Figures that are summed up over the seeds."""
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/bench_run.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/bench_run.py
@@ -86,6 +86,7 @@
     cpu_s = fleet.node_cpu_s()
     _sleep_until(start_at_ms + timeline.from_ms)
     normal_cpu_s = fleet.node_cpu_s() - cpu_s
+    control_bytes_per_s = fleet.node_status_median("control_bytes_per_s")
     scenario.begin_pressure(fleet)
     _sleep_until(start_at_ms + timeline.until_ms)
     scenario.end_pressure(fleet)
@@ -94,6 +95,8 @@
     figures = measure(fleet.graph, scenario, reports, fleet.runs(), start_at_ms)
     normal_load_s = timeline.from_ms / 1000
     figures["node_cores_normal"] = normal_cpu_s / normal_load_s / len(fleet.hosts)
+    figures["node_control_bytes_per_s"] = control_bytes_per_s
+    figures["node_memory_mb"] = fleet.node_status_median("memory_mb")
     return figures
 
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/figures.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/figures.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from sassafraswinch_standins.capacity import ideal_rates, traffic_demands
-from sassafraswinch_standins.graph import Graph
+from sassafraswinch_standins.capacity import Demand, ideal_rates, traffic_demands
+from sassafraswinch_standins.graph import Graph, ServicePlan
 from sassafraswinch_standins.tally import SERIES_MS
 
 WINDOW = 10
@@ -169,7 +169,12 @@
     *,
     slow: Mapping[str, float],
 ) -> dict[str, Any]:
-    """Return the good requests of the pressure against what slots could carry."""
+    """Return the good requests of the pressure against what slots could carry.
+
+    Requests are weighed by the time for which they hold slots of the service that is
+    nearest to its limit. Counted alone, cheap requests of a low class that take the
+    place of dear ones of a high class would give more than all of the capacity.
+    """
     during = timeline.intervals(timeline.from_ms, timeline.until_ms)
     if len(during) < WINDOW:
         during = timeline.intervals(timeline.from_ms, timeline.end_ms)
@@ -183,17 +188,36 @@
         t.name: series.total([t.name], "good", during) / seconds for t in graph.traffic
     }
     ideal = ideal_rates(graph, offered_per_s=offered, slow=slow)
-    paying = [t.name for t in graph.traffic if t.class_name in PAYING]
+    demands = traffic_demands(graph, slow=slow)
+    service = bottleneck(graph, ideal, demands)
+    weights = {name: demands[name].slot_ms.get(service, 0.0) for name in demands}
 
-    def ratio(names: Iterable[str]) -> float:
-        names = list(names)
-        best = sum(ideal[name] for name in names)
-        return sum(good[name] for name in names) / best if best else 1.0
+    def ratio(classes: Sequence[str]) -> float:
+        names = [t.name for t in graph.traffic if t.class_name in classes]
+        best = sum(ideal[name] * weights[name] for name in names)
+        return sum(good[n] * weights[n] for n in names) / best if best else 1.0
 
+    everything = [c["name"] for c in graph.classes]
     return {
         "offered_per_s": offered,
         "good_per_s": good,
         "ideal_per_s": ideal,
-        "paying_share": ratio(paying),
-        "whole_share": ratio(good),
+        "highest_class_share": ratio(everything[:1]),
+        "paying_share": ratio(PAYING),
+        "whole_share": ratio(everything),
     }
+
+
+def bottleneck(
+    graph: Graph, rates_per_s: Mapping[str, float], demands: Mapping[str, Demand]
+) -> str:
+    """Return the service whose slots are used most at given rates."""
+
+    def used(service: ServicePlan) -> float:
+        slot_ms = sum(
+            rate * demands[name].slot_ms.get(service.name, 0.0)
+            for name, rate in rates_per_s.items()
+        )
+        return slot_ms / (service.servers * service.slots)
+
+    return max(graph.services, key=used).name
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes on this machine, for tests, demo and bench."""
 
+import statistics
 import time
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -10,11 +11,8 @@
 
 from sassafraswinch_standins.caller_settings import CallerSettings
 from sassafraswinch_standins.control import answers_probe, call_json
-from sassafraswinch_standins.graph import (
-    AVAILABILITY_ZONES,
-    CONNECTIONS_PER_SLOT,
-    Graph,
-)
+from sassafraswinch_standins.graph import AVAILABILITY_ZONES, Graph
+from sassafraswinch_standins.host_settings import backend_settings, node_settings
 from sassafraswinch_standins.layout import Host, Layout
 from sassafraswinch_standins.processes import ManagedProcess
 
@@ -189,6 +187,14 @@
         nodes = [self.node(name) for name in self.hosts]
         return sum(node.cpu_s() for node in nodes if node.alive)
 
+    def node_status_median(self, field: str) -> float:
+        """Return the median of a field of ``/status`` over all nodes that run."""
+        return statistics.median(
+            call_json(host.operators, "/status")[field]
+            for host in self.hosts.values()
+            if self.node(host.name).alive
+        )
+
     def wait_ready(self, hosts: list[str] | None = None) -> None:
         """Wait until each node reaches each service.
 
@@ -259,35 +265,15 @@
         self._add("relay", f"{STANDINS}.relay", settings)
 
     def _add_backend(self, host: Host, number: int) -> None:
-        plans = [plan.model_dump(mode="json") for plan in host.plan.operations]
-        settings = {
-            "listen": host.backend,
-            "name": host.name,
-            "service": host.service,
-            "egress": host.egress,
-            "slots": host.plan.slots,
-            "backlog": (CONNECTIONS_PER_SLOT - 1) * host.plan.slots,
-            "seed": self._seed * 1000 + number,
-            "operations": plans,
-        }
+        settings = backend_settings(host, seed=self._seed * 1000 + number)
         self._add(
             f"backend-{host.name}", f"{STANDINS}.backend", settings | self._backend
         )
 
     def _add_node(self, host: Host) -> ManagedProcess:
-        settings = {
-            "host": host.name,
-            "availability_zone": host.availability_zone,
-            "service": host.service,
-            "entry": host.entry,
-            "egress": host.egress,
-            "operators": host.operators,
-            "link": host.link,
-            "backend": host.backend,
-            "platform": [f"http://{self.platforms[host.availability_zone]}"],
-            "gate": self._gate,
-            "log_level": "warning",
-        }
+        settings = node_settings(
+            host, platform=self.platforms[host.availability_zone], gate=self._gate
+        )
         if self._slots_hint:
             settings["slots_hint"] = host.plan.slots
         return self._add(f"node-{host.name}", NODE_MODULE, settings | self._node)
--- a/packages/sassafraswinch-standins/tests/test_figures.py
+++ b/packages/sassafraswinch-standins/tests/test_figures.py
@@ -82,5 +82,21 @@
     half = series(approve={"good": [1] * INTERVALS})
     figures = goodput(GRAPH, half, TIMELINE, slow={})
     assert figures["ideal_per_s"]["approve"] == 20
-    assert figures["paying_share"] == pytest.approx(50 / 60)
-    assert figures["whole_share"] == pytest.approx(70 / 80)
+    # Weights are times on archiv, the bottleneck: 80 ms an action, 40 ms a lookup.
+    assert figures["highest_class_share"] == pytest.approx(240 / 320)
+    assert figures["paying_share"] == pytest.approx(320 / 400)
+    assert figures["whole_share"] == pytest.approx(400 / 480)
+
+
+def test_cheap_lookups_in_place_of_approvals_are_no_more_than_capacity():
+    """A slow archive carries 60 calls a second: 30 approvals, or 60 lookups."""
+    none, full = [0] * INTERVALS, [6] * INTERVALS
+    lookups = series(
+        approve={"good": none},
+        release={"good": none},
+        paying_lookup={"good": full},
+        trial_lookup={"good": none},
+    )
+    figures = goodput(GRAPH, lookups, TIMELINE, slow={"archiv": 5})
+    assert figures["highest_class_share"] == 0
+    assert figures["whole_share"] == pytest.approx(1.0)
