--- a/packages/sassafraswinch/sassafraswinch/version_claims.py
+++ b/packages/sassafraswinch/sassafraswinch/version_claims.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from sassafraswinch.messages import DocumentRequest
+from sassafraswinch.messages import DocumentRequest, NodeId
 
 FETCH_TIMEOUT_MS = 1_500
 """An unanswered request is given up after this long and another peer is asked."""
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fetch:
-    """A request to send to one peer."""
+    """A request to send to the node of one host."""
 
     peer: str
     request: DocumentRequest
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Open:
-    peer: str
+    peer: NodeId
     stamp: Stamp
     sent_at_ms: float
 
@@ -78,25 +78,29 @@
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
-        self._claims: dict[str, _Claim] = {}
+        self._claims: dict[NodeId, _Claim] = {}
         self._open: _Open | None = None
 
-    def heard(self, peer: str, stamp: Stamp, *, near: bool) -> None:
-        """Replace the claim of a peer; a repeated one keeps its failures."""
+    def heard(self, peer: NodeId, stamp: Stamp, *, near: bool) -> None:
+        """Raise the claim of a peer; a repeated one keeps its failures.
+
+        One run of a peer only moves up, so a lower claim is an old message
+        that another link to it delivers late.
+        """
         claim = self._claims.get(peer)
-        if claim is None or claim.stamp != stamp:
+        if claim is None or supersedes(stamp, claim.stamp):
             self._claims[peer] = _Claim(stamp=stamp, near=near)
 
-    def drop(self, peer: str) -> None:
-        """Forget a peer."""
-        self._claims.pop(peer, None)
-        if self._open and self._open.peer == peer:
+    def drop(self, host: str) -> None:
+        """Forget every run of the node on a host."""
+        for peer in [peer for peer in self._claims if peer.host == host]:
+            del self._claims[peer]
+        if self._open and self._open.peer.host == host:
             self._open = None
 
-    def failed(self, peer: str, now_ms: float) -> None:
+    def failed(self, peer: NodeId, now_ms: float) -> None:
         """Note that a peer didn't deliver, and close the request to it."""
-        if self._open and self._open.peer == peer:
-            self._open = None
+        self._close(peer)
         claim = self._claims.get(peer)
         if claim is None:
             return
@@ -104,13 +108,13 @@
         claim.failures = min(claim.failures + 1, 16)
         claim.retry_at_ms = now_ms + pause_ms * self._rng.uniform(0.5, 1.5)
 
-    def delivered(self, peer: str, stamp: Stamp, now_ms: float) -> None:
+    def delivered(self, peer: NodeId, stamp: Stamp, now_ms: float) -> None:
         """Note what a peer delivered; less than it claimed is a failure."""
         claim = self._claims.get(peer)
         if claim and supersedes(claim.stamp, stamp):
             self.failed(peer, now_ms)
-        elif self._open and self._open.peer == peer:
-            self._open = None
+        else:
+            self._close(peer)
 
     def next_fetch(
         self, held: Stamp, is_refused: Callable[[Stamp], bool], now_ms: float
@@ -135,7 +139,9 @@
             return None
         peer, claim = min(due, key=self._preference)
         self._open = _Open(peer=peer, stamp=claim.stamp, sent_at_ms=now_ms)
-        return Fetch(peer=peer, request=DocumentRequest(version=claim.stamp.version))
+        return Fetch(
+            peer=peer.host, request=DocumentRequest(version=claim.stamp.version)
+        )
 
     def is_unmet(self, held: Stamp, is_refused: Callable[[Stamp], bool]) -> bool:
         """Return whether some peer claims what would supersede ``held``."""
@@ -144,20 +150,31 @@
     def undelivered(
         self, held: Stamp, is_refused: Callable[[Stamp], bool]
     ) -> tuple[str, ...]:
-        """Return the peers that claim a newer content and failed to deliver it."""
+        """Return the hosts that claim a newer content and failed to deliver it."""
         wanted = self._wanted(held, is_refused)
-        return tuple(sorted(peer for peer, claim in wanted if claim.failures))
+        return tuple(sorted(peer.host for peer, claim in wanted if claim.failures))
+
+    def _close(self, peer: NodeId) -> None:
+        """Close the request that ``peer`` answered.
+
+        An answer of another run of the node shows that the run which made the
+        claim is gone, and the claim with it.
+        """
+        if self._open and self._open.peer.host == peer.host:
+            if self._open.peer != peer:
+                self._claims.pop(self._open.peer, None)
+            self._open = None
 
     def _wanted(
         self, held: Stamp, is_refused: Callable[[Stamp], bool]
-    ) -> list[tuple[str, _Claim]]:
+    ) -> list[tuple[NodeId, _Claim]]:
         return [
             (peer, claim)
             for peer, claim in self._claims.items()
             if supersedes(claim.stamp, held) and not is_refused(claim.stamp)
         ]
 
-    def _preference(self, item: tuple[str, _Claim]) -> tuple:
+    def _preference(self, item: tuple[NodeId, _Claim]) -> tuple:
         _, claim = item
         return (
             -claim.stamp.version,
