Start rates at their first measurement

Cause: test_threshold_admits_what_fits failed: the first threshold of a class whose rate began at 0 took 40% of what came for all of it and opened wide.

--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -51,12 +51,11 @@
         """Take the counts of an interval in which this share could be seen."""
         seen = int(open_share * BUCKETS)
         if seen:
+            gain = RATE_GAIN if self.fresh_per_s else 1.0
             fresh_per_s = sum(self.counts[:seen]) * BUCKETS / seen / seconds
-            self.fresh_per_s += RATE_GAIN * (fresh_per_s - self.fresh_per_s)
+            self.fresh_per_s += gain * (fresh_per_s - self.fresh_per_s)
             progressed_per_s = self.progressed / seconds
-            self.progressed_per_s += RATE_GAIN * (
-                progressed_per_s - self.progressed_per_s
-            )
+            self.progressed_per_s += gain * (progressed_per_s - self.progressed_per_s)
         self.counts = [0] * BUCKETS
         self.progressed = 0
 
