--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -1,15 +1,17 @@
-"""A gate before a fake backend server, on a simulated clock, event by event."""
+"""Gates before fake backend servers, on a simulated clock, event by event."""
 
 import heapq
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from sassafraswinch.gate import BackendOutcome, Gate
+from sassafraswinch.hosts import HostView
 from sassafraswinch.levels import EntryShedder
-from sassafraswinch.messages import LEVELS, Rank
+from sassafraswinch.messages import LEVELS, Load, Rank
+from sassafraswinch.routing import Router
 from sassafraswinch.verdict import Reason
 
 TICK_MS = 10.0
@@ -39,6 +41,8 @@
     repeats_left: int
     first: bool = True
     started_at_ms: float | None = None
+    host: "FakeHost | None" = None
+    router: Router | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -70,21 +74,32 @@
     backlog: deque = field(default_factory=deque)
 
 
+@dataclass(slots=True, kw_only=True)
+class FakeHost:
+    """A server, its gate, and the way to it."""
+
+    gate: Gate
+    server: FakeServer
+    view: HostView
+    way_ms: float = 0.0
+
+
 class Trial:
-    """Runs streams of calls through a gate to a server and keeps what happened."""
+    """Runs streams of calls through gates to servers and keeps what happened."""
 
     def __init__(
         self,
         *,
-        gate: Gate,
-        server: FakeServer,
+        hosts: list[FakeHost],
         streams: list[Stream],
         seed: int,
         shedder: EntryShedder | None = None,
+        routers: Sequence[Router] = (),
     ):
-        self.gate = gate
-        self.server = server
+        self.hosts = {host.view.name: host for host in hosts}
+        self.server = hosts[0].server
         self.shedder = shedder
+        self.routers = routers
         self.rng = random.Random(seed)
         self.streams = streams
         self.now_ms = 0.0
@@ -140,34 +155,47 @@
             self._end(call, Reason.OVERLOADED, wait_ms)
 
     def _offer(self, call: FakeCall) -> None:
+        call.host = host = self._choose(call)
+        if host.way_ms:
+            self._later(host.way_ms, self._offer_to, call)
+        else:
+            self._offer_to(call)
+
+    def _choose(self, call: FakeCall) -> FakeHost:
+        if not self.routers:
+            return next(iter(self.hosts.values()))
+        call.router = router = self.rng.choice(self.routers)
+        views = [host.view for host in self.hosts.values()]
+        view = router.choose(views, excluded=frozenset(), now_ms=self.now_ms)
+        router.sent(view.name, self.now_ms)
+        return self.hosts[view.name]
+
+    def _offer_to(self, call: FakeCall) -> None:
         key = next(self._keys)
         self._calls[key] = call
         stream = call.stream
-        self._carry_out(
-            self.gate.offer(
-                key=key,
-                rank=call.rank,
-                progress=0,
-                operation=stream.operation,
-                deadline_at_ms=call.offered_at_ms + stream.deadline_ms,
-                now_ms=self.now_ms,
-            )
+        decision = call.host.gate.offer(
+            key=key,
+            rank=call.rank,
+            progress=0,
+            operation=stream.operation,
+            deadline_at_ms=call.offered_at_ms + stream.deadline_ms,
+            now_ms=self.now_ms,
         )
+        self._carry_out(decision)
 
     def _carry_out(self, decision) -> None:
         for refusal in decision.refused:
-            self._tell(self._calls[refusal.key].stream.operation)
-            self._end(
-                self._calls.pop(refusal.key), refusal.reason, refusal.retry_after_ms
-            )
+            call = self._calls.pop(refusal.key)
+            self._tell(call, refused=True)
+            self._end(call, refusal.reason, refusal.retry_after_ms)
         for key in decision.start:
             call = self._calls[key]
             call.started_at_ms = self.now_ms
             self.starts.append(call)
-            self._serve(key)
+            self._serve(key, call.host.server)
 
-    def _serve(self, key: int) -> None:
-        server = self.server
+    def _serve(self, key: int, server: FakeServer) -> None:
         up = server.available(self.now_ms)
         if server.running >= server.slots or not up:
             if server.sheds or not up:
@@ -178,34 +206,37 @@
         server.running += 1
         mean_ms = server.mean_ms * server.slowness(self.now_ms)
         time_ms = mean_ms * (0.5 + self.rng.expovariate(2.0))
-        self._later(time_ms, self._served, key)
+        self._later(time_ms, self._served, key, server)
 
-    def _served(self, key: int) -> None:
-        self.server.running -= 1
-        if self.server.backlog:
-            self._serve(self.server.backlog.popleft())
+    def _served(self, key: int, server: FakeServer) -> None:
+        server.running -= 1
+        if server.backlog:
+            self._serve(server.backlog.popleft(), server)
         self._finish(key, BackendOutcome.OK)
 
     def _finish(self, key: int, outcome: BackendOutcome) -> None:
         call = self._calls.pop(key)
-        self._carry_out(
-            self.gate.finished(
-                key=key,
-                self_time_ms=self.now_ms - call.started_at_ms,
-                outcome=outcome,
-                now_ms=self.now_ms,
-            )
+        decision = call.host.gate.finished(
+            key=key,
+            self_time_ms=self.now_ms - call.started_at_ms,
+            outcome=outcome,
+            now_ms=self.now_ms,
         )
-        self._tell(call.stream.operation)
+        self._carry_out(decision)
+        self._tell(call, refused=outcome is not BackendOutcome.OK)
         self._end(call, outcome, 0)
 
-    def _tell(self, operation: str) -> None:
-        if self.shedder is not None:
-            threshold = self.gate.load(self.now_ms).threshold
-            self._later(WAY_MS, self._learn, operation, threshold)
+    def _tell(self, call: FakeCall, *, refused: bool) -> None:
+        load = call.host.gate.load(self.now_ms)
+        delay_ms = WAY_MS + call.host.way_ms
+        self._later(delay_ms, self._told, call, load, refused)
 
-    def _learn(self, operation: str, threshold: Rank | None) -> None:
-        self.shedder.learn(operation, threshold, self.now_ms)
+    def _told(self, call: FakeCall, load: Load, refused: bool) -> None:
+        if self.shedder is not None:
+            self.shedder.learn(call.stream.operation, load.threshold, self.now_ms)
+        if call.router is not None:
+            latency_ms = None if refused else self.now_ms - call.offered_at_ms
+            call.router.answered(call.host.view.name, latency_ms, load, self.now_ms)
 
     def _end(self, call: FakeCall, outcome, retry_after_ms: float) -> None:
         self.done.append(Done(call=call, at_ms=self.now_ms, outcome=outcome))
@@ -214,6 +245,7 @@
             self._later(wait_ms, self._call, call.stream, call.repeats_left - 1)
 
     def _tick(self) -> None:
-        self._carry_out(self.gate.tick(self.now_ms))
-        self.loads.append((self.now_ms, self.gate.load(self.now_ms)))
+        for host in self.hosts.values():
+            self._carry_out(host.gate.tick(self.now_ms))
+            self.loads.append((self.now_ms, host.gate.load(self.now_ms)))
         self._later(TICK_MS, self._tick)
--- a/packages/sassafraswinch/tests/utils/gate_bench.py
+++ b/packages/sassafraswinch/tests/utils/gate_bench.py
@@ -8,9 +8,10 @@
 
 from sassafraswinch.admission import AdaptiveGate
 from sassafraswinch.gate import Gate, OpenGate, StaticGate
+from sassafraswinch.hosts import HostView
 from sassafraswinch.levels import EntryShedder
 
-from .fake_server import FakeServer, Stream, Trial
+from .fake_server import FakeHost, FakeServer, Stream, Trial
 from .figures import Figures, measure
 
 RUN_MS, START_MS, END_MS = 12_000.0, 3_000.0, 7_000.0
@@ -61,9 +62,9 @@
             slowness=during(self.slowness, 1.0),
             available=lambda now_ms: not (self.drains and 4000 <= now_ms < 5000),
         )
-        trial = Trial(
-            gate=gate, server=server, streams=streams, seed=seed, shedder=shedder
-        )
+        view = HostView(name="host", service="archiv", availability_zone="brno-a")
+        host = FakeHost(gate=gate, server=server, view=view)
+        trial = Trial(hosts=[host], streams=streams, seed=seed, shedder=shedder)
         trial.run(RUN_MS)
         return measure(trial, start_ms=START_MS, end_ms=END_MS, run_ms=RUN_MS)
 
