--- a/packages/sassafraswinch/tests/utils/gate_bench.py
+++ b/packages/sassafraswinch/tests/utils/gate_bench.py
@@ -16,7 +16,6 @@
 
 RUN_MS, START_MS, END_MS = 12_000.0, 3_000.0, 7_000.0
 SLOTS, MEAN_MS = 60, 30.0
-CAPACITY_PER_S = SLOTS / MEAN_MS * 1000
 
 
 def during(inside: float, outside: float) -> Callable[[float], float]:
@@ -39,12 +38,13 @@
     repeats: int = 0
     obeys: bool = True
     slots: int = SLOTS
+    mean_ms: float = MEAN_MS
     deadline_ms: float = 1000.0
     drains: bool = False
     """Sheds all calls for a second in the middle of the pressure."""
 
     def run(self, gate: Gate, seed: int, shedder: EntryShedder | None) -> Figures:
-        rates = self.slots / MEAN_MS * 1000
+        rates = self.slots / self.mean_ms * 1000
         streams = [
             Stream(
                 class_order=order,
@@ -57,7 +57,7 @@
         ]
         server = FakeServer(
             slots=self.slots,
-            mean_ms=MEAN_MS,
+            mean_ms=self.mean_ms,
             sheds=self.sheds,
             slowness=during(self.slowness, 1.0),
             available=lambda now_ms: not (self.drains and 4000 <= now_ms < 5000),
@@ -70,6 +70,29 @@
 
 
 SCENARIOS = [
+    Scenario(
+        name="surge and slow, hard repeats",
+        slowness=5.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+        repeats=5,
+        obeys=False,
+    ),
+    Scenario(
+        name="short calls, surge x3",
+        slots=8,
+        hint=8,
+        mean_ms=3.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+    ),
+    Scenario(
+        name="long calls, surge x3",
+        mean_ms=300.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+        deadline_ms=2000.0,
+    ),
     Scenario(name="drains 1 s", paying=(0.6, 0.6), drains=True),
     Scenario(name="calm"),
     Scenario(name="surge x3", paying=(0.9, 0.3), trial=(0.9, 0.3)),
