Stop gracefully under load, and end at once on a second SIGTERM

Tests with real processes: SIGTERM of a node that executes, owns and forwards calls which outlast its notice; a host that the platform's list says is leaving; a second SIGTERM while a backend server hangs. Faults found by them:

Ruled out: force_exit of uvicorn alone, which cuts callers without a word. - A leaving node gave out tickets. Used after its end they can only be answered may-have-run, though nothing ran. It refuses now without one. - leave_notice_ms of the settings had no effect; the notice was always 3 s. It is passed on to Lifecycle, and its default is 3,000 ms as the notice was. - Kept connections weren't told that the node leaves: answers now say so. - SIGTERM during the start ended the process without a word; handlers come first now.

--- a/packages/sassafraswinch-node/sassafraswinch_node/daemon.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/daemon.py
@@ -24,9 +24,6 @@
         Whether all requests in flight were finished.
     """
     process = NodeProcess(settings=settings)
-    await process.start()
-    gc.collect()
-    gc.freeze()
     loop = asyncio.get_running_loop()
     stops = 0
 
@@ -41,10 +38,12 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
+    await process.start()
+    gc.collect()
+    gc.freeze()
     await process.stopped.wait()
-    finished = process.node.in_flight == 0
     await process.close()
-    return finished
+    return process.cut_calls == 0
 
 
 def serve(*, settings: Path) -> int:
--- a/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
@@ -54,6 +54,7 @@
         handles: numbers shared by all listeners of a node.
         identity: names of the header fields that tell who calls.
         max_body_bytes: longer bodies are refused with 413.
+        leaving: whether the node leaves, so that kept connections should end.
     """
 
     def __init__(
@@ -64,12 +65,14 @@
         handles: "itertools.count[int]",
         identity: Callable[[], IdentityHeaders],
         max_body_bytes: int,
+        leaving: Callable[[], bool],
     ):
         self.submit = submit
         self.abandon = abandon
         self.handles = handles
         self.identity = identity
         self.max_body_bytes = max_body_bytes
+        self.leaving = leaving
         self.waiting: dict[int, asyncio.Future[Outcome]] = {}
 
     def respond(self, handle: int, outcome: Outcome) -> bool:
@@ -81,6 +84,12 @@
             future.set_result(outcome)
         return True
 
+    def give_up(self) -> None:
+        """Tell all that wait that nothing is known of their requests any more."""
+        outcome = Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=Reason.CANCELLED)
+        for handle in tuple(self.waiting):
+            self.respond(handle, outcome)
+
     async def __call__(self, scope, receive, send) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
@@ -88,17 +97,19 @@
             return
         if scope["type"] != "http":
             return
+        outcome = await self._serve(scope, receive)
+        if outcome is not None:
+            await _send_outcome(send, outcome, last=self.leaving())
+
+    async def _serve(self, scope, receive) -> Outcome | None:
+        """Return the outcome of a request; None when its sender has gone."""
         body = await self._read_body(scope, receive)
         if body is None:
-            await _send_outcome(send, _refused(Reason.TOO_LARGE))
-            return
+            return _refused(scope, Reason.TOO_LARGE)
         request = self._request(scope, body)
         if request is None:
-            await _send_outcome(send, _refused(Reason.BAD_REQUEST))
-            return
-        outcome = await self._outcome(request, receive)
-        if outcome is not None:
-            await _send_outcome(send, outcome)
+            return _refused(scope, Reason.BAD_REQUEST)
+        return await self._outcome(request, receive)
 
     async def _outcome(self, request: Request, receive) -> Outcome | None:
         future = asyncio.get_running_loop().create_future()
@@ -169,8 +180,11 @@
     return None if value is None else value.decode("latin-1")
 
 
-def _refused(reason: Reason) -> Outcome:
-    return Outcome(verdict=Verdict.NOT_RUN, reason=reason)
+def _refused(scope, reason: Reason) -> Outcome:
+    """Refuse what isn't passed on; only a ticket's owner knows what it has run."""
+    has_ticket = any(name == TICKET_HEADER for name, _ in scope["headers"])
+    verdict = Verdict.MAY_HAVE_RUN if has_ticket else Verdict.NOT_RUN
+    return Outcome(verdict=verdict, reason=reason)
 
 
 async def _disconnected(receive) -> None:
@@ -178,11 +192,19 @@
         pass
 
 
-async def _send_outcome(send, outcome: Outcome) -> None:
+async def _send_outcome(send, outcome: Outcome, *, last: bool) -> None:
+    """Send an outcome; the last one on its connection says so.
+
+    Failure: a node stops and closes a kept connection while a request is on its way
+    on it, and its caller can't know whether it ran.
+    """
+    headers = outcome_headers(outcome)
+    if last:
+        headers.append((b"connection", b"close"))
     start = {
         "type": "http.response.start",
         "status": outcome_status(outcome),
-        "headers": outcome_headers(outcome),
+        "headers": headers,
     }
     await send(start)
     await send({"type": "http.response.body", "body": outcome.body})
--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -56,8 +56,13 @@
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0.001)
 
-    async def stop(self) -> None:
-        """Accept no more connections and finish the requests under way."""
+    async def stop(self, *, timeout_s: int | None = None) -> None:
+        """Accept no more connections and finish the requests under way.
+
+        Args:
+            timeout_s: after this they are cut; None waits for them.
+        """
+        self._server.config.timeout_graceful_shutdown = timeout_s
         self._server.should_exit = True
         if self._task is not None:
             await self._task
--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -8,8 +8,6 @@
 
 from sassafraswinch.burn import BurnRecorder, BurnReport
 from sassafraswinch.document import Document
-from sassafraswinch.execution import ExecutionLedger
-from sassafraswinch.levels import EntryShedder
 from sassafraswinch.lifecycle import NodeState
 from sassafraswinch.link_plan import LinkPlan
 from sassafraswinch.membership import Membership
@@ -20,15 +18,11 @@
     Message,
     NodeId,
 )
-from sassafraswinch.node import Node
 from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
-from sassafraswinch.retry import CallerRetryBudget
-from sassafraswinch.routing import Router
 from sassafraswinch.status import Status
-from sassafraswinch.tickets import TicketLedger
 from sassafraswinch.wake import WakeDetector
 from sassafraswinch_node.backend import BackendClient
-from sassafraswinch_node.building import make_gate, make_keeper
+from sassafraswinch_node.building import make_node
 from sassafraswinch_node.dispatcher import Dispatcher
 from sassafraswinch_node.http_calls import CallListener, IdentityHeaders
 from sassafraswinch_node.link import LinkRefusedError, LinkTraffic
@@ -40,6 +34,7 @@
 from sassafraswinch_node.platform_watch import PlatformWatch
 from sassafraswinch_node.settings import Settings
 from sassafraswinch_node.snapshot import take_status
+from sassafraswinch_node.stopping import log_cut
 from sassafraswinch_node.usage import UsageMeter
 
 TICK_MS = 25
@@ -48,11 +43,8 @@
 PLAN_EVERY_TICKS = 40
 """Ticks between two looks at which hosts to link to: about a second."""
 
-TICKET_LIFETIME_MS = 120_000
-"""How long a caller may hold a ticket before it uses it."""
-
-MAX_ANSWER_BYTES = 8_388_608
-"""Bytes of answers kept for repeats, at the owner and at the executing node each."""
+CUT_TIMEOUT_S = 1
+"""Time for the last words to callers, in seconds, after the process was cut."""
 
 
 class NodeProcess:
@@ -65,6 +57,8 @@
         self.membership = Membership(self_host=settings.host)
         self.wake = WakeDetector(tick_ms=TICK_MS)
         self.stopped = asyncio.Event()
+        self.cut_calls = 0
+        """Calls that were in flight when the process was cut."""
         self._handles = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
         self._identity = IdentityHeaders(
@@ -95,7 +89,17 @@
         )
         self.entry = self._listener(self._submit)
         self.egress = self._listener(self._submit_child)
-        self.node = self._make_node()
+        self.node = make_node(
+            settings=settings,
+            node_id=self.node_id,
+            links=self.links,
+            backend=self.dispatcher,
+            callers=self,
+            membership=self.membership,
+            recorder=self.recorder,
+            document_changed=self._document_changed,
+            rng=self.rng,
+        )
         self.platform = PlatformClient(urls=settings.platform)
         self.watch = PlatformWatch(
             client=self.platform,
@@ -162,15 +166,18 @@
         log_event("node_leaving", in_flight=self.node.in_flight)
 
     def cut(self) -> None:
-        """End at once; what is still in flight is named in the log."""
-        log_event("node_cut", in_flight=self.node.in_flight)
+        """End at once; name in the log what is still in flight, and tell callers."""
+        self.cut_calls = log_cut(self.node)
+        self.entry.give_up()
+        self.egress.give_up()
         self.node.lifecycle.cut()
         self.stopped.set()
 
     async def close(self) -> None:
         """Close listeners, links and tasks."""
+        timeout_s = CUT_TIMEOUT_S if self.cut_calls else None
         for listener in self.http.values():
-            await listener.stop()
+            await listener.stop(timeout_s=timeout_s)
         await self.links.stop()
         for task in self._tasks:
             task.cancel()
@@ -208,32 +215,6 @@
         if not self.entry.respond(handle, outcome):
             self.egress.respond(handle, outcome)
 
-    def _make_node(self) -> Node:
-        settings = self.settings
-        return Node(
-            node=self.node_id,
-            links=self.links,
-            backend=self.dispatcher,
-            callers=self,
-            gate=make_gate(settings, self.rng),
-            membership=self.membership,
-            router=Router(availability_zone=settings.availability_zone, rng=self.rng),
-            tickets=TicketLedger(
-                node=self.node_id,
-                secret=os.urandom(32),
-                lifetime_ms=TICKET_LIFETIME_MS,
-                max_answer_bytes=MAX_ANSWER_BYTES,
-            ),
-            ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
-            shedder=EntryShedder(),
-            budget=CallerRetryBudget(share_percent=10),
-            keeper=make_keeper(self.rng),
-            service=settings.service,
-            rng=self.rng,
-            recorder=self.recorder,
-            document_changed=self._document_changed,
-        )
-
     def _listener(self, submit) -> CallListener:
         return CallListener(
             submit=submit,
@@ -241,6 +222,7 @@
             handles=self._handles,
             identity=lambda: self._identity,
             max_body_bytes=self.settings.max_body_bytes,
+            leaving=lambda: self.node.lifecycle.leaving,
         )
 
     def _document_changed(self, document: Document) -> None:
--- a/packages/sassafraswinch-node/sassafraswinch_node/settings.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/settings.py
@@ -16,6 +16,7 @@
 )
 
 from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
+from sassafraswinch.lifecycle import LEAVE_NOTICE_MS
 
 MAX_PORT = 65_535
 
@@ -71,7 +72,7 @@
     slots_hint: int | None = Field(default=None, ge=1, le=100_000)
     max_connections: int = Field(default=512, ge=1, le=100_000)
     max_body_bytes: int = Field(default=1_048_576, ge=1024, le=1_500_000)
-    leave_notice_ms: int = Field(default=1_000, ge=0, le=60_000)
+    leave_notice_ms: int = Field(default=LEAVE_NOTICE_MS, ge=0, le=60_000)
     stop_timeout_ms: int = Field(default=30_000, ge=0, le=600_000)
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- a/packages/sassafraswinch-node/tests/test_process_path.py
+++ b/packages/sassafraswinch-node/tests/test_process_path.py
@@ -150,7 +150,11 @@
     assert refused.told == (413, "not-run", "too-large")
     assert not runs_of(fleet, approval.request_id)
 
-    reply = asker.ask(entry(fleet), asker.with_ticket(entry(fleet), at_bound))
+    ticketed = asker.with_ticket(entry(fleet), at_bound)
+    refused = asker.ask(entry(fleet), replace(ticketed, body=above.body))
+    # Only the ticket's owner can know that nothing has run under it.
+    assert refused.told == (413, "may-have-run", "too-large")
+    reply = asker.ask(entry(fleet), ticketed)
     assert reply.told == (200, "answered", None)
     assert reply.fault is None
 
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -91,6 +91,9 @@
         """Take a request whose class is known already."""
         if classification.repeatable:
             return self._admit(request, classification, waiter, None, now_ms)
+        if request.ticket is None and self.leaving:
+            self._refuse(waiter, Reason.LEAVING, LEAVING_RETRY_MS)
+            return None
         if request.ticket is None:
             ticket = self._fresh_ticket(request.organisation, classification, now_ms)
             outcome = Outcome(
@@ -282,7 +285,14 @@
 
     def _fresh_ticket(
         self, organisation: str, classification: Classification, now_ms: float
-    ) -> str:
+    ) -> str | None:
+        """Return a ticket, unless its owner would soon be gone.
+
+        Failure: a caller uses a ticket after the node that issued it has stopped. It
+        is told MAY_HAVE_RUN, and an approval is looked into that never ran.
+        """
+        if self.leaving:
+            return None
         return self.ledger.issue(organisation, classification.operation.name, now_ms)
 
     def _refuse_unread(
--- a/packages/sassafraswinch/sassafraswinch/lifecycle.py
+++ b/packages/sassafraswinch/sassafraswinch/lifecycle.py
@@ -48,6 +48,9 @@
 
     Leaving can't be undone: peers were told so for this incarnation.
 
+    Args:
+        leave_notice_ms: least time between leaving and the stop.
+
     Triggers:
         listening: the listeners are open.
         synced(): the keeper serves a document.
@@ -56,7 +59,8 @@
         cut(): end at once, whatever is in flight.
     """
 
-    def __init__(self):
+    def __init__(self, *, leave_notice_ms: float = LEAVE_NOTICE_MS):
+        self._leave_notice_ms = leave_notice_ms
         self._notice_ends_ms = 0.0
         self._machine = Machine(
             model=self,
@@ -88,4 +92,4 @@
             self.drained()
 
     def _start_notice(self, now_ms: float) -> None:
-        self._notice_ends_ms = now_ms + LEAVE_NOTICE_MS
+        self._notice_ends_ms = now_ms + self._leave_notice_ms
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -17,7 +17,7 @@
 from sassafraswinch.forwarding import Forwarder
 from sassafraswinch.gate import Gate
 from sassafraswinch.levels import EntryShedder
-from sassafraswinch.lifecycle import Lifecycle
+from sassafraswinch.lifecycle import LEAVE_NOTICE_MS, Lifecycle
 from sassafraswinch.local_links import LOCAL_SESSION, LocalLinks
 from sassafraswinch.membership import Membership
 from sassafraswinch.messages import (
@@ -71,6 +71,7 @@
         rng: random.Random,
         recorder: Recorder | None = None,
         document_changed: Callable[[Document], None] = lambda document: None,
+        leave_notice_ms: float = LEAVE_NOTICE_MS,
     ):
         self.node = node
         self.service = service
@@ -79,7 +80,7 @@
         self.links = LocalLinks(host=node.host, links=links)
         self.membership = membership
         self.router = router
-        self.lifecycle = Lifecycle()
+        self.lifecycle = Lifecycle(leave_notice_ms=leave_notice_ms)
         self.owner = Owner(
             node=node, links=self.links, membership=membership, router=router
         )
@@ -242,17 +243,21 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests and calls that a planned stop has to wait for.
+        """Requests and calls that a planned stop has to wait for."""
+        executed, forwarded = len(self.executor.calls), len(self.forwarder.open)
+        return len(self.awaited_calls()) + executed + forwarded
+
+    def awaited_calls(self) -> list[OwnedCall]:
+        """Return the owned calls whose end somebody waits for.
 
         An abandoned call counts while a request waits for it: a backend server may
         go on waiting for a child call whose parent was given up.
         """
-        waiting = sum(
-            1
+        return [
+            owned
             for owned in self.owner.open.values()
             if owned.context.waiters or not owned.abandoned
-        )
-        return waiting + len(self.executor.calls) + len(self.forwarder.open)
+        ]
 
     def _wait(self, handle: int, owned: OwnedCall | None) -> None:
         if owned is not None:
