--- a/packages/sassafraswinch/sassafraswinch/version_claims.py
+++ b/packages/sassafraswinch/sassafraswinch/version_claims.py
@@ -16,8 +16,13 @@
 RETRY_LIMIT_MS = 4_000
 """Longest pause before a peer that failed to deliver is asked again."""
 
-SERVE_BYTES_PER_S = 4_000_000
-"""Document bytes that a node sends to its peers at most, with a burst of 1 s."""
+CLAIM_LIFE_MS = 30_000
+"""A claim not repeated for this long is dropped: its peer is gone. Links repeat
+it with each heartbeat, every 1 s."""
+
+SERVE_BYTES_PER_S = 1_000_000
+"""Packed document bytes that a node sends to its peers at most, with a burst of
+1 s: below a hundredth of a link of 1 Gbit/s."""
 
 
 class Stamp(NamedTuple):
@@ -54,6 +59,7 @@
 class _Claim:
     stamp: Stamp
     near: bool
+    heard_ms: float
     failures: int = 0
     retry_at_ms: float = 0.0
 
@@ -81,15 +87,21 @@
         self._claims: dict[NodeId, _Claim] = {}
         self._open: _Open | None = None
 
-    def heard(self, peer: NodeId, stamp: Stamp, *, near: bool) -> None:
+    def heard(
+        self, peer: NodeId, stamp: Stamp, now_ms: float, *, near: bool = True
+    ) -> None:
         """Raise the claim of a peer; a repeated one keeps its failures.
 
         One run of a peer only moves up, so a lower claim is an old message
         that another link to it delivers late.
         """
         claim = self._claims.get(peer)
+        if claim is None:
+            self._expire(now_ms)
         if claim is None or supersedes(stamp, claim.stamp):
-            self._claims[peer] = _Claim(stamp=stamp, near=near)
+            self._claims[peer] = _Claim(stamp=stamp, near=near, heard_ms=now_ms)
+        else:
+            claim.heard_ms = now_ms
 
     def drop(self, host: str) -> None:
         """Forget every run of the node on a host."""
@@ -128,6 +140,7 @@
         """
         if self._open and now_ms - self._open.sent_at_ms >= FETCH_TIMEOUT_MS:
             self.failed(self._open.peer, now_ms)
+            self._expire(now_ms)
         if self._open:
             return None
         due = [
@@ -154,6 +167,14 @@
         wanted = self._wanted(held, is_refused)
         return tuple(sorted(peer.host for peer, claim in wanted if claim.failures))
 
+    def _expire(self, now_ms: float) -> None:
+        """Drop claims of peers that are gone, whose links nobody saw close."""
+        self._claims = {
+            peer: claim
+            for peer, claim in self._claims.items()
+            if now_ms - claim.heard_ms < CLAIM_LIFE_MS
+        }
+
     def _close(self, peer: NodeId) -> None:
         """Close the request that ``peer`` answered.
 
--- a/packages/sassafraswinch/sassafraswinch/versions.py
+++ b/packages/sassafraswinch/sassafraswinch/versions.py
@@ -22,6 +22,7 @@
     Source,
 )
 from sassafraswinch.sync import PeerSync
+from sassafraswinch.transfer import UnpackError, pack_document, unpack_document
 from sassafraswinch.version_claims import (
     NO_STAMP,
     Claims,
@@ -65,6 +66,7 @@
         self._serve_budget = ServeBudget()
         self._known: OrderedDict[str, Candidate] = OrderedDict()
         self._document: Document | None = None
+        self._packed: bytes | None = None
         self._stamp = NO_STAMP
         self._source: Source | None = None
         self._since_ms = 0.0
@@ -167,7 +169,7 @@
             Requests to send; at most one is open at a time.
         """
         stamp = Stamp(version, digest)
-        self._claims.heard(peer, stamp, near=near)
+        self._claims.heard(peer, stamp, now_ms, near=near)
         if version and version == self._stamp.version and stamp != self._stamp:
             self._note_conflict(stamp, now_ms)
         if self._sync is None and not supersedes(stamp, self._stamp):
@@ -187,10 +189,12 @@
         self, peer: NodeId, reply: DocumentReply, now_ms: float
     ) -> Offered | None:
         """Take in a peer's answer to a request; None if it sent no document."""
-        if not reply.body:
+        try:
+            body = unpack_document(reply.body)
+        except UnpackError:
             self._claims.failed(peer, now_ms)
             return None
-        return self.fetched(peer, self.read(reply.body), now_ms)
+        return self.fetched(peer, self.read(body), now_ms)
 
     def fetched(self, peer: NodeId, candidate: Candidate, now_ms: float) -> Offered:
         """Take in what ``read`` made of a peer's answer."""
@@ -202,9 +206,11 @@
         document = self._document
         if document is None or document.version < request.version:
             return DocumentReply(version=request.version, body=b"")
-        if not self._serve_budget.spend(len(document.body), now_ms):
+        if self._packed is None:
+            self._packed = pack_document(document.body)
+        if not self._serve_budget.spend(len(self._packed), now_ms):
             return DocumentReply(version=request.version, body=b"")
-        return DocumentReply(version=document.version, body=document.body)
+        return DocumentReply(version=document.version, body=self._packed)
 
     def peer_lost(self, host: str, now_ms: float) -> tuple[Fetch, ...]:
         """Drop the claims of a host whose last link is lost."""
@@ -251,6 +257,7 @@
                 facts=f"{candidate.stamp} offered over {self._stamp}",
             )
         self._document = candidate.document
+        self._packed = None
         self._stamp = candidate.stamp
         self._source = source
         self._since_ms = now_ms
--- a/packages/sassafraswinch/tests/test_versions.py
+++ b/packages/sassafraswinch/tests/test_versions.py
@@ -12,6 +12,7 @@
 from sassafraswinch.messages import DocumentReply, DocumentRequest, NodeId
 from sassafraswinch.offers import Outcome, Source
 from sassafraswinch.sync import SYNC_LIMIT_MS, SYNC_WAIT_MS
+from sassafraswinch.transfer import pack_document
 from sassafraswinch.version_claims import FETCH_TIMEOUT_MS, NO_STAMP, Stamp, supersedes
 from sassafraswinch.versions import ConfigKeeper
 
@@ -27,7 +28,7 @@
 
 
 def parse(body):
-    kind, version, _ = body.split()
+    kind, version, _ = body.split(maxsplit=2)
     if kind == b"crash":
         raise RecursionError("parser fault")
     if kind == b"bad":
@@ -41,7 +42,7 @@
 
 
 def stamp_of(body):
-    return Stamp(int(body.split()[1]), digest(body))
+    return Stamp(int(body.split(maxsplit=2)[1]), digest(body))
 
 
 def body_of(version, kind="good", salt=0):
@@ -303,7 +304,7 @@
     (second,) = keeper.tick(FETCH_TIMEOUT_MS)
     assert second.peer == "far"
     assert keeper.report(FETCH_TIMEOUT_MS).undelivered == ("mute",)
-    reply = DocumentReply(version=2, body=body_of(2))
+    reply = DocumentReply(version=2, body=pack_document(body_of(2)))
     assert keeper.reply(far, reply, FETCH_TIMEOUT_MS).changed
     assert keeper.report(FETCH_TIMEOUT_MS).undelivered == ()
 
@@ -322,7 +323,9 @@
     keeper.heard(peer, *stamp_of(body_of(2)), 60_002.0)
     keeper.confirmed("peer", 60_000.0, 60_003.0)
     assert keeper.serving is None
-    keeper.reply(peer, DocumentReply(version=2, body=body_of(2)), 60_004.0)
+    keeper.reply(
+        peer, DocumentReply(version=2, body=pack_document(body_of(2))), 60_004.0
+    )
     assert keeper.serving.version == 2
 
 
@@ -343,6 +346,18 @@
     assert keeper.serving.version == 1
 
 
+def test_a_claim_of_a_vanished_peer_ends():
+    """A peer claims version 2 over a link it dialled, and its host dies.
+
+    Nobody tells the keeper. It asks a few times, then drops the claim.
+    """
+    keeper, peer = new_keeper(), NodeId("peer", 1)
+    keeper.heard(peer, *stamp_of(body_of(2)), 0.0)
+    asked_ms = [ms for ms in range(0, 120_000, 500) if keeper.tick(ms)]
+    assert asked_ms and max(asked_ms) < 40_000
+    assert keeper.report(120_000.0).undelivered == ()
+
+
 def test_a_content_found_invalid_is_fetched_once():
     """A peer of another release accepted version 2, which this node refuses.
 
@@ -350,7 +365,9 @@
     """
     keeper, peer, body = new_keeper(), NodeId("peer", 1), body_of(2, "bad")
     (fetch,) = keeper.heard(peer, *stamp_of(body), 0.0)
-    offered = keeper.reply(peer, DocumentReply(version=2, body=body), 1.0)
+    offered = keeper.reply(
+        peer, DocumentReply(version=2, body=pack_document(body)), 1.0
+    )
     assert (offered.outcome, offered.fetches) == (Outcome.INVALID, ())
     assert keeper.heard(peer, *stamp_of(body), 60_000.0) == ()
 
@@ -361,8 +378,18 @@
     It answers a few and tells the others at once to ask elsewhere.
     """
     keeper = new_keeper()
-    body = body_of(1) + b" " * 1_000_000
+    body = body_of(1) + random.Random(1).randbytes(300_000)
     keeper.offer(body, Source.PLATFORM, 0.0)
     replies = [keeper.answer(DocumentRequest(version=1), 0.0) for _ in range(50)]
     assert sum(bool(reply.body) for reply in replies) == 4
     assert keeper.answer(DocumentRequest(version=1), 1_000.0).body
+
+
+def test_a_broken_or_oversized_transfer_is_a_failure_to_deliver():
+    """A peer sends bytes that aren't packed, are cut off, or unpack to too much."""
+    packed = pack_document(body_of(2))
+    for sent in (b"", b"x", packed[:-1], pack_document(b" " * 1_000_001)):
+        keeper, peer = new_keeper(), NodeId("peer", 1)
+        keeper.heard(peer, *stamp_of(body_of(2)), 0.0)
+        assert keeper.reply(peer, DocumentReply(version=2, body=sent), 1.0) is None
+        assert keeper.report(1.0).undelivered == ("peer",)
