--- a/packages/sassafraswinch/tests/utils/gate_bench.py
+++ b/packages/sassafraswinch/tests/utils/gate_bench.py
@@ -8,14 +8,14 @@
 
 from sassafraswinch.admission import AdaptiveGate
 from sassafraswinch.gate import Gate, OpenGate, StaticGate
+from sassafraswinch.hosts import HostView
 from sassafraswinch.levels import EntryShedder
 
-from .fake_server import FakeServer, Stream, Trial
+from .fake_server import FakeHost, FakeServer, Stream, Trial
 from .figures import Figures, measure
 
 RUN_MS, START_MS, END_MS = 12_000.0, 3_000.0, 7_000.0
 SLOTS, MEAN_MS = 60, 30.0
-CAPACITY_PER_S = SLOTS / MEAN_MS * 1000
 
 
 def during(inside: float, outside: float) -> Callable[[float], float]:
@@ -38,12 +38,18 @@
     repeats: int = 0
     obeys: bool = True
     slots: int = SLOTS
+    mean_ms: float = MEAN_MS
     deadline_ms: float = 1000.0
     drains: bool = False
     """Sheds all calls for a second in the middle of the pressure."""
 
-    def run(self, gate: Gate, seed: int, shedder: EntryShedder | None) -> Figures:
-        rates = self.slots / MEAN_MS * 1000
+    deep: bool = False
+    """The pressure is on a second server, which the first one calls."""
+
+    def run(
+        self, make_gate: Callable[[], Gate], seed: int, shedder: EntryShedder | None
+    ) -> Figures:
+        rates = self.slots / self.mean_ms * 1000
         streams = [
             Stream(
                 class_order=order,
@@ -56,19 +62,57 @@
         ]
         server = FakeServer(
             slots=self.slots,
-            mean_ms=MEAN_MS,
+            mean_ms=self.mean_ms,
             sheds=self.sheds,
             slowness=during(self.slowness, 1.0),
             available=lambda now_ms: not (self.drains and 4000 <= now_ms < 5000),
         )
-        trial = Trial(
-            gate=gate, server=server, streams=streams, seed=seed, shedder=shedder
-        )
+        view = HostView(name="host", service="archiv", availability_zone="brno-a")
+        host = FakeHost(gate=make_gate(), server=server, view=view)
+        if self.deep:
+            first = FakeServer(slots=8 * self.slots, mean_ms=self.mean_ms, onward=host)
+            gate = make_gate()
+            gate.set_slots(first.slots)
+            host = FakeHost(gate=gate, server=first, view=view)
+        trial = Trial(hosts=[host], streams=streams, seed=seed, shedder=shedder)
+        trial.server = server
         trial.run(RUN_MS)
         return measure(trial, start_ms=START_MS, end_ms=END_MS, run_ms=RUN_MS)
 
 
 SCENARIOS = [
+    Scenario(name="deep, slow x5", deep=True, slowness=5.0),
+    Scenario(
+        name="deep, slow x5, hard repeats",
+        deep=True,
+        slowness=5.0,
+        repeats=5,
+        obeys=False,
+    ),
+    Scenario(name="deep, surge x3", deep=True, paying=(0.9, 0.3), trial=(0.9, 0.3)),
+    Scenario(
+        name="surge and slow, hard repeats",
+        slowness=5.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+        repeats=5,
+        obeys=False,
+    ),
+    Scenario(
+        name="short calls, surge x3",
+        slots=8,
+        hint=8,
+        mean_ms=3.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+    ),
+    Scenario(
+        name="long calls, surge x3",
+        mean_ms=300.0,
+        paying=(0.9, 0.3),
+        trial=(0.9, 0.3),
+        deadline_ms=2000.0,
+    ),
     Scenario(name="drains 1 s", paying=(0.6, 0.6), drains=True),
     Scenario(name="calm"),
     Scenario(name="surge x3", paying=(0.9, 0.3), trial=(0.9, 0.3)),
@@ -112,15 +156,17 @@
 ]
 
 
-def arms(hint: int | None, seed: int) -> dict[str, tuple[Gate, EntryShedder | None]]:
+def arms(hint: int | None, seed: int) -> dict[str, tuple]:
+    """Return for each arm what makes its gates and its entry shedder."""
+
     def ours() -> Gate:
         return AdaptiveGate(slots=hint, rng=random.Random(seed))
 
     return {
-        "open": (OpenGate(), None),
-        "static": (StaticGate(slots=hint), None),
-        "ours": (ours(), None),
-        "ours+entry": (ours(), EntryShedder()),
+        "open": (OpenGate, None),
+        "static": (lambda: StaticGate(slots=hint), None),
+        "ours": (ours, None),
+        "ours+entry": (ours, EntryShedder()),
     }
 
 
@@ -131,14 +177,10 @@
         if only not in scenario.name:
             continue
         for arm in arms(scenario.hint, 0):
-            runs = [
-                scenario.run(
-                    *arms(scenario.hint, seed)[arm][:1],
-                    seed,
-                    arms(scenario.hint, seed)[arm][1],
-                )
-                for seed in range(seeds)
-            ]
+            runs = []
+            for seed in range(seeds):
+                make_gate, shedder = arms(scenario.hint, seed)[arm]
+                runs.append(scenario.run(make_gate, seed, shedder))
             columns = zip(*map(astuple, runs), strict=True)
             cells = "".join(
                 f"{statistics.median(c):8.1f}±{(max(c) - min(c)) / 2:<7.1f}"
