Build views of the asked service only

Cause: after each link event the next call to any service built the views of all 560 hosts, 1.5 ms on a busy machine, against 1.1 ms that a call may cost. Change: hosts of other services are skipped before a view is built.

--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -208,9 +208,9 @@
         found = self._candidates.get(service)
         if found is None:
             found = tuple(
-                view
-                for view in self.views(now_ms)
-                if view.service == service and not view.leaving
+                self._view(host)
+                for host in self._hosts.values()
+                if host.record.service == service and not host.leaving
             )
             self._candidates[service] = found
         return found
