Correct the threshold by the calls in excess, not by an integral alone

Cause: the correction fell 5% for each interval in which the queue still stood, down to 0.7, and rose again by 3%: 300 to 500 ms of free slots after each queue. Seen in the timeline of 'deep, slow x5': D 36/60 in flight, no queue, threshold (0, 80) and 25 paying calls refused in 100 ms. Ruled out: the rates (547 to 590 a second of a true 600). Now what waits above the target is worked off, and free slots filled, within 500 ms; the integral moves by 1% an interval only.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -14,7 +14,7 @@
 )
 from sassafraswinch.limits import ConcurrencyLimit
 from sassafraswinch.messages import LEVELS, Load, Rank
-from sassafraswinch.queue_delay import QueueDelays
+from sassafraswinch.queue_delay import TARGET_MS, QueueDelays
 from sassafraswinch.regression import Round
 from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 from sassafraswinch.service_time import ServiceTimes
@@ -216,6 +216,7 @@
         self._delays.sample(self._waiting, slot_gap_ms)
         self._threshold.decide(
             capacity_per_s=self._capacity_per_s(),
+            excess_calls=self._excess_calls(slot_gap_ms),
             standing=self._delays.standing(slot_gap_ms),
             now_ms=now_ms,
         )
@@ -223,6 +224,11 @@
     def _delay_ms(self, calls: int) -> float:
         return calls * self._slot_time_ms / self._limit.limit
 
+    def _excess_calls(self, slot_gap_ms: float) -> float:
+        target = TARGET_MS / slot_gap_ms if slot_gap_ms else 0.0
+        calls = len(self._running) + len(self._waiting)
+        return calls - self._limit.limit - target
+
     def _capacity_per_s(self) -> float:
         """Return the calls a second that can be finished once a ramp is over.
 
--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -12,14 +12,17 @@
 RATE_GAIN = 0.4
 """Weight of the last interval in the moving averages of rates."""
 
-TRIM_DOWN = 0.95
-"""Factor on the admitted rate after an interval with a standing queue."""
+SETTLE_MS = 500.0
+"""Time in which calls above the target of the queue shall be worked off, and free
+slots filled: longer than the way of a threshold to the entries and back as calls,
+which takes an interval and a service time or two."""
 
-TRIM_UP = 1.03
-"""Factor on the admitted rate after an interval without one."""
+TRIM_STEP = 0.01
+"""Change of the correction in one interval. It only takes up what the rates get
+wrong for good; a quicker one winds up while the queue drains."""
 
-MIN_TRIM, MAX_TRIM = 0.7, 1.3
-"""Bounds of the correction of the capacity that rates are measured against."""
+MIN_TRIM, MAX_TRIM = 0.8, 1.2
+"""Bounds of the correction, as share of the capacity."""
 
 OPEN_INTERVALS = 3
 """Intervals in a row in which all would be admitted before the threshold goes."""
@@ -125,7 +128,12 @@
         return now_ms - self._started_at_ms >= INTERVAL_MS
 
     def decide(
-        self, *, capacity_per_s: float, standing: int | None, now_ms: float
+        self,
+        *,
+        capacity_per_s: float,
+        excess_calls: float,
+        standing: int | None,
+        now_ms: float,
     ) -> None:
         """End an interval.
 
@@ -134,6 +142,7 @@
 
         Args:
             capacity_per_s: calls a second that the backend server can finish.
+            excess_calls: calls that wait above the target; negative for free slots.
             standing: most important class whose calls all waited longer than
                 the target of queue delay; None if there is none.
             now_ms: monotonic time.
@@ -145,9 +154,10 @@
                 return
             self._trim = 1.0
         else:
-            factor = TRIM_UP if standing is None else TRIM_DOWN
-            self._trim = min(max(self._trim * factor, MIN_TRIM), MAX_TRIM)
-        self._move(self._fitting(capacity_per_s * self._trim), standing)
+            step = TRIM_STEP if standing is None else -TRIM_STEP
+            self._trim = min(max(self._trim + step, MIN_TRIM), MAX_TRIM)
+        drain_per_s = excess_calls / SETTLE_MS * 1000
+        self._move(self._fitting(capacity_per_s * self._trim - drain_per_s), standing)
 
     def _measure(self, now_ms: float) -> None:
         seconds = max(now_ms - (self._started_at_ms or 0.0), 1.0) / 1000
@@ -157,7 +167,7 @@
             of_class.measure(min(max(place - order, 0.0), 1.0), seconds)
 
     def _fitting(self, rate_per_s: float) -> float:
-        left = rate_per_s
+        left = max(rate_per_s, 0.0)
         for order, of_class in enumerate(self._classes):
             left = max(left - of_class.progressed_per_s, 0.0)
             if of_class.fresh_per_s > left:
--- a/packages/sassafraswinch/tests/test_levels.py
+++ b/packages/sassafraswinch/tests/test_levels.py
@@ -97,12 +97,14 @@
     for _ in range(10):
         now_ms += INTERVAL_MS
         offer_for(threshold, rates_per_s=(900, 900), now_ms=now_ms, rng=rng)
-        threshold.decide(capacity_per_s=1000, standing=1, now_ms=now_ms)
+        threshold.decide(capacity_per_s=1000, excess_calls=0, standing=1, now_ms=now_ms)
         assert 1 <= threshold.place <= 1.3
     for _ in range(10):
         now_ms += INTERVAL_MS
         offer_for(threshold, rates_per_s=(300, 300), now_ms=now_ms, rng=rng)
-        threshold.decide(capacity_per_s=1000, standing=None, now_ms=now_ms)
+        threshold.decide(
+            capacity_per_s=1000, excess_calls=0, standing=None, now_ms=now_ms
+        )
     assert threshold.rank is None
 
 
@@ -110,7 +112,7 @@
     threshold, rng = Threshold(), random.Random(1)
     threshold.due(0.0)
     offer_for(threshold, rates_per_s=(900, 900), now_ms=INTERVAL_MS, rng=rng)
-    threshold.decide(capacity_per_s=450, standing=0, now_ms=INTERVAL_MS)
+    threshold.decide(capacity_per_s=450, excess_calls=0, standing=0, now_ms=INTERVAL_MS)
     late = Rank(0, LEVELS - 1)
     assert not threshold.admits(late, 0)
     assert threshold.admits(late, 1)
