--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -12,7 +12,7 @@
 RATE_GAIN = 0.4
 """Weight of the last interval in the moving averages of rates."""
 
-SETTLE_MS = 500.0
+SETTLE_MS = 300.0
 """Time in which calls above the target of the queue shall be worked off, and free
 slots filled: longer than the way of a threshold to the entries and back as calls,
 which takes an interval and a service time or two."""
