Read the platform earlier when what a rest was drawn for has changed

Found by a real fleet: after an invalid document was published, two of four nodes never reported it within 30 s. They had read the document before the host list, and drew their first rest for the 560 hosts assumed until then: up to 446 s. If all nodes of a small fleet read in that order, no one sees a change for minutes. Nothing called WatchSchedule.set_isolated either, so a node of a large fleet that lost its last link rested on as if its peers would tell it of changes.

PlatformWatch now looks each second whether the fleet is known and whether any peer is linked, and draws a new rest when that changes; the shorter one holds. Ruled out: drawing anew at each change of the host list, which biases all rests of a large fleet. Membership.isolated costs one pass over hosts with links.

--- a/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
@@ -18,6 +18,9 @@
 FIRST_FLEET_SIZE = 560
 """Fleet size assumed until a host list tells it: the one designed for."""
 
+LOOK_MS = 1_000
+"""Period of the looks, during a rest, at whether to read earlier."""
+
 
 class PlatformWatch:
     """Two streams, the document and the host list, each a task of its own."""
@@ -58,7 +61,32 @@
         while True:
             outcome = await self._read(read, wait_ms)
             wait_ms = schedule.wait_ms()
-            await asyncio.sleep(schedule.next_delay_ms(outcome) / 1000)
+            await self._rest(schedule, outcome)
+
+    async def _rest(self, schedule: WatchSchedule, outcome: WatchOutcome) -> None:
+        """Pause between two reads, shorter if what the pause was drawn for changes.
+
+        Failure: a node draws a rest of minutes, as if it had 559 peers to hear of
+        changes from, before it reads that the fleet is small; or its last link is
+        lost. Operators see a change in force everywhere but there.
+        """
+        circumstances = self._follow_fleet()
+        ends_ms = self.now_ms() + schedule.next_delay_ms(outcome)
+        while (left_ms := ends_ms - self.now_ms()) > 0:
+            await asyncio.sleep(min(left_ms, LOOK_MS) / 1000)
+            before, circumstances = circumstances, self._follow_fleet()
+            if circumstances != before:
+                earlier_ms = schedule.next_delay_ms(WatchOutcome.UNCHANGED)
+                ends_ms = min(ends_ms, self.now_ms() + earlier_ms)
+
+    def _follow_fleet(self) -> tuple[bool, bool]:
+        """Tell the schedules of the fleet; return what a rest depends on."""
+        nodes = len(self.membership.records())
+        isolated = self.membership.isolated()
+        for schedule in (self._document_schedule, self._host_schedule):
+            schedule.set_isolated(isolated)
+            schedule.set_nodes(nodes or FIRST_FLEET_SIZE)
+        return nodes > 0, isolated
 
     async def _read(
         self, read: Callable[[int], Awaitable[bool]], wait_ms: int
@@ -97,7 +125,4 @@
             return False
         now_ms = self.now_ms()
         self.membership.replace(published.records, published.version, now_ms)
-        nodes = len(self.membership.records())
-        self._document_schedule.set_nodes(nodes)
-        self._host_schedule.set_nodes(nodes)
         return True
--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -194,6 +194,11 @@
         self._trusted_after_ms = now_ms
         self._candidates.clear()
 
+    def isolated(self) -> bool:
+        """Return whether no other host can be reached over a link."""
+        linked = (h for h in self._hosts.values() if h.sessions)
+        return not any(self._view(host).linked for host in linked)
+
     def knows(self, host: str) -> bool:
         """Return whether a host of this name is known."""
         return host in self._hosts
