--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -89,6 +89,9 @@
             links=self.links,
             next_number=self.owner.next_number,
             is_known=membership.knows,
+            fresh_ticket=lambda request, now_ms: self.entry.fresh_ticket(
+                request, now_ms
+            ),
             respond=self._respond,
         )
         self.entry = Entry(
@@ -200,6 +203,8 @@
             self.forwarder.link_lost(
                 node.host, session, replaced=replaced, now_ms=now_ms
             )
+        elif not replaced and not self.owner.is_linked(node):
+            self.configuration.peer_lost(node.host, now_ms)
         self._settle(now_ms)
 
     def message(
@@ -324,7 +329,7 @@
     def _take_answer(self, node: NodeId, answer: Answer, now_ms: float) -> None:
         if answer.load is not None:
             self._hear(node, answer.load, now_ms)
-        if not self.forwarder.answered(node.host, answer):
+        if not self.forwarder.answered(node.host, answer, now_ms):
             self.owner.answered(node, answer, now_ms)
 
     def _take_forward(self, node: NodeId, forward: Forward, now_ms: float) -> None:
