--- /dev/null
+++ b/packages/sassafraswinch-node/tests/test_process_settings.py
@@ -0,0 +1,85 @@
+"""The node's binary refuses bad settings: exit code 2, every fault on stderr."""
+
+import socket
+import subprocess
+import sys
+
+import pytest
+import yaml
+
+from sassafraswinch_standins.processes import child_environment
+
+GOOD = {
+    "host": "schvaleni-1",
+    "availability_zone": "brno-a",
+    "service": "schvaleni",
+    "entry": "127.0.0.1:0",
+    "egress": "127.0.0.1:0",
+    "operators": "127.0.0.1:0",
+    "link": "127.0.0.1:0",
+    "backend": "127.0.0.1:9",
+    "platform": ["http://127.0.0.1:9"],
+}
+
+EXIT_BAD_SETTINGS = 2
+TIMEOUT_S = 60
+
+
+def serve(path):
+    return subprocess.run(
+        [sys.executable, "-m", "sassafraswinch_node.daemon", "--settings", str(path)],
+        env=child_environment(),
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    return tmp_path / "node.yaml"
+
+
+def test_every_fault_is_named_at_once(settings_file):
+    """An operator starts a node with five faults, and shouldn't need five starts."""
+    faulty = GOOD | {
+        "entry": "somewhere",
+        "gate": "magic",
+        "max_body_bytes": 3,
+        "colour": "blue",
+        "platform": [],
+    }
+    del faulty["host"]
+    settings_file.write_text(yaml.safe_dump(faulty))
+    ended = serve(settings_file)
+
+    assert ended.returncode == EXIT_BAD_SETTINGS
+    lines = ended.stderr.splitlines()
+    faults = {"host", "entry", "gate", "max_body_bytes", "colour", "platform"}
+    assert len(lines) == len(faults)
+    for field in faults:
+        assert any(line.startswith(f"{settings_file}: {field}: ") for line in lines)
+    assert not ended.stdout
+
+
+@pytest.mark.parametrize("text", ["- a list", "host: [", "\x00"])
+def test_file_that_is_no_mapping_is_refused(settings_file, text):
+    settings_file.write_text(text)
+    ended = serve(settings_file)
+    assert ended.returncode == EXIT_BAD_SETTINGS
+    assert ended.stderr.startswith(f"{settings_file}: (file): ")
+
+
+def test_missing_file_is_refused(settings_file):
+    ended = serve(settings_file)
+    assert ended.returncode == EXIT_BAD_SETTINGS
+    assert "can't be read" in ended.stderr
+
+
+def test_address_in_use_ends_the_start(settings_file):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        settings_file.write_text(yaml.safe_dump(GOOD | {"link": address}))
+        ended = serve(settings_file)
+    assert ended.returncode == EXIT_BAD_SETTINGS
+    assert " event=start_failed " in ended.stderr
