--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -103,7 +103,7 @@
         if ticket is None and classification.repeatable:
             return self._admit(request, classification, waiter, None, now_ms)
         if request.ticket is None and self.leaving:
-            self._refuse(waiter, Reason.LEAVING, LEAVING_RETRY_MS)
+            self._refuse(request, waiter, Reason.LEAVING, LEAVING_RETRY_MS)
             return None
         if request.ticket is None:
             ticket = self._fresh_ticket(request.organisation, classification, now_ms)
