--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -194,6 +194,11 @@
         self._trusted_after_ms = now_ms
         self._candidates.clear()
 
+    def isolated(self) -> bool:
+        """Return whether no other host can be reached over a link."""
+        linked = (h for h in self._hosts.values() if h.sessions)
+        return not any(self._view(host).linked for host in linked)
+
     def knows(self, host: str) -> bool:
         """Return whether a host of this name is known."""
         return host in self._hosts
@@ -208,9 +213,9 @@
         found = self._candidates.get(service)
         if found is None:
             found = tuple(
-                view
-                for view in self.views(now_ms)
-                if view.service == service and not view.leaving
+                self._view(host)
+                for host in self._hosts.values()
+                if host.record.service == service and not host.leaving
             )
             self._candidates[service] = found
         return found
