--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_backend.py
@@ -24,9 +24,11 @@
 
 CHILDREN = {
     "order-history": (("lookup", "archiv", "GET"), ("lookup2", "archiv", "GET")),
+    "order-receipt": (("release", "vydej", "POST"),),
     "approve-order": (("lookup", "archiv", "GET"), ("release", "vydej", "POST")),
 }
-"""Name, service and method of the calls that an operation makes, in order."""
+"""Name, service and method of the calls that an operation makes, in order. A receipt
+may be run again, so its release is never let through."""
 
 
 class Front(Protocol):
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_chaos.py
@@ -1,5 +1,6 @@
 """Random faults and load on a fleet in memory, as one seed decides."""
 
+from sassafraswinch_standins.memory_document import OPERATIONS
 from sassafraswinch_standins.memory_fleet import CONVERGE_MS, ZONES, Fleet
 
 STEP_MS = (5.0, 400.0)
@@ -54,9 +55,7 @@
         callers = self.fleet.callers
         impatient = self.rng.random() < 0.1
         demand = callers.call(
-            self.rng.choice(
-                ("lookup-order", "order-history", "approve-order", "release-order")
-            ),
+            self.rng.choice([name for name, *_ in OPERATIONS]),
             organisation=self.rng.choice(("acme", "brnovar", "zkusebna", "unknown")),
             repeats=self.rng.randrange(4),
             patience_ms=self.rng.uniform(1, 300) if impatient else None,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_document.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_document.py
@@ -18,6 +18,7 @@
 OPERATIONS = (
     ("lookup-order", "archiv", "GET", "/orders/{order}", "lookup"),
     ("order-history", "schvaleni", "GET", "/orders/{order}/history", "lookup"),
+    ("order-receipt", "schvaleni", "GET", "/orders/{order}/receipt", "lookup"),
     ("approve-order", "schvaleni", "POST", "/orders/{order}/approval", "approval"),
     ("release-order", "vydej", "POST", "/orders/{order}/release", "release"),
 )
