--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -5,16 +5,14 @@
 from functools import partial
 
 from sassafraswinch.membership import HostRecord, HostState
+from sassafraswinch_standins.memory_around import Surroundings
 from sassafraswinch_standins.memory_backend import MemoryBackend
 from sassafraswinch_standins.memory_callers import MemoryCallers
 from sassafraswinch_standins.memory_checks import Checks
 from sassafraswinch_standins.memory_document import make_document
 from sassafraswinch_standins.memory_network import MemoryNetwork
 from sassafraswinch_standins.memory_platform import MemoryPlatform
-from sassafraswinch_standins.memory_process import (
-    MemoryProcess,
-    Surroundings,
-)
+from sassafraswinch_standins.memory_process import MemoryProcess
 from sassafraswinch_standins.memory_schedule import Schedule
 
 ZONES = ("brno-a", "brno-b", "ostrava-c")
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_links.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_links.py
@@ -7,8 +7,6 @@
 
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import Protocol
 
 from sassafraswinch.messages import (
     Heartbeat,
@@ -18,6 +16,12 @@
     NodeId,
 )
 from sassafraswinch_standins.memory_channels import CLOSED, End, Frame
+from sassafraswinch_standins.memory_peers import (
+    REDIAL_MIN_MS,
+    DialledLink,
+    Peer,
+    Receiver,
+)
 from sassafraswinch_standins.memory_schedule import Action, Schedule
 
 HEARTBEAT_MS = 1_000.0
@@ -26,55 +30,9 @@
 ACCEPTED_SILENCE_MS = 10_000.0
 """Silence after which an accepted link is closed."""
 GREETING_TIMEOUT_MS = 2_000.0
-REDIAL_MIN_MS = 100.0
 REDIAL_MAX_MS = 3_000.0
 
 
-class Receiver(Protocol):
-    """The process that links report to."""
-
-    def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
-        """A link to or from another node is greeted."""
-
-    def link_message(
-        self, node: NodeId, session: int, message: Message, *, dialled: bool
-    ) -> None:
-        """A message of another node."""
-
-    def link_lost(
-        self, node: NodeId, session: int, *, dialled: bool, replaced: bool
-    ) -> None:
-        """A link is gone."""
-
-    def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
-        """A heartbeat sent at this time was answered."""
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class DialledLink:
-    """A link at the node that dialled it."""
-
-    host: str
-    session: int
-    end: End
-    unanswered: dict[int, float] = field(default_factory=dict)
-
-    def silent_since_ms(self) -> float:
-        """Return since when the peer has owed a sign of life."""
-        return min((self.end.last_read_ms, *self.unanswered.values()))
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class Peer:
-    """A wanted host: its greeted link, and the dialling of the next one."""
-
-    host: str
-    link: DialledLink | None = None
-    greeting: DialledLink | None = None
-    dialling: bool = False
-    redial_ms: float = REDIAL_MIN_MS
-
-
 class MemoryLinks:
     """The links of one process: those it dialled and those it accepted.
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_network.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_network.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 from sassafraswinch_standins.memory_channels import Channel, End, Frame
-from sassafraswinch_standins.memory_links import DialledLink, MemoryLinks
+from sassafraswinch_standins.memory_links import MemoryLinks
+from sassafraswinch_standins.memory_peers import DialledLink
 from sassafraswinch_standins.memory_schedule import Action, Schedule
 
 NEAR_MS = 0.2
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_node.py
@@ -0,0 +1,111 @@
+"""The node of a process in memory, and what shows its decisions to the checks."""
+
+from typing import TYPE_CHECKING
+
+from sassafraswinch.admission import AdaptiveGate
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.gate import Gate, GateDecision
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.messages import Call, Message
+from sassafraswinch.node import Node
+from sassafraswinch.ports import LinkPort
+from sassafraswinch.retry import CallerRetryBudget
+from sassafraswinch.routing import Router
+from sassafraswinch.tickets import TicketLedger
+from sassafraswinch.versions import ConfigKeeper
+from sassafraswinch_standins.memory_checks import Checks
+from sassafraswinch_standins.memory_document import digest_of, read_document
+
+if TYPE_CHECKING:
+    from sassafraswinch_standins.memory_process import MemoryProcess
+
+TICKET_LIFETIME_MS = 20_000
+MAX_ANSWER_BYTES = 200_000
+
+
+class WatchedGate:
+    """A gate whose decisions are shown to the checks."""
+
+    def __init__(self, *, gate: Gate, host: str, checks: Checks):
+        self._gate = gate
+        self._host = host
+        self._checks = checks
+        self._orders: dict[object, int] = {}
+
+    def offer(self, *, key, rank, **rest) -> GateDecision:
+        """Pass on and watch."""
+        self._orders[key] = rank.class_order
+        return self._watch(self._gate.offer(key=key, rank=rank, **rest))
+
+    def finished(self, *, key, **rest) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.finished(key=key, **rest))
+
+    def withdraw(self, key, now_ms: float) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.withdraw(key, now_ms))
+
+    def tick(self, now_ms: float) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.tick(now_ms))
+
+    def load(self, now_ms: float):
+        """Pass on."""
+        return self._gate.load(now_ms)
+
+    def leave(self) -> GateDecision:
+        """Pass on and watch."""
+        return self._watch(self._gate.leave())
+
+    def set_slots(self, slots: int | None) -> None:
+        """Pass on."""
+        self._gate.set_slots(slots)
+
+    def _watch(self, decision: GateDecision) -> GateDecision:
+        self._checks.decided(self._host, self._orders, decision)
+        return decision
+
+
+class WatchedLinks:
+    """The owner's way to other nodes; shows each call sent to the checks."""
+
+    def __init__(self, *, links: LinkPort, process: "MemoryProcess"):
+        self._links = links
+        self._process = process
+
+    def send(self, host: str, message: Message) -> int | None:
+        """Pass on, and count a call that was written."""
+        session = self._links.send(host, message)
+        if session is not None and isinstance(message, Call):
+            self._process.sent(host, message)
+        return session
+
+
+def make_node(process: "MemoryProcess") -> Node:
+    """Return the node of a process, its decisions shown to the checks."""
+    rng = process.rng
+    return Node(
+        node=process.node_id,
+        links=process.links,
+        backend=process,
+        callers=process,
+        gate=WatchedGate(
+            gate=AdaptiveGate(slots=6, rng=rng),
+            host=process.host,
+            checks=process.checks,
+        ),
+        membership=process.membership,
+        router=Router(availability_zone=process.availability_zone, rng=rng),
+        tickets=TicketLedger(
+            node=process.node_id,
+            secret=rng.randbytes(32),
+            lifetime_ms=TICKET_LIFETIME_MS,
+            max_answer_bytes=MAX_ANSWER_BYTES,
+        ),
+        ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
+        shedder=EntryShedder(),
+        budget=CallerRetryBudget(share_percent=10),
+        keeper=ConfigKeeper(parse=read_document, digest=digest_of, rng=rng),
+        service=process.record.service,
+        rng=rng,
+    )
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -4,12 +4,8 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from sassafraswinch.admission import AdaptiveGate
-from sassafraswinch.execution import ExecutionLedger
-from sassafraswinch.gate import Gate, GateDecision
-from sassafraswinch.levels import EntryShedder
 from sassafraswinch.lifecycle import NodeState
 from sassafraswinch.membership import HostRecord, Membership
 from sassafraswinch.messages import (
@@ -19,106 +15,24 @@
     Message,
     NodeId,
 )
-from sassafraswinch.node import Node
-from sassafraswinch.ports import LinkPort
 from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
-from sassafraswinch.retry import CallerRetryBudget
-from sassafraswinch.routing import Router
-from sassafraswinch.tickets import TicketLedger
 from sassafraswinch.verdict import Reason, Verdict
-from sassafraswinch.versions import ConfigKeeper
 from sassafraswinch.wake import WakeDetector
+from sassafraswinch_standins.memory_around import Surroundings
 from sassafraswinch_standins.memory_backend import (
     PURPOSE_HEADER,
     Exchange,
     MemoryBackend,
 )
-from sassafraswinch_standins.memory_checks import Asked, Checks
-from sassafraswinch_standins.memory_document import digest_of, read_document
+from sassafraswinch_standins.memory_checks import Asked
 from sassafraswinch_standins.memory_links import HEARTBEAT_MS, MemoryLinks
-from sassafraswinch_standins.memory_network import MemoryNetwork
-from sassafraswinch_standins.memory_platform import MemoryPlatform, PlatformDownError
-from sassafraswinch_standins.memory_schedule import Action, Schedule
+from sassafraswinch_standins.memory_node import WatchedLinks, make_node
+from sassafraswinch_standins.memory_reads import PlatformReads
+from sassafraswinch_standins.memory_schedule import Action
 
 TICK_MS = 25.0
-READ_EVERY_MS = (200.0, 1_200.0)
-"""Shortest and longest pause between two reads of the platform."""
 LONG_PAUSE_MS = 2_000.0
 """A pause after which a node must not act on what it knew before."""
-TICKET_LIFETIME_MS = 20_000
-MAX_ANSWER_BYTES = 200_000
-PLATFORM_ZONE = "platform"
-"""Where the platform is; cut together with zones that lose it."""
-
-
-class WatchedGate:
-    """A gate whose decisions are shown to the checks."""
-
-    def __init__(self, *, gate: Gate, host: str, checks: Checks):
-        self._gate = gate
-        self._host = host
-        self._checks = checks
-        self._orders: dict[object, int] = {}
-
-    def offer(self, *, key, rank, **rest) -> GateDecision:
-        """Pass on and watch."""
-        self._orders[key] = rank.class_order
-        return self._watch(self._gate.offer(key=key, rank=rank, **rest))
-
-    def finished(self, *, key, **rest) -> GateDecision:
-        """Pass on and watch."""
-        return self._watch(self._gate.finished(key=key, **rest))
-
-    def withdraw(self, key, now_ms: float) -> GateDecision:
-        """Pass on and watch."""
-        return self._watch(self._gate.withdraw(key, now_ms))
-
-    def tick(self, now_ms: float) -> GateDecision:
-        """Pass on and watch."""
-        return self._watch(self._gate.tick(now_ms))
-
-    def load(self, now_ms: float):
-        """Pass on."""
-        return self._gate.load(now_ms)
-
-    def leave(self) -> GateDecision:
-        """Pass on and watch."""
-        return self._watch(self._gate.leave())
-
-    def set_slots(self, slots: int | None) -> None:
-        """Pass on."""
-        self._gate.set_slots(slots)
-
-    def _watch(self, decision: GateDecision) -> GateDecision:
-        self._checks.decided(self._host, self._orders, decision)
-        return decision
-
-
-class WatchedLinks:
-    """The owner's way to other nodes; shows each call sent to the checks."""
-
-    def __init__(self, *, links: LinkPort, process: "MemoryProcess"):
-        self._links = links
-        self._process = process
-
-    def send(self, host: str, message: Message) -> int | None:
-        """Pass on, and count a call that was written."""
-        session = self._links.send(host, message)
-        if session is not None and isinstance(message, Call):
-            self._process.sent(host, message)
-        return session
-
-
-@dataclass(slots=True, kw_only=True)
-class Surroundings:
-    """What all processes of a fleet share."""
-
-    schedule: Schedule
-    checks: Checks
-    network: MemoryNetwork
-    platform: MemoryPlatform
-    stopped: Callable[["MemoryProcess"], None]
-    """Told of a process whose planned stop is complete."""
 
 
 class MemoryProcess:
@@ -139,7 +53,7 @@
         self.alive = True
         self.paused = False
         self.left_at_ms: float | None = None
-        self.reads_platform = True
+        self.reads = PlatformReads(process=self, platform=around.platform)
         self._paused_at_ms = 0.0
         self._woke_at_ms = 0.0
         self._proved_ms: dict[str, float] = {}
@@ -152,7 +66,6 @@
         self._told: dict[int, Callable[[Outcome], None]] = {}
         self._abandoned: set[int] = set()
         self._exchanges: dict[CallKey, Exchange] = {}
-        self._document_version = 0
         self.links = MemoryLinks(
             node=self.node_id,
             schedule=self.schedule,
@@ -162,7 +75,7 @@
             hello=self._hello,
             heartbeat=lambda sequence: self.node.heartbeat(sequence, self.now_ms),
         )
-        self.node = self._make_node()
+        self.node = make_node(self)
         self.node.owner.links = WatchedLinks(links=self.node.links, process=self)
 
     @property
@@ -175,7 +88,7 @@
         self.node.start(self.now_ms)
         self._repeat(TICK_MS, self._tick)
         self._repeat(HEARTBEAT_MS, self._beat)
-        self._read_later()
+        self.reads.plan()
 
     def post(self, action: Action) -> None:
         """Run an action now, or on waking; never if the process is dead."""
@@ -269,13 +182,13 @@
 
     def backend_done(self, key: CallKey, result: BackendResult) -> None:
         """Take the end of a dispatch."""
-        self._observe()
+        self.observe()
         del self._exchanges[key]
         self.node.backend_done(key, result, self.now_ms)
 
     def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
         """Pass on a new link and the version in its greeting."""
-        self._observe()
+        self.observe()
         self.node.link_up(hello.node, session, dialled=dialled, now_ms=self.now_ms)
         self.node.configuration.greeted(hello, self.now_ms)
 
@@ -283,21 +196,21 @@
         self, node: NodeId, session: int, message: Message, *, dialled: bool
     ) -> None:
         """Pass on a message."""
-        self._observe()
+        self.observe()
         self.node.message(node, session, message, self.now_ms)
 
     def link_lost(
         self, node: NodeId, session: int, *, dialled: bool, replaced: bool
     ) -> None:
         """Pass on the end of a link."""
-        self._observe()
+        self.observe()
         self.node.link_lost(
             node, session, dialled=dialled, replaced=replaced, now_ms=self.now_ms
         )
 
     def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
         """Pass on that a heartbeat was answered."""
-        self._observe()
+        self.observe()
         self._proved_ms[node.host] = sent_at_ms
         self.node.link_proved(node, sent_at_ms, self.now_ms)
 
@@ -305,7 +218,7 @@
         """Begin a planned stop."""
         if not self.node.lifecycle.leaving:
             self.left_at_ms = self.now_ms
-            self._observe()
+            self.observe()
             self.node.leave(self.now_ms)
 
     @property
@@ -331,11 +244,11 @@
         return handle
 
     def _pass_abandon(self, handle: int) -> None:
-        self._observe()
+        self.observe()
         self.node.abandon(handle, self.now_ms)
 
     def _hand_in(self, submit, request: Request) -> None:
-        self._observe()
+        self.observe()
         submit(request, self.now_ms)
 
     def _hello(self, session: int) -> Hello:
@@ -350,7 +263,8 @@
             document_digest=stamp.digest,
         )
 
-    def _observe(self) -> None:
+    def observe(self) -> None:
+        """Tell the node if this process was paused; called before anything else."""
         if self.wake_detector.observe(monotonic_ms=self.now_ms, wall_ms=self.now_ms):
             self.node.woke(self.now_ms)
 
@@ -371,7 +285,7 @@
         self.schedule.after(first_ms, lambda: self.post_timer(again))
 
     def _tick(self) -> None:
-        self._observe()
+        self.observe()
         self.node.tick(self.now_ms)
         if self.membership.self_leaving:
             self.leave()
@@ -384,54 +298,3 @@
     def _beat(self) -> None:
         self.links.beat()
         self.links.want(record.name for record in self.membership.peers(self.now_ms))
-
-    def _read_later(self) -> None:
-        delay_ms = self.rng.uniform(*READ_EVERY_MS)
-        self.schedule.after(delay_ms, lambda: self.post(self._read))
-
-    def _read(self) -> None:
-        self._read_later()
-        network = self.around.network
-        reachable = network.reachable(self.availability_zone, PLATFORM_ZONE)
-        if not (reachable and self.reads_platform):
-            return
-        self._observe()
-        platform = self.around.platform
-        try:
-            hosts = platform.hosts(self.membership.list_version)
-            published = platform.document(self._document_version)
-        except PlatformDownError:
-            return
-        if hosts is not None:
-            self.membership.replace(hosts[1], hosts[0], self.now_ms)
-        if published is not None:
-            self._document_version = published.version
-            candidate = self.node.configuration.keeper.read(published.body)
-            self.node.configuration.platform_read(candidate, self.now_ms)
-
-    def _make_node(self) -> Node:
-        return Node(
-            node=self.node_id,
-            links=self.links,
-            backend=self,
-            callers=self,
-            gate=WatchedGate(
-                gate=AdaptiveGate(slots=6, rng=self.rng),
-                host=self.host,
-                checks=self.checks,
-            ),
-            membership=self.membership,
-            router=Router(availability_zone=self.availability_zone, rng=self.rng),
-            tickets=TicketLedger(
-                node=self.node_id,
-                secret=self.rng.randbytes(32),
-                lifetime_ms=TICKET_LIFETIME_MS,
-                max_answer_bytes=MAX_ANSWER_BYTES,
-            ),
-            ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
-            shedder=EntryShedder(),
-            budget=CallerRetryBudget(share_percent=10),
-            keeper=ConfigKeeper(parse=read_document, digest=digest_of, rng=self.rng),
-            service=self.record.service,
-            rng=self.rng,
-        )
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -340,7 +340,7 @@
     fleet.silence("archiv-a", "schvaleni-b")
     fleet.silence("schvaleni-a", "schvaleni-c")
     for process in fleet.processes.values():
-        process.reads_platform = process.availability_zone == "brno-a"
+        process.reads.allowed = process.availability_zone == "brno-a"
     for _ in range(5):
         fleet.publish()
         fleet.run_for(9_000)
