--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_callers.py
@@ -215,26 +215,27 @@
 
     def _told(self, attempt: Attempt, outcome: Outcome | None) -> None:
         demand = attempt.demand
-        if outcome is None:
-            self.broken += 1
-        elif outcome.ticket is not None and outcome.verdict is not Verdict.NOT_RUN:
-            self._tickets[demand.traffic].append(outcome.ticket)
-        if demand.done or attempt.generation != demand.generation:
-            return
-        if outcome is not None and outcome.verdict is Verdict.ANSWERED:
-            demand.done = True
-            return
-        first = demand.ticket_uses == 1
-        latest = attempt.request.ticket == demand.ticket
-        if outcome is not None and latest and is_not_run(outcome, first=first):
-            demand.generation += 1
-            demand.ticket_uses = 0
-            demand.ticket = outcome.ticket
-        if demand.repeats_left:
+        self.broken += outcome is None
+        awaited = not demand.done and attempt.generation == demand.generation
+        if outcome is not None:
+            demand.done |= awaited and outcome.verdict is Verdict.ANSWERED
+            self._take_ticket(attempt, outcome, awaited)
+        if awaited and not demand.done and demand.repeats_left:
             demand.repeats_left -= 1
             pause_ms = self.schedule.rng.uniform(1, 200)
             self.schedule.after(pause_ms, lambda: self._go_on(demand))
 
+    def _take_ticket(self, attempt: Attempt, outcome: Outcome, awaited: bool) -> None:
+        """Go on with the fresh ticket where that is safe, else keep it for others."""
+        demand = attempt.demand
+        latest = awaited and attempt.request.ticket == demand.ticket
+        if latest and is_not_run(outcome, first=demand.ticket_uses == 1):
+            demand.generation += 1
+            demand.ticket_uses = 0
+            demand.ticket = outcome.ticket
+        elif outcome.ticket is not None:
+            self._tickets[demand.traffic].append(outcome.ticket)
+
     def _go_on(self, demand: Demand) -> None:
         if not demand.done:
             self._attempt(demand, None, None)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -31,6 +31,11 @@
     host: str
     due_at_ms: float
 
+    @property
+    def operation(self) -> str:
+        """The operation, or the child call, that is asked for."""
+        return self.identity.rpartition("/")[2].rstrip("0123456789").rstrip("-")
+
 
 @dataclass(slots=True, kw_only=True)
 class Tries:
@@ -58,6 +63,7 @@
         """The last verdict told of each mark."""
         self.not_run: set[str] = set()
         self.verdicts: Counter[str] = Counter()
+        self.operations: Counter[tuple[str, Verdict]] = Counter()
         self.reasons: Counter[tuple[Verdict, Reason | None]] = Counter()
         self.open: dict[tuple[str, int], Asked] = {}
         self.tries: defaultdict[str, Tries] = defaultdict(Tries)
@@ -108,6 +114,7 @@
         """Hold what is told of a request against the truth."""
         self.verdicts[outcome.verdict.value] += 1
         self.reasons[outcome.verdict, outcome.reason] += 1
+        self.operations[asked.operation, outcome.verdict] += 1
         self.told[asked.mark] = outcome.verdict
         if outcome.verdict is Verdict.NOT_RUN:
             self.not_run.add(asked.mark)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/soak.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/soak.py
@@ -6,9 +6,11 @@
 import sys
 import time
 import traceback
+from collections import Counter
 
 import defopt
 
+from sassafraswinch.verdict import Verdict
 from sassafraswinch_standins.memory_chaos import Chaos
 from sassafraswinch_standins.memory_fleet import Fleet
 
@@ -18,17 +20,26 @@
 
 def report(fleets: list[Fleet]) -> str:
     """Return the figures of all fleets, one a line."""
-    faults = sum((fleet.faults for fleet in fleets), start=fleets[0].faults.copy())
-    faults.subtract(fleets[0].faults)
-    verdicts = sum((f.checks.verdicts for f in fleets), start=type(faults)())
-    unproved = [fleet.checks.unproved() for fleet in fleets]
+    checks = [fleet.checks for fleet in fleets]
+    faults = sum((fleet.faults for fleet in fleets), start=Counter())
+    operations = sum((check.operations for check in checks), start=Counter())
+    reasons = sum((check.reasons for check in checks), start=Counter())
+    unproved = [check.unproved() for check in checks]
     simulated_ms = sum(fleet.schedule.now_ms for fleet in fleets)
     lines = [
         f"simulated seconds: {simulated_ms / 1000:.0f}",
         f"events: {sum(fleet.schedule.actions_run for fleet in fleets)}",
-        f"runs on backend servers: {sum(f.checks.runs.total() for f in fleets)}",
+        f"runs on backend servers: {sum(c.runs.total() for c in checks)}",
         *(f"fault {kind}: {count}" for kind, count in sorted(faults.items())),
-        *(f"verdict {name}: {count}" for name, count in sorted(verdicts.items())),
+        *(
+            f"operation {name}, {verdict.value}: {count}"
+            for (name, verdict), count in sorted(operations.items(), key=str)
+        ),
+        *(
+            f"may-have-run because {reason.value}: {count}"
+            for (verdict, reason), count in reasons.most_common()
+            if verdict is Verdict.MAY_HAVE_RUN
+        ),
         f"requests whose last word was may-have-run: {sum(m for m, _ in unproved)}",
         f"of these never ran: {sum(never for _, never in unproved)}",
     ]
