--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -392,3 +392,17 @@
     fleet.wake("schvaleni-a")
     fleet.run_for(100)
     assert not fleet.checks.runs["go/release.0"]
+
+
+def test_each_waiter_gets_a_ticket_of_its_own():
+    """A caller sends a release twice at once, and both connections get the answer.
+
+    Both also got the same fresh ticket. The caller kept two tickets as it thought, and
+    its second next release was told may-have-run, being another request's.
+    """
+    desk = Desk()
+    ticket = desk.ticket("archiv-a")
+    told = [desk.release("archiv-a", "goods", ticket) for _ in range(2)]
+    desk.fleet.run_for(500)
+    assert [outcomes[0].verdict for outcomes in told] == [Verdict.ANSWERED] * 2
+    assert told[0][0].ticket != told[1][0].ticket
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -128,11 +128,11 @@
         if pending.ticket_number is not None and not finished.given_up:
             self.ledger.finish(pending.ticket_number, answer, now_ms)
             self._by_ticket.pop(pending.ticket_number, None)
-        outcome = self._outcome(pending, finished.owned.rank, answer, now_ms)
         if pending.waiters:
             self._record(pending, answer, now_ms)
         waiters, pending.waiters = pending.waiters, []
         for waiter in waiters:
+            outcome = self._outcome(pending, finished.owned.rank, answer, now_ms)
             self.respond(waiter, outcome)
 
     def _forward(
