--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -22,6 +22,13 @@
 UNREAD_MS = 1_000.0
 """Deadline of a request that is passed on by a node which never had a document."""
 
+ANSWER_MARGIN_MS = 120.0
+"""Part of a deadline kept for the final answer: 100 ms that forwarder and owner wait
+for a proof, and 3 ms each way to the caller, with room for a busy node."""
+
+MAX_MARGIN_SHARE = 0.25
+"""Greatest part of a short deadline kept for the final answer."""
+
 LEAVING_RETRY_MS = 100
 """Another node of the availability zone can be asked at once."""
 
@@ -147,7 +154,7 @@
             self._refuse(request, waiter, Reason.TICKET_OWNER_RESTARTED, 0)
             return
         classification = self._newest and _classify(self._newest, request)
-        deadline_ms = classification.deadline_ms if classification else UNREAD_MS
+        deadline_ms = answer_within_ms(classification) if classification else UNREAD_MS
         self.forwarder.forward(
             request,
             ticket.owner,
@@ -381,8 +388,18 @@
 def _deadline_ms(request: Request, classification: Classification) -> float:
     """Return the time left for a request that may have been forwarded."""
     if request.deadline_ms is None:
-        return classification.deadline_ms
-    return min(request.deadline_ms, classification.deadline_ms)
+        return answer_within_ms(classification)
+    return min(request.deadline_ms, answer_within_ms(classification))
+
+
+def answer_within_ms(classification: Classification) -> float:
+    """Return the time after which a call is given up.
+
+    Failure guarded against: a caller whose own timeout is the deadline of its class
+    hangs up while the final answer is on its way, and knows less than the node.
+    """
+    deadline_ms = classification.deadline_ms
+    return deadline_ms - min(ANSWER_MARGIN_MS, deadline_ms * MAX_MARGIN_SHARE)
 
 
 def _not_run(reason: Reason, retry_after_ms: int) -> Answer:
