--- a/packages/sassafraswinch/tests/test_versions.py
+++ b/packages/sassafraswinch/tests/test_versions.py
@@ -329,6 +329,19 @@
     assert keeper.serving.version == 2
 
 
+def test_a_peer_that_delivers_less_than_it_claims_is_not_asked_at_once_again():
+    """A peer claims version 3 and sends version 2 each time it is asked.
+
+    Version 2 is better than none, but the claim must not be followed in a loop.
+    """
+    keeper, peer = new_keeper(), NodeId("peer", 1)
+    reply = DocumentReply(version=2, body=pack_document(body_of(2)))
+    assert keeper.heard(peer, *stamp_of(body_of(3)), 0.0)
+    assert keeper.reply(peer, reply, 1.0).changed
+    assert keeper.tick(2.0) == ()
+    assert keeper.report(2.0).undelivered == ("peer",)
+
+
 def test_a_late_message_of_a_second_link_lowers_no_claim():
     """A node restarts and reads version 1; a peer holds 2 but is slow to send it.
 
