--- a/packages/sassafraswinch/sassafraswinch/answer_store.py
+++ b/packages/sassafraswinch/sassafraswinch/answer_store.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Hashable
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from sassafraswinch.messages import Answer
@@ -11,6 +12,17 @@
 LARGEST_SHARE = 4
 """One answer may take at most this fraction (1/4) of a store."""
 
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LedgerSize:
+    """What a ledger holds in memory."""
+
+    records: int
+    answer_bytes: int
+    """As counted by ``answer_bytes``."""
+    state_bytes: int = 0
+
+
 Key = TypeVar("Key", bound=Hashable)
 
 
--- a/packages/sassafraswinch/sassafraswinch/execution.py
+++ b/packages/sassafraswinch/sassafraswinch/execution.py
@@ -1,23 +1,27 @@
 """What an executing node remembers about the calls it received from their owners."""
 
 import enum
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from sassafraswinch.answer_store import AnswerStore
+from sassafraswinch.answer_store import AnswerStore, LedgerSize
 from sassafraswinch.errors import InvariantError
 from sassafraswinch.messages import Answer, Fence, FenceReply, FenceState, NodeId
 from sassafraswinch.verdict import Verdict
 
-MAX_OWNERS = 1024
-"""Owner incarnations with a state: 560 nodes, and a week of their restarts."""
-MAX_FORGOTTEN_OWNERS = 4096
-"""Owner incarnations refused for good: 62 days of 66 restarts or failures a day."""
+MAX_OWNERS = 4096
+"""Owner incarnations with a state: 560 nodes, and those that restart in a loop."""
+FORGET_OWNER_MS = 1_800_000
+"""An owner without calls may be forgotten after such a silence, if its room is needed.
+Its links have been closed as silent long before, so none of its frames is left."""
 MAX_LIVE_CALLS = 16_384
 """Calls that are queued, running, or whose answer isn't acknowledged."""
-MAX_DROPPED_CALLS = 32_768
-"""Calls whose number is still known after their record went: 87 s at 375 a second."""
+MAX_DROPPED_CALLS = 8192
+"""Calls whose number is still known after their record went: 22 s at 375 a second."""
+MAX_NUMBER = 2**63 - 1
+"""Greatest number of a call on the wire."""
 
 
 class CallState(enum.Enum):
@@ -42,9 +46,10 @@
 class OwnerState:
     """Everything remembered about one owner incarnation."""
 
-    floor_session: int = 0
+    seen_at_ms: float
+    floor_session: float = 0
     """Calls that arrive on a lower session are dropped: they have been fenced."""
-    forgotten_below: int = 0
+    forgotten_below: int
     """Of lower numbers without a record nothing is known."""
     records: dict[int, CallRecord] = field(default_factory=dict)
     dropped: dict[int, FenceState] = field(default_factory=dict)
@@ -74,21 +79,32 @@
         *,
         max_answer_bytes: int,
         max_owners: int = MAX_OWNERS,
-        max_forgotten_owners: int = MAX_FORGOTTEN_OWNERS,
         max_live_calls: int = MAX_LIVE_CALLS,
         max_dropped_calls: int = MAX_DROPPED_CALLS,
     ):
         self._max_owners = max_owners
-        self._max_forgotten_owners = max_forgotten_owners
         self._max_live_calls = max_live_calls
         self._max_dropped_calls = max_dropped_calls
         self._answers: AnswerStore[tuple[NodeId, int]] = AnswerStore(
             max_bytes=max_answer_bytes
         )
         self._owners: OrderedDict[NodeId, OwnerState] = OrderedDict()
-        self._forgotten_owners: set[NodeId] = set()
+        self._forgot_owners = False
         self._dropped: deque[tuple[NodeId, int]] = deque()
         self._live_calls = 0
+        self._now_ms = 0.0
+
+    @property
+    def size(self) -> LedgerSize:
+        """What the ledger holds: live and dropped calls, and answers."""
+        return LedgerSize(
+            records=self._live_calls + len(self._dropped),
+            answer_bytes=self._answers.kept_bytes,
+        )
+
+    def tick(self, now_ms: float) -> None:
+        """Note the time, at least once a minute."""
+        self._now_ms = max(self._now_ms, now_ms)
 
     def receive(self, owner: NodeId, session: int, number: int) -> bool:
         """Record a call that arrived.
@@ -97,7 +113,7 @@
             True: the call is queued now. False: drop the frame; its session has been
             fenced, it is a duplicate, or the ledger is full.
         """
-        state = self._owner(owner)
+        state = self._owner(owner, first_known=number)
         if state is None or self._live_calls >= self._max_live_calls:
             return False
         if session < state.floor_session or number < state.forgotten_below:
@@ -154,7 +170,7 @@
         this. Then it is dropped, since its session is below the floor: that is why
         "never started" holds for good, however late the frame is.
         """
-        state = self._owner(owner)
+        state = self._owner(owner, first_known=max(fence.numbers, default=0) + 1)
         if state is None:
             unknown = FenceState.UNKNOWN
             replies = (FenceReply(number=n, state=unknown) for n in fence.numbers)
@@ -184,48 +200,53 @@
                 self._drop(owner, number)
 
     def forget_owner(self, owner: NodeId) -> tuple[int, ...]:
-        """Forget an owner incarnation that is gone, and refuse it from now on.
+        """Drop the calls of an owner incarnation that is gone, and refuse it for good.
 
-        It stays refused, as one of its frames may still sit in an old link: were the
-        owner met as a new one, its session floor would be lost, and a call that it
-        was told had never started could start.
+        One of its frames may still sit in an old link. Were the owner met as a new
+        one, a call that it was told had never started could start.
 
         Returns:
             Its queued calls, to be taken from the queue.
         """
-        if len(self._forgotten_owners) >= self._max_forgotten_owners:
-            return ()
-        self._forgotten_owners.add(owner)
-        state = self._owners.pop(owner, None)
+        state = self._owners.get(owner)
         if state is None:
             return ()
-        self._live_calls -= len(state.records)
-        for number in state.records:
-            self._answers.drop((owner, number))
-        return tuple(
+        queued = tuple(
             number
             for number, record in state.records.items()
             if record.state is CallState.QUEUED
         )
-
-    def _owner(self, owner: NodeId) -> OwnerState | None:
-        """Return the state of an owner; None: it is refused, or there is no room."""
+        self._live_calls -= len(state.records)
+        for number in state.records:
+            self._answers.drop((owner, number))
+        state.records.clear()
+        state.dropped.clear()
+        state.floor_session = math.inf
+        state.forgotten_below = MAX_NUMBER
+        return queued
+
+    def _owner(self, owner: NodeId, *, first_known: int) -> OwnerState | None:
+        """Return the state of an owner; None: there is no room for a new one."""
         state = self._owners.get(owner)
         if state is not None:
             self._owners.move_to_end(owner)
+            state.seen_at_ms = self._now_ms
             return state
-        if owner in self._forgotten_owners:
+        if len(self._owners) >= self._max_owners and not self._forget_silent_owner():
             return None
-        if len(self._owners) >= self._max_owners and not self._forget_idle_owner():
-            return None
-        state = self._owners[owner] = OwnerState()
+        # An owner that seems new may be a forgotten one: nothing is known of its past.
+        below = first_known if self._forgot_owners else 0
+        state = OwnerState(seen_at_ms=self._now_ms, forgotten_below=below)
+        self._owners[owner] = state
         return state
 
-    def _forget_idle_owner(self) -> bool:
-        idle = next((o for o, state in self._owners.items() if not state.records), None)
-        if idle is not None:
-            self.forget_owner(idle)
-        return len(self._owners) < self._max_owners
+    def _forget_silent_owner(self) -> bool:
+        owner, state = next(iter(self._owners.items()))
+        if state.records or self._now_ms - state.seen_at_ms < FORGET_OWNER_MS:
+            return False
+        del self._owners[owner]
+        self._forgot_owners = True
+        return True
 
     def _record(self, owner: NodeId, number: int) -> CallRecord | None:
         state = self._owners.get(owner)
--- a/packages/sassafraswinch/sassafraswinch/sent_calls.py
+++ b/packages/sassafraswinch/sassafraswinch/sent_calls.py
@@ -73,13 +73,13 @@
         A restarted executing node has lost its records: it would answer "never
         started" about a call that its previous run did start. So it isn't asked.
         """
-        calls = {n: self._calls[n] for n in self._numbers.get(peer.host, ())}
-        lost = tuple(sorted(n for n, call in calls.items() if call.peer != peer))
-        fenced = sorted(
-            n
-            for n, call in calls.items()
-            if call.peer == peer and call.session < session
-        )
+        earlier = [
+            number
+            for number in sorted(self._numbers.get(peer.host, ()))
+            if self._calls[number].session < session
+        ]
+        lost = tuple(n for n in earlier if self._calls[n].peer != peer)
+        fenced = [n for n in earlier if self._calls[n].peer == peer]
         for number in lost:
             self.settle(number)
         fences = tuple(
--- a/packages/sassafraswinch/sassafraswinch/tickets.py
+++ b/packages/sassafraswinch/sassafraswinch/tickets.py
@@ -9,7 +9,7 @@
 import re
 from dataclasses import dataclass
 
-from sassafraswinch.answer_store import AnswerStore
+from sassafraswinch.answer_store import AnswerStore, LedgerSize
 from sassafraswinch.claims import (
     NOT_KEPT,
     Claim,
@@ -129,6 +129,15 @@
         self._now_ms = 0.0
         self._dropped_below = 0
 
+    @property
+    def size(self) -> LedgerSize:
+        """What the ledger holds: running and answered requests, and ticket states."""
+        return LedgerSize(
+            records=len(self._running) + len(self._answered),
+            answer_bytes=self._answers.kept_bytes,
+            state_bytes=self._states.size_bytes,
+        )
+
     def issue(self, organisation: str, operation: str, now_ms: float) -> str:
         """Return the text of a fresh ticket for one request of this operation."""
         expires_at_ms = int(self._advance(now_ms)) + self._lifetime_ms
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_execution.py
@@ -0,0 +1,160 @@
+"""Execution records under late, repeated and lost frames, and little memory."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sassafraswinch.errors import InvariantError
+from sassafraswinch.execution import FORGET_OWNER_MS, ExecutionLedger
+from sassafraswinch.messages import Answer, Fence, FenceReply, FenceState, NodeId
+from sassafraswinch.verdict import Verdict
+
+OWNER = NodeId("a", 1)
+OTHER = NodeId("c", 1)
+ANSWER_BYTES = 3000
+
+
+class Calls(RuleBasedStateMachine):
+    """One owner's calls: what the ledger says must stay true, however frames arrive."""
+
+    @initialize()
+    def begin(self):
+        self.ledger = ExecutionLedger(
+            max_answer_bytes=ANSWER_BYTES,
+            max_owners=1,
+            max_live_calls=6,
+            max_dropped_calls=2,
+        )
+        self.now_ms = 0.0
+        self.session = 1
+        self.sent = 0
+        self.frames = []
+        self.queue = []
+        self.running = []
+        self.started = Counter()
+        self.told_never = set()
+
+    @rule()
+    def send(self):
+        self.sent += 1
+        self.frames.append((self.session, self.sent))
+
+    @precondition(lambda self: self.frames)
+    @rule(pick=st.integers(0, 3), duplicate=st.booleans())
+    def arrive(self, pick, duplicate):
+        frame = self.frames[pick % len(self.frames)]
+        if not duplicate:
+            self.frames.remove(frame)
+        if self.ledger.receive(OWNER, *frame):
+            self.queue.append(frame[1])
+
+    @precondition(lambda self: self.queue)
+    @rule(refuse=st.booleans())
+    def take(self, refuse):
+        number = self.queue.pop(0)
+        if refuse:
+            self.finish(number, Verdict.NOT_RUN)
+        elif self.ledger.start(OWNER, number):
+            self.started[number] += 1
+            self.running.append(number)
+
+    @precondition(lambda self: self.running)
+    @rule()
+    def answer(self):
+        self.finish(self.running.pop(0), Verdict.ANSWERED)
+
+    @precondition(lambda self: self.sent)
+    @rule(pick=st.integers(0, 3))
+    def acknowledge(self, pick):
+        self.ledger.acknowledge(OWNER, (max(1, self.sent - pick),))
+
+    @rule(stale=st.booleans())
+    def fence(self, stale):
+        self.session += not stale
+        fence = Fence(
+            floor_session=self.session - stale, numbers=tuple(range(1, self.sent + 1))
+        )
+        replies = self.ledger.fence(OWNER, fence).replies
+        assert [reply.number for reply in replies] == list(fence.numbers)
+        for reply in replies:
+            refused = isinstance(reply, Answer) and reply.verdict is Verdict.NOT_RUN
+            never = FenceReply(number=reply.number, state=FenceState.NEVER_STARTED)
+            if refused or reply == never:
+                self.told_never.add(reply.number)
+
+    @rule()
+    def owner_is_gone(self):
+        self.ledger.forget_owner(OWNER)
+
+    @rule()
+    def long_silence_then_other_owner(self):
+        self.frames.clear()  # Links silent for so long have been closed.
+        self.now_ms += FORGET_OWNER_MS
+        self.ledger.tick(self.now_ms)
+        self.ledger.receive(OTHER, 1, 1)
+        self.ledger.forget_owner(OTHER)
+        self.now_ms += FORGET_OWNER_MS
+        self.ledger.tick(self.now_ms)
+
+    def finish(self, number, verdict):
+        answer = Answer(number=number, verdict=verdict)
+        self.ledger.finish(OWNER, number, answer)
+
+    @invariant()
+    def started_at_most_once_and_never_means_never(self):
+        assert all(count == 1 for count in self.started.values())
+        assert not self.told_never & self.started.keys()
+
+    @invariant()
+    def memory_is_bounded(self):
+        assert self.ledger.size.answer_bytes <= ANSWER_BYTES
+        assert self.ledger.size.records <= 6 + 2
+
+
+TestCalls = Calls.TestCase
+TestCalls.settings = settings(
+    derandomize=True, deadline=None, max_examples=300, stateful_step_count=40
+)
+
+
+def test_a_frame_that_arrives_after_its_fence_does_not_start():
+    """A caller is told NOT_RUN, yet its approval is done.
+
+    A link goes silent with the call in it; the owner fences the call over a new link
+    and hears that it never started. Then the old link delivers the call.
+    """
+    ledger = ExecutionLedger(max_answer_bytes=ANSWER_BYTES)
+    fenced = ledger.fence(OWNER, Fence(floor_session=2, numbers=(1,)))
+    assert fenced.replies == (FenceReply(number=1, state=FenceState.NEVER_STARTED),)
+    assert not ledger.receive(OWNER, 1, 1)
+    assert not ledger.start(OWNER, 1)
+
+
+def test_a_restarted_owner_does_not_get_answers_of_its_previous_run():
+    """A caller gets the answer to somebody else's request.
+
+    An owner restarts and counts its calls from 1 again, while the executing node
+    still holds the answer to call 1 of the previous run.
+    """
+    ledger = ExecutionLedger(max_answer_bytes=ANSWER_BYTES)
+    ledger.receive(OWNER, 1, 1)
+    ledger.finish(OWNER, 1, Answer(number=1, verdict=Verdict.ANSWERED))
+    restarted = NodeId(OWNER.host, 2)
+    assert ledger.receive(restarted, 1, 1)
+    (reply,) = ledger.fence(restarted, Fence(floor_session=2, numbers=(1,))).replies
+    assert reply == FenceReply(number=1, state=FenceState.NEVER_STARTED)
+
+
+def test_an_answer_of_another_call_is_an_error():
+    ledger = ExecutionLedger(max_answer_bytes=ANSWER_BYTES)
+    ledger.receive(OWNER, 1, 1)
+    with pytest.raises(InvariantError, match="answer-of-same-call"):
+        ledger.finish(OWNER, 1, Answer(number=2, verdict=Verdict.ANSWERED))
