Learn hosts from peers while the platform is away

test_fleet_serves_through_an_outage_of_the_platform failed before: a node restarted during an outage got the document from its peers but no host, so that its callers got no-host for 30 s and on, until the platform was back. Membership.learn stood ready, but no message carried hosts. HostsRequest and HostsReply do now; a node without the platform's list asks at most three peers at a time, at their heartbeats, and stops when three have helped. Ruled out: the greeting alone, which tells only of those that dial; hosts on each heartbeat, which costs bytes for good. What a peer says of this very host counts as live: it was said of the run before, and the node would leave at once.

Further tests of documents with real processes: a change of labels on all nodes, a zone without the platform, an invalid document, a restart beside a stale platform, a fleet that starts without one.

--- a/packages/sassafraswinch-node/link.thrift
+++ b/packages/sassafraswinch-node/link.thrift
@@ -150,6 +150,24 @@
   2: required binary body
 }
 
+struct HostsRequest {
+  1: required i64 list_version
+}
+
+struct HostRecord {
+  1: required string name
+  2: required string service_name
+  3: required string availability_zone
+  4: required bool leaving
+  5: required string link
+  6: required string entry
+  7: required string operators
+}
+
+struct HostsReply {
+  1: required list<HostRecord> hosts
+}
+
 struct Forward {
   1: required i64 number
   2: required string ticket
@@ -179,4 +197,6 @@
   11: optional DocumentRequest document_request
   12: optional DocumentReply document_reply
   13: optional Forward forward
+  14: optional HostsRequest hosts_request
+  15: optional HostsReply hosts_reply
 }
--- a/packages/sassafraswinch-node/sassafraswinch_node/link.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link.py
@@ -18,6 +18,8 @@
     Heartbeat,
     HeartbeatReply,
     Hello,
+    HostsReply,
+    HostsRequest,
     Message,
 )
 from sassafraswinch_node.frames import FrameSplitter, frame_prefix
@@ -82,6 +84,8 @@
     Heartbeat,
     HeartbeatReply,
     Hello,
+    HostsReply,
+    HostsRequest,
 )
 """Messages that carry no caller's request or answer."""
 
--- a/packages/sassafraswinch-node/sassafraswinch_node/link_protocol/ttypes.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link_protocol/ttypes.py
@@ -1775,6 +1775,309 @@
         return not (self == other)
 
 
+class HostsRequest(object):
+    """
+    Attributes:
+     - list_version
+
+    """
+
+    __slots__ = (
+        'list_version',
+    )
+
+
+    def __init__(self, list_version=None,):
+        self.list_version = list_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.list_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostsRequest')
+        if self.list_version is not None:
+            oprot.writeFieldBegin('list_version', TType.I64, 1)
+            oprot.writeI64(self.list_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.list_version is None:
+            raise TProtocolException(message='Required field list_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostRecord(object):
+    """
+    Attributes:
+     - name
+     - service_name
+     - availability_zone
+     - leaving
+     - link
+     - entry
+     - operators
+
+    """
+
+    __slots__ = (
+        'name',
+        'service_name',
+        'availability_zone',
+        'leaving',
+        'link',
+        'entry',
+        'operators',
+    )
+
+
+    def __init__(self, name=None, service_name=None, availability_zone=None, leaving=None, link=None, entry=None, operators=None,):
+        self.name = name
+        self.service_name = service_name
+        self.availability_zone = availability_zone
+        self.leaving = leaving
+        self.link = link
+        self.entry = entry
+        self.operators = operators
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.link = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.operators = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostRecord')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 3)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.link is not None:
+            oprot.writeFieldBegin('link', TType.STRING, 5)
+            oprot.writeString(self.link.encode('utf-8') if sys.version_info[0] == 2 else self.link)
+            oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 6)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
+            oprot.writeFieldEnd()
+        if self.operators is not None:
+            oprot.writeFieldBegin('operators', TType.STRING, 7)
+            oprot.writeString(self.operators.encode('utf-8') if sys.version_info[0] == 2 else self.operators)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.availability_zone is None:
+            raise TProtocolException(message='Required field availability_zone is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        if self.link is None:
+            raise TProtocolException(message='Required field link is unset!')
+        if self.entry is None:
+            raise TProtocolException(message='Required field entry is unset!')
+        if self.operators is None:
+            raise TProtocolException(message='Required field operators is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostsReply(object):
+    """
+    Attributes:
+     - hosts
+
+    """
+
+    __slots__ = (
+        'hosts',
+    )
+
+
+    def __init__(self, hosts=None,):
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = HostRecord()
+                        _elem40.read(iprot)
+                        self.hosts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostsReply')
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.hosts))
+            for iter41 in self.hosts:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.hosts is None:
+            raise TProtocolException(message='Required field hosts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Forward(object):
     """
     Attributes:
@@ -1864,10 +2167,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1922,8 +2225,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.headers))
-            for iter41 in self.headers:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter48 in self.headers:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1997,6 +2300,8 @@
      - document_request
      - document_reply
      - forward
+     - hosts_request
+     - hosts_reply
 
     """
 
@@ -2014,10 +2319,12 @@
         'document_request',
         'document_reply',
         'forward',
+        'hosts_request',
+        'hosts_reply',
     )
 
 
-    def __init__(self, sent_ms=None, hello=None, call=None, answer=None, cancel=None, fence=None, fence_reply=None, acknowledge=None, heartbeat=None, heartbeat_reply=None, document_request=None, document_reply=None, forward=None,):
+    def __init__(self, sent_ms=None, hello=None, call=None, answer=None, cancel=None, fence=None, fence_reply=None, acknowledge=None, heartbeat=None, heartbeat_reply=None, document_request=None, document_reply=None, forward=None, hosts_request=None, hosts_reply=None,):
         self.sent_ms = sent_ms
         self.hello = hello
         self.call = call
@@ -2031,6 +2338,8 @@
         self.document_request = document_request
         self.document_reply = document_reply
         self.forward = forward
+        self.hosts_request = hosts_request
+        self.hosts_reply = hosts_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2118,6 +2427,18 @@
                     self.forward.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.hosts_request = HostsRequest()
+                    self.hosts_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.hosts_reply = HostsReply()
+                    self.hosts_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2180,6 +2501,14 @@
             oprot.writeFieldBegin('forward', TType.STRUCT, 13)
             self.forward.write(oprot)
             oprot.writeFieldEnd()
+        if self.hosts_request is not None:
+            oprot.writeFieldBegin('hosts_request', TType.STRUCT, 14)
+            self.hosts_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.hosts_reply is not None:
+            oprot.writeFieldBegin('hosts_reply', TType.STRUCT, 15)
+            self.hosts_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2319,6 +2648,27 @@
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
 )
+all_structs.append(HostsRequest)
+HostsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'list_version', None, None, ),  # 1
+)
+all_structs.append(HostRecord)
+HostRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.STRING, 'link', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'entry', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'operators', 'UTF8', None, ),  # 7
+)
+all_structs.append(HostsReply)
+HostsReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'hosts', (TType.STRUCT, [HostRecord, None], False), None, ),  # 1
+)
 all_structs.append(Forward)
 Forward.thrift_spec = (
     None,  # 0
@@ -2349,6 +2699,8 @@
     (11, TType.STRUCT, 'document_request', [DocumentRequest, None], None, ),  # 11
     (12, TType.STRUCT, 'document_reply', [DocumentReply, None], None, ),  # 12
     (13, TType.STRUCT, 'forward', [Forward, None], None, ),  # 13
+    (14, TType.STRUCT, 'hosts_request', [HostsRequest, None], None, ),  # 14
+    (15, TType.STRUCT, 'hosts_reply', [HostsReply, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/sassafraswinch-node/sassafraswinch_node/wire.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/wire.py
@@ -18,9 +18,11 @@
     Heartbeat,
     HeartbeatReply,
     Hello,
+    HostsReply,
+    HostsRequest,
     Message,
 )
-from sassafraswinch_node import structs
+from sassafraswinch_node import host_structs, structs
 from sassafraswinch_node.link_protocol import ttypes
 
 MAX_FRAME_BYTES = 2 * 1024 * 1024
@@ -145,6 +147,11 @@
         "document_reply",
         lambda reply: ttypes.DocumentReply(reply.version, reply.body),
     ),
+    HostsRequest: (
+        "hosts_request",
+        lambda request: ttypes.HostsRequest(request.list_version),
+    ),
+    HostsReply: ("hosts_reply", host_structs.serialize_hosts_reply),
     Forward: ("forward", structs.serialize_forward),
 }
 
@@ -164,5 +171,10 @@
         "document_reply",
         lambda struct: DocumentReply(version=struct.version, body=struct.body),
     ),
+    (
+        "hosts_request",
+        lambda struct: HostsRequest(list_version=struct.list_version),
+    ),
+    ("hosts_reply", host_structs.parse_hosts_reply),
 )
 """Slots of a frame, the most frequent ones first."""
--- /dev/null
+++ b/packages/sassafraswinch-node/tests/test_process_document.py
@@ -0,0 +1,196 @@
+"""Changes of the document reach every node and never revert, whatever is cut off."""
+
+from contextlib import suppress
+
+import pytest
+
+from sassafraswinch_standins.asker import Asker
+from sassafraswinch_standins.chain import ORDER_STATE, STOCK, chain
+from sassafraswinch_standins.fleet import Fleet
+from sassafraswinch_standins.polling import wait_until
+from sassafraswinch_standins.recovery import recover
+
+CUT_OFF = "brno-b"
+"""The availability zone that loses the platform."""
+
+
+class Documents:
+    """Publishes versions of the fleet's document, each greater than the last."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.version = 1
+
+    def publish(self, **changes):
+        self.version += 1
+        document = self.fleet.graph.document(version=self.version) | changes
+        self.fleet.control_platform(document=document)
+        return self.version
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    directory = tmp_path_factory.mktemp("document")
+    with Fleet(graph=chain(), directory=directory) as fleet:
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def documents(fleet):
+    return Documents(fleet)
+
+
+@pytest.fixture(autouse=True)
+def whole_fleet(fleet):
+    fleet.control_platform(mode="up")
+    recover(fleet)
+
+
+@pytest.fixture
+def asker():
+    asker = Asker()
+    yield asker
+    asker.close()
+
+
+def versions(fleet):
+    return {host: fleet.status(host)["document_version"] for host in fleet.hosts}
+
+
+def wait_in_force(fleet, version):
+    wait_until(
+        f"version {version} in force on all nodes",
+        lambda: set(versions(fleet).values()) == {version},
+    )
+
+
+def ask_all(fleet, asker, path):
+    return {
+        host.name: asker.ask(host.entry, asker.new("GET", path)).told
+        for host in fleet.hosts.values()
+    }
+
+
+def test_change_of_labels_is_in_force_on_every_node(fleet, documents, asker):
+    """Operators make a lookup non-repeatable, and touch no service."""
+    before = set(ask_all(fleet, asker, ORDER_STATE).values())
+    assert before == {(200, "answered", None)}
+    version = documents.publish(
+        non_repeatable=["action in (approval, release, lookup)"]
+    )
+    wait_in_force(fleet, version)
+    changed = set(ask_all(fleet, asker, ORDER_STATE).values())
+    assert changed == {(428, "not-run", "ticket-required")}
+
+    wait_in_force(fleet, documents.publish())
+    assert set(ask_all(fleet, asker, ORDER_STATE).values()) == before
+
+
+def test_zone_without_the_platform_hears_of_changes_from_peers(fleet, documents):
+    """An availability zone loses the platform, not its links to the others.
+
+    A change that the operators publish then must be in force there as well.
+    """
+    fleet.control_platform(CUT_OFF, mode="down")
+    wait_in_force(fleet, documents.publish())
+
+
+def test_invalid_document_is_refused_and_the_old_one_stays(fleet, documents, asker):
+    """Operators publish a document with a misspelt selector."""
+    fleet.control_platform(
+        document={"version": documents.version + 1, "classes": [{"name": "", "x": 1}]}
+    )
+    documents.version += 1
+
+    def refused():
+        return all(fleet.status(host)["document_faults"] for host in fleet.hosts)
+
+    wait_until("refused on all nodes", refused)
+    assert set(versions(fleet).values()) == {documents.version - 1}
+    served = set(ask_all(fleet, asker, ORDER_STATE).values())
+    assert served == {(200, "answered", None)}
+    wait_in_force(fleet, documents.publish())
+
+
+def test_restarted_node_never_serves_a_stale_document(fleet, documents, asker):
+    """A node restarts while the platform gives out an old copy of the document.
+
+    It has no memory. Served on that copy, a lookup which is non-repeatable by now
+    would be retried and run twice, until the platform is fresh again.
+    """
+    stale = documents.version
+    version = documents.publish(
+        non_repeatable=["action in (approval, release, lookup)"]
+    )
+    wait_in_force(fleet, version)
+    fleet.control_platform(mode="stale", document_version=stale)
+    node, entry = fleet.node("schvaleni-1"), fleet.hosts["schvaleni-1"].entry
+    node.kill()
+    node.start()
+    told, seen = set(), set()
+
+    def serves():
+        reply = asker.ask(entry, asker.new("GET", STOCK))
+        if reply.status:
+            told.add(reply.told)
+        with suppress(OSError):
+            seen.add(fleet.status("schvaleni-1")["document_version"])
+        return reply.status == 428
+
+    wait_until("restarted node serves", serves)
+    assert told <= {
+        (503, "not-run", "no-document"),
+        (428, "not-run", "ticket-required"),
+    }
+    assert set(versions(fleet).values()) == {version}
+    print("versions seen during the restart", seen)
+    fleet.control_platform(mode="up")
+    wait_in_force(fleet, documents.publish())
+
+
+def test_fleet_serves_through_an_outage_of_the_platform(fleet, asker):
+    """The platform goes down; a node restarts during the outage and serves again.
+
+    Its document and the addresses of the other hosts can only come from its peers.
+    """
+    fleet.control_platform(mode="down")
+    node = fleet.node("schvaleni-1")
+    node.kill()
+    node.start()
+    wait_until("all linked", lambda: all(map(fleet.sees_all, fleet.hosts)))
+    served = ask_all(fleet, asker, ORDER_STATE) | ask_all(fleet, asker, STOCK)
+    assert set(served.values()) == {(200, "answered", None)}
+
+
+def test_fleet_that_starts_without_the_platform_refuses_until_it_is_there(
+    tmp_path, asker
+):
+    """All nodes start while the platform is down: nobody holds a document.
+
+    Callers are told at once that nothing was run and when to come back, and are
+    served as soon as the platform is there.
+    """
+    graph = chain()
+    with StartedWithoutPlatform(graph=graph, directory=tmp_path / "cold") as fleet:
+        told = ask_all(fleet, asker, STOCK)
+        assert set(told.values()) == {(503, "not-run", "no-document")}
+        states = {fleet.status(host)["state"] for host in fleet.hosts}
+        assert states == {"syncing"}
+        fleet.control_platform(mode="up")
+        wait_until("all linked", lambda: all(map(fleet.sees_all, fleet.hosts)))
+        told = ask_all(fleet, asker, ORDER_STATE)
+        assert set(told.values()) == {(200, "answered", None)}
+
+
+class StartedWithoutPlatform(Fleet):
+    """A fleet whose platform is down when the nodes start."""
+
+    def wait_ready(self, hosts=None):
+        def listening():
+            return all(self.status(host) for host in self.hosts)
+
+        wait_until("all nodes listen", listening)
+
+    def _add_node(self, host):
+        self.control_platform(mode="down")
+        return super()._add_node(host)
--- a/packages/sassafraswinch/sassafraswinch/hosts.py
+++ b/packages/sassafraswinch/sassafraswinch/hosts.py
@@ -1,8 +1,29 @@
-"""A host as routing sees it."""
+"""A host as the platform lists it, and as routing sees it."""
 
+import enum
 from dataclasses import dataclass
 
 
+class HostState(enum.Enum):
+    """State of a host in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRecord:
+    """One host in the platform's list; addresses are ``ip:port``."""
+
+    name: str
+    service: str
+    availability_zone: str
+    state: HostState
+    link: str
+    entry: str
+    operators: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostView:
     """One backend server host, merged from the platform's list and from links."""
--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -1,14 +1,15 @@
 """Which hosts there are and which take new work, from the list and from links."""
 
-import enum
 import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from sassafraswinch.hosts import HostView
+from sassafraswinch.hosts import HostRecord, HostState, HostView
 from sassafraswinch.messages import Load, NodeId
 
+__all__ = ["HostRecord", "HostState", "Membership"]
+
 FORGET_MS = 7_200_000
 """A host that is off the list and silent is kept this long: two regions may lose
 each other for an hour while the list is wrong, and need the addresses afterwards."""
@@ -17,26 +18,6 @@
 """Incarnations of one host remembered as leaving."""
 
 
-class HostState(enum.Enum):
-    """State of a host in the platform's list."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HostRecord:
-    """One host in the platform's list; addresses are ``ip:port``."""
-
-    name: str
-    service: str
-    availability_zone: str
-    state: HostState
-    link: str
-    entry: str
-    operators: str
-
-
 @dataclass(slots=True, kw_only=True)
 class _Host:
     record: HostRecord
--- a/packages/sassafraswinch/sassafraswinch/messages.py
+++ b/packages/sassafraswinch/sassafraswinch/messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sassafraswinch.hosts import HostRecord
 from sassafraswinch.verdict import Reason, Verdict
 
 PROTOCOL_VERSION = 1
@@ -181,6 +182,21 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostsRequest:
+    """Asks a peer for the hosts that it knows."""
+
+    list_version: int
+    """Version of the platform's host list held; 0 for none."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostsReply:
+    """The hosts that a node knows, itself among them."""
+
+    hosts: tuple[HostRecord, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forward:
     """A request with a ticket, on its way to the node that issued the ticket."""
@@ -209,5 +225,7 @@
     | HeartbeatReply
     | DocumentRequest
     | DocumentReply
+    | HostsRequest
+    | HostsReply
     | Forward
 )
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -16,6 +16,7 @@
 from sassafraswinch.executor import Executor
 from sassafraswinch.forwarding import Forwarder
 from sassafraswinch.gate import Gate
+from sassafraswinch.host_exchange import HostExchange
 from sassafraswinch.levels import EntryShedder
 from sassafraswinch.lifecycle import LEAVE_NOTICE_MS, Lifecycle
 from sassafraswinch.local_links import LOCAL_SESSION, LocalLinks
@@ -31,6 +32,8 @@
     FenceReply,
     Forward,
     Heartbeat,
+    HostsReply,
+    HostsRequest,
     Load,
     Message,
     NodeId,
@@ -112,6 +115,9 @@
             entry=self.entry,
             respond=self._respond,
         )
+        self.host_exchange = HostExchange(
+            self_host=node.host, membership=membership, links=self.links
+        )
         self.configuration = Configuration(
             keeper=keeper,
             lifecycle=self.lifecycle,
@@ -305,10 +311,15 @@
             case Heartbeat():
                 self._hear(node, message.load, now_ms)
                 self.configuration.heard(node, message, now_ms)
+                self.host_exchange.heard(node, now_ms)
             case DocumentRequest():
                 self.configuration.requested(node, message, now_ms)
             case DocumentReply():
                 self.configuration.replied(node, message, now_ms)
+            case HostsRequest():
+                self.host_exchange.requested(node)
+            case HostsReply():
+                self.host_exchange.replied(node, message, now_ms)
 
     def _hear(self, node: NodeId, load: Load, now_ms: float) -> None:
         self.membership.heard(node, load, now_ms)
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_host_exchange.py
@@ -0,0 +1,105 @@
+"""Tests of the hosts that a node learns from its peers."""
+
+import pytest
+
+from sassafraswinch.host_exchange import ASK_AGAIN_MS, ENOUGH_PEERS, HostExchange
+from sassafraswinch.hosts import HostRecord, HostState
+from sassafraswinch.membership import Membership
+from sassafraswinch.messages import HostsReply, HostsRequest, NodeId
+
+SELF = "vydej-1"
+
+
+def record(name, state=HostState.LIVE):
+    return HostRecord(
+        name=name,
+        service="vydej",
+        availability_zone="brno-a",
+        state=state,
+        link="127.0.0.1:1",
+        entry="127.0.0.1:2",
+        operators="127.0.0.1:3",
+    )
+
+
+class AcceptedLinks:
+    """Links that only the peers have dialled."""
+
+    def __init__(self):
+        self.replies = []
+
+    def send(self, host, message):
+        return None
+
+    def reply(self, node, message):
+        self.replies.append((node.host, message))
+        return True
+
+
+@pytest.fixture
+def links():
+    return AcceptedLinks()
+
+
+@pytest.fixture
+def membership():
+    return Membership(self_host=SELF)
+
+
+@pytest.fixture
+def exchange(membership, links):
+    return HostExchange(self_host=SELF, membership=membership, links=links)
+
+
+def test_restarted_node_learns_the_fleet_from_a_peer(exchange, membership, links):
+    """The platform is down; the peer's list still says that this host leaves.
+
+    That was said of its earlier run: the new one must not stop for it.
+    """
+    peer = NodeId("vydej-2", 7)
+    exchange.heard(peer, 0)
+    assert links.replies == [("vydej-2", HostsRequest(list_version=0))]
+    hosts = (record(SELF, HostState.LEAVING), record("vydej-2"), record("vydej-3"))
+    exchange.replied(peer, HostsReply(hosts=hosts), 1)
+
+    assert {view.name for view in membership.views(1)} == {SELF, "vydej-2", "vydej-3"}
+    assert not membership.self_leaving
+
+
+def test_only_a_few_peers_are_asked_and_the_useless_ones_again(exchange, links):
+    peers = [NodeId(f"vydej-{number}", 1) for number in range(2, 12)]
+    for peer in peers:
+        exchange.heard(peer, 0)
+    assert len(links.replies) == ENOUGH_PEERS
+
+    for peer in peers[:ENOUGH_PEERS]:
+        exchange.replied(peer, HostsReply(hosts=()), 1)
+        exchange.heard(peer, ASK_AGAIN_MS)
+    assert len(links.replies) == 2 * ENOUGH_PEERS
+
+    for peer in peers[:ENOUGH_PEERS]:
+        exchange.replied(peer, HostsReply(hosts=(record("vydej-2"),)), ASK_AGAIN_MS)
+    for peer in peers:
+        exchange.heard(peer, 3 * ASK_AGAIN_MS)
+    assert len(links.replies) == 2 * ENOUGH_PEERS
+
+
+def test_node_with_the_platforms_list_asks_nobody(exchange, membership, links):
+    membership.replace([record(SELF)], 1, 0)
+    exchange.heard(NodeId("vydej-2", 1), 0)
+    assert not links.replies
+
+
+def test_known_host_isnt_changed_by_a_peers_view(exchange, membership):
+    membership.learn([record("vydej-2")], 0)
+    leaving = HostsReply(hosts=(record("vydej-2", HostState.LEAVING),))
+    exchange.replied(NodeId("vydej-3", 1), leaving, 1)
+    assert [view.leaving for view in membership.views(1)] == [False]
+
+
+def test_peer_gets_all_hosts_known_here(exchange, membership, links):
+    membership.learn([record(SELF), record("vydej-2")], 0)
+    exchange.requested(NodeId("vydej-2", 1))
+    ((host, reply),) = links.replies
+    assert host == "vydej-2"
+    assert reply.hosts == (record(SELF), record("vydej-2"))
