--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -184,6 +184,11 @@
         if len(set(stamps.values())) > 1 or min(stamps.values()).version < version:
             self.fail("in force everywhere", f"platform has {version}, nodes {stamps}")
 
+    def quiet(self, left: dict[str, list]) -> None:
+        """Nothing may be left in flight long after the last call."""
+        if left:
+            self.fail("nothing is left behind", str(left))
+
     def holds(self, node: NodeId, stamp: Stamp) -> None:
         """Note which document a node holds."""
         before = self.stamps.get(node)
@@ -207,6 +212,10 @@
                 f"{sender} sent {host} a call {since_ms:.0f} ms after it left",
             )
 
+    def sent_on_old_view(self, sender: str, host: str) -> None:
+        """A node that woke sent a call to a host which hasn't answered it since."""
+        self.fail("no call on an old view", f"{sender} sent {host} a call on waking")
+
     def decided(
         self, host: str, orders: dict[object, int], decision: GateDecision
     ) -> None:
