--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -19,6 +19,9 @@
 LEAVE_KNOWN_MS = 3_000.0
 """Time by which all peers know that a host leaves."""
 
+LOWEST = 1_000
+"""Beyond every class."""
+
 REFUSED_FOR_LOAD = frozenset({Reason.OVERLOADED, Reason.EVICTED})
 
 
@@ -227,19 +230,25 @@
         self, host: str, orders: dict[object, int], decision: GateDecision
     ) -> None:
         """Look for a lower class that started after a higher one was refused."""
-        at_ms, refused = self.instants.get(host, (-1.0, 99))
-        if at_ms != self.schedule.now_ms:
-            refused = 99
         for refusal in decision.refused:
             if refusal.reason in REFUSED_FOR_LOAD:
-                refused = min(refused, orders[refusal.key])
-        self.instants[host] = self.schedule.now_ms, refused
+                self.admitted(host, orders[refusal.key], False)
         for key in decision.start:
-            if orders[key] > refused:
-                self.fail(
-                    "no inversions",
-                    f"{host} started class {orders[key]}, refused class {refused}",
-                )
+            self.admitted(host, orders[key], True)
+
+    def admitted(self, place: str, class_order: int, admitted: bool) -> None:
+        """Note what was decided on a call; not after a more important one's refusal."""
+        at_ms, refused = self.instants.get(place, (-1.0, LOWEST))
+        if at_ms != self.schedule.now_ms:
+            refused = LOWEST
+        if admitted and class_order > refused:
+            self.fail(
+                "no inversions",
+                f"{place}: class {class_order} started, class {refused} was refused",
+            )
+        if not admitted:
+            refused = min(refused, class_order)
+        self.instants[place] = self.schedule.now_ms, refused
 
     def unproved(self) -> tuple[int, int]:
         """Return how many requests got MAY_HAVE_RUN last, and how many never ran."""
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_node.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_node.py
@@ -6,7 +6,7 @@
 from sassafraswinch.execution import ExecutionLedger
 from sassafraswinch.gate import Gate, GateDecision
 from sassafraswinch.levels import EntryShedder
-from sassafraswinch.messages import Call, Message
+from sassafraswinch.messages import Call, Message, Rank
 from sassafraswinch.node import Node
 from sassafraswinch.ports import LinkPort
 from sassafraswinch.retry import CallerRetryBudget
@@ -66,6 +66,22 @@
         return decision
 
 
+class WatchedShedder(EntryShedder):
+    """An entry shedder whose decisions are shown to the checks."""
+
+    def __init__(self, *, host: str, checks: Checks):
+        super().__init__()
+        self._host = host
+        self._checks = checks
+
+    def admits(self, operation: str, rank: Rank, now_ms: float) -> bool:
+        """Decide and show it."""
+        admitted = super().admits(operation, rank, now_ms)
+        place = f"entry of {self._host}, {operation}"
+        self._checks.admitted(place, rank.class_order, admitted)
+        return admitted
+
+
 class WatchedLinks:
     """The owner's way to other nodes; shows each call sent to the checks."""
 
@@ -103,7 +119,7 @@
             max_answer_bytes=MAX_ANSWER_BYTES,
         ),
         ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
-        shedder=EntryShedder(),
+        shedder=WatchedShedder(host=process.host, checks=process.checks),
         budget=CallerRetryBudget(share_percent=10),
         keeper=ConfigKeeper(parse=read_document, digest=digest_of, rng=rng),
         service=process.record.service,
