--- a/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
@@ -82,6 +82,8 @@
     def _follow_fleet(self) -> tuple[bool, bool]:
         """Tell the schedules of the fleet; return what a rest depends on."""
         nodes = len(self.membership.records())
+        if nodes <= 1:
+            nodes = 0  # Its own host alone: the fleet isn't known yet.
         isolated = self.membership.isolated()
         for schedule in (self._document_schedule, self._host_schedule):
             schedule.set_isolated(isolated)
@@ -104,9 +106,8 @@
         return WatchOutcome.CHANGED if changed else WatchOutcome.UNCHANGED
 
     async def _document(self, wait_ms: int) -> bool:
-        published = await self.client.document(
-            after=self._document_version, wait_ms=wait_ms
-        )
+        held = max(self._document_version, self.configuration.keeper.stamp.version)
+        published = await self.client.document(after=held, wait_ms=wait_ms)
         if published is None:
             return False
         self._document_version = published.version
--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -10,7 +10,7 @@
 from sassafraswinch.document import Document
 from sassafraswinch.lifecycle import NodeState
 from sassafraswinch.link_plan import LinkPlan
-from sassafraswinch.membership import Membership
+from sassafraswinch.membership import HostRecord, HostState, Membership
 from sassafraswinch.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
@@ -32,7 +32,7 @@
 from sassafraswinch_node.operators import operators_app
 from sassafraswinch_node.platform import PlatformClient
 from sassafraswinch_node.platform_watch import PlatformWatch
-from sassafraswinch_node.settings import Settings
+from sassafraswinch_node.settings import Address, Settings
 from sassafraswinch_node.snapshot import take_status
 from sassafraswinch_node.stopping import log_cut
 from sassafraswinch_node.usage import UsageMeter
@@ -131,6 +131,7 @@
         for listener in self.http.values():
             await listener.start()
         link = await self.links.start(settings.link)
+        self.membership.learn([self._own_record(link)], self.now_ms())
         self.node.start(self.now_ms())
         self._run(self.watch.run())
         self._run(self._tick())
@@ -144,6 +145,22 @@
             **addresses,
         )
 
+    def _own_record(self, link: Address) -> HostRecord:
+        """Return this host as the platform would list it.
+
+        Failure guarded against: a node restarts while cut off from the platform; the
+        hosts that its peers tell it don't name it, and it never runs a call itself.
+        """
+        return HostRecord(
+            name=self.settings.host,
+            service=self.settings.service,
+            availability_zone=self.settings.availability_zone,
+            state=HostState.LIVE,
+            link=str(link),
+            entry=str(self.http["entry"].address),
+            operators=str(self.http["operators"].address),
+        )
+
     def status(self) -> Status:
         """Return what operators see of this node."""
         return take_status(
--- a/packages/sassafraswinch-node/tests/test_platform_watch.py
+++ b/packages/sassafraswinch-node/tests/test_platform_watch.py
@@ -54,7 +54,9 @@
 
 def make_watch(platform, membership, seed):
     configuration = SimpleNamespace(
-        keeper=SimpleNamespace(read=lambda body: body),
+        keeper=SimpleNamespace(
+            read=lambda body: body, stamp=SimpleNamespace(version=0)
+        ),
         platform_read=lambda candidate, now_ms: SimpleNamespace(errors=()),
     )
     return PlatformWatch(
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -134,10 +134,14 @@
         self.configuration.sync(now_ms)
 
     def woke(self, now_ms: float) -> None:
-        """Distrust what was known: the process was paused, and is as old as that."""
-        self.membership.distrust(now_ms)
+        """Distrust what was known: the process was paused, and is as old as that.
+
+        The sync comes first: it expects an answer of each linked peer, and none
+        counts as linked any more once the view is distrusted.
+        """
         self.lifecycle.woke()
         self.configuration.sync(now_ms)
+        self.membership.distrust(now_ms)
 
     def heartbeat(self, sequence: int, now_ms: float) -> Heartbeat:
         """Return what this node says of itself on every link."""
