Split the executor by job; say once what a shed is

Cause: executor.py had grown to 395 lines with four jobs, and the documented shed form stood twice, in the executor and in the backend client, where nothing used it. Change: traceparent, running_call and dispatch_end are modules of their own.

--- a/packages/sassafraswinch-node/sassafraswinch_node/backend.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/backend.py
@@ -9,10 +9,7 @@
     HttpClientError as BackendError,
 )
 
-__all__ = ["BackendAnswer", "BackendClient", "BackendError", "is_shed"]
-
-SHED_STATUS = 503
-SHED_HEADER = ("x-not-run", "1")
+__all__ = ["BackendAnswer", "BackendClient", "BackendError"]
 
 
 class BackendClient:
@@ -70,8 +67,3 @@
     async def close(self) -> None:
         """Close idle connections now, and busy ones after their answers."""
         await self._client.close()
-
-
-def is_shed(answer: BackendAnswer) -> bool:
-    """Return whether the backend server says, in the documented form, NOT_RUN."""
-    return answer.status == SHED_STATUS and SHED_HEADER in answer.headers
--- a/packages/sassafraswinch-node/tests/test_backend.py
+++ b/packages/sassafraswinch-node/tests/test_backend.py
@@ -257,13 +257,3 @@
     answers = await asyncio.gather(*[call(client) for _ in range(1200)])
     assert {answer.body for answer in answers} == {b"ok"}
     assert (len(server.requests), server.connections) == (1200, 2)
-
-
-@pytest.mark.parametrize(
-    ("status", "value", "shed"),
-    [(503, "1", True), (503, "0", False), (500, "1", False)],
-)
-def test_only_the_documented_form_is_a_shed(status, value, shed):
-    headers = (("x-not-run", value),)
-    answer = backend.BackendAnswer(status=status, headers=headers, body=b"")
-    assert backend.is_shed(answer) is shed
--- a/packages/sassafraswinch/sassafraswinch/egress.py
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -5,12 +5,14 @@
 from sassafraswinch.claims import Dispatch, Join, Recorded, Refused
 from sassafraswinch.classify import Classification, Classifier
 from sassafraswinch.entry import Entry, outcome_of
-from sassafraswinch.executor import Executor, RunningCall, is_own_span
+from sassafraswinch.executor import Executor
 from sassafraswinch.owner import Finished, OwnedCall, Owner
 from sassafraswinch.pending import LocalWaiter, Pending
 from sassafraswinch.requests import CallKey, Outcome, Request
 from sassafraswinch.retry import RetryAllowance
+from sassafraswinch.running_call import RunningCall
 from sassafraswinch.tickets import fingerprint
+from sassafraswinch.traceparent import is_own_span
 from sassafraswinch.verdict import Reason, Verdict
 
 
--- a/packages/sassafraswinch/sassafraswinch/executor.py
+++ b/packages/sassafraswinch/sassafraswinch/executor.py
@@ -1,15 +1,14 @@
 """The executing side of a node: runs calls of owners on the local backend server."""
 
-import hashlib
-import itertools
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sassafraswinch.answer_store import AnswerStore
+from sassafraswinch.dispatch_end import judge
 from sassafraswinch.errors import InvariantError
 from sassafraswinch.execution import ExecutionLedger
-from sassafraswinch.gate import BackendOutcome, Gate, GateDecision
+from sassafraswinch.gate import Gate, GateDecision
 from sassafraswinch.messages import (
     Answer,
     Call,
@@ -18,110 +17,24 @@
     FenceReply,
     Load,
     NodeId,
-    Rank,
-    ServiceThreshold,
 )
 from sassafraswinch.ports import BackendPort
 from sassafraswinch.requests import BackendResult, CallKey
 from sassafraswinch.retry import ChildCalls, RetryAllowance
+from sassafraswinch.running_call import RunningCall, thresholds_met
+from sassafraswinch.traceparent import (
+    make_span,
+    parse_traceparent,
+    serialize_traceparent,
+)
 from sassafraswinch.verdict import Reason, Verdict
 
-SHED_STATUS = 503
-SHED_HEADER = "x-not-run"
-"""With this header set to 1 a backend server's 503 says that nothing was started."""
-
 MAX_DEPTH = 64
 """Calls below one another; more is taken for a loop between services."""
 
 MAX_CHILD_ANSWER_BYTES = 8_388_608
 """Answers of non-repeatable child calls, kept until their parent ends."""
 
-SPAN_MARK_DIGITS = 6
-"""Digits of a span that follow from the rest: a foreign one has them by chance once in
-16 million calls."""
-
-
-def make_span(root_id: str, rng: random.Random) -> str:
-    """Return a span of 16 hex digits that ``is_own_span`` recognises on any node."""
-    drawn = f"{rng.getrandbits(64) | 1:016x}"[SPAN_MARK_DIGITS:]
-    return drawn + _span_mark(root_id, drawn)
-
-
-def is_own_span(traceparent: str | None) -> bool:
-    """Return whether a node, of whatever host and run, made the span in the header."""
-    ids = parse_traceparent(traceparent)
-    if ids is None:
-        return False
-    drawn, mark = ids[1][:-SPAN_MARK_DIGITS], ids[1][-SPAN_MARK_DIGITS:]
-    return mark == _span_mark(ids[0], drawn)
-
-
-def _span_mark(root_id: str, drawn: str) -> str:
-    digest = hashlib.blake2b(f"{root_id} {drawn}".encode(), digest_size=4)
-    return digest.hexdigest()[:SPAN_MARK_DIGITS]
-
-
-def parse_traceparent(text: str | None) -> tuple[str, str] | None:
-    """Return trace id and span id of a ``traceparent`` header, None if malformed."""
-    parts = (text or "").split("-")
-    if len(parts) < 4 or len(parts[1]) != 32 or len(parts[2]) != 16:
-        return None
-    return parts[1], parts[2]
-
-
-def serialize_traceparent(root_id: str, span_id: str) -> str:
-    """Return the ``traceparent`` header for a dispatch."""
-    return f"00-{root_id}-{span_id}-01"
-
-
-@dataclass(slots=True, kw_only=True)
-class RunningCall:
-    """A call from its arrival at the executing node until its answer."""
-
-    key: CallKey
-    call: Call
-    deadline_at_ms: float
-    allowance: RetryAllowance
-    span_id: str
-    children: ChildCalls
-    started_at_ms: float | None = None
-    cancelled: bool = False
-    thresholds: dict[str, Rank] = field(default_factory=dict)
-    """Strictest threshold of each service that child calls met."""
-    open_children: int = 0
-    finished_children: int = 0
-    waiting_since_ms: float = 0.0
-    waited_ms: float = 0.0
-
-    @property
-    def began_children(self) -> bool:
-        """Whether any call was made below it."""
-        return self.open_children + self.finished_children > 0
-
-    def child_opened(self, now_ms: float) -> None:
-        """Note that a child call began; time with open children isn't self time."""
-        if not self.open_children:
-            self.waiting_since_ms = now_ms
-        self.open_children += 1
-
-    def child_closed(
-        self, now_ms: float, thresholds: Iterable[ServiceThreshold]
-    ) -> None:
-        """Note that a child call ended and the thresholds it met."""
-        self.open_children -= 1
-        self.finished_children += 1
-        for service, rank in thresholds:
-            self.thresholds[service] = min(rank, self.thresholds.get(service, rank))
-        if not self.open_children:
-            self.waited_ms += now_ms - self.waiting_since_ms
-
-    def self_time_ms(self, now_ms: float) -> float:
-        """Return the time the backend server spent on this call itself."""
-        waited_ms = self.waited_ms
-        if self.open_children:
-            waited_ms += now_ms - self.waiting_since_ms
-        return max(0.0, now_ms - self.started_at_ms - waited_ms)
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Reply:
@@ -365,31 +278,3 @@
     def load(self, now_ms: float) -> Load:
         """Return the load of the backend server, as told to other nodes."""
         return self.gate.load(now_ms)
-
-
-def thresholds_met(running: RunningCall, load: Load) -> tuple[ServiceThreshold, ...]:
-    """Return the thresholds that a call met here and below."""
-    met = dict(running.thresholds)
-    if load.threshold is not None:
-        service = running.call.service
-        met[service] = min(load.threshold, met.get(service, load.threshold))
-    return tuple(itertools.starmap(ServiceThreshold, met.items()))
-
-
-def judge(
-    result: BackendResult, *, cancelled: bool, began_children: bool
-) -> tuple[Verdict, Reason | None, BackendOutcome]:
-    """Return verdict, reason and gate outcome for the end of a dispatch.
-
-    Only the documented shed form proves NOT_RUN; a plain 500 or 503 is an answer.
-    A backend server that sheds a call after calling onward contradicts itself.
-    """
-    if result.verdict is Verdict.ANSWERED:
-        if result.status == SHED_STATUS and (SHED_HEADER, "1") in result.headers:
-            verdict = Verdict.MAY_HAVE_RUN if began_children else Verdict.NOT_RUN
-            return verdict, Reason.BACKEND_SHED, BackendOutcome.SHED
-        return Verdict.ANSWERED, None, BackendOutcome.OK
-    if cancelled:
-        return result.verdict, Reason.CANCELLED, BackendOutcome.CANCELLED
-    reason = result.reason or Reason.BACKEND_BROKEN
-    return result.verdict, reason, BackendOutcome.BROKEN
--- a/packages/sassafraswinch/sassafraswinch/pending.py
+++ b/packages/sassafraswinch/sassafraswinch/pending.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from sassafraswinch.classify import Classification
-from sassafraswinch.executor import RunningCall
 from sassafraswinch.messages import NodeId
+from sassafraswinch.running_call import RunningCall
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
