--- a/packages/sassafraswinch/sassafraswinch/egress.py
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -6,7 +6,8 @@
 from sassafraswinch.classify import Classification, Classifier
 from sassafraswinch.entry import Entry, outcome_of
 from sassafraswinch.executor import Executor
-from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.owned_call import Finished, OwnedCall
+from sassafraswinch.owner import Owner
 from sassafraswinch.pending import LocalWaiter, Pending
 from sassafraswinch.requests import CallKey, Outcome, Request
 from sassafraswinch.retry import RetryAllowance
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -9,7 +9,8 @@
 from sassafraswinch.forwarding import Forwarder
 from sassafraswinch.levels import EntryShedder
 from sassafraswinch.messages import LEVELS, Answer, NodeId, Rank
-from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.owned_call import Finished, OwnedCall
+from sassafraswinch.owner import Owner
 from sassafraswinch.pending import Pending, RemoteWaiter, Waiter
 from sassafraswinch.ports import Recorder
 from sassafraswinch.requests import Outcome, Request
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -38,7 +38,8 @@
     Message,
     NodeId,
 )
-from sassafraswinch.owner import Finished, OwnedCall, Owner
+from sassafraswinch.owned_call import Finished, OwnedCall
+from sassafraswinch.owner import Owner
 from sassafraswinch.pending import LocalWaiter, Pending, RemoteWaiter, Waiter
 from sassafraswinch.ports import BackendPort, CallerPort, LinkPort, Recorder
 from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -8,15 +8,12 @@
 from sassafraswinch.messages import (
     Acknowledge,
     Answer,
-    Call,
     Cancel,
     FenceReply,
-    Headers,
     NodeId,
-    Rank,
 )
+from sassafraswinch.owned_call import Attempt, Finished, OwnedCall
 from sassafraswinch.ports import LinkPort
-from sassafraswinch.retry import RetryAllowance
 from sassafraswinch.routing import Router
 from sassafraswinch.sent_calls import SentCalls
 from sassafraswinch.verdict import Reason, Verdict
@@ -27,9 +24,6 @@
 MIN_RETRY_TIME_MS = 5.0
 """With less time left than this no retry can be answered in time."""
 
-DETACHED_LIFE_MS = 600_000.0
-"""How long the outcome of a non-repeatable call is awaited after its deadline."""
-
 RETRIED_REASONS = frozenset(
     {
         Reason.LEAVING,
@@ -47,47 +41,6 @@
 since a service that is overloaded as a whole is left alone."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Attempt:
-    """One dispatch of an owned call to one host."""
-
-    number: int
-    peer: NodeId
-    handed: int
-    sent_at_ms: float
-
-
-@dataclass(slots=True, kw_only=True)
-class OwnedCall:
-    """A call that this node alone may dispatch or retry."""
-
-    service: str
-    operation: str
-    repeatable: bool
-    rank: Rank
-    root_id: str
-    depth: int
-    progress: int
-    deadline_at_ms: float
-    begun_at_ms: float
-    allowance: RetryAllowance
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    class_name: str = ""
-    attempt: Attempt | None = None
-    failed_hosts: frozenset[str] = frozenset()
-    may_have_run: bool = False
-    """An earlier attempt may have run, so NOT_RUN can't be claimed any more."""
-    abandoned: bool = False
-    """Nobody waits any more; kept only to learn what became of the call."""
-    wait_until_ms: float | None = None
-    """When to tell those that wait that its fate is open; None: at its deadline."""
-    context: object = None
-    """What the composing node needs when the call ends."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Peer:
     """An executing node and the newest link to it."""
@@ -96,16 +49,6 @@
     session: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Finished:
-    """An owned call with its final answer."""
-
-    owned: OwnedCall
-    answer: Answer
-    given_up: bool = False
-    """The answer is final for whoever waits, but the call's fate is still open."""
-
-
 class Owner:
     """Drives every owned call to exactly one final answer.
 
@@ -165,7 +108,7 @@
         those that wait ends the wait of all: none of them is told late.
         """
         owned.abandoned = False
-        owned.wait_until_ms = min(_wait_until_ms(owned), wait_until_ms)
+        owned.wait_until_ms = min(owned.wait_ends_ms, wait_until_ms)
 
     def answered(self, peer: NodeId, answer: Answer, now_ms: float) -> None:
         """Take in an executing node's answer."""
@@ -233,7 +176,7 @@
         late = [
             owned
             for owned in self.open.values()
-            if now_ms > _wait_until_ms(owned) + DEADLINE_GRACE_MS
+            if now_ms > owned.wait_ends_ms + DEADLINE_GRACE_MS
         ]
         for owned in late:
             self._give_up(owned, now_ms)
@@ -271,7 +214,7 @@
         if not self._sent.expect(number, peer=peer.node, session=peer.session):
             return False
         handed = owned.allowance.hand_over(number)
-        session = self.links.send(host, _call(owned, number, handed, now_ms))
+        session = self.links.send(host, owned.message(number, handed, now_ms))
         if session is None:
             self._sent.settle(number)
             owned.allowance.give_back(number, handed)
@@ -345,12 +288,12 @@
         attempt = owned.attempt
         self.router.failed(attempt.peer.host, now_ms)
         self.links.send(attempt.peer.host, Cancel(number=attempt.number))
-        if owned.repeatable or now_ms > _detached_until_ms(owned):
+        if owned.repeatable or now_ms > owned.detached_until_ms:
             self._close(attempt)
             self._end(owned, Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
             return
         owned.abandoned = True
-        owned.wait_until_ms = _detached_until_ms(owned)
+        owned.wait_until_ms = owned.detached_until_ms
         answer = _no_answer(attempt, Verdict.MAY_HAVE_RUN, Reason.DEADLINE)
         self._finished.append(Finished(owned=owned, answer=answer, given_up=True))
 
@@ -381,32 +324,5 @@
             self.links.send(host, Acknowledge(numbers=tuple(numbers)))
 
 
-def _wait_until_ms(owned: OwnedCall) -> float:
-    return owned.deadline_at_ms if owned.wait_until_ms is None else owned.wait_until_ms
-
-
-def _detached_until_ms(owned: OwnedCall) -> float:
-    return owned.deadline_at_ms + DETACHED_LIFE_MS
-
-
 def _no_answer(attempt: Attempt, verdict: Verdict, reason: Reason) -> Answer:
     return Answer(number=attempt.number, verdict=verdict, reason=reason)
-
-
-def _call(owned: OwnedCall, number: int, handed: int, now_ms: float) -> Call:
-    return Call(
-        number=number,
-        root_id=owned.root_id,
-        service=owned.service,
-        operation=owned.operation,
-        rank=owned.rank,
-        repeatable=owned.repeatable,
-        remaining_ms=max(0, int(owned.deadline_at_ms - now_ms)),
-        allowance=handed,
-        depth=owned.depth,
-        progress=owned.progress,
-        method=owned.method,
-        target=owned.target,
-        headers=owned.headers,
-        body=owned.body,
-    )
