--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_platform.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_platform.py
@@ -61,6 +61,16 @@
         published = self._documents[max(0, newest - self.stale_by)]
         return published if published.version > after else None
 
+    def shows(self, published: Published) -> bool:
+        """Return whether all watchers get a document to see, and may use it.
+
+        They watch for versions above the last one read, be it invalid.
+        """
+        others = [other for other in self._documents if other is not published]
+        return published.valid and all(
+            other.version < published.version or other.valid for other in others
+        )
+
     def hosts(self, after: int) -> tuple[int, tuple[HostRecord, ...]] | None:
         """Return version and content of the host list if it is newer.
 
