Count a host that has not answered yet as a typical one

Causes, found by the new tests of the router: a host without a measured latency counted as the fastest, so a new host would have got calls by the hundred before its first answer; calls sent since a load was heard were also counted where none had been heard, and never forgotten after a failure, so a host that was back stayed worst for good. Ruled out: the backoff, which ended in time.

--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -27,7 +27,7 @@
 class _HostState:
     """What this node has seen of one host."""
 
-    latency_ms: float = 0.0
+    latency_ms: float | None = None
     outstanding: int = 0
     load: Load | None = None
     load_at_ms: float = 0.0
@@ -36,22 +36,22 @@
     resting_until_ms: float = 0.0
     probing: bool = False
 
-    def full(self, now_ms: float) -> bool:
-        """Return whether a call would have to wait there."""
-        return self.delay_ms(now_ms) > 0
+    def fresh_load(self, now_ms: float) -> Load | None:
+        """Return the host's word on its load, None if it is too old."""
+        fresh = now_ms - self.load_at_ms <= LOAD_FRESH_MS
+        return self.load if fresh else None
 
     def delay_ms(self, now_ms: float) -> float:
         """Return the delay in the host's queue, 0 if unknown."""
-        load = self.load
-        if load is None or now_ms - self.load_at_ms > LOAD_FRESH_MS:
-            return 0.0
-        return load.queue_delay_ms
+        load = self.fresh_load(now_ms)
+        return load.queue_delay_ms if load else 0.0
 
-    def cost(self) -> float:
+    def cost(self, typical_ms: float, now_ms: float) -> float:
         """Return latency times calls there, as far as this node knows."""
-        known = self.load.in_flight + self.load.queued if self.load else 0
-        calls = max(self.outstanding, known + self.sent_since_load)
-        return (self.latency_ms + 1.0) * (calls + 1)
+        latency_ms = typical_ms if self.latency_ms is None else self.latency_ms
+        load = self.fresh_load(now_ms)
+        told = load.in_flight + load.queued + self.sent_since_load if load else 0
+        return (latency_ms + 1.0) * (max(self.outstanding, told) + 1)
 
     def resting(self, now_ms: float) -> bool:
         """Return whether the host is left alone after failures."""
@@ -63,12 +63,15 @@
 
     Two hosts are drawn at random and the better one is taken: taking the best
     of all would send every node to the same host until its load is heard again.
+    A host that has not answered yet counts as a typical one: as the fastest of
+    all, it would get calls by the hundred before its first answer.
     """
 
     def __init__(self, *, availability_zone: str, rng: random.Random):
         self._availability_zone = availability_zone
         self._rng = rng
         self._hosts: dict[str, _HostState] = {}
+        self._typical_ms: float | None = None
 
     def choose(
         self, candidates: Sequence[HostView], *, excluded: frozenset[str], now_ms: float
@@ -127,8 +130,8 @@
         state.failures = 0
         state.probing = False
         if latency_ms is not None:
-            gain = LATENCY_GAIN if state.latency_ms else 1.0
-            state.latency_ms += gain * (latency_ms - state.latency_ms)
+            state.latency_ms = _averaged(state.latency_ms, latency_ms)
+            self._typical_ms = _averaged(self._typical_ms, latency_ms)
         self.heard(host, load, now_ms)
 
     def heard(self, host: str, load: Load | None, now_ms: float) -> None:
@@ -145,6 +148,7 @@
         state = self._hosts.setdefault(host, _HostState())
         state.outstanding = max(0, state.outstanding - 1)
         state.probing = False
+        state.load = None
         state.failures += 1
         backoff_ms = min(FIRST_BACKOFF_MS * 2 ** (state.failures - 1), MAX_BACKOFF_MS)
         jitter = 0.5 + self._rng.random()
@@ -165,4 +169,9 @@
 
     def _badness(self, host: HostView, now_ms: float) -> tuple[bool, float]:
         state = self._of(host)
-        return state.full(now_ms), state.cost()
+        cost = state.cost(self._typical_ms or 0.0, now_ms)
+        return state.delay_ms(now_ms) > 0, cost
+
+
+def _averaged(mean: float | None, value: float) -> float:
+    return value if mean is None else mean + LATENCY_GAIN * (value - mean)
--- a/packages/sassafraswinch/tests/test_admission.py
+++ b/packages/sassafraswinch/tests/test_admission.py
@@ -136,7 +136,13 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["surge x3", "surge x3, paying > capacity", "slow x5", "slow x5, hard repeats"],
+    [
+        "surge x3",
+        "surge x3, paying > capacity",
+        "slow x5",
+        "slow x5, hard repeats",
+        "deep, surge x3",
+    ],
 )
 def test_paying_goodput_and_recovery_under_pressure(name):
     """Demand triples, or the server becomes five times slower, for four seconds.
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -0,0 +1,119 @@
+"""Choice of a host."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from sassafraswinch.hosts import HostView
+from sassafraswinch.messages import Load
+from sassafraswinch.routing import (
+    FIRST_BACKOFF_MS,
+    LOAD_FRESH_MS,
+    MAX_BACKOFF_MS,
+    Router,
+)
+
+from .utils.routing_bench import FLEETS, routers
+
+
+def view(name, zone="brno-a", **facts):
+    return HostView(name=name, service="archiv", availability_zone=zone, **facts)
+
+
+@pytest.fixture
+def router():
+    return Router(availability_zone="brno-a", rng=random.Random(1))
+
+
+def choices(router, hosts, *, now_ms=0.0, excluded=frozenset(), count=100):
+    chosen = [
+        router.choose(hosts, excluded=excluded, now_ms=now_ms) for _ in range(count)
+    ]
+    return Counter(host and host.name for host in chosen)
+
+
+def test_leaving_unlinked_and_excluded_hosts_are_never_chosen(router):
+    hosts = [view("a"), view("b", leaving=True), view("c", linked=False), view("d")]
+    assert set(choices(router, hosts, excluded=frozenset({"d"}))) == {"a"}
+    assert choices(router, hosts[1:3]) == {None: 100}
+
+
+def test_own_zone_goes_first_until_its_queue_is_longer_than_the_way(router):
+    hosts = [view("near"), view("far", "brno-b")]
+    assert set(choices(router, hosts)) == {"near"}
+    router.heard("near", Load(queue_delay_ms=1.0), 0.0)
+    assert set(choices(router, hosts)) == {"near"}
+    router.heard("near", Load(queue_delay_ms=20.0), 0.0)
+    assert set(choices(router, hosts)) == {"far"}
+    router.heard("far", Load(queue_delay_ms=19.0), 0.0)
+    assert set(choices(router, hosts)) == {"near"}
+    assert set(choices(router, hosts, now_ms=LOAD_FRESH_MS + 1)) == {"near"}
+
+
+def test_failed_host_rests_and_is_probed_by_one_call_at_a_time(router):
+    """A host stops answering, then is back.
+
+    Calls must leave it at once, a single one must ask it again after a while,
+    and its answer brings the others back.
+    """
+    hosts = [view("a"), view("b")]
+    router.answered("b", 10.0, None, 0.0)
+    router.sent("a", 0.0)
+    router.failed("a", 0.0)
+    assert set(choices(router, hosts)) == {"b"}
+    later_ms = FIRST_BACKOFF_MS * 1.5
+    assert choices(router, hosts, now_ms=later_ms)["a"] > 0
+    router.sent("a", later_ms)
+    assert set(choices(router, hosts, now_ms=later_ms)) == {"b"}
+    router.answered("a", 10.0, None, later_ms)
+    assert choices(router, hosts, now_ms=later_ms)["a"] > 0
+
+
+def test_rest_doubles_up_to_its_bound_and_all_resting_are_still_asked(router):
+    for _ in range(20):
+        router.failed("a", 0.0)
+    router.failed("b", 0.0)
+    assert set(choices(router, [view("a"), view("b")])) == {"b"}
+    late_ms = MAX_BACKOFF_MS * 1.5
+    assert choices(router, [view("a"), view("b")], now_ms=late_ms)["a"] > 0
+
+
+def test_host_with_fewer_and_faster_calls_is_preferred(router):
+    router.answered("slow", 150.0, Load(in_flight=10, limit=60), 0.0)
+    router.answered("fast", 30.0, Load(in_flight=10, limit=60), 0.0)
+    assert set(choices(router, [view("slow"), view("fast")])) == {"fast"}
+
+
+def test_new_host_is_not_flooded_before_its_first_answer(router):
+    """A host starts beside one that is known to take 100 ms."""
+    router.answered("known", 100.0, None, 0.0)
+    for _ in range(100):
+        host = router.choose(
+            [view("known"), view("new")], excluded=frozenset(), now_ms=0.0
+        )
+        router.sent(host.name, 0.0)
+    assert 40 <= router._hosts["new"].outstanding <= 60
+
+
+def test_refusal_says_nothing_about_latency(router):
+    """A host refuses everything within a millisecond.
+
+    Taken for its latency, that would make it the fastest host of all, and
+    draw all calls to it.
+    """
+    router.answered("full", 100.0, None, 0.0)
+    for _ in range(50):
+        router.answered("full", None, Load(), 0.0)
+    router.answered("fine", 30.0, Load(), 0.0)
+    assert set(choices(router, [view("full"), view("fine")])) == {"fine"}
+
+
+@pytest.mark.parametrize("fleet", FLEETS[2:], ids=lambda fleet: fleet.name)
+def test_slow_or_full_hosts_cost_no_answers(fleet):
+    """One host becomes five times slower, or a zone gets more than it can serve.
+
+    Other hosts have room for all, so all calls must be answered.
+    """
+    figures = fleet.run(routers(Router, 0), 0)
+    assert figures.good_percent >= 99
