--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch.class_hold import ClassHold
+from sassafraswinch.errors import InvariantError
 from sassafraswinch.gate import (
     NOTHING,
     BackendOutcome,
@@ -176,6 +177,9 @@
         self._limit.set_slots(slots)
 
     def _start(self, call: WaitingCall, now_ms: float) -> None:
+        if call.key in self._running:
+            facts = f"{call.key!r} starts while it runs"
+            raise InvariantError(invariant="one-start-per-call", facts=facts)
         self._running[call.key] = _Running(
             operation=call.operation,
             started_at_ms=now_ms,
--- a/packages/sassafraswinch/sassafraswinch/waiting.py
+++ b/packages/sassafraswinch/sassafraswinch/waiting.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sassafraswinch.errors import InvariantError
+
 
 class Claim(NamedTuple):
     """Order among the calls at one gate: the smallest starts first, is refused last."""
@@ -49,6 +51,9 @@
 
     def add(self, call: WaitingCall) -> None:
         """Put a call in its place."""
+        if call.key in self._by_key:
+            facts = f"{call.key!r} is offered while it waits"
+            raise InvariantError(invariant="one-start-per-call", facts=facts)
         insort(self._claims, call.claim)
         self._calls[call.claim] = call
         self._by_key[call.key] = call.claim
--- a/packages/sassafraswinch/tests/test_admission.py
+++ b/packages/sassafraswinch/tests/test_admission.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sassafraswinch.admission import MAX_WAIT_MS, AdaptiveGate
+from sassafraswinch.errors import InvariantError
 from sassafraswinch.gate import BackendOutcome
 from sassafraswinch.levels import EntryShedder
 from sassafraswinch.messages import Rank
@@ -113,6 +114,16 @@
     assert driver.offer("probe", deadline_ms=100.0).start
 
 
+def test_key_that_is_offered_twice_breaks_the_invariant(driver):
+    driver.offer("waiting")
+    with pytest.raises(InvariantError):
+        driver.offer("waiting")
+    with pytest.raises(InvariantError):
+        driver.offer("a")
+        driver.finish("b")
+        driver.finish("waiting")
+
+
 def test_leaving_gate_refuses_what_waits_and_what_comes(driver):
     driver.offer("waiting")
     (refusal,) = driver.gate.leave().refused
