Record refusals that no class explains, and refused tickets, for the burn report

Cause: the burn report missed what the entry refuses before it knows a class, and tickets that are refused with MAY_HAVE_RUN, which do harm an objective. Change: both are recorded, the first under '(other)'.

--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from sassafraswinch import claims, tickets
+from sassafraswinch.burn import OTHER
 from sassafraswinch.classify import Classification, Classifier, admission_level
 from sassafraswinch.early_repeats import EarlyRepeats
 from sassafraswinch.forwarding import Forwarder
@@ -84,11 +85,12 @@
             return self._forward(request, ticket, waiter, now_ms)
         classifier = self.classifier if ticket is None else self._newest
         if classifier is None:
-            self._refuse(request, waiter, Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
+            reason = Reason.NO_DOCUMENT
+            self._refuse(request, waiter, reason, NO_DOCUMENT_RETRY_MS, now_ms)
             return None
         classification = _classify(classifier, request)
         if classification is None:
-            self._refuse(request, waiter, Reason.UNKNOWN_OPERATION, 0)
+            self._refuse(request, waiter, Reason.UNKNOWN_OPERATION, 0, now_ms)
             return None
         return self.submit_classified(request, classification, waiter, now_ms)
 
@@ -110,7 +112,8 @@
         if ticket is None and classification.repeatable:
             return self._admit(request, classification, waiter, None, now_ms)
         if request.ticket is None and self.leaving:
-            self._refuse(request, waiter, Reason.LEAVING, LEAVING_RETRY_MS)
+            reason = Reason.LEAVING
+            self._refuse(request, waiter, reason, LEAVING_RETRY_MS, now_ms)
             return None
         if request.ticket is None:
             ticket = self._fresh_ticket(request.organisation, classification, now_ms)
@@ -136,7 +139,7 @@
             self.ledger.finish(pending.ticket_number, answer, now_ms)
             self._by_ticket.pop(pending.ticket_number, None)
         if pending.waiters:
-            self._record(pending, answer, now_ms)
+            self._record_answer(pending, answer, now_ms)
         waiters, pending.waiters = pending.waiters, []
         for waiter in waiters:
             outcome = self._outcome(pending, finished.owned.rank, answer, now_ms)
@@ -151,7 +154,7 @@
     ) -> None:
         """Pass a request on to its ticket's owner; this needs no document."""
         if isinstance(waiter, RemoteWaiter) or ticket.owner.host == self.node.host:
-            self._refuse(request, waiter, Reason.TICKET_OWNER_RESTARTED, 0)
+            self._refuse(request, waiter, Reason.TICKET_OWNER_RESTARTED, 0, now_ms)
             return
         classification = self._newest and _classify(self._newest, request)
         deadline_ms = answer_within_ms(classification) if classification else UNREAD_MS
@@ -191,6 +194,7 @@
                 ticket = self._fresh_ticket(organisation, classification, now_ms)
                 self.respond(waiter, outcome_of(answer, ticket=ticket))
             case claims.Refused(verdict=verdict, reason=reason):
+                self._record(classification, verdict, reason, 0.0, now_ms)
                 ticket = self._fresh_ticket(organisation, classification, now_ms)
                 self.respond(
                     waiter, Outcome(verdict=verdict, reason=reason, ticket=ticket)
@@ -230,7 +234,7 @@
         if refusal is not None:
             if ticket_number is not None:
                 self.ledger.finish(ticket_number, refusal, now_ms)
-            self._record(pending, refusal, now_ms)
+            self._record_answer(pending, refusal, now_ms)
             self.respond(waiter, self._outcome(pending, rank, refusal, now_ms))
             return None
         owned = OwnedCall(
@@ -298,15 +302,27 @@
             ticket = self._fresh_ticket(pending.organisation, classification, now_ms)
         return outcome_of(answer, ticket=ticket, retry_after_ms=retry_after_ms)
 
-    def _record(self, pending: Pending, answer: Answer, now_ms: float) -> None:
+    def _record_answer(self, pending: Pending, answer: Answer, now_ms: float) -> None:
+        latency_ms = now_ms - pending.begun_at_ms
+        classification = pending.classification
+        self._record(classification, answer.verdict, answer.reason, latency_ms, now_ms)
+
+    def _record(
+        self,
+        classification: Classification,
+        verdict: Verdict,
+        reason: Reason | None,
+        latency_ms: float,
+        now_ms: float,
+    ) -> None:
         if self.recorder is None:
             return
         self.recorder.record(
-            class_name=pending.classification.class_name,
-            operation=pending.classification.operation.name,
-            verdict=answer.verdict,
-            reason=answer.reason,
-            latency_ms=now_ms - pending.begun_at_ms,
+            class_name=classification.class_name,
+            operation=classification.operation.name,
+            verdict=verdict,
+            reason=reason,
+            latency_ms=latency_ms,
             now_ms=now_ms,
         )
 
@@ -330,7 +346,12 @@
         return self.ledger.issue(organisation, classification.operation.name, now_ms)
 
     def _refuse(
-        self, request: Request, waiter: Waiter, reason: Reason, retry_after_ms: int
+        self,
+        request: Request,
+        waiter: Waiter,
+        reason: Reason,
+        retry_after_ms: int,
+        now_ms: float,
     ) -> None:
         """Refuse what this node can't look into; with a ticket that proves nothing.
 
@@ -340,6 +361,15 @@
         """
         verdict = Verdict.MAY_HAVE_RUN if request.ticket else Verdict.NOT_RUN
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_ms=retry_after_ms)
+        if self.recorder is not None:
+            self.recorder.record(
+                class_name=OTHER,
+                operation=OTHER,
+                verdict=verdict,
+                reason=reason,
+                latency_ms=0.0,
+                now_ms=now_ms,
+            )
         self.respond(waiter, outcome)
 
 
