--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_hosts.py
@@ -0,0 +1,94 @@
+"""Slopes against the number of hosts that a node knows: ticks, link plans, memory."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+
+from sassafraswinch.link_plan import LinkPlan
+from sassafraswinch.membership import Membership
+from sassafraswinch.node import Node
+from sassafraswinch_standins.slopes_node import SERVICES, host_records, make_node
+from sassafraswinch_standins.slopes_timing import (
+    Figure,
+    best_cpu_us,
+    core_percent,
+    held_bytes,
+    line_through,
+)
+
+HOST_COUNTS = (17, 140, 560)
+TICKS_PER_S = 40
+TRUE_TRIAL_S = 3.0
+"""Length of the trial of ticks at the true pace, in seconds."""
+
+
+def measure() -> Iterator[Figure]:
+    """Measure ticks, link plans and memory against the number of hosts known."""
+    ticks_us, plans_us = {}, {}
+    for hosts in HOST_COUNTS:
+        node, _ = make_node("h1", hosts=hosts)
+        ticks_us[hosts] = best_cpu_us(lambda node=node: node.tick(60_000.0), count=400)
+        yield Figure(name=f"tick with {hosts} hosts", value=ticks_us[hosts], unit="us")
+        plan = LinkPlan(host="h1", availability_zone="zone-1")
+        for number in range(SERVICES):
+            plan.need_service(f"service-{number}", 0.0)
+        membership = node.membership
+        plans_us[hosts] = best_cpu_us(
+            lambda plan=plan, m=membership: plan.choose(m.peers(1.0), 1.0), count=10
+        )
+        yield Figure(
+            name=f"link plan of {hosts} hosts", value=plans_us[hosts], unit="us"
+        )
+    base_us, per_host_us = line_through(ticks_us)
+    yield Figure(name="tick, base", value=base_us, unit="us")
+    yield Figure(name="tick per host", value=per_host_us, unit="us")
+    largest = max(HOST_COUNTS)
+    yield Figure(
+        name=f"ticks with {largest} hosts",
+        value=core_percent(ticks_us[largest], TICKS_PER_S),
+        unit="% of a core",
+    )
+    yield Figure(
+        name=f"ticks with {largest} hosts, at the true pace",
+        value=100 * asyncio.run(_ticking(node)),
+        unit="% of a core",
+    )
+    yield from _plan_figures(largest)
+    membership, held = held_bytes(lambda: _filled_membership(largest))
+    yield Figure(name=f"membership of {largest} hosts", value=held, unit="B")
+    cost_us = best_cpu_us(lambda: _choose_cold(membership), count=50)
+    yield Figure(name="candidates of a service, anew", value=cost_us, unit="us")
+
+
+async def _ticking(node: Node) -> float:
+    """Return the share of a core that ticks take when a loop sleeps between them."""
+    began_s, began_cpu_s = time.monotonic(), time.process_time()
+    while (elapsed_s := time.monotonic() - began_s) < TRUE_TRIAL_S:
+        node.tick(60_000.0)
+        await asyncio.sleep(1 / TICKS_PER_S)
+    return (time.process_time() - began_cpu_s) / elapsed_s
+
+
+def _plan_figures(hosts: int) -> Iterator[Figure]:
+    records = host_records(hosts)
+    for services in (0, 3, 50):
+        plan = LinkPlan(host="h1", availability_zone="zone-1")
+        for number in range(services):
+            plan.need_service(f"service-{number}", 0.0)
+        links = len(plan.choose(records, 1.0))
+        yield Figure(
+            name=f"links planned, {services} services called", value=links, unit="links"
+        )
+
+
+def _filled_membership(hosts: int) -> Membership:
+    membership = Membership(self_host="h1")
+    membership.replace(host_records(hosts), 1, 0.0)
+    for number in range(SERVICES):
+        membership.candidates(f"service-{number}", 0.0)
+    return membership
+
+
+def _choose_cold(membership: Membership) -> None:
+    membership.distrust(0.0)
+    membership.candidates("service-7", 0.0)
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_node.py
@@ -0,0 +1,227 @@
+"""Slopes of the decisions alone: two nodes joined by plain queues, no sockets."""
+
+import itertools
+import random
+import time
+from collections import deque
+from collections.abc import Iterator
+
+from sassafraswinch.admission import AdaptiveGate
+from sassafraswinch.document import digest, parse_document
+from sassafraswinch.execution import ExecutionLedger
+from sassafraswinch.levels import EntryShedder
+from sassafraswinch.membership import HostRecord, HostState, Membership
+from sassafraswinch.messages import Heartbeat, Message, NodeId
+from sassafraswinch.node import Node
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.retry import CallerRetryBudget
+from sassafraswinch.routing import Router
+from sassafraswinch.tickets import TicketLedger
+from sassafraswinch.verdict import Verdict
+from sassafraswinch.versions import ConfigKeeper
+from sassafraswinch_standins.memory_document import make_document
+from sassafraswinch_standins.slopes_links import HEARTBEAT
+from sassafraswinch_standins.slopes_timing import (
+    Figure,
+    best_cpu_us,
+)
+
+SERVICES, ZONES = 50, 6
+SERVICE = "archiv"
+BATCH = 8
+"""Calls in flight at once: below every limit, so that none waits or is refused."""
+BATCHES = 300
+STEP_MS = 25.0
+MAX_ANSWER_BYTES = 8_388_608
+ANSWER = BackendResult(verdict=Verdict.ANSWERED, status=200, body=b"x" * 500)
+
+
+class Ports:
+    """All ports of a node; keeps what passes through them."""
+
+    def __init__(self):
+        self.sent: deque[Message] = deque()
+        self.dispatched: deque[CallKey] = deque()
+        self.responses: list[Outcome] = []
+
+    def send(self, host: str, message: Message) -> int | None:
+        """Keep a message to the one peer."""
+        self.sent.append(message)
+        return 1
+
+    def connect(self, host: str) -> None:
+        """Do nothing: the link is up."""
+
+    def announce(self, message: Message) -> None:
+        """Do nothing: the peer needs no news."""
+
+    def reply(self, node: NodeId, message: Message) -> bool:
+        """Keep a message to the one peer."""
+        self.sent.append(message)
+        return True
+
+    def dispatch(self, key: CallKey, call: object, traceparent: str) -> None:
+        """Keep a started call."""
+        self.dispatched.append(key)
+
+    def cancel(self, key: CallKey) -> None:
+        """Do nothing: no call is cancelled here."""
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Keep an outcome."""
+        self.responses.append(outcome)
+
+
+def host_records(hosts: int) -> tuple[HostRecord, ...]:
+    """Return a fleet's host list; ``h0`` serves ``archiv``."""
+    return tuple(
+        HostRecord(
+            name=f"h{number}",
+            service=f"service-{number % SERVICES}" if number else SERVICE,
+            availability_zone=f"zone-{number % ZONES}",
+            state=HostState.LIVE,
+            link=f"10.0.{number // 250}.{number % 250}:7001",
+            entry=f"10.0.{number // 250}.{number % 250}:7002",
+            operators=f"10.0.{number // 250}.{number % 250}:7003",
+        )
+        for number in range(hosts)
+    )
+
+
+def make_node(host: str, *, hosts: int = 2) -> tuple[Node, Ports]:
+    """Return a node that serves a small document and knows a fleet."""
+    ports, rng = Ports(), random.Random(1)
+    node_id = NodeId(host, int(host[1:]) + 1)
+    membership = Membership(self_host=host)
+    membership.replace(host_records(hosts), 1, 0.0)
+    node = Node(
+        node=node_id,
+        links=ports,
+        backend=ports,
+        callers=ports,
+        gate=AdaptiveGate(slots=120, rng=rng),
+        membership=membership,
+        router=Router(availability_zone="zone-0", rng=rng),
+        tickets=TicketLedger(
+            node=node_id,
+            secret=b"k" * 32,
+            lifetime_ms=120_000,
+            max_answer_bytes=MAX_ANSWER_BYTES,
+        ),
+        ledger=ExecutionLedger(max_answer_bytes=MAX_ANSWER_BYTES),
+        shedder=EntryShedder(),
+        budget=CallerRetryBudget(share_percent=10),
+        keeper=ConfigKeeper(
+            parse=lambda body: parse_document(body, source="slopes"),
+            digest=digest,
+            rng=rng,
+        ),
+        service=SERVICE,
+        rng=rng,
+    )
+    keeper = node.configuration.keeper
+    body = make_document(1, slots=120)
+    node.start(0.0)
+    node.configuration.platform_read(keeper.read(body), 0.0)
+    for now_ms in range(0, 60_000, 1_000):
+        node.tick(float(now_ms))
+    return node, ports
+
+
+class Pair:
+    """An owner ``h1`` and the executing node ``h0``, joined by their queues."""
+
+    def __init__(self):
+        self.now_ms = 60_000.0
+        self.owner, self.owner_ports = make_node("h1")
+        self.executor, self.executor_ports = make_node("h0")
+        self.executor.link_up(self.owner.node, 1, dialled=False, now_ms=self.now_ms)
+        self.owner.link_up(self.executor.node, 1, dialled=True, now_ms=self.now_ms)
+        heartbeat = self.executor.heartbeat(1, self.now_ms)
+        self.owner.message(self.executor.node, 1, heartbeat, self.now_ms)
+        self.handles = itertools.count(1)
+        self.owner_ns = self.executor_ns = 0
+
+    def batch(self) -> None:
+        """Pass ``BATCH`` calls from submission to outcome and time both sides."""
+        self.now_ms += STEP_MS
+        owner, executor = self.owner, self.executor
+        began_ns = time.process_time_ns()
+        for handle in itertools.islice(self.handles, BATCH):
+            request = Request(
+                handle=handle,
+                service=SERVICE,
+                method="GET",
+                target=f"/orders/{handle}",
+                caller="buyer",
+                organisation="acme",
+            )
+            owner.submit(request, self.now_ms)
+        submitted_ns = time.process_time_ns()
+        self._deliver(self.owner_ports, executor, owner.node)
+        while self.executor_ports.dispatched:
+            key = self.executor_ports.dispatched.popleft()
+            executor.backend_done(key, ANSWER, self.now_ms + 5)
+        executed_ns = time.process_time_ns()
+        self._deliver(self.executor_ports, owner, executor.node)
+        owner.tick(self.now_ms + 10)
+        ended_ns = time.process_time_ns()
+        self._deliver(self.owner_ports, executor, owner.node)
+        executor.tick(self.now_ms + 10)
+        last_ns = time.process_time_ns()
+        self.owner_ns += submitted_ns - began_ns + ended_ns - executed_ns
+        self.executor_ns += executed_ns - submitted_ns + last_ns - ended_ns
+
+    def _deliver(self, ports: Ports, receiver: Node, sender: NodeId) -> None:
+        while ports.sent:
+            receiver.message(sender, 1, ports.sent.popleft(), self.now_ms + 5)
+
+
+def _call_figures() -> Iterator[Figure]:
+    pair = Pair()
+    sides: list[tuple[float, float]] = []
+    for _ in range(3):
+        pair.owner_ns = pair.executor_ns = 0
+        for _ in range(BATCHES):
+            pair.batch()
+        calls = BATCH * BATCHES
+        sides.append((pair.owner_ns / calls / 1_000, pair.executor_ns / calls / 1_000))
+    answered = sum(
+        outcome.verdict is Verdict.ANSWERED for outcome in pair.owner_ports.responses
+    )
+    total = len(pair.owner_ports.responses)
+    yield Figure(
+        name="calls answered in the trial", value=100 * answered / total, unit="%"
+    )
+    owner_us, executor_us = (min(side) for side in zip(*sides, strict=True))
+    yield Figure(name="owner's decisions per call", value=owner_us, unit="us")
+    yield Figure(name="executing decisions per call", value=executor_us, unit="us")
+
+
+def _heartbeat_figure() -> Figure:
+    """Measure what one node decides on a heartbeat and on a proof of reading."""
+    node, _ = make_node("h1", hosts=560)
+    peer = NodeId("h0", 1)
+    node.link_up(peer, 1, dialled=True, now_ms=60_000.0)
+    heartbeat = Heartbeat(
+        sequence=1,
+        load=HEARTBEAT.load,
+        document_version=node.configuration.keeper.stamp.version,
+        document_digest=node.configuration.keeper.stamp.digest,
+    )
+
+    def beat() -> None:
+        node.message(peer, 1, heartbeat, 60_001.0)
+        node.message(peer, 1, heartbeat, 60_001.0)
+        node.link_proved(peer, 60_000.0, 60_001.0)
+
+    cost_us = best_cpu_us(beat, count=1_000)
+    return Figure(
+        name="decisions per link and beat, both ends", value=cost_us, unit="us"
+    )
+
+
+def measure() -> Iterator[Figure]:
+    """Measure the decisions on calls and on heartbeats."""
+    yield from _call_figures()
+    yield _heartbeat_figure()
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_spread.py
@@ -0,0 +1,74 @@
+"""How far a new document travels over the links that 560 nodes plan."""
+
+import random
+from collections import Counter
+from collections.abc import Iterator, Mapping
+
+from sassafraswinch.link_plan import LinkPlan
+from sassafraswinch.membership import HostRecord
+from sassafraswinch.read_budget import DOCUMENT_WATCHES
+from sassafraswinch_standins.slopes_node import SERVICES, host_records
+from sassafraswinch_standins.slopes_timing import Figure
+
+HOSTS = 560
+CALLED = (0, 3)
+"""Services that each host calls."""
+
+Graph = Mapping[str, set[str]]
+
+
+def planned_graph(records: tuple[HostRecord, ...], called: int, seed: int) -> Graph:
+    """Return the links of a fleet, each usable both ways, as neighbours by host."""
+    rng = random.Random(seed)
+    neighbours: dict[str, set[str]] = {record.name: set() for record in records}
+    for record in records:
+        plan = LinkPlan(host=record.name, availability_zone=record.availability_zone)
+        for number in rng.sample(range(SERVICES), called):
+            plan.need_service(f"service-{number}", 0.0)
+        for other in plan.choose(records, 1.0):
+            neighbours[record.name].add(other)
+            neighbours[other].add(record.name)
+    return neighbours
+
+
+def hops_from(graph: Graph, sources: set[str]) -> dict[str, int]:
+    """Return the fewest links from any source to each host that can be reached."""
+    hops = dict.fromkeys(sources, 0)
+    edge, distance = set(sources), 0
+    while edge:
+        distance += 1
+        edge = {far for near in edge for far in graph[near]} - hops.keys()
+        hops |= dict.fromkeys(edge, distance)
+    return hops
+
+
+def largest_part(graph: Graph, members: set[str]) -> int:
+    """Return the size of the largest connected part of a graph cut to ``members``."""
+    inside = {name: graph[name] & members for name in members}
+    left, largest = set(members), 0
+    while left:
+        part = hops_from(inside, {next(iter(left))}).keys()
+        largest = max(largest, len(part))
+        left -= part
+    return largest
+
+
+def measure() -> Iterator[Figure]:
+    """Measure hops from the watchers, and how whole a cut-off zone stays."""
+    records = host_records(HOSTS)
+    zone = {r.name for r in records if r.availability_zone == "zone-0"}
+    for called in CALLED:
+        graph = planned_graph(records, called, seed=1)
+        watchers = set(random.Random(2).sample(sorted(graph), DOCUMENT_WATCHES))
+        hops = Counter(hops_from(graph, watchers).values())
+        label = f"{called} services called"
+        yield Figure(name=f"{label}: hosts reached", value=hops.total(), unit="hosts")
+        yield Figure(name=f"{label}: most hops", value=max(hops), unit="hops")
+        degrees = [len(neighbours) for neighbours in graph.values()]
+        mean = sum(degrees) / len(degrees)
+        yield Figure(name=f"{label}: links of a host", value=mean, unit="links")
+        yield Figure(
+            name=f"{label}: zone of {len(zone)} cut off, largest connected part",
+            value=largest_part(graph, zone),
+            unit="hosts",
+        )
--- /dev/null
+++ b/packages/sassafraswinch-standins/tests/test_slopes.py
@@ -0,0 +1,26 @@
+"""The arithmetic of slopes."""
+
+import pytest
+
+from sassafraswinch.messages import HeartbeatReply
+from sassafraswinch_standins import slopes_links, slopes_timing
+
+
+def test_a_line_gives_base_and_slope():
+    points = {7: 107.0, 14: 114.0, 56: 156.0}
+    assert slopes_timing.line_through(points) == pytest.approx((100.0, 1.0))
+
+
+def test_core_percent():
+    assert slopes_timing.core_percent(cost_us=250, times_per_s=40) == 1.0
+
+
+def test_busy_above_half_of_the_cores():
+    assert not slopes_timing.is_busy(6.0, 12)
+    assert slopes_timing.is_busy(6.1, 12)
+
+
+def test_bytes_of_a_link_are_two_heartbeats_and_one_answer():
+    beat = slopes_links.frame_bytes(slopes_links.HEARTBEAT)
+    reply = slopes_links.frame_bytes(HeartbeatReply(sequence=86_400))
+    assert slopes_links.link_bytes_per_s() == 2 * beat + reply
