--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_hosts.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_hosts.py
@@ -1,12 +1,15 @@
 """Slopes against the number of hosts that a node knows: ticks, link plans, memory."""
 
 import asyncio
+import itertools
 import time
+import zlib
 from collections.abc import Iterator
 
 from sassafraswinch.link_plan import LinkPlan
 from sassafraswinch.membership import Membership
 from sassafraswinch.node import Node
+from sassafraswinch.transfer import pack_hosts
 from sassafraswinch_standins.slopes_node import SERVICES, host_records, make_node
 from sassafraswinch_standins.slopes_timing import (
     Figure,
@@ -56,6 +59,15 @@
     yield from _plan_figures(largest)
     membership, held = held_bytes(lambda: _filled_membership(largest))
     yield Figure(name=f"membership of {largest} hosts", value=held, unit="B")
+    records, versions = host_records(largest), itertools.count(2)
+    cost_us = best_cpu_us(
+        lambda: membership.replace(records, next(versions), 0.0), count=50
+    )
+    yield Figure(name="host list taken", value=cost_us, unit="us")
+    packed = len(pack_hosts(records))
+    yield Figure(name="host list, packed", value=packed / 1_000, unit="kB")
+    plain = len(zlib.decompress(pack_hosts(records)))
+    yield Figure(name="host list", value=plain / 1_000, unit="kB")
     cost_us = best_cpu_us(lambda: _choose_cold(membership), count=50)
     yield Figure(name="candidates of a service, anew", value=cost_us, unit="us")
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_state.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_state.py
@@ -1,6 +1,5 @@
 """Slopes of what a node remembers: documents, tickets, received calls, burn."""
 
-import itertools
 import json
 import time
 from collections.abc import Iterator
@@ -16,6 +15,7 @@
 from sassafraswinch.transfer import pack_document
 from sassafraswinch.verdict import Verdict
 from sassafraswinch_standins.slopes_timing import (
+    ROUNDS,
     Figure,
     best_cpu_us,
     held_bytes,
@@ -28,30 +28,31 @@
 PARSES = 1
 """Parses in a round: the largest document takes long."""
 SERVICES = 50
+CLASS_COUNTS = (10, 40, 160)
 RECORDS = 2_000
 SIX_HOURS_MS = 6 * 3_600_000
 BODY = b"x" * 500
 
 
-def make_body(size_bytes: int, *, version: int = 1) -> bytes:
+def make_body(size_bytes: int, *, classes: int = 10) -> bytes:
     """Return a valid document of about this many bytes.
 
     A third each of its entries are organisations, callers and operations; there are
-    50 services and ten classes with selectors.
+    50 services. Each class but the last has two selectors.
     """
     entry_bytes = 85
     count = max(1, (size_bytes - 5_000) // (3 * entry_bytes))
-    classes = [
+    chosen = [
         {
             "name": f"class-{number}",
             "organisations": f"tier=tier-{number}",
             "operations": "action in (approval, release)",
             "deadline_ms": 2_000,
         }
-        for number in range(9)
+        for number in range(classes - 1)
     ]
     body = {
-        "version": version,
+        "version": 1,
         "organisations": {
             f"organisation-{n}": {"labels": {"tier": f"tier-{n % 9}", "kind": "buyer"}}
             for n in range(count)
@@ -73,7 +74,7 @@
             }
             for n in range(count)
         ],
-        "classes": [*classes, {"name": "rest", "deadline_ms": 2_000}],
+        "classes": [*chosen, {"name": "rest", "deadline_ms": 2_000}],
         "non_repeatable": ["action in (approval, release)"],
     }
     return json.dumps(body, separators=(",", ":")).encode()
@@ -126,7 +127,6 @@
 
 def _classify_figures(document: Document) -> Iterator[Figure]:
     classifier = Classifier(document=document)
-    operation = document.operations[0]
 
     def hit() -> None:
         found = classifier.operation("service-0", "GET", "/r0/7")
@@ -137,14 +137,30 @@
     yield Figure(
         name="classify, remembered", value=best_cpu_us(hit, count=2_000), unit="us"
     )
-    callers = itertools.cycle(document.callers)
+    costs_us = {
+        classes: _classify_anew_us(_parse(make_body(100_000, classes=classes)))
+        for classes in CLASS_COUNTS
+    }
+    base_us, per_class_us = line_through(costs_us)
+    yield Figure(name="classify anew, base", value=base_us, unit="us")
+    yield Figure(
+        name="classify anew, per class with two selectors",
+        value=per_class_us,
+        unit="us",
+    )
 
-    def miss() -> None:
-        caller = next(callers)
-        classifier.classify(caller=caller, organisation="", operation=operation)
 
-    cost_us = best_cpu_us(miss, count=min(300, len(document.callers) // 6))
-    yield Figure(name="classify, anew", value=cost_us, unit="us")
+def _classify_anew_us(document: Document) -> float:
+    """Return the cost of a caller not met before whom only the last class takes."""
+    classifier = Classifier(document=document)
+    operation = document.operations[1]
+    callers = iter(document.callers)
+    return best_cpu_us(
+        lambda: classifier.classify(
+            caller=next(callers), organisation="", operation=operation
+        ),
+        count=len(document.callers) // (2 * ROUNDS),
+    )
 
 
 def _ticket_figures() -> Iterator[Figure]:
