--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_node.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_node.py
@@ -24,6 +24,7 @@
 from sassafraswinch_standins.slopes_timing import (
     Figure,
     best_cpu_us,
+    held_bytes,
 )
 
 SERVICES, ZONES = 50, 6
@@ -31,6 +32,8 @@
 BATCH = 8
 """Calls in flight at once: below every limit, so that none waits or is refused."""
 BATCHES = 300
+OPEN_CALLS = 750
+"""Calls out at once: two seconds of 375."""
 STEP_MS = 25.0
 MAX_ANSWER_BYTES = 8_388_608
 ANSWER = BackendResult(verdict=Verdict.ANSWERED, status=200, body=b"x" * 500)
@@ -147,16 +150,7 @@
         self.now_ms += STEP_MS
         owner, executor = self.owner, self.executor
         began_ns = time.process_time_ns()
-        for handle in itertools.islice(self.handles, BATCH):
-            request = Request(
-                handle=handle,
-                service=SERVICE,
-                method="GET",
-                target=f"/orders/{handle}",
-                caller="buyer",
-                organisation="acme",
-            )
-            owner.submit(request, self.now_ms)
+        self.submit(BATCH)
         submitted_ns = time.process_time_ns()
         self._deliver(self.owner_ports, executor, owner.node)
         while self.executor_ports.dispatched:
@@ -172,6 +166,19 @@
         self.owner_ns += submitted_ns - began_ns + ended_ns - executed_ns
         self.executor_ns += executed_ns - submitted_ns + last_ns - ended_ns
 
+    def submit(self, calls: int) -> None:
+        """Hand new calls to the owner."""
+        for handle in itertools.islice(self.handles, calls):
+            request = Request(
+                handle=handle,
+                service=SERVICE,
+                method="GET",
+                target=f"/orders/{handle}",
+                caller="buyer",
+                organisation="acme",
+            )
+            self.owner.submit(request, self.now_ms)
+
     def _deliver(self, ports: Ports, receiver: Node, sender: NodeId) -> None:
         while ports.sent:
             receiver.message(sender, 1, ports.sent.popleft(), self.now_ms + 5)
@@ -198,6 +205,15 @@
     yield Figure(name="executing decisions per call", value=executor_us, unit="us")
 
 
+def _open_call_figure() -> Figure:
+    """Measure what an owner holds for a call that is out, its message included."""
+    pair = Pair()
+    pair.submit(BATCH)
+    _, held = held_bytes(lambda: pair.submit(OPEN_CALLS))
+    assert len(pair.owner.owner.open) == OPEN_CALLS + BATCH
+    return Figure(name="open call at its owner", value=held / OPEN_CALLS, unit="B")
+
+
 def _heartbeat_figure() -> Figure:
     """Measure what one node decides on a heartbeat and on a proof of reading."""
     node, _ = make_node("h1", hosts=560)
@@ -224,4 +240,5 @@
 def measure() -> Iterator[Figure]:
     """Measure the decisions on calls and on heartbeats."""
     yield from _call_figures()
+    yield _open_call_figure()
     yield _heartbeat_figure()
