--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -15,7 +15,8 @@
 )
 from sassafraswinch.limits import ConcurrencyLimit
 from sassafraswinch.messages import LEVELS, Load, Rank
-from sassafraswinch.queue_delay import TARGET_MS, QueueDelays
+from sassafraswinch.pace import Pace
+from sassafraswinch.queue_delay import QueueDelays
 from sassafraswinch.regression import Round
 from sassafraswinch.retry_after import MIN_RETURNS_SHARE, ReturnSchedule
 from sassafraswinch.service_time import ServiceTimes
@@ -23,23 +24,10 @@
 from sassafraswinch.verdict import Reason
 from sassafraswinch.waiting import Claim, WaitingCall, WaitingCalls
 
-QUEUE_MS = 100.0
-"""Length of the queue in time. At 50 the bench's surges lose 1 to 5% of all goodput,
-as the queue runs empty while the threshold moves."""
-
 MAX_WAIT_MS = 100.0
 """Longest wait of one call, which others may pass. At 250 the p99 of the wait
 doubles, for less than 1% more goodput."""
 
-MIN_QUEUE = 4
-"""Calls that may wait however slowly slots come free."""
-
-UNKNOWN_CAPACITY_PER_S = 1_000.0
-"""Calls a second that are taken to fit before any call has ended."""
-
-SLOT_TIME_GAIN = 0.05
-"""Weight of one call in the mean time that a call holds its slot: twenty calls."""
-
 
 @dataclass(slots=True, kw_only=True)
 class _Running:
@@ -68,7 +56,7 @@
         self._waiting = WaitingCalls()
         self._hold = ClassHold()
         self._returns: dict[int, ReturnSchedule] = {}
-        self._slot_time_ms = 0.0
+        self._pace = Pace(limit=self._limit)
         self._delays = QueueDelays()
         self._sequence = 0
         self._leaving = False
@@ -119,8 +107,7 @@
         held_ms = now_ms - running.started_at_ms
         if outcome is BackendOutcome.OK:
             self._times.record(running.operation, held_ms, now_ms)
-            gain = SLOT_TIME_GAIN if self._slot_time_ms else 1.0
-            self._slot_time_ms += gain * (held_ms - self._slot_time_ms)
+            self._pace.ended(held_ms)
         elif outcome is BackendOutcome.CANCELLED:
             self._times.record_cut(running.operation, held_ms, now_ms)
         self._limit.finished(
@@ -140,7 +127,7 @@
 
     def tick(self, now_ms: float) -> GateDecision:
         """Refuse what has waited too long or is past its time; fill free slots."""
-        self._delays.sample(self._waiting, self._delay_ms(1))
+        self._delays.sample(self._waiting, self._pace.delay_ms(1))
         if self._threshold.due(now_ms):
             self._decide(now_ms)
         late = [call for call in self._waiting if self._late(call, now_ms)]
@@ -155,7 +142,7 @@
             in_flight=len(self._running),
             queued=len(self._waiting),
             limit=self._limit.limit,
-            queue_delay_ms=self._delay_ms(len(self._waiting) + 1) if full else 0.0,
+            queue_delay_ms=self._pace.delay_ms(len(self._waiting) + 1) if full else 0.0,
             leaving=self._leaving,
             threshold=self._strictest(now_ms),
         )
@@ -190,12 +177,12 @@
     def _queue(self, call: WaitingCall, admitted: bool, now_ms: float) -> GateDecision:
         if not admitted:
             return GateDecision(refused=self._press(call, Reason.OVERLOADED, now_ms))
-        wait_ms = self._delay_ms(self._waiting.ahead_of(call.claim) + 1)
+        wait_ms = self._pace.delay_ms(self._waiting.ahead_of(call.claim) + 1)
         safe_ms = self._times.estimate(call.operation, now_ms).safe_ms
         if call.deadline_at_ms - now_ms <= wait_ms + safe_ms:
             return GateDecision(refused=self._press(call, Reason.DEADLINE, now_ms))
         self._waiting.add(call)
-        if len(self._waiting) <= self._queue_bound():
+        if len(self._waiting) <= self._pace.queue_bound():
             return NOTHING
         last = self._waiting.pop_last()
         reason = Reason.OVERLOADED if last is call else Reason.EVICTED
@@ -213,40 +200,20 @@
         return GateDecision(start=tuple(start), refused=tuple(refused))
 
     def _decide(self, now_ms: float) -> None:
-        slot_gap_ms = self._delay_ms(1)
+        slot_gap_ms = self._pace.delay_ms(1)
         lowest = self._hold.lowest_open(now_ms)
         if lowest is not None:
             self._threshold.held(lowest)
         self._delays.sample(self._waiting, slot_gap_ms)
         self._threshold.decide(
-            capacity_per_s=self._capacity_per_s(),
-            excess_calls=self._excess_calls(slot_gap_ms),
+            capacity_per_s=self._pace.capacity_per_s(),
+            excess_calls=self._pace.excess_calls(
+                len(self._running) + len(self._waiting)
+            ),
             standing=self._delays.standing(slot_gap_ms),
             now_ms=now_ms,
         )
 
-    def _delay_ms(self, calls: int) -> float:
-        return calls * self._slot_time_ms / self._limit.limit
-
-    def _excess_calls(self, slot_gap_ms: float) -> float:
-        target = TARGET_MS / slot_gap_ms if slot_gap_ms else 0.0
-        calls = len(self._running) + len(self._waiting)
-        return calls - self._limit.limit - target
-
-    def _capacity_per_s(self) -> float:
-        """Return the calls a second that can be finished once a ramp is over.
-
-        Measured by the limit of the moment, a server that comes back would
-        make entries refuse the very calls that its ramp needs to go on.
-        """
-        if not self._slot_time_ms:
-            return UNKNOWN_CAPACITY_PER_S
-        return 1000 * self._limit.goal / self._slot_time_ms
-
-    def _queue_bound(self) -> int:
-        gap_ms = self._delay_ms(1)
-        return max(MIN_QUEUE, int(QUEUE_MS / gap_ms)) if gap_ms else MIN_QUEUE
-
     def _past_deadline(self, call: WaitingCall, now_ms: float) -> bool:
         time = self._times.estimate(call.operation, now_ms)
         return call.deadline_at_ms - now_ms <= time.likely_ms
@@ -293,7 +260,7 @@
     def _refusal(self, call: WaitingCall, reason: Reason, now_ms: float) -> Refusal:
         order = call.claim.class_order
         returns = self._returns.setdefault(order, ReturnSchedule())
-        capacity_per_s = self._capacity_per_s()
+        capacity_per_s = self._pace.capacity_per_s()
         spare_per_s = max(
             capacity_per_s - self._threshold.rate_above_per_s(order + 1),
             capacity_per_s * MIN_RETURNS_SHARE,
