--- a/packages/sassafraswinch/tests/test_admission.py
+++ b/packages/sassafraswinch/tests/test_admission.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sassafraswinch.admission import MAX_WAIT_MS, AdaptiveGate
+from sassafraswinch.errors import InvariantError
 from sassafraswinch.gate import BackendOutcome
 from sassafraswinch.levels import EntryShedder
 from sassafraswinch.messages import Rank
@@ -113,6 +114,16 @@
     assert driver.offer("probe", deadline_ms=100.0).start
 
 
+def test_key_that_is_offered_twice_breaks_the_invariant(driver):
+    driver.offer("waiting")
+    with pytest.raises(InvariantError):
+        driver.offer("waiting")
+    with pytest.raises(InvariantError):
+        driver.offer("a")
+        driver.finish("b")
+        driver.finish("waiting")
+
+
 def test_leaving_gate_refuses_what_waits_and_what_comes(driver):
     driver.offer("waiting")
     (refusal,) = driver.gate.leave().refused
@@ -136,7 +147,13 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["surge x3", "surge x3, paying > capacity", "slow x5", "slow x5, hard repeats"],
+    [
+        "surge x3",
+        "surge x3, paying > capacity",
+        "slow x5",
+        "slow x5, hard repeats",
+        "deep, surge x3",
+    ],
 )
 def test_paying_goodput_and_recovery_under_pressure(name):
     """Demand triples, or the server becomes five times slower, for four seconds.
