--- a/packages/sassafraswinch/tests/test_routing.py
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sassafraswinch.hosts import HostView
-from sassafraswinch.messages import Load
+from sassafraswinch.messages import Load, Rank
 from sassafraswinch.routing import (
     FIRST_BACKOFF_MS,
     LOAD_FRESH_MS,
@@ -118,3 +118,16 @@
     """
     figures = fleet.run(routers(Router, 0), 0)
     assert figures.good_percent >= 99
+
+
+def test_room_for_a_class_is_known_from_fresh_loads_only(router):
+    paying = Rank(1, 0)
+    assert not router.takes_below("a", paying, 0)
+    router.heard("a", Load(), 0)
+    assert router.takes_below("a", paying, LOAD_FRESH_MS)
+    assert not router.takes_below("a", paying, LOAD_FRESH_MS + 1)
+    router.heard("a", Load(queue_delay_ms=5.0), 0)
+    assert not router.takes_below("a", paying, 0)
+    router.heard("a", Load(queue_delay_ms=5.0, threshold=Rank(2, 0)), 0)
+    assert router.takes_below("a", paying, 0)
+    assert not router.takes_below("a", Rank(2, 0), 0)
