Let a restarted host ignore the list's mark of its earlier run

Cause: a host is stopped as planned and its node starts again at once; the platform's list shows the stop 30 s later, when the new process runs, which took it for itself, refused all work and stopped. Ruled out: to heed only a mark seen after a live one, since the list still shows the host live when the new run begins. A mark counts now if it appears a minute or later after the start; a host that is to leave sooner has its signal.

Checks made right on the way: a call whose fate only a lost host knows isn't left behind; a document that no running process holds any more is lost, not reverted; an older proof of a link doesn't undo a newer one.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_checks.py
@@ -153,7 +153,9 @@
         self.open.pop(handle, None)
 
     def host_gone(self, host: str) -> list[Asked]:
-        """Take out what waited at a node that died."""
+        """Take out what waited at a node that died, and what it knew."""
+        for node in [node for node in self.stamps if node.host == host]:
+            del self.stamps[node]
         lost = [h for h, asked in self.open.items() if asked.host == host]
         return [self.open.pop(handle) for handle in lost]
 
@@ -207,9 +209,13 @@
         self.stamps[node] = stamp
 
     def serves(self, host: str, stamp: Stamp) -> None:
-        """Note by which document a host lets requests in, over all its processes."""
+        """Note by which document a host lets requests in, over all its processes.
+
+        Where no running process holds the newer one any more, it is lost.
+        """
         before = self.served.get(host, stamp)
-        if self.calm and supersedes(before, stamp):
+        lost = not any(supersedes(held, stamp) for held in self.stamps.values())
+        if self.calm and supersedes(before, stamp) and not lost:
             self.fail("a change never reverts", f"{host}: {before}, then {stamp}")
         self.served[host] = stamp
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from sassafraswinch.lifecycle import NodeState
@@ -87,6 +87,7 @@
 
     def start(self) -> None:
         """Open the listeners and begin to tick, beat and read the platform."""
+        self.observe()
         self.node.start(self.now_ms)
         self._repeat(TICK_MS, self._tick)
         self._repeat(HEARTBEAT_MS, self._beat)
@@ -213,7 +214,8 @@
     def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
         """Pass on that a heartbeat was answered."""
         self.observe()
-        self._proved_ms[node.host] = sent_at_ms
+        before_ms = self._proved_ms.get(node.host, 0.0)
+        self._proved_ms[node.host] = max(before_ms, sent_at_ms)
         self.node.link_proved(node, sent_at_ms, self.now_ms)
 
     def leave(self) -> None:
@@ -223,6 +225,15 @@
             self.observe()
             self.node.leave(self.now_ms)
 
+    def left_behind(self, hosts: Iterable[str]) -> list[object]:
+        """Return what is in flight, less calls whose fate only a lost host knows."""
+        owned = self.node.owner.open.values()
+        return [
+            *(call.attempt for call in owned if call.attempt.peer.host in hosts),
+            *self.node.executor.calls,
+            *self.node.forwarder.open,
+        ]
+
     @property
     def exchanges(self) -> int:
         """Calls at the backend server."""
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -1,5 +1,6 @@
 """Failures of a whole fleet, one by one, on a simulated clock."""
 
+from sassafraswinch.membership import HostState
 from sassafraswinch.requests import Outcome, Request
 from sassafraswinch.verdict import Reason, Verdict
 from sassafraswinch_standins.memory_backend import MARK_HEADER, PURPOSE_HEADER
@@ -406,3 +407,30 @@
     desk.fleet.run_for(500)
     assert [outcomes[0].verdict for outcomes in told] == [Verdict.ANSWERED] * 2
     assert told[0][0].ticket != told[1][0].ticket
+
+
+def test_restarted_host_ignores_the_mark_of_its_earlier_run():
+    """A host is stopped as planned and its node starts again five seconds later. The
+    platform's list shows the stop only 30 s after it began.
+
+    The new process read that it was leaving, refused all work and stopped as well.
+    """
+    fleet = Desk().fleet
+    fleet.leave("vydej-a")
+    fleet.run_for(5_000)
+    assert "vydej-a" not in fleet.processes
+    fleet.restart("vydej-a")
+    fleet.run_for(40_000)
+    assert not fleet.processes["vydej-a"].node.lifecycle.leaving
+
+
+def test_host_leaves_by_the_platforms_word_alone():
+    """A host has run for long when the platform lists it as leaving.
+
+    No signal comes: its node stops by the list, and cuts off nothing.
+    """
+    fleet = Desk().fleet
+    fleet.run_for(60_000)
+    fleet.platform.host_is("vydej-a", HostState.LEAVING)
+    fleet.run_for(40_000)
+    assert "vydej-a" not in fleet.processes
--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -14,6 +14,10 @@
 """A host that is off the list and silent is kept this long: two regions may lose
 each other for an hour while the list is wrong, and need the addresses afterwards."""
 
+OWN_MARK_MS = 60_000
+"""Time after its start in which a node takes a mark of its own host in the list for
+one of its earlier run: twice the lag of the list."""
+
 LEFT_INCARNATIONS = 4
 """Incarnations of one host remembered as leaving."""
 
@@ -22,6 +26,9 @@
 class _Host:
     record: HostRecord
     seen_ms: float
+    known_since_ms: float
+    marked_ms: float
+    """When the list first showed it leaving, after showing it live."""
     listed: bool = True
     list_leaving: bool = False
     incarnation: int | None = None
@@ -30,6 +37,11 @@
     heard: bool = False
     proved_ms: float = -math.inf
 
+    def mark(self, leaving: bool, now_ms: float) -> None:
+        if leaving and not self.list_leaving:
+            self.marked_ms = now_ms
+        self.list_leaving = leaving
+
     @property
     def leaving(self) -> bool:
         return self.list_leaving or self.incarnation in self.left
@@ -60,9 +72,17 @@
 
     @property
     def self_leaving(self) -> bool:
-        """Whether the list says that this node's own host leaves."""
+        """Whether the list says that this node's own host leaves.
+
+        Failure guarded against: a host is stopped and its node starts again while
+        the list still lags; then the list marks it, and the new process would stop
+        as well. A mark that appears within ``OWN_MARK_MS`` of the start was for the
+        process before; a host that is to leave so early is told by a signal.
+        """
         own = self._hosts.get(self._self_host)
-        return own is not None and own.list_leaving
+        if own is None or not own.list_leaving:
+            return False
+        return own.marked_ms - own.known_since_ms >= OWN_MARK_MS
 
     def replace(
         self, records: Iterable[HostRecord], version: int, now_ms: float
@@ -88,7 +108,7 @@
                 host.listed = name in by_name
                 if host.listed:
                     host.record = by_name[name]
-                    host.list_leaving = host.record.state is HostState.LEAVING
+                    host.mark(host.record.state is HostState.LEAVING, now_ms)
         self._candidates.clear()
 
     def learn(self, records: Iterable[HostRecord], now_ms: float) -> None:
@@ -98,6 +118,8 @@
                 self._hosts[record.name] = _Host(
                     record=record,
                     seen_ms=now_ms,
+                    known_since_ms=now_ms,
+                    marked_ms=now_ms,
                     list_leaving=record.state is HostState.LEAVING,
                 )
         self._candidates.clear()
