Split the entry: limits and deadlines are modules of their own; mend a lost method

Asking whether a class is being shed also counted as a refusal and closed the classes below it for 250 ms. Change: entry_limits and deadlines; EntryShedder.sheds only looks.

--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -6,16 +6,16 @@
 from sassafraswinch import claims, tickets
 from sassafraswinch.burn import OTHER
 from sassafraswinch.classify import Classification, Classifier, admission_level
-from sassafraswinch.early_repeats import EarlyRepeats
+from sassafraswinch.deadlines import answer_within_ms, time_left_ms
+from sassafraswinch.entry_limits import EntryLimits, not_run, repeat_key
 from sassafraswinch.forwarding import Forwarder
-from sassafraswinch.levels import EntryShedder
-from sassafraswinch.messages import LEVELS, Answer, NodeId, Rank
+from sassafraswinch.messages import Answer, NodeId, Rank
 from sassafraswinch.owned_call import Finished, OwnedCall
 from sassafraswinch.owner import Owner
 from sassafraswinch.pending import Pending, RemoteWaiter, Waiter
 from sassafraswinch.ports import Recorder
 from sassafraswinch.requests import Outcome, Request
-from sassafraswinch.retry import CallerRetryBudget, RetryAllowance
+from sassafraswinch.retry import RetryAllowance
 from sassafraswinch.verdict import Reason, Verdict
 
 NO_DOCUMENT_RETRY_MS = 1000
@@ -24,13 +24,6 @@
 UNREAD_MS = 1_000.0
 """Deadline of a request that is passed on by a node which never had a document."""
 
-ANSWER_MARGIN_MS = 120.0
-"""Part of a deadline kept for the final answer: 100 ms that forwarder and owner wait
-for a proof, and 3 ms each way to the caller, with room for a busy node."""
-
-MAX_MARGIN_SHARE = 0.25
-"""Greatest part of a short deadline kept for the final answer."""
-
 LEAVING_RETRY_MS = 100
 """Another node of the availability zone can be asked at once."""
 
@@ -45,9 +38,7 @@
         owner: Owner,
         ledger: tickets.TicketLedger,
         forwarder: Forwarder,
-        shedder: EntryShedder,
-        budget: CallerRetryBudget,
-        repeats: EarlyRepeats,
+        limits: EntryLimits,
         respond: Callable[[Waiter, Outcome], None],
         recorder: Recorder | None,
         rng: random.Random,
@@ -56,9 +47,7 @@
         self.owner = owner
         self.ledger = ledger
         self.forwarder = forwarder
-        self.shedder = shedder
-        self.budget = budget
-        self.repeats = repeats
+        self.limits = limits
         self.respond = respond
         self.recorder = recorder
         self.rng = rng
@@ -130,7 +119,7 @@
         pending: Pending = finished.owned.context
         answer = finished.answer
         classification = pending.classification
-        self.shedder.learn(
+        self.limits.shedder.learn(
             classification.operation.name,
             answer.thresholds,
             now_ms,
@@ -189,7 +178,7 @@
             case claims.Dispatch(number=number):
                 return self._admit(request, classification, waiter, number, now_ms)
             case claims.Join(number=number):
-                deadline_ms = _deadline_ms(request, classification)
+                deadline_ms = time_left_ms(request, classification)
                 return self._join(self._by_ticket[number], waiter, now_ms + deadline_ms)
             case claims.Recorded(answer=answer):
                 ticket = self._fresh_ticket(organisation, classification, now_ms)
@@ -231,7 +220,7 @@
             repeat_key=repeat_key(request),
             ticket_number=ticket_number,
         )
-        refusal = self._refusal(pending, rank, now_ms)
+        refusal = self._closed() or self.limits.refusal(pending, rank, now_ms)
         if refusal is not None:
             if ticket_number is not None:
                 self.ledger.finish(ticket_number, refusal, now_ms)
@@ -247,7 +236,7 @@
             root_id=root_id,
             depth=0,
             progress=0,
-            deadline_at_ms=now_ms + _deadline_ms(request, classification),
+            deadline_at_ms=now_ms + time_left_ms(request, classification),
             begun_at_ms=now_ms,
             allowance=RetryAllowance(granted=classification.allowance),
             method=request.method,
@@ -261,43 +250,19 @@
         self.owner.begin(owned, now_ms)
         return owned
 
-    def _refusal(self, pending: Pending, rank: Rank, now_ms: float) -> Answer | None:
-        """Return the NOT_RUN answer for a request that is not let in, else None.
-
-        A caller that comes back before its time is refused only where its class is
-        being shed anyway. So a paying caller's haste never lets trial work pass it.
-        """
+    def _closed(self) -> Answer | None:
+        """Return the NOT_RUN answer while no request is let in, else None."""
         if self.classifier is None:
-            return _not_run(Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
+            return not_run(Reason.NO_DOCUMENT, NO_DOCUMENT_RETRY_MS)
         if self.leaving:
-            return _not_run(Reason.LEAVING, LEAVING_RETRY_MS)
-        operation = pending.classification.operation.name
-        if not self.shedder.admits(operation, rank, now_ms):
-            delay_ms = self.shedder.retry_after_ms(operation, rank, now_ms, self.rng)
-            return _not_run(Reason.OVERLOADED, delay_ms)
-        wait_ms = self.repeats.wait_left_ms(pending.repeat_key, now_ms)
-        if not wait_ms:
-            self.budget.first(pending.organisation, now_ms)
-            return None
-        lowest_of_class = Rank(rank.class_order, LEVELS - 1)
-        if self.shedder.admits(operation, lowest_of_class, now_ms):
-            return None
-        if self.budget.repeat(pending.organisation, now_ms):
-            return None
-        return _not_run(Reason.CALLER_RETRIES, int(wait_ms) + 1)
+            return not_run(Reason.LEAVING, LEAVING_RETRY_MS)
+        return None
 
     def _outcome(
         self, pending: Pending, rank: Rank, answer: Answer, now_ms: float
     ) -> Outcome:
         classification = pending.classification
-        retry_after_ms = answer.retry_after_ms
-        if answer.verdict is Verdict.NOT_RUN and pending.parent is None:
-            if not retry_after_ms and answer.reason in COME_BACK_REASONS:
-                retry_after_ms = self.shedder.retry_after_ms(
-                    classification.operation.name, rank, now_ms, self.rng
-                )
-            if retry_after_ms and pending.repeat_key is not None:
-                self.repeats.refused(pending.repeat_key, now_ms + retry_after_ms)
+        retry_after_ms = self.limits.come_back_ms(pending, rank, answer, now_ms)
         ticket = None
         if not classification.repeatable and pending.parent is None:
             ticket = self._fresh_ticket(pending.organisation, classification, now_ms)
@@ -374,18 +339,6 @@
         self.respond(waiter, outcome)
 
 
-COME_BACK_REASONS = frozenset(
-    {
-        Reason.OVERLOADED,
-        Reason.EVICTED,
-        Reason.DEADLINE,
-        Reason.BACKEND_SHED,
-        Reason.NO_HOST,
-    }
-)
-"""Refusals that pass; the caller is told when to come back."""
-
-
 def outcome_of(
     answer: Answer, *, ticket: str | None = None, retry_after_ms: int = 0
 ) -> Outcome:
@@ -401,12 +354,6 @@
     )
 
 
-def repeat_key(request: Request) -> bytes:
-    """Return what stays the same when a caller sends a request again."""
-    who = f"{request.organisation}\n{request.caller}\n{request.service}".encode()
-    return who + tickets.fingerprint(request.method, request.target, request.body)
-
-
 def _classify(classifier: Classifier, request: Request) -> Classification | None:
     operation = classifier.operation(request.service, request.method, request.target)
     if operation is None:
@@ -414,29 +361,3 @@
     return classifier.classify(
         caller=request.caller, organisation=request.organisation, operation=operation
     )
-
-
-def _deadline_ms(request: Request, classification: Classification) -> float:
-    """Return the time left for a request that may have been forwarded."""
-    if request.deadline_ms is None:
-        return answer_within_ms(classification)
-    return min(request.deadline_ms, answer_within_ms(classification))
-
-
-def answer_within_ms(classification: Classification) -> float:
-    """Return the time after which a call is given up.
-
-    Failure guarded against: a caller whose own timeout is the deadline of its class
-    hangs up while the final answer is on its way, and knows less than the node.
-    """
-    deadline_ms = classification.deadline_ms
-    return deadline_ms - min(ANSWER_MARGIN_MS, deadline_ms * MAX_MARGIN_SHARE)
-
-
-def _not_run(reason: Reason, retry_after_ms: int) -> Answer:
-    return Answer(
-        number=0,
-        verdict=Verdict.NOT_RUN,
-        reason=reason,
-        retry_after_ms=retry_after_ms,
-    )
--- a/packages/sassafraswinch/sassafraswinch/levels.py
+++ b/packages/sassafraswinch/sassafraswinch/levels.py
@@ -132,6 +132,13 @@
                 del self._services[service]
         return True
 
+    def sheds(self, operation: str, class_order: int, now_ms: float) -> bool:
+        """Return whether some calls of a class are held back now; changes nothing."""
+        return any(
+            level.place < class_order + 1 or level.hold.closes(class_order, now_ms)
+            for _, level in self._held(operation, now_ms)
+        )
+
     def retry_after_ms(
         self, operation: str, rank: Rank, now_ms: float, rng: random.Random
     ) -> int:
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -12,6 +12,7 @@
 from sassafraswinch.early_repeats import EarlyRepeats
 from sassafraswinch.egress import Egress
 from sassafraswinch.entry import Entry
+from sassafraswinch.entry_limits import EntryLimits
 from sassafraswinch.execution import ExecutionLedger
 from sassafraswinch.executor import Executor
 from sassafraswinch.forwarding import Forwarder
@@ -103,9 +104,9 @@
             owner=self.owner,
             ledger=tickets,
             forwarder=self.forwarder,
-            shedder=shedder,
-            budget=budget,
-            repeats=EarlyRepeats(),
+            limits=EntryLimits(
+                shedder=shedder, budget=budget, repeats=EarlyRepeats(), rng=rng
+            ),
             respond=self._respond,
             recorder=recorder,
             rng=rng,
--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -155,7 +155,7 @@
         if now_ms - state.load_at_ms > LOAD_FRESH_MS:
             return False
         if state.load.threshold is None:
-            return not state.full(now_ms)
+            return state.delay_ms(now_ms) <= 0
         return state.load.threshold.class_order > rank.class_order
 
     def dropped(self, host: str) -> None:
--- a/packages/sassafraswinch/tests/test_routing.py
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sassafraswinch.hosts import HostView
-from sassafraswinch.messages import Load
+from sassafraswinch.messages import Load, Rank
 from sassafraswinch.routing import (
     FIRST_BACKOFF_MS,
     LOAD_FRESH_MS,
@@ -118,3 +118,21 @@
     """
     figures = fleet.run(routers(Router, 0), 0)
     assert figures.good_percent >= 99
+
+
+@pytest.mark.parametrize(
+    ("load", "age_ms", "takes"),
+    [
+        (Load(), 0.0, True),
+        (Load(queue_delay_ms=5.0), 0.0, False),
+        (Load(threshold=Rank(2, 0)), 0.0, True),
+        (Load(threshold=Rank(0, 90)), 0.0, False),
+        (Load(), 10_000.0, False),
+        (None, 0.0, False),
+    ],
+)
+def test_host_takes_lower_classes_only_by_its_own_fresh_word(
+    router, load, age_ms, takes
+):
+    router.heard("a", load, 0.0)
+    assert router.takes_below("a", Rank(0, 10), age_ms) is takes
