--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -434,3 +434,47 @@
     fleet.platform.host_is("vydej-a", HostState.LEAVING)
     fleet.run_for(40_000)
     assert "vydej-a" not in fleet.processes
+
+
+def test_frame_held_in_a_silent_link_starts_nothing_after_its_fence():
+    """The link of a ticket's owner to the only host of vydej goes silent, and a release
+    is written into it. A newer link is dialled; over it the call is fenced, never
+    started. The caller is told not-run and goes on; then the old link wakes up.
+
+    The release would run although its caller was told that it never would.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    ticket = desk.ticket("archiv-a")
+    fleet.kill("vydej-c")
+    fleet.run_for(1_000)
+    fleet.silence("archiv-a", "vydej-a")
+    desk.release("archiv-a", "goods", ticket)
+    fleet.run_for(5_500)
+    told = desk.release("archiv-a", "goods", ticket)
+    fleet.run_for(100)
+    assert [outcome.verdict for outcome in told] == [Verdict.NOT_RUN]
+    fleet.release()
+    fleet.run_for(3_000)
+    assert not fleet.checks.runs["goods"]
+
+
+def test_ticket_told_not_run_never_runs_by_a_late_repeat():
+    """A release finds no host and its caller is told not-run, so it goes on with a new
+    ticket. An earlier copy of the request, sent through another node, is still under
+    way; when it comes, there is a host again.
+
+    The release would run twice, once for each ticket.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    ticket = desk.ticket("archiv-a")
+    fleet.kill("vydej-a")
+    fleet.kill("vydej-c")
+    fleet.run_for(100)
+    told = desk.release("archiv-a", "goods", ticket)
+    fleet.restart("vydej-a")
+    fleet.run_for(SETTLED_MS)
+    told += desk.release("archiv-b", "goods", ticket)
+    fleet.run_for(500)
+    assert [outcome.verdict for outcome in told] == [Verdict.NOT_RUN] * 2
