Count calls given up at their deadline in the pace of slots

Cause: only calls that ended well counted, so a server too slow for the deadlines kept the pace of its few fast calls, and queue delay, capacity and Retry-After were told by it. The test fails without the change.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -110,6 +110,7 @@
             self._pace.ended(held_ms)
         elif outcome is BackendOutcome.CANCELLED:
             self._times.record_cut(running.operation, held_ms, now_ms)
+            self._pace.cut(held_ms)
         self._limit.finished(
             started_in=running.round,
             started_in_flight=running.in_flight,
--- a/packages/sassafraswinch/sassafraswinch/pace.py
+++ b/packages/sassafraswinch/sassafraswinch/pace.py
@@ -29,6 +29,16 @@
         gain = SLOT_TIME_GAIN if self._slot_time_ms else 1.0
         self._slot_time_ms += gain * (held_ms - self._slot_time_ms)
 
+    def cut(self, held_ms: float) -> None:
+        """Note a call that was given up after this time.
+
+        It counts if it took longer than most: with a server too slow for the
+        deadlines only the fast calls end well, and the capacity would be
+        overrated by them.
+        """
+        if held_ms > self._slot_time_ms:
+            self.ended(held_ms)
+
     def delay_ms(self, calls: int) -> float:
         """Return the time until so many slots come free; 0 while unknown."""
         return calls * self._slot_time_ms / self._limit.limit
--- a/packages/sassafraswinch/tests/test_admission.py
+++ b/packages/sassafraswinch/tests/test_admission.py
@@ -114,6 +114,21 @@
     assert driver.offer("probe", deadline_ms=100.0).start
 
 
+def test_calls_given_up_at_their_deadline_count_for_the_delay(driver):
+    """The server hangs, every call is given up after a second.
+
+    With fast calls alone in the mean, the queue would promise a short wait.
+    """
+    driver.finish("a", time_ms=10.0)
+    driver.now_ms = 1000.0
+    driver.offer("c")
+    driver.now_ms = 2000.0
+    before_ms = driver.gate.load(driver.now_ms).queue_delay_ms
+    driver.finish("b", outcome=BackendOutcome.CANCELLED)
+    driver.offer("d")
+    assert driver.gate.load(driver.now_ms).queue_delay_ms > before_ms
+
+
 def test_key_that_is_offered_twice_breaks_the_invariant(driver):
     driver.offer("waiting")
     with pytest.raises(InvariantError):
