--- /dev/null
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -0,0 +1,326 @@
+"""One node process: the decisions of a node and the adapters around them."""
+
+import asyncio
+import itertools
+import os
+import random
+import time
+
+from sassafraswinch.burn import BurnRecorder, BurnReport
+from sassafraswinch.document import Document
+from sassafraswinch.lifecycle import NodeState
+from sassafraswinch.link_plan import LinkPlan
+from sassafraswinch.membership import HostRecord, HostState, Membership
+from sassafraswinch.messages import (
+    PROTOCOL_VERSION,
+    Heartbeat,
+    Hello,
+    Message,
+    NodeId,
+)
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.status import Status
+from sassafraswinch.wake import WakeDetector
+from sassafraswinch_node.backend import BackendClient
+from sassafraswinch_node.building import make_node
+from sassafraswinch_node.dispatcher import Dispatcher
+from sassafraswinch_node.http_calls import CallListener, IdentityHeaders
+from sassafraswinch_node.link import LinkRefusedError, LinkTraffic
+from sassafraswinch_node.link_adapter import LinkAdapter
+from sassafraswinch_node.listeners import HttpListener
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_node.operators import operators_app
+from sassafraswinch_node.platform import PlatformClient
+from sassafraswinch_node.platform_watch import PlatformWatch
+from sassafraswinch_node.settings import Address, Settings
+from sassafraswinch_node.snapshot import take_status
+from sassafraswinch_node.stopping import log_cut
+from sassafraswinch_node.usage import UsageMeter
+
+TICK_MS = 25
+"""Period of the node's own steps: short against queue delays of 10 ms and more."""
+
+PLAN_EVERY_TICKS = 40
+"""Ticks between two looks at which hosts to link to: about a second."""
+
+CUT_TIMEOUT_S = 1
+"""Time for the last words to callers, in seconds, after the process was cut."""
+
+
+class NodeProcess:
+    """Runs a ``Node`` on sockets until it is told to stop."""
+
+    def __init__(self, *, settings: Settings, rng: random.Random | None = None):
+        self.settings = settings
+        self.rng = rng or random.Random(int.from_bytes(os.urandom(16), "big"))
+        self.node_id = NodeId(settings.host, self.rng.getrandbits(63))
+        self.membership = Membership(self_host=settings.host)
+        self.wake = WakeDetector(tick_ms=TICK_MS)
+        self.stopped = asyncio.Event()
+        self.cut_calls = 0
+        """Calls that were in flight when the process was cut."""
+        self._handles = itertools.count(1)
+        self._tasks: set[asyncio.Task] = set()
+        self._identity = IdentityHeaders(
+            caller=b"x-caller-id", organisation=b"x-organisation-id"
+        )
+        self._document: Document | None = None
+        self.recorder = BurnRecorder(host=settings.host, now_ms=self.now_ms())
+        self._traffic = LinkTraffic()
+        self.usage = UsageMeter(now_ms=self.now_ms(), traffic=self._traffic)
+        self.links = LinkAdapter(
+            receiver=self,
+            hello=self._hello,
+            heartbeat=self._heartbeat,
+            membership=self.membership,
+            plan=LinkPlan(
+                host=settings.host, availability_zone=settings.availability_zone
+            ),
+            refused=_link_refused,
+            traffic=self._traffic,
+        )
+        self.dispatcher = Dispatcher(
+            client=BackendClient(
+                ip=settings.backend.ip,
+                port=settings.backend.port,
+                max_connections=settings.max_connections,
+            ),
+            done=self._backend_done,
+        )
+        self.entry = self._listener(self._submit)
+        self.egress = self._listener(self._submit_child)
+        self.node = make_node(
+            settings=settings,
+            node_id=self.node_id,
+            links=self.links,
+            backend=self.dispatcher,
+            callers=self,
+            membership=self.membership,
+            recorder=self.recorder,
+            document_changed=self._document_changed,
+            rng=self.rng,
+        )
+        self.platform = PlatformClient(urls=settings.platform)
+        self.watch = PlatformWatch(
+            client=self.platform,
+            configuration=self.node.configuration,
+            membership=self.membership,
+            now_ms=self.now_ms,
+            rng=self.rng,
+        )
+
+    def now_ms(self) -> float:
+        """Return the runtime's monotonic clock in milliseconds."""
+        return asyncio.get_running_loop().time() * 1000
+
+    async def start(self) -> None:
+        """Open the listeners and begin to read the platform.
+
+        Raises:
+            OSError: if an address can't be bound.
+        """
+        settings = self.settings
+        self.http = {
+            "entry": HttpListener(app=self.entry, address=settings.entry),
+            "egress": HttpListener(app=self.egress, address=settings.egress),
+            "operators": HttpListener(
+                app=operators_app(status=self.status, burn=self.burn),
+                address=settings.operators,
+            ),
+        }
+        for listener in self.http.values():
+            await listener.start()
+        link = await self.links.start(settings.link)
+        self.membership.learn([self._own_record(link)], self.now_ms())
+        self.node.start(self.now_ms())
+        self._run(self.watch.run())
+        self._run(self._tick())
+        addresses = {name: str(http.address) for name, http in self.http.items()}
+        log_event(
+            "node_started",
+            host=settings.host,
+            availability_zone=settings.availability_zone,
+            incarnation=self.node_id.incarnation,
+            link=str(link),
+            **addresses,
+        )
+
+    def _own_record(self, link: Address) -> HostRecord:
+        """Return this host as the platform would list it.
+
+        Failure guarded against: a node restarts while cut off from the platform; the
+        hosts that its peers tell it don't name it, and it never runs a call itself.
+        """
+        return HostRecord(
+            name=self.settings.host,
+            service=self.settings.service,
+            availability_zone=self.settings.availability_zone,
+            state=HostState.LIVE,
+            link=str(link),
+            entry=str(self.http["entry"].address),
+            operators=str(self.http["operators"].address),
+        )
+
+    def status(self) -> Status:
+        """Return what operators see of this node."""
+        return take_status(
+            settings=self.settings,
+            node=self.node,
+            pool=self.links.pool,
+            usage=self.usage,
+            now_ms=self.now_ms(),
+        )
+
+    def burn(self) -> BurnReport:
+        """Return the service-level burn that this node has seen."""
+        return self.recorder.report(self.now_ms())
+
+    def leave(self) -> None:
+        """Begin a planned stop: refuse new work, finish what is in flight."""
+        if self.node.lifecycle.leaving:
+            return
+        self.node.leave(self.now_ms())
+        log_event("node_leaving", in_flight=self.node.in_flight)
+
+    def cut(self) -> None:
+        """End at once; name in the log what is still in flight, and tell callers."""
+        self.cut_calls = log_cut(self.node)
+        self.entry.give_up()
+        self.egress.give_up()
+        self.node.lifecycle.cut()
+        self.stopped.set()
+
+    async def close(self) -> None:
+        """Close listeners, links and tasks."""
+        timeout_s = CUT_TIMEOUT_S if self.cut_calls else None
+        for listener in self.http.values():
+            await listener.stop(timeout_s=timeout_s)
+        await self.links.stop()
+        for task in self._tasks:
+            task.cancel()
+        await self.platform.close()
+        await self.dispatcher.client.close()
+        log_event("node_stopped", host=self.settings.host)
+
+    def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
+        """Pass on a new link; its greeting carries the peer's version."""
+        now_ms = self._observe()
+        self.node.link_up(hello.node, session, dialled=dialled, now_ms=now_ms)
+        self.node.configuration.greeted(hello, now_ms)
+
+    def link_message(
+        self, node: NodeId, session: int, message: Message, *, dialled: bool
+    ) -> None:
+        """Pass on a message."""
+        self.node.message(node, session, message, self._observe())
+
+    def link_lost(
+        self, node: NodeId, session: int, *, dialled: bool, replaced: bool
+    ) -> None:
+        """Pass on the end of a link."""
+        now_ms = self._observe()
+        self.node.link_lost(
+            node, session, dialled=dialled, replaced=replaced, now_ms=now_ms
+        )
+
+    def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
+        """Pass on that a heartbeat was answered."""
+        self.node.link_proved(node, sent_at_ms, self._observe())
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Answer a request at whichever listener it waits (the caller port)."""
+        if not self.entry.respond(handle, outcome):
+            self.egress.respond(handle, outcome)
+
+    def _listener(self, submit) -> CallListener:
+        return CallListener(
+            submit=submit,
+            abandon=self._abandon,
+            handles=self._handles,
+            identity=lambda: self._identity,
+            max_body_bytes=self.settings.max_body_bytes,
+            leaving=lambda: self.node.lifecycle.leaving,
+        )
+
+    def _document_changed(self, document: Document) -> None:
+        identity = document.identity
+        self._identity = IdentityHeaders(
+            caller=identity.caller_header.encode(),
+            organisation=identity.organisation_header.encode(),
+        )
+        objectives = {
+            service_class.name: service_class.objective
+            for service_class in document.classes
+            if service_class.objective is not None
+        }
+        self.recorder.set_objectives(objectives, document_version=document.version)
+        log_event("document_in_force", version=document.version, digest=document.digest)
+
+    def _observe(self) -> float:
+        """Return the time, after telling the node if the process was paused."""
+        now_ms = self.now_ms()
+        if self.wake.observe(monotonic_ms=now_ms, wall_ms=time.time() * 1000):
+            log_event("node_woke", host=self.settings.host)
+            self.node.woke(now_ms)
+        return now_ms
+
+    def _submit(self, request: Request) -> None:
+        self.node.submit(request, self._observe())
+
+    def _submit_child(self, request: Request) -> None:
+        self.node.submit_child(request, self._observe())
+
+    def _abandon(self, handle: int) -> None:
+        self.node.abandon(handle, self._observe())
+
+    def _backend_done(self, key: CallKey, result: BackendResult) -> None:
+        self.node.backend_done(key, result, self._observe())
+
+    def _hello(self, session: int) -> Hello:
+        stamp = self.node.configuration.keeper.stamp
+        return Hello(
+            protocol_version=PROTOCOL_VERSION,
+            node=self.node_id,
+            availability_zone=self.settings.availability_zone,
+            service=self.settings.service,
+            session=session,
+            document_version=stamp.version,
+            document_digest=stamp.digest,
+        )
+
+    def _heartbeat(self, sequence: int) -> Heartbeat:
+        return self.node.heartbeat(sequence, self.now_ms())
+
+    async def _tick(self) -> None:
+        for tick in itertools.count():
+            now_ms = self._observe()
+            self.node.tick(now_ms)
+            if tick % PLAN_EVERY_TICKS == 0:
+                self._look_around(now_ms)
+            if self.node.lifecycle.state is NodeState.LEAVING:
+                self.node.lifecycle.tick(now_ms, in_flight=self.node.in_flight)
+            if self.node.lifecycle.state is NodeState.STOPPED:
+                self.stopped.set()
+                return
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _look_around(self, now_ms: float) -> None:
+        self.usage.tick(now_ms)
+        self.links.follow_plan()
+        if self.membership.self_leaving:
+            self.leave()
+
+    def _run(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("task_failed", level="error", error=repr(task.exception()))
+            self.cut()
+
+
+def _link_refused(error: LinkRefusedError) -> None:
+    log_event("link_refused", level="warning", peer=error.peer, reason=error.reason)
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -0,0 +1,300 @@
+"""One node process in memory: a whole ``Node`` behind fakes of its ports."""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+
+from sassafraswinch.lifecycle import NodeState
+from sassafraswinch.membership import HostRecord, Membership
+from sassafraswinch.messages import (
+    PROTOCOL_VERSION,
+    Call,
+    Hello,
+    Message,
+    NodeId,
+)
+from sassafraswinch.requests import BackendResult, CallKey, Outcome, Request
+from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch.wake import WakeDetector
+from sassafraswinch_standins.memory_around import Surroundings
+from sassafraswinch_standins.memory_backend import (
+    PURPOSE_HEADER,
+    Exchange,
+    MemoryBackend,
+)
+from sassafraswinch_standins.memory_checks import Asked
+from sassafraswinch_standins.memory_links import HEARTBEAT_MS, MemoryLinks
+from sassafraswinch_standins.memory_node import WatchedLinks, make_node
+from sassafraswinch_standins.memory_reads import PlatformReads
+from sassafraswinch_standins.memory_schedule import Action
+
+TICK_MS = 25.0
+LONG_PAUSE_MS = 2_000.0
+"""A pause after which a node must not act on what it knew before."""
+
+
+class MemoryProcess:
+    """One run of a node process on a host."""
+
+    def __init__(
+        self, *, record: HostRecord, around: Surroundings, backend: MemoryBackend
+    ):
+        self.host = record.name
+        self.availability_zone = record.availability_zone
+        self.record = record
+        self.around = around
+        self.schedule = around.schedule
+        self.checks = around.checks
+        self.backend = backend
+        self.rng = random.Random(self.schedule.rng.getrandbits(64))
+        self.node_id = NodeId(self.host, self.rng.getrandbits(63))
+        self.alive = True
+        self.paused = False
+        self.left_at_ms: float | None = None
+        self.reads = PlatformReads(process=self, platform=around.platform)
+        self._paused_at_ms = 0.0
+        self._woke_at_ms = 0.0
+        self._proved_ms: dict[str, float] = {}
+        self.membership = Membership(self_host=self.host)
+        self.membership.learn((record,), self.schedule.now_ms)
+        self.wake_detector = WakeDetector(tick_ms=TICK_MS)
+        self._mailbox: deque[Action] = deque()
+        self._timers: deque[Action] = deque()
+        self._handles = itertools.count(1)
+        self._told: dict[int, Callable[[Outcome], None]] = {}
+        self._abandoned: set[int] = set()
+        self._exchanges: dict[CallKey, Exchange] = {}
+        self.links = MemoryLinks(
+            node=self.node_id,
+            schedule=self.schedule,
+            connect=lambda links, link: around.network.connect(self, link),
+            post=self.post_timer,
+            receiver=self,
+            hello=self._hello,
+            heartbeat=lambda sequence: self.node.heartbeat(sequence, self.now_ms),
+        )
+        self.node = make_node(self)
+        self.node.owner.links = WatchedLinks(links=self.node.links, process=self)
+
+    @property
+    def now_ms(self) -> float:
+        """The one clock."""
+        return self.schedule.now_ms
+
+    def start(self) -> None:
+        """Open the listeners and begin to tick, beat and read the platform."""
+        self.node.start(self.now_ms)
+        self._repeat(TICK_MS, self._tick)
+        self._repeat(HEARTBEAT_MS, self._beat)
+        self.reads.plan()
+
+    def post(self, action: Action) -> None:
+        """Run an action now, or on waking; never if the process is dead."""
+        self._run(action, self._mailbox)
+
+    def post_timer(self, action: Action) -> None:
+        """Run an action that a timer asked for; on waking, sockets come first."""
+        self._run(action, self._timers)
+
+    def pause(self) -> None:
+        """Stop as a process does that gets no processor."""
+        self.paused = True
+        self._paused_at_ms = self.now_ms
+
+    def wake(self) -> None:
+        """Go on: first with what lies in the sockets, then with timers."""
+        self.paused = False
+        if self.now_ms - self._paused_at_ms > LONG_PAUSE_MS:
+            self._woke_at_ms = self.now_ms
+        self.checks.resumed(self.host)
+        for queue in (self._mailbox, self._timers):
+            while queue:
+                self.post(queue.popleft())
+
+    def end(self) -> None:
+        """Stop for good; callers that wait see their connection break."""
+        self.alive = False
+        told, self._told = self._told, {}
+        for callback in told.values():
+            callback(None)
+        for exchange in self._exchanges.values():
+            exchange.is_open = False
+
+    def submit(
+        self, request: Request, asked: Asked, told: Callable[[Outcome], None]
+    ) -> int:
+        """Take a request of a caller; returns its handle."""
+        return self._submit(self.node.submit, request, asked, told)
+
+    def abandon(self, handle: int) -> None:
+        """Note that a caller has gone."""
+        if self._told.pop(handle, None) is not None:
+            self.checks.withdrawn((self.host, handle))
+            self._abandoned.add(handle)
+            self.post(lambda: self._pass_abandon(handle))
+
+    def submit_child(
+        self, request: Request, asked: Asked, told: Callable[[Outcome], None]
+    ) -> None:
+        """Take a call of the local backend server."""
+        self._submit(self.node.submit_child, request, asked, told)
+
+    def sent(self, host: str, call: Call) -> None:
+        """Show a call that was written to the checks."""
+        self.checks.sent(call, dict(call.headers)[PURPOSE_HEADER])
+        network = self.around.network
+        if host != self.host and self._proved_ms.get(host, 0.0) < self._woke_at_ms:
+            self.checks.sent_on_old_view(self.host, host)
+        target = network.running(host)
+        leaving = target is not None and target.left_at_ms is not None
+        if leaving and network.undisturbed(self, host):
+            self.checks.sent_to_leaving(self.host, host, target.left_at_ms)
+
+    def respond(self, handle: int, outcome: Outcome) -> None:
+        """Give a request its outcome (the caller port)."""
+        if handle in self._abandoned:
+            return
+        self.checks.responded((self.host, handle), outcome)
+        told = self._told.pop(handle, None)
+        if told is not None:
+            self.schedule.after(0.1, lambda: told(outcome))
+
+    def dispatch(self, key: CallKey, call: Call, traceparent: str) -> None:
+        """Start a call (the backend port)."""
+        if self.left_at_ms is not None:
+            self.checks.started_while_leaving(self.host, self.left_at_ms, call)
+        exchange = self._exchanges[key] = Exchange(
+            key=key,
+            call=call,
+            traceparent=traceparent,
+            front=self,
+            due_at_ms=self.now_ms + call.remaining_ms,
+        )
+        self.backend.take(exchange)
+
+    def cancel(self, key: CallKey) -> None:
+        """Close the connection of a call (the backend port)."""
+        exchange = self._exchanges[key]
+        result = BackendResult(verdict=Verdict.MAY_HAVE_RUN, reason=Reason.CANCELLED)
+        self.schedule.after(0, lambda: exchange.end(result))
+
+    def backend_done(self, key: CallKey, result: BackendResult) -> None:
+        """Take the end of a dispatch."""
+        self.observe()
+        del self._exchanges[key]
+        self.node.backend_done(key, result, self.now_ms)
+
+    def link_up(self, hello: Hello, session: int, *, dialled: bool) -> None:
+        """Pass on a new link and the version in its greeting."""
+        self.observe()
+        self.node.link_up(hello.node, session, dialled=dialled, now_ms=self.now_ms)
+        self.node.configuration.greeted(hello, self.now_ms)
+
+    def link_message(
+        self, node: NodeId, session: int, message: Message, *, dialled: bool
+    ) -> None:
+        """Pass on a message."""
+        self.observe()
+        self.node.message(node, session, message, self.now_ms)
+
+    def link_lost(
+        self, node: NodeId, session: int, *, dialled: bool, replaced: bool
+    ) -> None:
+        """Pass on the end of a link."""
+        self.observe()
+        self.node.link_lost(
+            node, session, dialled=dialled, replaced=replaced, now_ms=self.now_ms
+        )
+
+    def link_proved(self, node: NodeId, sent_at_ms: float) -> None:
+        """Pass on that a heartbeat was answered."""
+        self.observe()
+        self._proved_ms[node.host] = sent_at_ms
+        self.node.link_proved(node, sent_at_ms, self.now_ms)
+
+    def leave(self) -> None:
+        """Begin a planned stop."""
+        if not self.node.lifecycle.leaving:
+            self.left_at_ms = self.now_ms
+            self.observe()
+            self.node.leave(self.now_ms)
+
+    @property
+    def exchanges(self) -> int:
+        """Calls at the backend server."""
+        return len(self._exchanges)
+
+    def _run(self, action: Action, queue: deque[Action]) -> None:
+        if not self.alive:
+            return
+        if self.paused:
+            queue.append(action)
+        else:
+            action()
+            self._look()
+
+    def _submit(self, submit, request: Request, asked: Asked, told) -> int:
+        handle = next(self._handles)
+        self._told[handle] = told
+        self.checks.asked((self.host, handle), asked)
+        numbered = replace(request, handle=handle)
+        self.post(lambda: self._hand_in(submit, numbered))
+        return handle
+
+    def _pass_abandon(self, handle: int) -> None:
+        self.observe()
+        self.node.abandon(handle, self.now_ms)
+
+    def _hand_in(self, submit, request: Request) -> None:
+        self.observe()
+        submit(request, self.now_ms)
+
+    def _hello(self, session: int) -> Hello:
+        stamp = self.node.configuration.keeper.stamp
+        return Hello(
+            protocol_version=PROTOCOL_VERSION,
+            node=self.node_id,
+            availability_zone=self.availability_zone,
+            service=self.record.service,
+            session=session,
+            document_version=stamp.version,
+            document_digest=stamp.digest,
+        )
+
+    def observe(self) -> None:
+        """Tell the node if this process was paused; called before anything else."""
+        if self.wake_detector.observe(monotonic_ms=self.now_ms, wall_ms=self.now_ms):
+            self.node.woke(self.now_ms)
+
+    def _look(self) -> None:
+        keeper = self.node.configuration.keeper
+        self.checks.holds(self.node_id, keeper.stamp)
+        if self.node.entry.classifier is not None:
+            self.checks.serves(self.host, keeper.stamp)
+
+    def _repeat(self, period_ms: float, action: Action) -> None:
+        """Run an action each period; one that falls in a pause runs once, on waking."""
+
+        def again() -> None:
+            action()
+            self.schedule.after(period_ms, lambda: self.post_timer(again))
+
+        first_ms = self.rng.uniform(0, period_ms)
+        self.schedule.after(first_ms, lambda: self.post_timer(again))
+
+    def _tick(self) -> None:
+        self.observe()
+        self.node.tick(self.now_ms)
+        if self.membership.self_leaving:
+            self.leave()
+        lifecycle = self.node.lifecycle
+        if lifecycle.state is NodeState.LEAVING:
+            lifecycle.tick(self.now_ms, in_flight=self.node.in_flight)
+        if lifecycle.state is NodeState.STOPPED:
+            self.around.stopped(self)
+
+    def _beat(self) -> None:
+        self.links.beat()
+        self.links.want(record.name for record in self.membership.peers(self.now_ms))
--- a/packages/sassafraswinch/sassafraswinch/messages.py
+++ b/packages/sassafraswinch/sassafraswinch/messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sassafraswinch.hosts import HostRecord
 from sassafraswinch.verdict import Reason, Verdict
 
 PROTOCOL_VERSION = 1
@@ -24,6 +25,14 @@
     """Stable hash of organisation and root request, 0 to ``LEVELS - 1``."""
 
 
+class ServiceThreshold(NamedTuple):
+    """What one service under pressure admits."""
+
+    service: str
+    rank: Rank
+    """Calls of a greater rank would be refused there."""
+
+
 class NodeId(NamedTuple):
     """One run of a node process."""
 
@@ -97,8 +106,8 @@
     body: bytes = b""
     unspent: int = 0
     """Retries of the allowance that were not used."""
-    threshold: Rank | None = None
-    """Strictest threshold met at this node and below it."""
+    thresholds: tuple[ServiceThreshold, ...] = ()
+    """Strictest threshold of each service under pressure, here and below."""
     retry_after_ms: int = 0
     load: Load | None = None
 
@@ -173,6 +182,21 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostsRequest:
+    """Asks a peer for the hosts that it knows."""
+
+    list_version: int
+    """Version of the platform's host list held; 0 for none."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostsReply:
+    """The hosts that a node knows, itself among them."""
+
+    hosts: tuple[HostRecord, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Forward:
     """A request with a ticket, on its way to the node that issued the ticket."""
@@ -201,5 +225,7 @@
     | HeartbeatReply
     | DocumentRequest
     | DocumentReply
+    | HostsRequest
+    | HostsReply
     | Forward
 )
--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch.hosts import HostView
-from sassafraswinch.messages import Load
+from sassafraswinch.messages import Load, Rank
 
 WAY_ACROSS_MS = 1.5
 """One way between availability zones, from the sizes in the design notes."""
@@ -143,11 +143,35 @@
         state.load_at_ms = now_ms
         state.sent_since_load = 0
 
-    def failed(self, host: str, now_ms: float) -> None:
-        """Note that a call got no answer; the host rests before it is tried again."""
+    def load(self, host: str) -> Load | None:
+        """Return the last that a host said of its load."""
+        return self._hosts[host].load if host in self._hosts else None
+
+    def takes_below(self, host: str, rank: Rank, now_ms: float) -> bool:
+        """Return whether a host is known to take classes below that of ``rank``."""
+        state = self._hosts.get(host)
+        if state is None or state.load is None:
+            return False
+        if now_ms - state.load_at_ms > LOAD_FRESH_MS:
+            return False
+        if state.load.threshold is None:
+            return not state.full(now_ms)
+        return state.load.threshold.class_order > rank.class_order
+
+    def dropped(self, host: str) -> None:
+        """Note that the answer to a call is no longer awaited.
+
+        Were it the probe of a host that rests, none but its answer would end the
+        rest, and the host would never get work again.
+        """
         state = self._hosts.setdefault(host, _HostState())
         state.outstanding = max(0, state.outstanding - 1)
         state.probing = False
+
+    def failed(self, host: str, now_ms: float) -> None:
+        """Note that a host can't be reached; it rests before it is tried again."""
+        state = self._hosts.setdefault(host, _HostState())
+        state.probing = False
         state.load = None
         state.failures += 1
         backoff_ms = min(FIRST_BACKOFF_MS * 2 ** (state.failures - 1), MAX_BACKOFF_MS)
--- a/packages/sassafraswinch/tests/test_levels.py
+++ b/packages/sassafraswinch/tests/test_levels.py
@@ -1,17 +1,115 @@
-"""Thresholds at the entry and at the gate."""
+"""Thresholds at the gate, and at the entry by service, whatever the operation."""
 
 import random
 
 from hypothesis import given, settings, strategies as st
 
 from sassafraswinch.class_hold import HOLD_MS
-from sassafraswinch.levels import REOPEN_MS, EntryShedder, position, rank_at
-from sassafraswinch.messages import LEVELS, Rank
+from sassafraswinch.levels import (
+    MAX_OPERATIONS,
+    REOPEN_MS,
+    EntryShedder,
+    position,
+    rank_at,
+)
+from sassafraswinch.messages import LEVELS, Rank, ServiceThreshold
 from sassafraswinch.threshold import INTERVAL_MS, Threshold
 
+PAYING, TRIAL = 0, 2
+MIDDLE_OF_TRIAL = (ServiceThreshold("archiv", Rank(TRIAL, LEVELS // 2)),)
+
+
+def test_operations_that_need_a_service_share_its_threshold():
+    """Paying releases were refused while trial lookups were answered.
+
+    Both need the archive, which is overloaded. The entry kept one threshold for each
+    operation, and that of the release had lately heard a stricter word than that of
+    the lookup. So the lookup took the capacity that the release was refused.
+    """
+    shedder = EntryShedder()
+    shedder.admits("lookup", Rank(TRIAL, LEVELS - 1), 0)
+    shedder.learn("lookup", MIDDLE_OF_TRIAL, 0, whole=False)
+    strict = (ServiceThreshold("archiv", Rank(PAYING, 10)),)
+    for _ in range(10):
+        shedder.learn("release", strict, 0, whole=False)
+    assert not shedder.admits("release", Rank(PAYING, LEVELS - 1), 0)
+    assert not shedder.admits("lookup", Rank(TRIAL, 0), 0)
+
+
+def test_refused_call_says_nothing_of_services_it_has_not_asked():
+    """A release refused by the first service opened the way to the overloaded archive.
+
+    Its answer told no threshold of the archive, since it never came there. Taken as
+    "the archive admits all" it undid what whole answers had told.
+    """
+    shedder = EntryShedder()
+    shedder.admits("release", Rank(TRIAL, 0), 0)
+    strict = (ServiceThreshold("archiv", Rank(PAYING, 10)),)
+    for _ in range(10):
+        shedder.learn("release", strict, 0, whole=True)
+    before = shedder.admits("release", Rank(PAYING, 100), 0)
+    for _ in range(100):
+        shedder.learn("release", (), 0, whole=False)
+    assert not before
+    assert not shedder.admits("release", Rank(PAYING, 100), 0)
+
+
+def test_everything_is_open_again_after_a_second():
+    shedder = EntryShedder()
+    shedder.admits("lookup", Rank(TRIAL, 0), 0)
+    for _ in range(50):
+        strict = (ServiceThreshold("archiv", Rank(PAYING, 0)),)
+        shedder.learn("lookup", strict, 0, whole=True)
+    assert not shedder.admits("lookup", Rank(PAYING, 20), 0)
+    assert shedder.admits("lookup", Rank(TRIAL, LEVELS - 1), 1_300)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    told=st.lists(
+        st.tuples(
+            st.sampled_from(["lookup", "release"]),
+            st.sampled_from(["archiv", "vydej"]),
+            st.integers(0, 2),
+            st.integers(0, LEVELS - 1),
+            st.booleans(),
+        ),
+        max_size=30,
+    ),
+    ranks=st.lists(st.integers(0, 2), min_size=2, max_size=20),
+)
+def test_no_class_passes_a_higher_one(told, ranks):
+    shedder = EntryShedder()
+    for operation, service, order, level, whole in told:
+        met = (ServiceThreshold(service, Rank(order, level)),)
+        shedder.learn(operation, met, 0, whole=whole)
+    refused = [
+        order
+        for order in ranks
+        if not shedder.admits("lookup", Rank(order, LEVELS - 1), 0)
+    ]
+    if refused:
+        lower = min(refused) + 1
+        assert not shedder.admits("lookup", Rank(lower, 0), 0)
+
+
+def test_memory_is_bounded():
+    shedder = EntryShedder()
+    for number in range(2 * MAX_OPERATIONS):
+        met = (ServiceThreshold(f"service-{number}", Rank(0, 1)),)
+        shedder.learn(f"operation-{number}", met, 0, whole=True)
+    assert len(shedder._needed) <= MAX_OPERATIONS
+    assert shedder.retry_after_ms("lookup", Rank(0, 0), 0, random.Random(1)) >= 0
+
+
 ranks = st.builds(Rank, st.integers(0, 3), st.integers(0, LEVELS - 1))
 
 
+def learn_archive(shedder, threshold, now_ms):
+    met = () if threshold is None else (ServiceThreshold("archiv", threshold),)
+    shedder.learn("lookup", met, now_ms, whole=True)
+
+
 @given(rank=ranks)
 @settings(derandomize=True, deadline=None)
 def test_place_just_past_a_rank_leads_back_to_it(rank):
@@ -30,7 +128,7 @@
     shedder.admits("lookup", Rank(3, 0), now_ms)
     for threshold, pause_ms in answers:
         now_ms += pause_ms
-        shedder.learn("lookup", threshold, now_ms)
+        learn_archive(shedder, threshold, now_ms)
     admitted = {rank: shedder.admits("lookup", rank, now_ms) for rank in offers}
     refused = [rank for rank in offers if not admitted[rank]]
     assert all(rank < min(refused) for rank in offers if admitted[rank] and refused)
@@ -45,7 +143,7 @@
     shedder = EntryShedder()
     shedder.admits("lookup", Rank(1, 0), 0.0)
     for _ in range(20):
-        shedder.learn("lookup", Rank(0, 63), 0.0)
+        learn_archive(shedder, Rank(0, 63), 0.0)
     assert shedder.admits("lookup", Rank(0, 50), 0.0)
     assert not shedder.admits("lookup", Rank(0, 80), 0.0)
     assert not shedder.admits("lookup", Rank(1, 0), 0.0)
@@ -61,7 +159,7 @@
     shedder = EntryShedder()
     shedder.admits("lookup", Rank(1, 0), 0.0)
     for _ in range(20):
-        shedder.learn("lookup", Rank(0, 119), 0.0)
+        learn_archive(shedder, Rank(0, 119), 0.0)
     assert not shedder.admits("lookup", Rank(0, 127), 0.0)
     assert not shedder.admits("lookup", Rank(1, 0), HOLD_MS - 1)
     assert shedder.admits("lookup", Rank(0, 127), HOLD_MS - 1)
@@ -70,7 +168,7 @@
 
 def test_entry_retry_after_grows_with_the_refused():
     shedder, rng = EntryShedder(), random.Random(1)
-    shedder.learn("lookup", Rank(0, 0), 0.0)
+    learn_archive(shedder, Rank(0, 0), 0.0)
     waits = [shedder.retry_after_ms("lookup", Rank(0, 90), 0.0, rng) for _ in range(3)]
     assert all(wait > 0 for wait in waits)
 
--- a/packages/sassafraswinch/tests/test_routing.py
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -60,6 +60,7 @@
     hosts = [view("a"), view("b")]
     router.answered("b", 10.0, None, 0.0)
     router.sent("a", 0.0)
+    router.dropped("a")
     router.failed("a", 0.0)
     assert set(choices(router, hosts)) == {"b"}
     later_ms = FIRST_BACKOFF_MS * 1.5
--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -10,7 +10,7 @@
 from sassafraswinch.gate import BackendOutcome, Gate
 from sassafraswinch.hosts import HostView
 from sassafraswinch.levels import EntryShedder
-from sassafraswinch.messages import LEVELS, Load, Rank
+from sassafraswinch.messages import LEVELS, Load, Rank, ServiceThreshold
 from sassafraswinch.routing import Router
 from sassafraswinch.verdict import Reason
 
@@ -267,7 +267,9 @@
         self, call: FakeCall, load: Load, threshold: Rank | None, refused: bool
     ) -> None:
         if self.shedder is not None:
-            self.shedder.learn(call.stream.operation, threshold, self.now_ms)
+            met = () if threshold is None else (ServiceThreshold("server", threshold),)
+            operation = call.stream.operation
+            self.shedder.learn(operation, met, self.now_ms, whole=not refused)
         if call.router is not None:
             latency_ms = None if refused else self.now_ms - call.offered_at_ms
             call.router.answered(call.host.view.name, latency_ms, load, self.now_ms)
