Mend Router.takes_below, which called a method that was gone

Seen as AttributeError for any overloaded call that looks for another host where one told no threshold. The new test failed so before, and passes now.

--- a/packages/sassafraswinch/sassafraswinch/routing.py
+++ b/packages/sassafraswinch/sassafraswinch/routing.py
@@ -150,13 +150,12 @@
     def takes_below(self, host: str, rank: Rank, now_ms: float) -> bool:
         """Return whether a host is known to take classes below that of ``rank``."""
         state = self._hosts.get(host)
-        if state is None or state.load is None:
-            return False
-        if now_ms - state.load_at_ms > LOAD_FRESH_MS:
+        load = state.fresh_load(now_ms) if state else None
+        if load is None:
             return False
-        if state.load.threshold is None:
-            return not state.full(now_ms)
-        return state.load.threshold.class_order > rank.class_order
+        if load.threshold is None:
+            return load.queue_delay_ms == 0
+        return load.threshold.class_order > rank.class_order
 
     def dropped(self, host: str) -> None:
         """Note that the answer to a call is no longer awaited.
--- a/packages/sassafraswinch/tests/test_routing.py
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sassafraswinch.hosts import HostView
-from sassafraswinch.messages import Load
+from sassafraswinch.messages import Load, Rank
 from sassafraswinch.routing import (
     FIRST_BACKOFF_MS,
     LOAD_FRESH_MS,
@@ -118,3 +118,27 @@
     """
     figures = fleet.run(routers(Router, 0), 0)
     assert figures.good_percent >= 99
+
+
+def test_host_without_a_threshold_takes_lower_classes_while_it_is_not_full(router):
+    """A paying call is refused by one host, and the owner looks for another.
+
+    A host that tells no threshold has room unless its calls wait.
+    """
+    paying = Rank(0, 5)
+    assert not router.takes_below("unheard", paying, 0.0)
+    router.heard("free", Load(), 0.0)
+    router.heard("full", Load(queue_delay_ms=5.0), 0.0)
+    router.heard("trial too", Load(threshold=Rank(1, 3)), 0.0)
+    router.heard("paying only", Load(threshold=Rank(0, 90)), 0.0)
+    taking = {
+        host: router.takes_below(host, paying, 0.0)
+        for host in ("free", "full", "trial too", "paying only")
+    }
+    assert taking == {
+        "free": True,
+        "full": False,
+        "trial too": True,
+        "paying only": False,
+    }
+    assert not router.takes_below("free", paying, LOAD_FRESH_MS + 1)
