Share one fleet between the tests of the path and of documents

Two files need the same one and leave it as it was; the starts with bad settings run at once. No check was taken out: a missing file and files that are no mapping are now one test over four processes.

--- a/packages/sassafraswinch-node/tests/conftest.py
+++ b/packages/sassafraswinch-node/tests/conftest.py
@@ -1,9 +1,12 @@
-"""A scripted HTTP server, shared by the tests of HTTP clients."""
+"""A scripted HTTP server and a fleet of real processes, shared by tests."""
 
 import asyncio
 
 import pytest
 
+from sassafraswinch_standins.chain import chain
+from sassafraswinch_standins.fleet import Fleet
+
 
 class RawServer:
     """Answers each request with the next reply of a script.
@@ -60,3 +63,11 @@
     server.server.close()
     for writer in server.writers:
         writer.transport.abort()
+
+
+@pytest.fixture(scope="session")
+def shared_fleet(tmp_path_factory):
+    """A fleet for tests that leave it as it was; starting one takes seconds."""
+    directory = tmp_path_factory.mktemp("shared")
+    with Fleet(graph=chain(overview=True), directory=directory) as fleet:
+        yield fleet
--- a/packages/sassafraswinch-node/tests/test_process_document.py
+++ b/packages/sassafraswinch-node/tests/test_process_document.py
@@ -29,10 +29,9 @@
 
 
 @pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    directory = tmp_path_factory.mktemp("document")
-    with Fleet(graph=chain(), directory=directory) as fleet:
-        yield fleet
+def fleet(shared_fleet):
+    yield shared_fleet
+    shared_fleet.control_platform(mode="up")
 
 
 @pytest.fixture(scope="module")
--- a/packages/sassafraswinch-node/tests/test_process_path.py
+++ b/packages/sassafraswinch-node/tests/test_process_path.py
@@ -12,20 +12,18 @@
     ARCHIVE,
     LOOKUP,
     ORDER_STATE,
-    chain,
 )
 from sassafraswinch_standins.control import call_json
-from sassafraswinch_standins.fleet import Fleet
+from sassafraswinch_standins.recovery import recover
 
 LONGEST_BODY_BYTES = 1_048_576
 FORGED_ROOT = "f" * 32
 
 
 @pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    graph = chain(overview=True)
-    with Fleet(graph=graph, directory=tmp_path_factory.mktemp("path")) as fleet:
-        yield fleet
+def fleet(shared_fleet):
+    recover(shared_fleet)
+    return shared_fleet
 
 
 @pytest.fixture
--- a/packages/sassafraswinch-node/tests/test_process_settings.py
+++ b/packages/sassafraswinch-node/tests/test_process_settings.py
@@ -3,6 +3,7 @@
 import socket
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import yaml
@@ -35,6 +36,12 @@
     )
 
 
+def serve_all(paths):
+    """Start one process for each file at once; most of a start is imports."""
+    with ThreadPoolExecutor(max_workers=len(paths)) as pool:
+        return list(pool.map(serve, paths))
+
+
 @pytest.fixture
 def settings_file(tmp_path):
     return tmp_path / "node.yaml"
@@ -62,17 +69,14 @@
     assert not ended.stdout
 
 
-@pytest.mark.parametrize("text", ["- a list", "host: [", "\x00"])
-def test_file_that_is_no_mapping_is_refused(settings_file, text):
-    settings_file.write_text(text)
-    ended = serve(settings_file)
-    assert ended.returncode == EXIT_BAD_SETTINGS
-    assert ended.stderr.startswith(f"{settings_file}: (file): ")
-
-
-def test_missing_file_is_refused(settings_file):
-    ended = serve(settings_file)
-    assert ended.returncode == EXIT_BAD_SETTINGS
+def test_file_that_is_no_mapping_or_not_there_is_refused(tmp_path):
+    texts = {"list.yaml": "- a list", "open.yaml": "host: [", "nul.yaml": "\x00"}
+    for name, text in texts.items():
+        (tmp_path / name).write_text(text)
+    paths = [tmp_path / name for name in (*texts, "missing.yaml")]
+    for path, ended in zip(paths, serve_all(paths), strict=True):
+        assert ended.returncode == EXIT_BAD_SETTINGS
+        assert ended.stderr.startswith(f"{path}: (file): ")
     assert "can't be read" in ended.stderr
 
 
