--- a/packages/sassafraswinch/tests/test_routing.py
+++ b/packages/sassafraswinch/tests/test_routing.py
@@ -120,19 +120,25 @@
     assert figures.good_percent >= 99
 
 
-@pytest.mark.parametrize(
-    ("load", "age_ms", "takes"),
-    [
-        (Load(), 0.0, True),
-        (Load(queue_delay_ms=5.0), 0.0, False),
-        (Load(threshold=Rank(2, 0)), 0.0, True),
-        (Load(threshold=Rank(0, 90)), 0.0, False),
-        (Load(), 10_000.0, False),
-        (None, 0.0, False),
-    ],
-)
-def test_host_takes_lower_classes_only_by_its_own_fresh_word(
-    router, load, age_ms, takes
-):
-    router.heard("a", load, 0.0)
-    assert router.takes_below("a", Rank(0, 10), age_ms) is takes
+def test_host_without_a_threshold_takes_lower_classes_while_it_is_not_full(router):
+    """A paying call is refused by one host, and the owner looks for another.
+
+    A host that tells no threshold has room unless its calls wait.
+    """
+    paying = Rank(0, 5)
+    assert not router.takes_below("unheard", paying, 0.0)
+    router.heard("free", Load(), 0.0)
+    router.heard("full", Load(queue_delay_ms=5.0), 0.0)
+    router.heard("trial too", Load(threshold=Rank(1, 3)), 0.0)
+    router.heard("paying only", Load(threshold=Rank(0, 90)), 0.0)
+    taking = {
+        host: router.takes_below(host, paying, 0.0)
+        for host in ("free", "full", "trial too", "paying only")
+    }
+    assert taking == {
+        "free": True,
+        "full": False,
+        "trial too": True,
+        "paying only": False,
+    }
+    assert not router.takes_below("free", paying, LOAD_FRESH_MS + 1)
