Tell the link plan of each call; tick less when idle; follow the document's share

Dialled links didn't count their control bytes. The tick of 25 ms took more of a core than all control may. retry.caller_share_percent of the document had no effect (the node took 10). Change: the owner tells each call's service; the plan is followed after the node's step, since closing a link calls back into it; 100 ms between ticks while nothing is under way. Ruled out: to hold the first call until its link is up (the caller is told to come back).

--- a/packages/sassafraswinch-node/sassafraswinch_node/building.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/building.py
@@ -36,6 +36,7 @@
     membership: Membership,
     recorder: Recorder,
     document_changed: Callable[[Document], None],
+    service_called: Callable[[str], None],
     rng: random.Random,
 ) -> Node:
     """Return the decisions of a node, with its ports tied to adapters."""
@@ -61,6 +62,7 @@
         rng=rng,
         recorder=recorder,
         document_changed=document_changed,
+        service_called=service_called,
         leave_notice_ms=settings.leave_notice_ms,
     )
 
--- a/packages/sassafraswinch-node/sassafraswinch_node/link_adapter.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/link_adapter.py
@@ -101,7 +101,20 @@
     def connect(self, host: str) -> None:
         """Keep a link to ``host`` for a while."""
         self.plan.need_host(host, _now_ms())
-        self.follow_plan()
+        self._follow_plan_soon()
+
+    def need_service(self, service: str) -> None:
+        """Keep links to hosts of ``service`` for a while."""
+        if self.plan.need_service(service, _now_ms()):
+            self._follow_plan_soon()
+
+    def _follow_plan_soon(self) -> None:
+        """Follow the plan after the node's present step, which a lost link would enter.
+
+        Failure guarded against: a new demand ends an old one, its link is closed, and
+        the node is told so in the middle of a step that still uses it.
+        """
+        asyncio.get_running_loop().call_soon(self.follow_plan)
 
     def announce(self, message: Message) -> None:
         """Write on every open link."""
--- a/packages/sassafraswinch-node/sassafraswinch_node/links.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/links.py
@@ -210,6 +210,7 @@
             receive=partial(self._receive, peer, greeting),
             closed=partial(self._closed, peer, greeting),
             session=session,
+            traffic=self._traffic,
         )
         loop = asyncio.get_running_loop()
         _, link = await loop.create_connection(make_link, *address)
--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -37,11 +37,14 @@
 from sassafraswinch_node.stopping import log_cut
 from sassafraswinch_node.usage import UsageMeter
 
-TICK_MS = 25
+BUSY_TICK_MS = 25
 """Period of the node's own steps: short against queue delays of 10 ms and more."""
 
-PLAN_EVERY_TICKS = 40
-"""Ticks between two looks at which hosts to link to: about a second."""
+IDLE_TICK_MS = 100
+"""The same while no call is under way: the gate's learnt limits still move."""
+
+LOOK_EVERY_MS = 1_000
+"""Time between two looks at which hosts to link to."""
 
 CUT_TIMEOUT_S = 1
 """Time for the last words to callers, in seconds, after the process was cut."""
@@ -55,7 +58,7 @@
         self.rng = rng or random.Random(int.from_bytes(os.urandom(16), "big"))
         self.node_id = NodeId(settings.host, self.rng.getrandbits(63))
         self.membership = Membership(self_host=settings.host)
-        self.wake = WakeDetector(tick_ms=TICK_MS)
+        self.wake = WakeDetector(tick_ms=IDLE_TICK_MS)
         self.stopped = asyncio.Event()
         self.cut_calls = 0
         """Calls that were in flight when the process was cut."""
@@ -98,6 +101,7 @@
             membership=self.membership,
             recorder=self.recorder,
             document_changed=self._document_changed,
+            service_called=self.links.need_service,
             rng=self.rng,
         )
         self.platform = PlatformClient(urls=settings.platform)
@@ -292,17 +296,20 @@
         return self.node.heartbeat(sequence, self.now_ms())
 
     async def _tick(self) -> None:
-        for tick in itertools.count():
+        looked_at_ms = -LOOK_EVERY_MS
+        while True:
             now_ms = self._observe()
             self.node.tick(now_ms)
-            if tick % PLAN_EVERY_TICKS == 0:
+            if now_ms - looked_at_ms >= LOOK_EVERY_MS:
+                looked_at_ms = now_ms
                 self._look_around(now_ms)
             if self.node.lifecycle.state is NodeState.LEAVING:
                 self.node.lifecycle.tick(now_ms, in_flight=self.node.in_flight)
             if self.node.lifecycle.state is NodeState.STOPPED:
                 self.stopped.set()
                 return
-            await asyncio.sleep(TICK_MS / 1000)
+            tick_ms = BUSY_TICK_MS if self.node.in_flight else IDLE_TICK_MS
+            await asyncio.sleep(tick_ms / 1000)
 
     def _look_around(self, now_ms: float) -> None:
         self.usage.tick(now_ms)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -76,6 +76,7 @@
         rng: random.Random,
         recorder: Recorder | None = None,
         document_changed: Callable[[Document], None] = lambda document: None,
+        service_called: Callable[[str], None] = lambda service: None,
         leave_notice_ms: float = LEAVE_NOTICE_MS,
     ):
         self.node = node
@@ -87,7 +88,11 @@
         self.router = router
         self.lifecycle = Lifecycle(leave_notice_ms=leave_notice_ms)
         self.owner = Owner(
-            node=node, links=self.links, membership=membership, router=router
+            node=node,
+            links=self.links,
+            membership=membership,
+            router=router,
+            service_called=service_called,
         )
         self.executor = Executor(gate=gate, ledger=ledger, backend=backend, rng=rng)
         self.forwarder = Forwarder(
@@ -339,6 +344,8 @@
             return
         self.egress.classifier = classifier
         self.executor.has_document = True
+        percent = document.retry.caller_share_percent
+        self.entry.limits.budget.set_share_percent(percent)
         service = document.services.get(self.service)
         self.executor.gate.set_slots(service.slots if service else None)
         self.document_changed(document)
--- a/packages/sassafraswinch/sassafraswinch/owner.py
+++ b/packages/sassafraswinch/sassafraswinch/owner.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from sassafraswinch.membership import Membership
@@ -63,11 +64,13 @@
         links: LinkPort,
         membership: Membership,
         router: Router,
+        service_called: Callable[[str], None] = lambda service: None,
     ):
         self.node = node
         self.links = links
         self.membership = membership
         self.router = router
+        self.service_called = service_called
         self.open: dict[int, OwnedCall] = {}
         self.retries = 0
         self._numbers = itertools.count(1)
@@ -193,6 +196,7 @@
         ]
 
     def _place(self, owned: OwnedCall, last: Answer | None, now_ms: float) -> None:
+        self.service_called(owned.service)
         candidates = self.membership.candidates(owned.service, now_ms)
         while True:
             view = self.router.choose(
--- a/packages/sassafraswinch/sassafraswinch/retry.py
+++ b/packages/sassafraswinch/sassafraswinch/retry.py
@@ -125,6 +125,10 @@
         self._buckets: OrderedDict[str, RepeatBucket] = OrderedDict()
         self._first_repeats = FIRST_REPEATS
 
+    def set_share_percent(self, share_percent: float) -> None:
+        """Follow the document; what was earned before stays."""
+        self._share = share_percent / 100
+
     def first(self, organisation: str, now_ms: float) -> None:
         """Count a first attempt, which earns a share of a repeat."""
         bucket = self._bucket(organisation, now_ms)
