Tick the second server of a chain in the bench

A fault of the bench: the gate under pressure in a chain never got a tick, so no call left its queue for its age, and the wasted work was shown too low.

--- a/packages/sassafraswinch/tests/utils/fake_server.py
+++ b/packages/sassafraswinch/tests/utils/fake_server.py
@@ -286,7 +286,8 @@
             self._later(wait_ms, self._call, call.stream, call.repeats_left - 1)
 
     def _tick(self) -> None:
-        for host in self.hosts.values():
+        onward = (host.server.onward for host in self.hosts.values())
+        for host in [*self.hosts.values(), *filter(None, onward)]:
             self._carry_out(host.gate.tick(self.now_ms))
             self.loads.append((self.now_ms, host.gate.load(self.now_ms)))
         self._later(TICK_MS, self._tick)
