Count calls lost from the queue as pressure on the threshold

Cause of the waste below the entry: calls that leave the queue for their age keep it short, so the threshold saw no standing queue, its correction rose to 1.2, and 240 trial calls a second were let in for nothing (deep surge x3, counted by the place of refusal).

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -186,6 +186,7 @@
         if len(self._waiting) <= self._pace.queue_bound():
             return NOTHING
         last = self._waiting.pop_last()
+        self._threshold.lost(last.claim.class_order)
         reason = Reason.OVERLOADED if last is call else Reason.EVICTED
         return GateDecision(refused=self._press(last, reason, now_ms))
 
@@ -194,6 +195,7 @@
         while self._waiting and len(self._running) < self._limit.allowed(now_ms):
             call = self._waiting.pop_first()
             if self._past_deadline(call, now_ms):
+                self._threshold.lost(call.claim.class_order)
                 refused.extend(self._press(call, Reason.DEADLINE, now_ms))
                 continue
             self._start(call, now_ms)
@@ -236,6 +238,7 @@
         for call in late:
             if self._waiting.remove(call.key) is None:
                 continue
+            self._threshold.lost(call.claim.class_order)
             past = self._past_deadline(call, now_ms)
             reason = Reason.DEADLINE if past else Reason.OVERLOADED
             refused.extend(self._press(call, reason, now_ms))
--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -78,6 +78,8 @@
         self._trim = 1.0
         self._calm_intervals = 0
         self._classes = [_ClassRate()]
+        self._lost = 0
+        self._lost_class: int | None = None
         self._seen_place = inf
         self._seen_place_before = inf
         self._started_at_ms: float | None = None
@@ -110,6 +112,16 @@
         else:
             of_class.counts[rank.level // BUCKET_LEVELS] += 1
 
+    def lost(self, class_order: int) -> None:
+        """Count a call that waited and was refused after all.
+
+        Calls that leave the queue for their age keep it short, and the work
+        done for them is wasted: the queue alone would show no pressure.
+        """
+        self._lost += 1
+        if self._lost_class is None or class_order < self._lost_class:
+            self._lost_class = class_order
+
     def held(self, lowest_open: int) -> None:
         """Note that entries are told to hold back all below a class."""
         self._seen_place = min(self._seen_place, lowest_open + 1.0)
@@ -148,6 +160,10 @@
             now_ms: monotonic time.
         """
         self._measure(now_ms)
+        lost, self._lost = self._lost, 0
+        lost_class, self._lost_class = self._lost_class, None
+        if standing is None:
+            standing = lost_class
         if self._place is None:
             if standing is None:
                 self._seen_place_before, self._seen_place = self._seen_place, inf
@@ -156,7 +172,7 @@
         else:
             step = TRIM_STEP if standing is None else -TRIM_STEP
             self._trim = min(max(self._trim + step, MIN_TRIM), MAX_TRIM)
-        drain_per_s = excess_calls / SETTLE_MS * 1000
+        drain_per_s = (excess_calls + lost) / SETTLE_MS * 1000
         self._move(self._fitting(capacity_per_s * self._trim - drain_per_s), standing)
 
     def _measure(self, now_ms: float) -> None:
