--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -1,5 +1,6 @@
 """Failures of a whole fleet, one by one, on a simulated clock."""
 
+from sassafraswinch.membership import HostState
 from sassafraswinch.requests import Outcome, Request
 from sassafraswinch.verdict import Reason, Verdict
 from sassafraswinch_standins.memory_backend import MARK_HEADER, PURPOSE_HEADER
@@ -406,3 +407,75 @@
     desk.fleet.run_for(500)
     assert [outcomes[0].verdict for outcomes in told] == [Verdict.ANSWERED] * 2
     assert told[0][0].ticket != told[1][0].ticket
+
+
+def test_restarted_host_ignores_the_mark_of_its_earlier_run():
+    """A host is stopped as planned and its node starts again five seconds later. The
+    platform's list shows the stop only 30 s after it began.
+
+    The new process read that it was leaving, refused all work and stopped as well.
+    """
+    fleet = Desk().fleet
+    fleet.leave("vydej-a")
+    fleet.run_for(5_000)
+    assert "vydej-a" not in fleet.processes
+    fleet.restart("vydej-a")
+    fleet.run_for(40_000)
+    assert not fleet.processes["vydej-a"].node.lifecycle.leaving
+
+
+def test_host_leaves_by_the_platforms_word_alone():
+    """A host has run for long when the platform lists it as leaving.
+
+    No signal comes: its node stops by the list, and cuts off nothing.
+    """
+    fleet = Desk().fleet
+    fleet.run_for(60_000)
+    fleet.platform.host_is("vydej-a", HostState.LEAVING)
+    fleet.run_for(40_000)
+    assert "vydej-a" not in fleet.processes
+
+
+def test_frame_held_in_a_silent_link_starts_nothing_after_its_fence():
+    """The link of a ticket's owner to the only host of vydej goes silent, and a release
+    is written into it. A newer link is dialled; over it the call is fenced, never
+    started. The caller is told not-run and goes on; then the old link wakes up.
+
+    The release would run although its caller was told that it never would.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    ticket = desk.ticket("archiv-a")
+    fleet.kill("vydej-c")
+    fleet.run_for(1_000)
+    fleet.silence("archiv-a", "vydej-a")
+    desk.release("archiv-a", "goods", ticket)
+    fleet.run_for(5_500)
+    told = desk.release("archiv-a", "goods", ticket)
+    fleet.run_for(100)
+    assert [outcome.verdict for outcome in told] == [Verdict.NOT_RUN]
+    fleet.release()
+    fleet.run_for(3_000)
+    assert not fleet.checks.runs["goods"]
+
+
+def test_ticket_told_not_run_never_runs_by_a_late_repeat():
+    """A release finds no host and its caller is told not-run, so it goes on with a new
+    ticket. An earlier copy of the request, sent through another node, is still under
+    way; when it comes, there is a host again.
+
+    The release would run twice, once for each ticket.
+    """
+    desk = Desk()
+    fleet = desk.fleet
+    ticket = desk.ticket("archiv-a")
+    fleet.kill("vydej-a")
+    fleet.kill("vydej-c")
+    fleet.run_for(100)
+    first = desk.release("archiv-a", "goods", ticket)
+    fleet.restart("vydej-a")
+    fleet.run_for(SETTLED_MS)
+    late = desk.release("archiv-b", "goods", ticket)
+    fleet.run_for(500)
+    told = [outcome.verdict for outcome in (*first, *late)]
+    assert told == [Verdict.NOT_RUN] * 2
