--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_desk.py
@@ -0,0 +1,60 @@
+"""A caller of a fleet in memory that chooses its nodes, for tests of one failure."""
+
+from sassafraswinch.requests import Outcome, Request
+from sassafraswinch.verdict import Reason
+from sassafraswinch_standins.memory_backend import MARK_HEADER, PURPOSE_HEADER
+from sassafraswinch_standins.memory_checks import Asked
+from sassafraswinch_standins.memory_fleet import Fleet
+
+SETTLED_MS = 4_000
+"""Time after which all nodes of a new fleet are linked and serve."""
+
+
+class Desk:
+    """One caller that chooses its nodes and keeps every outcome."""
+
+    def __init__(self, seed: int = 1):
+        self.fleet = Fleet(seed=seed)
+        self.fleet.run_for(SETTLED_MS)
+
+    def release(
+        self, host: str, mark: str, ticket: str | None, deadline_ms: float = 2_000
+    ) -> list[Outcome]:
+        """Ask a node for a release of goods; the list takes the outcome."""
+        return self.ask(
+            host, mark, "vydej", "POST", "/orders/17/release", ticket, deadline_ms
+        )
+
+    def ask(
+        self, host, mark, service, method, target, ticket=None, deadline_ms=1_500
+    ) -> list[Outcome]:
+        """Send a request to a node."""
+        told = []
+        request = Request(
+            handle=0,
+            service=service,
+            method=method,
+            target=target,
+            headers=((MARK_HEADER, mark), (PURPOSE_HEADER, mark)),
+            body=mark.encode(),
+            organisation="acme",
+            ticket=ticket,
+        )
+        if method == "POST":
+            self.fleet.checks.once.add(mark)
+        due_at_ms = self.fleet.schedule.now_ms + deadline_ms
+        asked = Asked(mark=mark, identity=mark, host=host, due_at_ms=due_at_ms)
+        self.fleet.processes[host].submit(request, asked, told.append)
+        return told
+
+    def ticket(self, host: str) -> str:
+        """Return a fresh ticket of a node for a release."""
+        told = self.release(host, f"none-{self.fleet.schedule.now_ms}", None)
+        self.fleet.run_for(1)
+        assert told[0].reason is Reason.TICKET_REQUIRED
+        return told[0].ticket
+
+    def slow(self, factor: float) -> None:
+        """Let all backend servers take this much longer."""
+        for backend in self.fleet.backends.values():
+            backend.faults.slow_factor = factor
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -11,6 +11,7 @@
 from sassafraswinch_standins.memory_checks import Checks
 from sassafraswinch_standins.memory_document import make_document
 from sassafraswinch_standins.memory_network import MemoryNetwork
+from sassafraswinch_standins.memory_node import left_behind
 from sassafraswinch_standins.memory_platform import MemoryPlatform
 from sassafraswinch_standins.memory_process import MemoryProcess
 from sassafraswinch_standins.memory_schedule import Schedule
@@ -242,7 +243,7 @@
     def check_quiet(self) -> None:
         """Check that nothing is left in flight; callers have been quiet for long."""
         left = {
-            host: process.left_behind(self.processes.keys())
+            host: left_behind(process.node, self.processes)
             for host, process in self.processes.items()
         }
         self.checks.quiet({host: calls for host, calls in left.items() if calls})
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_node.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_node.py
@@ -1,5 +1,6 @@
 """The node of a process in memory, and what shows its decisions to the checks."""
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from sassafraswinch.admission import AdaptiveGate
@@ -97,6 +98,16 @@
         return session
 
 
+def left_behind(node: Node, hosts: Collection[str]) -> list[object]:
+    """Return what is in flight, less calls whose fate only a lost host knows."""
+    owned = node.owner.open.values()
+    return [
+        *(call.attempt for call in owned if call.attempt.peer.host in hosts),
+        *node.executor.calls,
+        *node.forwarder.open,
+    ]
+
+
 def make_node(process: "MemoryProcess") -> Node:
     """Return the node of a process, its decisions shown to the checks."""
     rng = process.rng
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 
 from sassafraswinch.lifecycle import NodeState
@@ -30,8 +30,6 @@
 from sassafraswinch_standins.memory_reads import PlatformReads
 from sassafraswinch_standins.memory_schedule import Action
 
-SPARSE_SHARE = 0.6
-"""Share of the other hosts that a node of a sparse fleet dials unasked."""
 TICK_MS = 25.0
 LONG_PAUSE_MS = 2_000.0
 """A pause after which a node must not act on what it knew before."""
@@ -225,15 +223,6 @@
             self.observe()
             self.node.leave(self.now_ms)
 
-    def left_behind(self, hosts: Iterable[str]) -> list[object]:
-        """Return what is in flight, less calls whose fate only a lost host knows."""
-        owned = self.node.owner.open.values()
-        return [
-            *(call.attempt for call in owned if call.attempt.peer.host in hosts),
-            *self.node.executor.calls,
-            *self.node.forwarder.open,
-        ]
-
     @property
     def exchanges(self) -> int:
         """Calls at the backend server."""
@@ -310,13 +299,5 @@
 
     def _beat(self) -> None:
         self.links.beat()
-        self.links.want(filter(self._dials, self._peer_names()))
-
-    def _peer_names(self) -> list[str]:
-        return [record.name for record in self.membership.peers(self.now_ms)]
-
-    def _dials(self, host: str) -> bool:
-        """Return whether to keep a link to a host; a sparse fleet draws them."""
-        if not self.around.sparse:
-            return True
-        return random.Random(f"{self.host} {host}").random() < SPARSE_SHARE
+        names = [record.name for record in self.membership.peers(self.now_ms)]
+        self.links.want(name for name in names if self.around.dials(self.host, name))
