Let a ledger refuse a ticket's request on behalf of admission

Cause: a node that sheds a call by itself and says NOT_RUN would leave its ticket usable for a try that is still on its way, and would be wrong on a repeat of a request that has run. Change: TicketLedger.refuse, driven by the state machine of claims.

--- a/packages/sassafraswinch/sassafraswinch/tickets.py
+++ b/packages/sassafraswinch/sassafraswinch/tickets.py
@@ -180,6 +180,31 @@
             return Join(number=ticket.number)
         return Recorded(answer=self._answers.get(ticket.number))
 
+    def refuse(
+        self,
+        text: str,
+        organisation: str,
+        operation: str,
+        fingerprint: bytes,
+        reason: Reason,
+        now_ms: float,
+    ) -> Claim:
+        """Decide what a request gets that the node won't run now.
+
+        Admission has to refuse through here. A NOT_RUN that it told by itself would
+        be untrue for a repeat of a request that has run, and would not hold for a
+        first try if another try of it still is on its way through another node.
+
+        Returns:
+            As ``claim``, but for a ticket that isn't used yet: NOT_RUN, for good.
+        """
+        claim = self.claim(text, organisation, operation, fingerprint, now_ms)
+        if not isinstance(claim, Dispatch):
+            return claim
+        del self._running[claim.number]
+        self._states.set(claim.number, RunState.NOT_RUN)
+        return Refused(verdict=Verdict.NOT_RUN, reason=reason)
+
     def finish(self, ticket_number: int, answer: Answer, now_ms: float) -> None:
         """Record the outcome of a dispatched request; it is final.
 
--- a/packages/sassafraswinch/tests/test_tickets.py
+++ b/packages/sassafraswinch/tests/test_tickets.py
@@ -66,12 +66,16 @@
         organisation=st.sampled_from(["acme", "acme", "rival"]),
         body=st.sampled_from([b"1", b"1", b"2"]),
         late_ms=st.sampled_from([0, 0, 2 * LIFETIME_MS]),
+        shed=st.sampled_from([False, False, True]),
     )
-    def claim(self, pick, organisation, body, late_ms):
+    def claim(self, pick, organisation, body, late_ms, shed):
         ticket = pick % len(self.texts)
-        claim = self.ledger.claim(
-            self.texts[ticket], organisation, "approve", body, self.now_ms - late_ms
-        )
+        request = (self.texts[ticket], organisation, "approve", body)
+        now_ms = self.now_ms - late_ms
+        if shed:
+            claim = self.ledger.refuse(*request, Reason.OVERLOADED, now_ms)
+        else:
+            claim = self.ledger.claim(*request, now_ms)
         if isinstance(claim, Refused):
             if claim.verdict is Verdict.NOT_RUN:
                 self.told_not_run.add(ticket)
@@ -79,6 +83,7 @@
             return
         assert organisation == "acme"
         if isinstance(claim, Dispatch):
+            assert not shed
             self.dispatched[ticket] += 1
             self.running.append((claim.number, ticket, body))
         elif isinstance(claim, Join):
