--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -57,7 +57,9 @@
         self.settings = settings
         self.rng = rng or random.Random(int.from_bytes(os.urandom(16), "big"))
         self.node_id = NodeId(settings.host, self.rng.getrandbits(63))
-        self.membership = Membership(self_host=settings.host)
+        self.membership = Membership(
+            self_host=settings.host, own_mark_ms=settings.list_leave_delay_ms
+        )
         self.wake = WakeDetector(tick_ms=IDLE_TICK_MS)
         self.stopped = asyncio.Event()
         self.cut_calls = 0
--- a/packages/sassafraswinch-node/tests/test_process_stop.py
+++ b/packages/sassafraswinch-node/tests/test_process_stop.py
@@ -32,7 +32,11 @@
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
     graph = chain(approval_ms=APPROVAL_MS, lookup_ms=20)
-    node = {"leave_notice_ms": LEAVE_NOTICE_MS, "log_level": "info"}
+    node = {
+        "leave_notice_ms": LEAVE_NOTICE_MS,
+        "list_leave_delay_ms": 0,
+        "log_level": "info",
+    }
     directory = tmp_path_factory.mktemp("stop")
     with Fleet(graph=graph, directory=directory, node=node) as fleet:
         yield fleet
--- a/packages/sassafraswinch/sassafraswinch/membership.py
+++ b/packages/sassafraswinch/sassafraswinch/membership.py
@@ -56,10 +56,13 @@
 
     Args:
         self_host: name of the host that this node runs on.
+        own_mark_ms: how long after its start a node ignores that the list says it
+            leaves; at least the lag of the list.
     """
 
-    def __init__(self, *, self_host: str):
+    def __init__(self, *, self_host: str, own_mark_ms: float = OWN_MARK_MS):
         self._self_host = self_host
+        self._own_mark_ms = own_mark_ms
         self._hosts: dict[str, _Host] = {}
         self._list_version = 0
         self._trusted_after_ms = -math.inf
@@ -76,13 +79,13 @@
 
         Failure guarded against: a host is stopped and its node starts again while
         the list still lags; then the list marks it, and the new process would stop
-        as well. A mark that appears within ``OWN_MARK_MS`` of the start was for the
+        as well. A mark that appears within ``own_mark_ms`` of the start was for the
         process before; a host that is to leave so early is told by a signal.
         """
         own = self._hosts.get(self._self_host)
         if own is None or not own.list_leaving:
             return False
-        return own.marked_ms - own.known_since_ms >= OWN_MARK_MS
+        return own.marked_ms - own.known_since_ms >= self._own_mark_ms
 
     def replace(
         self, records: Iterable[HostRecord], version: int, now_ms: float
