--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*)
 SEED ?= 1
+SEEDS ?= 5
 MINUTES ?= 1
 
-.PHONY: setup test lint demo bench soak generate clean
+.PHONY: setup test lint demo bench slopes soak generate clean
 
 setup: $(VENV)/.done
 
@@ -28,7 +29,11 @@
 	$(BIN)/python -m sassafraswinch_standins.demo
 
 bench: setup
-	$(BIN)/python -m sassafraswinch_standins.bench
+	$(BIN)/python -m sassafraswinch_standins.bench latency
+	$(BIN)/python -m sassafraswinch_standins.bench overload --seeds $(SEEDS)
+
+slopes: setup
+	$(BIN)/python -m sassafraswinch_standins.slopes
 
 soak: setup
 	$(BIN)/python -m sassafraswinch_standins.soak --seed $(SEED) --minutes $(MINUTES)
