--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -88,7 +88,8 @@
         )
         if self._past_deadline(call, now_ms):
             return GateDecision(refused=(self._refusal(call, Reason.DEADLINE, now_ms),))
-        if self._hold.closes(rank.class_order, now_ms):
+        order = rank.class_order
+        if self._hold.closes(order, now_ms) or self._threshold.closes(order):
             return GateDecision(
                 refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
             )
@@ -132,10 +133,12 @@
         self._delays.sample(self._waiting, self._pace.delay_ms(1))
         if self._threshold.due(now_ms):
             self._decide(now_ms)
+        closed = self._evict_closed(now_ms)
         late = [call for call in self._waiting if self._late(call, now_ms)]
         refused = self._lose(late, now_ms)
         filled = self._fill(now_ms)
-        return GateDecision(start=filled.start, refused=refused + filled.refused)
+        refused = closed + refused + filled.refused
+        return GateDecision(start=filled.start, refused=refused)
 
     def load(self, now_ms: float) -> Load:
         """Return counts, the delay a new call would meet, and the threshold."""
@@ -234,6 +237,18 @@
         held = Rank(lowest, LEVELS - 1)
         return held if threshold is None else min(held, threshold)
 
+    def _evict_closed(self, now_ms: float) -> tuple[Refusal, ...]:
+        """Refuse waiting calls of classes that the threshold has closed.
+
+        Entries refuse calls of higher classes by the same threshold; what waits
+        here of lower ones would start meanwhile.
+        """
+        refused = []
+        while self._waiting and self._threshold.closes(self._waiting.last_class()):
+            call = self._waiting.pop_last()
+            refused.append(self._refusal(call, Reason.EVICTED, now_ms))
+        return tuple(refused)
+
     def _lose(self, late: list[WaitingCall], now_ms: float) -> tuple[Refusal, ...]:
         refused = []
         for call in late:
--- a/packages/sassafraswinch/sassafraswinch/threshold.py
+++ b/packages/sassafraswinch/sassafraswinch/threshold.py
@@ -102,6 +102,10 @@
             return True
         return position(rank) < self._place
 
+    def closes(self, class_order: int) -> bool:
+        """Return whether no call of a class is admitted, progress or not."""
+        return self._place is not None and self._place <= class_order
+
     def offered(self, rank: Rank, progress: int) -> None:
         """Count a call that was offered."""
         while rank.class_order >= len(self._classes):
