--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_process.py
@@ -134,7 +134,7 @@
         if self._told.pop(handle, None) is not None:
             self.checks.withdrawn((self.host, handle))
             self._abandoned.add(handle)
-            self.post(lambda: self._pass_abandon(handle))
+            self.post(lambda: self._hand_in(self.node.abandon, handle))
 
     def submit_child(
         self, request: Request, asked: Asked, told: Callable[[Outcome], None]
@@ -245,13 +245,9 @@
         self.post(lambda: self._hand_in(submit, numbered))
         return handle
 
-    def _pass_abandon(self, handle: int) -> None:
+    def _hand_in(self, step, subject: Request | int) -> None:
         self.observe()
-        self.node.abandon(handle, self.now_ms)
-
-    def _hand_in(self, submit, request: Request) -> None:
-        self.observe()
-        submit(request, self.now_ms)
+        step(subject, self.now_ms)
 
     def _hello(self, session: int) -> Hello:
         stamp = self.node.configuration.keeper.stamp
