--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -42,9 +42,9 @@
 class AdaptiveGate:
     """Strict classes, a learnt limit and a short queue, for one backend server.
 
-    A higher claim starts first and is refused last: a full queue evicts its
-    lowest claim, and a class that loses a call to overload closes the classes
-    below it for a while.
+    Class, progress and arrival decide who starts first; class, progress and
+    level decide who is refused last. A full queue evicts its lowest call, and a
+    class that loses a call to overload closes the classes below it for a while.
     """
 
     def __init__(self, *, slots: int | None, rng: random.Random):
@@ -80,14 +80,16 @@
         self._sequence += 1
         call = WaitingCall(
             key=key,
-            claim=Claim(rank.class_order, -progress, rank.level, self._sequence),
+            claim=Claim(rank.class_order, -progress, self._sequence),
+            level=rank.level,
             operation=operation,
             deadline_at_ms=deadline_at_ms,
             offered_at_ms=now_ms,
         )
         if self._past_deadline(call, now_ms):
             return GateDecision(refused=(self._refusal(call, Reason.DEADLINE, now_ms),))
-        if self._hold.closes(rank.class_order, now_ms):
+        order = rank.class_order
+        if self._hold.closes(order, now_ms) or self._threshold.closes(order):
             return GateDecision(
                 refused=(self._refusal(call, Reason.OVERLOADED, now_ms),)
             )
@@ -131,10 +133,12 @@
         self._delays.sample(self._waiting, self._pace.delay_ms(1))
         if self._threshold.due(now_ms):
             self._decide(now_ms)
+        closed = self._evict_closed(now_ms)
         late = [call for call in self._waiting if self._late(call, now_ms)]
         refused = self._lose(late, now_ms)
         filled = self._fill(now_ms)
-        return GateDecision(start=filled.start, refused=refused + filled.refused)
+        refused = closed + refused + filled.refused
+        return GateDecision(start=filled.start, refused=refused)
 
     def load(self, now_ms: float) -> Load:
         """Return counts, the delay a new call would meet, and the threshold."""
@@ -185,10 +189,10 @@
         self._waiting.add(call)
         if len(self._waiting) <= self._pace.queue_bound():
             return NOTHING
-        last = self._waiting.pop_last()
-        self._threshold.lost(last.claim.class_order)
-        reason = Reason.OVERLOADED if last is call else Reason.EVICTED
-        return GateDecision(refused=self._press(last, reason, now_ms))
+        lowest = self._waiting.pop_lowest()
+        self._threshold.lost(lowest.claim.class_order)
+        reason = Reason.OVERLOADED if lowest is call else Reason.EVICTED
+        return GateDecision(refused=self._press(lowest, reason, now_ms))
 
     def _fill(self, now_ms: float) -> GateDecision:
         start, refused = [], []
@@ -233,6 +237,18 @@
         held = Rank(lowest, LEVELS - 1)
         return held if threshold is None else min(held, threshold)
 
+    def _evict_closed(self, now_ms: float) -> tuple[Refusal, ...]:
+        """Refuse waiting calls of classes that the threshold has closed.
+
+        Entries refuse calls of higher classes by the same threshold; what waits
+        here of lower ones would start meanwhile.
+        """
+        refused = []
+        while self._waiting and self._threshold.closes(self._waiting.last_class()):
+            call = self._waiting.pop_last()
+            refused.append(self._refusal(call, Reason.EVICTED, now_ms))
+        return tuple(refused)
+
     def _lose(self, late: list[WaitingCall], now_ms: float) -> tuple[Refusal, ...]:
         refused = []
         for call in late:
