Know nothing of a returning owner's past until it sends a call

Cause: a run of 3,000 random stories found a false 'never started': an owner whose state had been dropped for room came back, and its first fence, which listed only low numbers, was taken for the start of its history; the next fence was answered from that. Fences come in parts of 4,096, so it can happen. Ruled out: a frame that outlived its link; the story has none. Change: such an owner's numbers are unknown up to the first call that it sends. A test tells the story; it failed before the change.

--- a/packages/sassafraswinch/sassafraswinch/execution.py
+++ b/packages/sassafraswinch/sassafraswinch/execution.py
@@ -20,8 +20,6 @@
 """Calls that are queued, running, or whose answer isn't acknowledged."""
 MAX_DROPPED_CALLS = 8192
 """Calls whose number is still known after their record went: 22 s at 375 a second."""
-MAX_NUMBER = 2**63 - 1
-"""Greatest number of a call on the wire."""
 
 
 class CallState(enum.Enum):
@@ -49,8 +47,10 @@
     seen_at_ms: float
     floor_session: float = 0
     """Calls that arrive on a lower session are dropped: they have been fenced."""
-    forgotten_below: int
+    forgotten_below: float = 0
     """Of lower numbers without a record nothing is known."""
+    awaits_first_call: bool = False
+    """The owner may be a forgotten one: only what it sends from now on is known."""
     records: dict[int, CallRecord] = field(default_factory=dict)
     dropped: dict[int, FenceState] = field(default_factory=dict)
     """What a fence learns about numbers whose record went."""
@@ -113,10 +113,15 @@
             True: the call is queued now. False: drop the frame; its session has been
             fenced, it is a duplicate, or the ledger is full.
         """
-        state = self._owner(owner, first_known=number)
+        state = self._owner(owner)
         if state is None or self._live_calls >= self._max_live_calls:
             return False
-        if session < state.floor_session or number < state.forgotten_below:
+        if session < state.floor_session:
+            return False
+        if state.awaits_first_call:
+            state.awaits_first_call = False
+            state.forgotten_below = number
+        if number < state.forgotten_below:
             return False
         if number in state.records or number in state.dropped:
             return False
@@ -170,7 +175,7 @@
         this. Then it is dropped, since its session is below the floor: that is why
         "never started" holds for good, however late the frame is.
         """
-        state = self._owner(owner, first_known=max(fence.numbers, default=0) + 1)
+        state = self._owner(owner)
         if state is None:
             unknown = FenceState.UNKNOWN
             replies = (FenceReply(number=n, state=unknown) for n in fence.numbers)
@@ -222,10 +227,10 @@
         state.records.clear()
         state.dropped.clear()
         state.floor_session = math.inf
-        state.forgotten_below = MAX_NUMBER
+        state.forgotten_below = math.inf
         return queued
 
-    def _owner(self, owner: NodeId, *, first_known: int) -> OwnerState | None:
+    def _owner(self, owner: NodeId) -> OwnerState | None:
         """Return the state of an owner; None: there is no room for a new one."""
         state = self._owners.get(owner)
         if state is not None:
@@ -234,9 +239,11 @@
             return state
         if len(self._owners) >= self._max_owners and not self._forget_silent_owner():
             return None
-        # An owner that seems new may be a forgotten one: nothing is known of its past.
-        below = first_known if self._forgot_owners else 0
-        state = OwnerState(seen_at_ms=self._now_ms, forgotten_below=below)
+        state = OwnerState(seen_at_ms=self._now_ms)
+        if self._forgot_owners:
+            # It may be one of them: nothing is known of its past.
+            state.awaits_first_call = True
+            state.forgotten_below = math.inf
         self._owners[owner] = state
         return state
 
--- a/packages/sassafraswinch/tests/test_execution.py
+++ b/packages/sassafraswinch/tests/test_execution.py
@@ -171,6 +171,26 @@
     assert reply == FenceReply(number=1, state=FenceState.NEVER_STARTED)
 
 
+def test_nothing_is_said_of_calls_before_their_owner_was_forgotten():
+    """A caller is told NOT_RUN of an approval that was done.
+
+    An owner is cut off for so long that its state is dropped for another owner. When
+    it comes back its fences come in parts; the first part makes it look well known.
+    """
+    ledger = ExecutionLedger(max_answer_bytes=ANSWER_BYTES, max_owners=1)
+    ledger.receive(OWNER, 1, 7)
+    ledger.start(OWNER, 7)
+    ledger.forget_owner(OWNER)
+    ledger.tick(FORGET_OWNER_MS)
+    assert ledger.receive(OTHER, 1, 1)
+    ledger.forget_owner(OTHER)
+    ledger.tick(2 * FORGET_OWNER_MS)
+    for number in (3, 7):
+        fenced = ledger.fence(OWNER, Fence(floor_session=2, numbers=(number,)))
+        unknown = FenceReply(number=number, state=FenceState.UNKNOWN)
+        assert fenced.replies == (unknown,)
+
+
 def test_an_answer_of_another_call_is_an_error():
     ledger = ExecutionLedger(max_answer_bytes=ANSWER_BYTES)
     ledger.receive(OWNER, 1, 1)
