Convert answers and outcomes in one place; read a request's headers once

Cause: an answer was copied into an outcome in entry and in forwarding, and back in node, field by field; each call's header fields were made into a map twice. Change: outcomes holds the pair; the listener makes one map and looks the ticket up in it. Behaviour as before: the stories and the state machine of whole nodes pass, and the whole path with real processes (35 tests).

--- a/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_calls.py
@@ -103,12 +103,13 @@
 
     async def _serve(self, scope, receive) -> Outcome | None:
         """Return the outcome of a request; None when its sender has gone."""
-        body = await self._read_body(scope, receive)
+        found = dict(scope["headers"])
+        body = await self._read_body(found, receive)
         if body is None:
-            return _refused(scope, Reason.TOO_LARGE)
-        request = self._request(scope, body)
+            return _refused(found, Reason.TOO_LARGE)
+        request = self._request(scope, found, body)
         if request is None:
-            return _refused(scope, Reason.BAD_REQUEST)
+            return _refused(found, Reason.BAD_REQUEST)
         return await self._outcome(request, receive)
 
     async def _outcome(self, request: Request, receive) -> Outcome | None:
@@ -127,8 +128,8 @@
                 self.abandon(request.handle)
         return future.result() if future.done() else None
 
-    async def _read_body(self, scope, receive) -> bytes | None:
-        declared = dict(scope["headers"]).get(b"content-length", b"0")
+    async def _read_body(self, found: dict[bytes, bytes], receive) -> bytes | None:
+        declared = found.get(b"content-length", b"0")
         if not declared.isdigit() or int(declared) > self.max_body_bytes:
             return None
         chunks = []
@@ -143,14 +144,13 @@
             if not message.get("more_body"):
                 return b"".join(chunks)
 
-    def _request(self, scope, body: bytes) -> Request | None:
+    def _request(self, scope, found: dict[bytes, bytes], body: bytes) -> Request | None:
         raw_path = scope.get("raw_path") or scope["path"].encode()
         service, _, rest = raw_path.lstrip(b"/").partition(b"/")
         if not service:
             return None
         query = scope["query_string"]
         target = b"/" + rest + (b"?" + query if query else b"")
-        found = dict(scope["headers"])
         identity = self.identity()
         return Request(
             handle=next(self.handles),
@@ -180,10 +180,9 @@
     return None if value is None else value.decode("latin-1")
 
 
-def _refused(scope, reason: Reason) -> Outcome:
+def _refused(found: dict[bytes, bytes], reason: Reason) -> Outcome:
     """Refuse what isn't passed on; only a ticket's owner knows what it has run."""
-    has_ticket = any(name == TICKET_HEADER for name, _ in scope["headers"])
-    verdict = Verdict.MAY_HAVE_RUN if has_ticket else Verdict.NOT_RUN
+    verdict = Verdict.MAY_HAVE_RUN if TICKET_HEADER in found else Verdict.NOT_RUN
     return Outcome(verdict=verdict, reason=reason)
 
 
--- a/packages/sassafraswinch/sassafraswinch/egress.py
+++ b/packages/sassafraswinch/sassafraswinch/egress.py
@@ -4,8 +4,9 @@
 
 from sassafraswinch.claims import Dispatch, Join, Recorded, Refused
 from sassafraswinch.classify import Classification, Classifier
-from sassafraswinch.entry import Entry, outcome_of
+from sassafraswinch.entry import Entry
 from sassafraswinch.executor import Executor
+from sassafraswinch.outcomes import outcome_of
 from sassafraswinch.owned_call import Finished, OwnedCall
 from sassafraswinch.owner import Owner
 from sassafraswinch.pending import LocalWaiter, Pending
--- a/packages/sassafraswinch/sassafraswinch/entry.py
+++ b/packages/sassafraswinch/sassafraswinch/entry.py
@@ -10,6 +10,7 @@
 from sassafraswinch.entry_limits import EntryLimits, not_run, repeat_key
 from sassafraswinch.forwarding import Forwarder
 from sassafraswinch.messages import Answer, NodeId, Rank
+from sassafraswinch.outcomes import outcome_of
 from sassafraswinch.owned_call import Finished, OwnedCall
 from sassafraswinch.owner import Owner
 from sassafraswinch.pending import Pending, RemoteWaiter, Waiter
@@ -339,21 +340,6 @@
         self.respond(waiter, outcome)
 
 
-def outcome_of(
-    answer: Answer, *, ticket: str | None = None, retry_after_ms: int = 0
-) -> Outcome:
-    """Return what a waiter is told of ``answer``."""
-    return Outcome(
-        verdict=answer.verdict,
-        reason=answer.reason,
-        status=answer.status,
-        headers=answer.headers,
-        body=answer.body,
-        retry_after_ms=retry_after_ms,
-        ticket=ticket,
-    )
-
-
 def _classify(classifier: Classifier, request: Request) -> Classification | None:
     operation = classifier.operation(request.service, request.method, request.target)
     if operation is None:
--- a/packages/sassafraswinch/sassafraswinch/forwarding.py
+++ b/packages/sassafraswinch/sassafraswinch/forwarding.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from sassafraswinch.messages import Answer, Forward, NodeId
+from sassafraswinch.outcomes import outcome_of
 from sassafraswinch.pending import LocalWaiter
 from sassafraswinch.ports import LinkPort
 from sassafraswinch.requests import Outcome, Request
@@ -91,14 +92,7 @@
         if forwarded is None or forwarded.owner.host != host:
             return False
         del self.open[answer.number]
-        outcome = Outcome(
-            verdict=answer.verdict,
-            reason=answer.reason,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            retry_after_ms=answer.retry_after_ms,
-        )
+        outcome = outcome_of(answer, retry_after_ms=answer.retry_after_ms)
         self._tell(forwarded, outcome, now_ms)
         return True
 
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -39,6 +39,7 @@
     Message,
     NodeId,
 )
+from sassafraswinch.outcomes import answer_of
 from sassafraswinch.owned_call import Finished, OwnedCall
 from sassafraswinch.owner import Owner
 from sassafraswinch.pending import LocalWaiter, Pending, RemoteWaiter, Waiter
@@ -290,16 +291,7 @@
             self._waiting.pop(waiter.handle, None)
             self.callers.respond(waiter.handle, outcome)
             return
-        answer = Answer(
-            number=waiter.number,
-            verdict=outcome.verdict,
-            reason=outcome.reason,
-            status=outcome.status,
-            headers=outcome.headers,
-            body=outcome.body,
-            retry_after_ms=outcome.retry_after_ms,
-        )
-        self.links.reply(waiter.node, answer)
+        self.links.reply(waiter.node, answer_of(waiter.number, outcome))
 
     def _take(
         self, node: NodeId, session: int, message: Message, now_ms: float
