--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/bench_run.py
@@ -0,0 +1,164 @@
+"""One run of the bench: a fleet, a scenario, a policy and a seed."""
+
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from sassafraswinch_standins.caller_settings import CallerSettings
+from sassafraswinch_standins.capacity import capacity_per_s, traffic_demands
+from sassafraswinch_standins.clock import now_ms
+from sassafraswinch_standins.figures import (
+    Series,
+    amplification,
+    doubled,
+    goodput,
+    inversions,
+    recovery_ms,
+    wasted_share,
+)
+from sassafraswinch_standins.fleet import Fleet
+from sassafraswinch_standins.graph import AVAILABILITY_ZONES, Graph
+from sassafraswinch_standins.scenarios import LOAD_SHARE, Scenario
+from sassafraswinch_standins.tally import SERIES_MS
+
+LEAD_MS = 1_500.0
+"""Time that callers get to import before the load starts, in milliseconds."""
+
+NON_REPEATABLE = {"approve-order", "release-order"}
+
+
+def _callers(
+    fleet: Fleet, scenario: Scenario, seed: int, start_at_ms: float
+) -> list[CallerSettings]:
+    graph = fleet.graph
+    rate_per_s = capacity_per_s(graph) * LOAD_SHARE / len(AVAILABILITY_ZONES)
+    return [
+        CallerSettings(
+            name=f"caller-{zone}",
+            entries=fleet.entries(zone),
+            seed=seed * 100 + number,
+            phases=scenario.phases(rate_per_s),
+            duration_ms=scenario.timeline().end_ms,
+            start_at_ms=start_at_ms,
+            traffic=list(graph.traffic),
+            retries=scenario.retries,
+        )
+        for number, zone in enumerate(AVAILABILITY_ZONES)
+    ]
+
+
+def _sleep_until(at_ms: float) -> None:
+    time.sleep(max(0.0, at_ms - now_ms()) / 1000)
+
+
+def run_once(
+    *, graph: Graph, scenario: Scenario, gate: str, seed: int
+) -> dict[str, Any]:
+    """Run a scenario once and return its figures."""
+    with (
+        tempfile.TemporaryDirectory(prefix="sassafraswinch-bench-") as directory,
+        Fleet(
+            graph=graph,
+            directory=Path(directory),
+            gate=gate,
+            relay_links=scenario.relay_links,
+            seed=seed,
+        ) as fleet,
+    ):
+        return _load_and_measure(fleet, scenario, seed)
+
+
+def _load_and_measure(fleet: Fleet, scenario: Scenario, seed: int) -> dict[str, Any]:
+    timeline = scenario.timeline()
+    start_at_ms = now_ms() + LEAD_MS
+    callers = [
+        fleet.start_caller(settings)
+        for settings in _callers(fleet, scenario, seed, start_at_ms)
+    ]
+    _sleep_until(start_at_ms)
+    cpu_s = fleet.node_cpu_s()
+    _sleep_until(start_at_ms + timeline.from_ms)
+    normal_cpu_s = fleet.node_cpu_s() - cpu_s
+    scenario.begin_pressure(fleet)
+    _sleep_until(start_at_ms + timeline.until_ms)
+    scenario.end_pressure(fleet)
+    _sleep_until(start_at_ms + timeline.end_ms)
+    reports = [fleet.collect(caller, timeline.end_ms / 1000) for caller in callers]
+    figures = measure(fleet.graph, scenario, reports, fleet.runs(), start_at_ms)
+    normal_load_s = timeline.from_ms / 1000
+    figures["node_cores_normal"] = normal_cpu_s / normal_load_s / len(fleet.hosts)
+    return figures
+
+
+def measure(
+    graph: Graph,
+    scenario: Scenario,
+    reports: list[dict[str, Any]],
+    runs: list[dict[str, Any]],
+    started_at_ms: float,
+) -> dict[str, Any]:
+    """Work the figures of a run out."""
+    timeline = scenario.timeline()
+    series = Series(reports)
+    everything = [traffic.name for traffic in graph.traffic]
+    good_tries = {i for report in reports for i in report["ids"]["good"]}
+    not_run = {i for report in reports for i in report["ids"]["not_run"]}
+    calls = {n: d.calls for n, d in traffic_demands(graph, slow={}).items()}
+    figures = [item for r in reports for item in r["traffic"].items()]
+    inverted, refused = inversions(graph, series, runs, started_at_ms, timeline)
+    wanted_calls = sum(calls[name] * f["first_attempts"] for name, f in figures)
+    hinted = sum(f["hinted_repeats"] for _, f in figures)
+    intervals = timeline.intervals(0, timeline.end_ms)
+    return goodput(graph, series, timeline, slow=scenario.slow) | {
+        "inversions": inverted,
+        "refused_above_lowest": refused,
+        "wasted_share": wasted_share(runs, good_tries),
+        "amplification": amplification(runs),
+        "runs_per_wanted_call": len(runs) / max(1, wanted_calls),
+        "attempts_per_request": sum(f["attempts"] for _, f in figures)
+        / max(1, sum(f["first_attempts"] for _, f in figures)),
+        "recovery_ms": recovery_ms(graph, series, timeline),
+        "honoured_hints": hinted,
+        "honoured_hints_good_share": sum(f["hinted_good"] for _, f in figures)
+        / max(1, hinted),
+        "wrong_answers": sum(f["outcomes"]["wrong"] for _, f in figures),
+        "told_not_run_but_ran": len(not_run & {run["request_id"] for run in runs}),
+        "doubled_actions": doubled(runs, NON_REPEATABLE),
+        "outcomes": _outcomes(figures),
+        "latency": _latencies(figures),
+        "reasons": _reasons(figures),
+        "series_ms": SERIES_MS,
+        "good_series": {
+            name: [series.total([name], "good", [i]) for i in intervals]
+            for name in everything
+        },
+        "offered_series": [series.total(everything, "offered", [i]) for i in intervals],
+    }
+
+
+def _outcomes(figures) -> dict[str, dict[str, int]]:
+    sums: dict[str, dict[str, int]] = {}
+    for _, item in figures:
+        of_class = sums.setdefault(item["class_name"], {})
+        for outcome, count in item["outcomes"].items():
+            of_class[outcome] = of_class.get(outcome, 0) + count
+    return sums
+
+
+def _reasons(figures) -> dict[str, int]:
+    sums: dict[str, int] = {}
+    for _, item in figures:
+        for reason, count in item["reasons"].items():
+            sums[reason] = sums.get(reason, 0) + count
+    return sums
+
+
+def _latencies(figures) -> dict[str, dict[str, float]]:
+    """Return the worst caller's quantiles of each kind of traffic."""
+    worst: dict[str, dict[str, float]] = {}
+    for name, item in figures:
+        of_traffic = worst.setdefault(name, {})
+        for quantile, value_ms in item["latency"].items():
+            of_traffic[quantile] = max(of_traffic.get(quantile, 0.0), value_ms)
+    return worst
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/graph.py
@@ -8,6 +8,9 @@
 
 AVAILABILITY_ZONES = ("brno-a", "brno-b", "ostrava-c")
 
+CONNECTIONS_PER_SLOT = 7
+"""Connections that a server takes for each slot, as on the hosts of the brief."""
+
 RECORD_BYTES = 300
 """Size of an archive record in an answer, in bytes."""
 
@@ -59,7 +62,10 @@
             },
             "callers": self.callers,
             "services": {
-                s.name: {"slots": s.slots, "connections": 10 * s.slots}
+                s.name: {
+                    "slots": s.slots,
+                    "connections": CONNECTIONS_PER_SLOT * s.slots,
+                }
                 for s in self.services
             },
             "operations": [
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/latency.py
@@ -0,0 +1,209 @@
+"""Latency bench: a direct call, the way over two nodes, and a naive chain."""
+
+import asyncio
+import gc
+import itertools
+import statistics
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from sassafraswinch_standins.backend_settings import OperationPlan
+from sassafraswinch_standins.caller import Caller
+from sassafraswinch_standins.caller_settings import CallerSettings, Phase, Traffic
+from sassafraswinch_standins.fleet import Fleet
+from sassafraswinch_standins.graph import Graph, ServicePlan, probe
+from sassafraswinch_standins.processes import ManagedProcess
+from sassafraswinch_standins.tally import new_histogram
+
+WARM_MS = 1_000.0
+"""Load on each arm before it is measured, in milliseconds."""
+
+START_TIMEOUT_S = 20.0
+"""Longest wait for a hop to listen, in seconds."""
+
+ANSWER_BYTES = 450
+"""Filler that makes an answer about 500 bytes long."""
+
+QUANTILES = (50.0, 99.0)
+
+DIRECT, TWO_NODES, NAIVE = "direct", "two-nodes", "naive-chain"
+
+
+def two_services() -> Graph:
+    """Return a graph of two hosts: ``front`` is asked, ``back`` answers."""
+    services = [
+        ServicePlan(
+            name=name,
+            servers=1,
+            slots=64,
+            operations=(
+                OperationPlan(
+                    name=f"work-{name}",
+                    method="POST",
+                    path="/work/{id}",
+                    service_time_ms=0,
+                ),
+                probe(name),
+            ),
+            labels={},
+        )
+        for name in ("front", "back")
+    ]
+    traffic = Traffic(
+        name="work",
+        class_name="rest",
+        service="back",
+        method="POST",
+        path="/work/{id}",
+        caller_id="caller",
+        answer_bytes=ANSWER_BYTES,
+    )
+    return Graph(
+        services=tuple(services),
+        traffic=(traffic,),
+        organisations={"prospect": {}},
+        callers={},
+        classes=({"name": "rest", "deadline_ms": 2000},),
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class Arm:
+    """One way to the backend server, and what was measured on it."""
+
+    name: str
+    entry: str
+    direct: bool
+    rounds: dict[float, list[HdrHistogram]] = field(default_factory=dict)
+    """Histograms by rate, one for each round."""
+    bad: int = 0
+    """Requests that weren't answered."""
+
+    def quantiles_ms(self, rate_per_s: float, quantile: float) -> list[float]:
+        """Return a quantile of each round at a rate."""
+        return [
+            histogram.get_value_at_percentile(quantile) / 1000
+            for histogram in self.rounds[rate_per_s]
+        ]
+
+
+async def _load(
+    arm: Arm, graph: Graph, rate_per_s: float, duration_ms: float, seed: int
+) -> HdrHistogram:
+    caller = Caller(
+        settings=CallerSettings(
+            name=f"{arm.name}-{seed}",
+            entries=[arm.entry],
+            direct=arm.direct,
+            seed=seed,
+            phases=[Phase(rate_per_s=rate_per_s)],
+            duration_ms=duration_ms,
+            traffic=list(graph.traffic),
+        )
+    )
+    gc.collect()
+    gc.freeze()
+    report = await caller.run()
+    gc.unfreeze()
+    tally = caller.tallies["work"]
+    arm.bad += tally.first_attempts - report["traffic"]["work"]["outcomes"]["good"]
+    histogram = new_histogram()
+    histogram.add(tally.latency)
+    return histogram
+
+
+async def measure_arms(
+    arms: Sequence[Arm],
+    graph: Graph,
+    *,
+    rates_per_s: Sequence[float],
+    rounds: int,
+    round_ms: float,
+) -> None:
+    """Load the arms in turn, each round beginning with another one."""
+    seeds = itertools.count(1)
+    for arm in arms:
+        await _load(arm, graph, rates_per_s[0], WARM_MS, next(seeds))
+    for rate_per_s, number in itertools.product(rates_per_s, range(rounds)):
+        turn = number % len(arms)
+        seed = next(seeds)
+        for arm in [*arms[turn:], *arms[:turn]]:
+            histogram = await _load(arm, graph, rate_per_s, round_ms, seed)
+            arm.rounds.setdefault(rate_per_s, []).append(histogram)
+
+
+def added_ms(arm: Arm, direct: Arm, rate_per_s: float) -> dict[str, Any]:
+    """Return what an arm adds to the direct call: median and range over rounds."""
+    figures: dict[str, Any] = {}
+    for quantile in QUANTILES:
+        own = arm.quantiles_ms(rate_per_s, quantile)
+        base = direct.quantiles_ms(rate_per_s, quantile)
+        added = [a - b for a, b in zip(own, base, strict=True)]
+        figures[f"p{quantile:g}_ms"] = statistics.median(own)
+        figures[f"p{quantile:g}_added_ms"] = statistics.median(added)
+        figures[f"p{quantile:g}_added_range_ms"] = [min(added), max(added)]
+    return figures
+
+
+def _hop(name: str, target: str, directory: Path) -> ManagedProcess:
+    hop = ManagedProcess(
+        name=name,
+        module="sassafraswinch_standins.naive_hop",
+        settings={"target": target},
+        directory=directory,
+    )
+    hop.start()
+    return hop
+
+
+def run_latency(
+    *, rates_per_s: Sequence[float], rounds: int, round_ms: float
+) -> dict[str, Any]:
+    """Run the latency bench and return its figures by rate and arm."""
+    graph = two_services()
+    with tempfile.TemporaryDirectory(prefix="sassafraswinch-latency-") as name:
+        directory = Path(name)
+        with Fleet(graph=graph, directory=directory) as fleet:
+            back = fleet.hosts["back-1"].backend
+            hops: list[ManagedProcess] = []
+            try:
+                hops.append(_hop("hop-b", back, directory))
+                inner = hops[0].listening(START_TIMEOUT_S)
+                hops.append(_hop("hop-a", inner, directory))
+                outer = hops[1].listening(START_TIMEOUT_S)
+                arms = [
+                    Arm(name=DIRECT, entry=back, direct=True),
+                    Arm(
+                        name=TWO_NODES,
+                        entry=fleet.hosts["front-1"].entry,
+                        direct=False,
+                    ),
+                    Arm(name=NAIVE, entry=outer, direct=True),
+                ]
+                asyncio.run(
+                    measure_arms(
+                        arms,
+                        graph,
+                        rates_per_s=rates_per_s,
+                        rounds=rounds,
+                        round_ms=round_ms,
+                    )
+                )
+            finally:
+                for hop in hops:
+                    hop.kill()
+    direct = arms[0]
+    return {
+        "rates_per_s": list(rates_per_s),
+        "rounds": rounds,
+        "unanswered": {arm.name: arm.bad for arm in arms},
+        "arms": {
+            arm.name: {f"{rate:g}": added_ms(arm, direct, rate) for rate in rates_per_s}
+            for arm in arms
+        },
+    }
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/serving.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/serving.py
@@ -52,6 +52,10 @@
 def bind(listen: str) -> tuple[socket.socket, str]:
     """Open a listening socket.
 
+    The protocol is named: asyncio sets TCP_NODELAY only on sockets that say TCP, and
+    those that ``socket.create_server`` makes say 0. Without it each answer of uvicorn,
+    written in two parts, waits 40 ms for the delayed acknowledgement of the first.
+
     Args:
         listen: ``ip:port``; port 0 takes any free one.
 
@@ -59,7 +63,10 @@
         The socket, and its address with the port that it got.
     """
     host, port = parse_address(listen)
-    listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(LISTEN_BACKLOG)
     return listener, serialize_address(host, listener.getsockname()[1])
 
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/tally.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/tally.py
@@ -72,6 +72,10 @@
     """Of good requests, from their scheduled start, in microseconds."""
     offered: Counter[int] = field(default_factory=Counter)
     good: Counter[int] = field(default_factory=Counter)
+    """Good requests by the interval of their end."""
+    good_by_start: Counter[int] = field(default_factory=Counter)
+    objective_by_start: Counter[int] = field(default_factory=Counter)
+    """Those within the objective, by the interval of their scheduled start."""
     refused: Counter[int] = field(default_factory=Counter)
     """Attempts that were told NOT_RUN, by interval."""
 
@@ -103,8 +107,12 @@
         self.outcomes[outcome] += 1
         if outcome is not Outcome.GOOD:
             return
+        started = int((at_ms - latency_ms) // SERIES_MS)
         self.good[int(at_ms // SERIES_MS)] += 1
-        self.within_objective += latency_ms <= objective_ms
+        self.good_by_start[started] += 1
+        if latency_ms <= objective_ms:
+            self.within_objective += 1
+            self.objective_by_start[started] += 1
         self.latency.record_value(max(1, int(latency_ms * 1000)))
 
     def report(self, intervals: int) -> dict[str, Any]:
@@ -132,5 +140,9 @@
             "series_ms": SERIES_MS,
             "offered": [self.offered[i] for i in range(intervals)],
             "good": [self.good[i] for i in range(intervals)],
+            "good_by_start": [self.good_by_start[i] for i in range(intervals)],
+            "objective_by_start": [
+                self.objective_by_start[i] for i in range(intervals)
+            ],
             "refused": [self.refused[i] for i in range(intervals)],
         }
