Hand host lists over in their own message, and drop their packed form

The list of hosts travels as HostsReply between peers; the form packed into DocumentReply had no user left. The tests that covered it moved to test_host_exchange and test_wire.

--- a/packages/sassafraswinch-node/tests/test_wire.py
+++ b/packages/sassafraswinch-node/tests/test_wire.py
@@ -1,10 +1,13 @@
 """Every message survives the wire, and nothing else is taken for one."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings, strategies as st
 from hypothesis.strategies import SearchStrategy
 
 from sassafraswinch import messages
+from sassafraswinch.hosts import HostRecord, HostState
 from sassafraswinch.messages import Call, Cancel, Message, Rank
 from sassafraswinch_node import wire
 from sassafraswinch_node.link_protocol import ttypes
@@ -111,6 +114,27 @@
             wire.decode(payload[:length])
 
 
+def test_broken_host_list_is_refused():
+    """A peer's list arrives cut off, or with a host that lacks its address."""
+    record = HostRecord(
+        name="vydej-1",
+        service="vydej",
+        availability_zone="brno-a",
+        state=HostState.LIVE,
+        link="127.0.0.1:1",
+        entry="127.0.0.1:2",
+        operators="127.0.0.1:3",
+    )
+    payload = wire.encode(messages.HostsReply(hosts=(record,)))
+    for length in range(len(payload)):
+        with pytest.raises(wire.WireError):
+            wire.decode(payload[:length])
+    with pytest.raises(wire.WireError):
+        wire.decode(
+            wire.encode(messages.HostsReply(hosts=(replace(record, link=None),)))
+        )
+
+
 def test_bytes_after_the_message_are_refused():
     with pytest.raises(wire.WireError, match="after"):
         wire.decode(wire.encode(call()) + b"\x00")
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_hosts.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_hosts.py
@@ -3,13 +3,17 @@
 import asyncio
 import itertools
 import time
-import zlib
 from collections.abc import Iterator
 
+from pydantic import TypeAdapter
+
+from sassafraswinch.hosts import HostRecord
 from sassafraswinch.link_plan import LinkPlan
 from sassafraswinch.membership import Membership
+from sassafraswinch.messages import HostsReply
 from sassafraswinch.node import Node
-from sassafraswinch.transfer import pack_hosts
+from sassafraswinch.records import serialize_record
+from sassafraswinch_node.wire import encode
 from sassafraswinch_standins.slopes_node import SERVICES, host_records, make_node
 from sassafraswinch_standins.slopes_timing import (
     Figure,
@@ -19,6 +23,8 @@
     line_through,
 )
 
+_HOST_LIST = TypeAdapter(tuple[HostRecord, ...])
+
 HOST_COUNTS = (17, 140, 560)
 TICKS_PER_S = 40
 TRUE_TRIAL_S = 2.0
@@ -64,9 +70,9 @@
         lambda: membership.replace(records, next(versions), 0.0), count=50
     )
     yield Figure(name="host list taken", value=cost_us, unit="us")
-    packed = len(pack_hosts(records))
-    yield Figure(name="host list, packed", value=packed / 1_000, unit="kB")
-    plain = len(zlib.decompress(pack_hosts(records)))
+    told = len(encode(HostsReply(hosts=tuple(records)), sent_ms=0))
+    yield Figure(name="host list from a peer", value=told / 1_000, unit="kB")
+    plain = len(serialize_record(_HOST_LIST, tuple(records)))
     yield Figure(name="host list", value=plain / 1_000, unit="kB")
     cost_us = best_cpu_us(lambda: _choose_cold(membership), count=50)
     yield Figure(name="candidates of a service, anew", value=cost_us, unit="us")
--- a/packages/sassafraswinch/sassafraswinch/configuration.py
+++ b/packages/sassafraswinch/sassafraswinch/configuration.py
@@ -1,6 +1,5 @@
 """The exchange of documents with peers, around the keeper of the one in force."""
 
-import contextlib
 from collections.abc import Callable, Iterable
 
 from sassafraswinch.document import Document
@@ -16,7 +15,6 @@
 )
 from sassafraswinch.offers import Candidate, Offered, Source
 from sassafraswinch.ports import LinkPort
-from sassafraswinch.transfer import HOST_LIST, UnpackError, pack_hosts, unpack_hosts
 from sassafraswinch.version_claims import Fetch
 from sassafraswinch.versions import ConfigKeeper
 
@@ -63,14 +61,8 @@
         return offered
 
     def greeted(self, hello: Hello, now_ms: float) -> None:
-        """Take in the version that a peer names in its greeting.
-
-        A node that restarts while its zone is cut off from the platform knows
-        no hosts; the peer that dials it hands over its list.
-        """
+        """Take in the version that a peer names in its greeting."""
         self._hear(hello.node, hello.document_version, hello.document_digest, now_ms)
-        if len(self.membership.records()) <= 1:
-            self._send(hello.node.host, DocumentRequest(version=HOST_LIST))
 
     def heard(self, peer: NodeId, heartbeat: Heartbeat, now_ms: float) -> None:
         """Take in the version that a peer holds."""
@@ -88,19 +80,11 @@
         self._apply(now_ms)
 
     def requested(self, peer: NodeId, request: DocumentRequest, now_ms: float) -> None:
-        """Send a peer the document, or the host list, that it asks for."""
-        if request.version == HOST_LIST:
-            hosts = pack_hosts(self.membership.records())
-            self._send(peer.host, DocumentReply(version=HOST_LIST, body=hosts))
-            return
+        """Send a peer the document that it asks for."""
         self._send(peer.host, self.keeper.answer(request, now_ms))
 
     def replied(self, peer: NodeId, reply: DocumentReply, now_ms: float) -> None:
-        """Take in a document, or a host list, that a peer sent."""
-        if reply.version == HOST_LIST:
-            with contextlib.suppress(UnpackError):
-                self.membership.learn(unpack_hosts(reply.body), now_ms)
-            return
+        """Take in a document that a peer sent."""
         offered = self.keeper.reply(peer, reply, now_ms)
         if offered is not None:
             self._after_offer(offered, now_ms)
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -195,6 +195,7 @@
         self, node: NodeId, session: int, *, dialled: bool, now_ms: float
     ) -> None:
         """Note a new link, dialled by this node or by ``node``."""
+        self.host_exchange.heard(node, now_ms)
         if dialled:
             self.membership.link_up(
                 node.host, node.incarnation, now_ms, session=session
--- a/packages/sassafraswinch/sassafraswinch/transfer.py
+++ b/packages/sassafraswinch/sassafraswinch/transfer.py
@@ -1,19 +1,9 @@
-"""The packed form of documents and host lists on their way between nodes."""
+"""The packed form of documents on their way between nodes."""
 
 import zlib
-from collections.abc import Iterable
-
-from pydantic import TypeAdapter
 
 from sassafraswinch.document import MAX_DOCUMENT_BYTES
-from sassafraswinch.errors import InvalidFieldsError, SassafraswinchError
-from sassafraswinch.membership import HostRecord
-from sassafraswinch.records import parse_record, serialize_record
-
-HOST_LIST = 0
-"""Version that asks for the host list; documents are numbered from 1."""
-
-_HOSTS = TypeAdapter(tuple[HostRecord, ...])
+from sassafraswinch.errors import SassafraswinchError
 
 
 class UnpackError(SassafraswinchError):
@@ -48,20 +38,3 @@
     if not reader.eof:
         raise UnpackError(reason=f"cut off, or over {MAX_DOCUMENT_BYTES} bytes")
     return body
-
-
-def pack_hosts(records: Iterable[HostRecord]) -> bytes:
-    """Write a host list in compressed JSON."""
-    return zlib.compress(serialize_record(_HOSTS, tuple(records)))
-
-
-def unpack_hosts(packed: bytes) -> tuple[HostRecord, ...]:
-    """Return the host list that ``pack_hosts`` packed.
-
-    Raises:
-        UnpackError: the bytes aren't a packed host list.
-    """
-    try:
-        return parse_record(_HOSTS, unpack_document(packed), source="peer")
-    except InvalidFieldsError as error:
-        raise UnpackError(reason=str(error)) from error
--- a/packages/sassafraswinch/tests/test_host_exchange.py
+++ b/packages/sassafraswinch/tests/test_host_exchange.py
@@ -103,3 +103,29 @@
     ((host, reply),) = links.replies
     assert host == "vydej-2"
     assert reply.hosts == (record(SELF), record("vydej-2"))
+
+
+def test_node_restarted_in_a_cut_off_zone_learns_the_hosts_from_a_peer(
+    exchange, membership, links
+):
+    """A node restarts while its zone is cut off from the platform.
+
+    It knows no host but its own, so its callers and its backend server could reach
+    nobody. A peer that still has its address dials it.
+    """
+    membership.learn([record(SELF)], 0)
+    known = Membership(self_host="vydej-2")
+    known.replace([record(name) for name in (SELF, "vydej-2", "vydej-3")], 7, 0)
+    peer_links = AcceptedLinks()
+    peer = HostExchange(self_host="vydej-2", membership=known, links=peer_links)
+
+    exchange.heard(NodeId("vydej-2", 1), 1)
+    assert links.replies == [("vydej-2", HostsRequest(list_version=0))]
+    peer.requested(NodeId(SELF, 2))
+    ((_, reply),) = peer_links.replies
+    exchange.replied(NodeId("vydej-2", 1), reply, 3)
+    names = {found.name for found in membership.peers(4)}
+    assert names == {"vydej-2", "vydej-3"}
+    exchange.heard(NodeId("vydej-2", 1), 5)
+    assert len(links.replies) == 1
+    assert membership.list_version == 0
