--- a/packages/sassafraswinch-node/sassafraswinch_node/frames.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/frames.py
@@ -45,9 +45,9 @@
         self._bound_bytes = MAX_HELLO_BYTES
         self._pending = bytearray()
 
-    def accept_long(self) -> None:
-        """Allow frames up to ``MAX_FRAME_BYTES``: the peer has said hello."""
-        self._bound_bytes = MAX_FRAME_BYTES
+    def accept_long(self, bound_bytes: int = MAX_FRAME_BYTES) -> None:
+        """Allow frames up to a bound: the peer has said hello."""
+        self._bound_bytes = bound_bytes
 
     def feed(self, data: bytes) -> None:
         """Add what was read."""
--- a/packages/sassafraswinch-node/sassafraswinch_node/wire.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/wire.py
@@ -76,7 +76,7 @@
         WireError: the payload isn't exactly one message of this protocol.
     """
     frame = ttypes.Frame()
-    reader = _Reader(payload)
+    reader = FrameReader(payload)
     try:
         fastbinary.decode_compact(frame, reader, _FRAME_SPEC)
         frame.validate()
@@ -107,7 +107,7 @@
 _FRAME_SPEC = [ttypes.Frame, ttypes.Frame.thrift_spec]
 
 
-class _Reader:
+class FrameReader:
     """What thrift's accelerated reader asks of a protocol object.
 
     A whole ``TCompactProtocolAccelerated`` for each message costs 2 us more.
@@ -122,6 +122,7 @@
         self.trans = TMemoryBuffer(payload)
 
     def check_end(self, payload: bytes) -> None:
+        """Raise ``ValueError`` if the message didn't take the whole payload."""
         if self.trans.cstringio_buf.tell() != len(payload):
             raise ValueError("bytes after the message")
 
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -0,0 +1,137 @@
+/**
+ * Messages between sidecars. One frame on a link is a 4-byte length, most
+ * significant byte first, and one Frame in thrift's compact protocol.
+ * docs/SIDECAR.md tells their order and meaning.
+ */
+namespace py relay_protocol
+
+enum Verdict {
+  NOT_RUN = 1
+  ANSWERED = 2
+  MAY_HAVE_RUN = 3
+}
+
+/** What a sidecar says of the backend server beside it. */
+struct ServerLoad {
+  1: required i32 in_flight
+  2: required i32 queued
+  /** Calls that it lets onto its backend server at once; 0 while that is down. */
+  3: required i32 limit
+  /** Wait that a new call would meet. */
+  4: required i32 queue_delay_ms
+}
+
+/** First message each way. */
+struct Hello {
+  1: required i32 protocol_version
+  /** Address at which the sender's sidecar accepts links: IP number. */
+  2: required string ip
+  3: required i64 incarnation
+}
+
+/** Run this request once on the backend server beside you. */
+struct RelayRequest {
+  1: required i64 call_id
+  2: required string instance_id
+  3: required string service_name
+  4: required string request_id
+  5: required string method
+  6: required binary target
+  /** Header lines as they go to the backend server, each with its line end. */
+  7: required binary headers
+  8: required binary body
+  /** Time in which an answer is of use. */
+  9: required i32 remaining_ms
+  /** Longest wait for a slot. */
+  10: required i32 max_wait_ms
+  /** Priority of the root request; 0 is the most important. */
+  11: required i32 priority
+  /** Place of the root request within its priority, from 0 to 1000. */
+  12: required i32 level
+  /** Whether the request is a call made by a running request. */
+  13: required bool inner
+  14: required bool idempotent
+  /** Whether it, or a request above it, was sent before. */
+  15: required bool repeated
+}
+
+/** Slot time that a request and the calls below it took at one service. */
+struct SlotTime {
+  1: required string service_name
+  2: required double slot_ms
+}
+
+/** The end of a RelayRequest. */
+struct RelayResponse {
+  1: required i64 call_id
+  2: required Verdict verdict
+  3: required i32 status
+  /** Header lines of the backend server, each with its line end. */
+  4: required binary headers
+  5: required binary body
+  /** Why there is no answer; empty with ANSWERED. */
+  6: required string reason
+  /** Whether anything was written to the backend server. */
+  7: required bool offered
+  8: required list<SlotTime> slot_times
+  9: required ServerLoad load
+  10: required i32 retry_after_ms
+}
+
+/** Nobody waits for the answer any more. */
+struct RelayCancel {
+  1: required i64 call_id
+}
+
+/** Slots that the requests arriving at one entry would take at a service. */
+struct ServiceDemand {
+  1: required string service_name
+  /** By priority, the most important first. */
+  2: required list<double> slots
+}
+
+struct Heartbeat {
+  1: required i64 sequence
+  /** Revision of the platform's data up to which the sender knows all changes. */
+  2: required i64 revision
+  3: required list<ServiceDemand> demand
+}
+
+struct HeartbeatReply {
+  1: required i64 sequence
+  2: required i64 revision
+  3: required ServerLoad load
+  4: required bool leaving
+}
+
+/** Asks for the platform's data that changed after a revision. */
+struct ReplicaRequest {
+  1: required i64 after_revision
+}
+
+struct ReplicaEntry {
+  1: required string key
+  2: required i64 revision
+  /** Missing where the key was removed. */
+  3: optional binary value
+}
+
+struct ReplicaReply {
+  /** All changes up to this revision are in the entries or known to the asker. */
+  1: required i64 revision
+  /** Whether keys that the entries don't name are gone. */
+  2: required bool whole
+  3: required list<ReplicaEntry> entries
+}
+
+/** Exactly one field is set. */
+struct Frame {
+  1: optional RelayRequest request
+  2: optional RelayResponse response
+  3: optional RelayCancel cancel
+  4: optional Heartbeat heartbeat
+  5: optional HeartbeatReply heartbeat_reply
+  6: optional ReplicaRequest replica_request
+  7: optional ReplicaReply replica_reply
+  8: optional Hello hello
+}
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Sidecars: relays of HTTP between backend servers, under overload control."""
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -0,0 +1,193 @@
+"""Which root requests are refused at their entry, before any work is done for them.
+
+A root request leads to a tree of calls, and a refusal deep in it wastes the tree. So
+the entry works out what the tree takes at each service, and admits as many root
+requests, the most important first, as the fullest service can carry to the end. All
+entries see the same demand and capacity and so refuse the same part of the requests.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+LEVELS = 1_000
+"""Places within one priority; a request draws one at random."""
+
+TARGET_SHARE = 0.92
+"""Part of a service's slots that admitted requests may take. Arrivals are uneven:
+the rest keeps the queue short."""
+
+LEARN_GAIN = 0.04
+"""Weight of one answer in the slot time of a route: the last 25."""
+
+RATE_GAIN = 0.3
+"""Weight of one interval in the arrival rates: with 250 ms, about a second."""
+
+INTERVAL_MS = 250.0
+"""Time between two decisions; heartbeats tell demand a little less often."""
+
+DEMAND_LIFE_MS = 2_500.0
+"""Age at which a peer's demand no longer counts: several heartbeats."""
+
+MIN_SLOTS = 0.002
+"""Slot seconds of a route at a service below which it doesn't need the service."""
+
+FULL_SHARE, FREE_SHARE = 0.98, 0.88
+"""Measured use of the slots above which admission tightens, and below which it
+relaxes: demand that no entry knows, such as that of running trees."""
+
+TRIM_STEP = 0.03
+MIN_TRIM, MAX_TRIM = 0.6, 1.25
+"""Step of the correction in an interval, and its bounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """Slots of a service that can be reached, and how many are in use."""
+
+    slots: float
+    used: float
+
+
+@dataclass(slots=True)
+class _RouteDemand:
+    priority: int
+    offered: int = 0
+    rate_per_s: float = 0.0
+    slot_s: dict[str, float] = field(default_factory=dict)
+
+
+class EntryAdmission:
+    """Learns what routes need, and refuses what can't be carried to the end."""
+
+    def __init__(self):
+        self._routes: dict[str, _RouteDemand] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, list[float]]]] = {}
+        self._places: dict[str, float] = {}
+        self._trims: dict[str, float] = {}
+        self._decided_at_ms: float | None = None
+
+    @property
+    def places(self) -> Mapping[str, float]:
+        """For each service under pressure, the place up to which it admits."""
+        return self._places
+
+    def offered(self, route: str, priority: int) -> None:
+        """Count a root request that arrived."""
+        demand = self._routes.get(route)
+        if demand is None:
+            demand = self._routes[route] = _RouteDemand(priority)
+        demand.priority = priority
+        demand.offered += 1
+
+    def learn(self, route: str, slot_ms: Mapping[str, float]) -> None:
+        """Take in the slot time that one answered request took, by service."""
+        demand = self._routes.get(route)
+        if demand is None:
+            return
+        known = demand.slot_s
+        for service in known.keys() | slot_ms.keys():
+            taken_s = slot_ms.get(service, 0.0) / 1000
+            before_s = known.get(service)
+            if before_s is None:
+                known[service] = taken_s
+            else:
+                known[service] = before_s + LEARN_GAIN * (taken_s - before_s)
+
+    def blocking(self, route: str, priority: int, level: int) -> str | None:
+        """Return a service that can't carry the request, None if it may go on."""
+        if not self._places:
+            return None
+        demand = self._routes.get(route)
+        if demand is None:
+            return None
+        place = priority + level / LEVELS
+        for service, open_place in self._places.items():
+            if place >= open_place and demand.slot_s.get(service, 0.0) > MIN_SLOTS:
+                return service
+        return None
+
+    def demand(self) -> dict[str, list[float]]:
+        """Return the slots that this entry's arrivals need, by service, priority."""
+        total: dict[str, list[float]] = {}
+        for route in self._routes.values():
+            for service, slot_s in route.slot_s.items():
+                if slot_s < MIN_SLOTS or route.rate_per_s < 0.01:
+                    continue
+                slots = total.setdefault(service, [])
+                slots += [0.0] * (route.priority + 1 - len(slots))
+                slots[route.priority] += slot_s * route.rate_per_s
+        return total
+
+    def heard(
+        self, peer: str, demand: Mapping[str, list[float]], now_ms: float
+    ) -> None:
+        """Take in what another entry's arrivals need."""
+        self._peers[peer] = (now_ms, demand)
+
+    def due(self, now_ms: float) -> bool:
+        """Return whether an interval has ended."""
+        if self._decided_at_ms is None:
+            self._decided_at_ms = now_ms
+        return now_ms - self._decided_at_ms >= INTERVAL_MS
+
+    def decide(self, capacities: Mapping[str, Capacity], now_ms: float) -> None:
+        """End an interval: set the place up to which each service admits."""
+        self._measure(now_ms)
+        self._peers = {
+            peer: told
+            for peer, told in self._peers.items()
+            if now_ms - told[0] < DEMAND_LIFE_MS
+        }
+        wanted = _summed([self.demand(), *(told[1] for told in self._peers.values())])
+        places = {}
+        for service, by_priority in wanted.items():
+            capacity = capacities.get(service)
+            if capacity is None or not capacity.slots:
+                continue
+            room = capacity.slots * TARGET_SHARE * self._trim(service, capacity)
+            place = _fitting(by_priority, room)
+            if place is not None:
+                places[service] = place
+        self._places = places
+
+    def _measure(self, now_ms: float) -> None:
+        seconds = max(now_ms - (self._decided_at_ms or 0.0), 1.0) / 1000
+        self._decided_at_ms = now_ms
+        for name, route in list(self._routes.items()):
+            rate_per_s = route.offered / seconds
+            route.offered = 0
+            route.rate_per_s += RATE_GAIN * (rate_per_s - route.rate_per_s)
+            if route.rate_per_s < 1e-4:
+                del self._routes[name]
+
+    def _trim(self, service: str, capacity: Capacity) -> float:
+        trim = self._trims.get(service, 1.0)
+        use = capacity.used / capacity.slots
+        if use > FULL_SHARE:
+            trim -= TRIM_STEP
+        elif use < FREE_SHARE:
+            trim += TRIM_STEP if service in self._places else 0.0
+        if service not in self._places and use <= FULL_SHARE:
+            trim += TRIM_STEP if trim < 1.0 else -TRIM_STEP if trim > 1.0 else 0.0
+        trim = self._trims[service] = min(max(trim, MIN_TRIM), MAX_TRIM)
+        return trim
+
+
+def _summed(demands: Iterable[Mapping[str, list[float]]]) -> dict[str, list[float]]:
+    total: dict[str, list[float]] = {}
+    for demand in demands:
+        for service, slots in demand.items():
+            known = total.setdefault(service, [])
+            known += [0.0] * (len(slots) - len(known))
+            for priority, amount in enumerate(slots):
+                known[priority] += amount
+    return total
+
+
+def _fitting(by_priority: list[float], room: float) -> float | None:
+    """Return the place up to which the demand fits; None if all of it does."""
+    for priority, slots in enumerate(by_priority):
+        if slots > room:
+            return priority + room / slots
+        room -= slots
+    return None
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -0,0 +1,389 @@
+"""Runs requests at the backend server beside this sidecar."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.http_client import (
+    Exchange,
+    Fault,
+    HttpClient,
+    HttpResponse,
+)
+from sassafraswinch_sidecar.http_fields import (
+    HOP_BY_HOP,
+    named_by_connection,
+    serialize_fields,
+)
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    RelayRequest,
+    RelayResponse,
+    ServerLoad,
+    SlotTime,
+    Verdict,
+)
+from sassafraswinch_sidecar.server_queue import SLOT_SHARE, ServerQueue, Ticket
+
+Reply = Callable[[RelayResponse], None]
+
+TICK_S = 0.02
+"""Grain of the longest waits, which are tens of milliseconds and more."""
+
+OVERTIME_MS = 150.0
+"""Time past its limit after which a server's answer is no longer waited for. It
+stops at the limit by itself, and its answer to that is the truer one."""
+
+PROBE_S = 0.4
+"""Pause between attempts to connect to a backend server that is down."""
+
+SILENT_MS = 1_500.0
+"""Time without any answer, while requests run, from which a server may be dead; at
+least so many times the mean of ``SILENT_HOLDS``."""
+
+SILENT_HOLDS = 8.0
+
+UNKNOWN_SLOTS = 16
+"""Slots assumed before the platform has told them."""
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """A request that waits for the backend server or runs there."""
+
+    request: RelayRequest
+    reply: Reply
+    owner: object
+    deadline_ms: float
+    ticket: Ticket | None = None
+    exchange: Exchange | None = None
+    timer: asyncio.TimerHandle | None = None
+    offered: bool = False
+    ended: bool = False
+    slot_ms: dict[str, float] = field(default_factory=dict)
+
+
+class Executor:
+    """The queue before one backend server, and the requests that run there.
+
+    Args:
+        service: the server's service.
+        client: connections to the server.
+        names: header fields of the deployment.
+        is_leaving: tells whether an instance must get no new work.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        client: HttpClient,
+        names: HeaderNames,
+        is_leaving: Callable[[str], bool],
+    ):
+        self.queue = ServerQueue(limit=int(UNKNOWN_SLOTS * SLOT_SHARE))
+        self.running: dict[str, Execution] = {}
+        self.leaving = False
+        self.up = True
+        self._service = service
+        self._client = client
+        self._names = names
+        self._is_leaving = is_leaving
+        self._loop = asyncio.get_running_loop()
+        self._executions: dict[tuple[object, int], Execution] = {}
+        self._answered_ms = 0.0
+        self._ticking: asyncio.TimerHandle | None = None
+        self._probing: asyncio.Task | None = None
+
+    def set_slots(self, slots: int) -> None:
+        """Take the number of requests that the server runs at once."""
+        self.queue.limit = max(1, int(slots * SLOT_SHARE))
+
+    def load(self) -> ServerLoad:
+        """Return what peers are told of the server."""
+        queue = self.queue
+        return ServerLoad(
+            in_flight=queue.running,
+            queued=queue.queued,
+            limit=queue.limit if self.up else 0,
+            queue_delay_ms=int(queue.delay_ms()),
+        )
+
+    def submit(self, request: RelayRequest, reply: Reply, owner: object) -> None:
+        """Take a request; ``reply`` is called once unless it is cancelled.
+
+        Args:
+            request: the request; its time counts from now.
+            reply: gets its end.
+            owner: with the call's number, names it for ``cancel``.
+        """
+        now_ms = self._loop.time() * 1000
+        execution = Execution(
+            request=request,
+            reply=reply,
+            owner=owner,
+            deadline_ms=now_ms + request.remaining_ms,
+        )
+        refusal = self._refusal(request)
+        if refusal:
+            self._end_unrun(execution, refusal)
+            return
+        execution.ticket = Ticket(
+            execution,
+            request.inner,
+            request.priority,
+            now_ms + min(request.max_wait_ms, request.remaining_ms),
+        )
+        if not self.queue.offer(execution.ticket, now_ms):
+            self._end_unrun(execution, "overloaded")
+            return
+        self._executions[owner, request.call_id] = execution
+        self._start(now_ms)
+        if self.queue.queued and self._ticking is None:
+            self._ticking = self._loop.call_later(TICK_S, self._tick)
+
+    def cancel(self, owner: object, call_id: int) -> None:
+        """Nobody waits for a request any more.
+
+        One that must not run twice and has started is left to its end: breaking it
+        off would leave its effect half done.
+        """
+        execution = self._executions.get((owner, call_id))
+        if execution is None:
+            return
+        if self.queue.withdraw(execution.ticket):
+            self._forget(execution)
+        elif execution.request.idempotent:
+            self._break_off(execution)
+
+    def owner_lost(self, owner: object) -> None:
+        """Cancel all requests of an owner that can't be told their ends."""
+        for key_owner, call_id in list(self._executions):
+            if key_owner is owner:
+                self.cancel(owner, call_id)
+
+    def leave(self) -> None:
+        """Refuse what waits and all that comes; what runs may finish."""
+        self.leaving = True
+        for ticket in self.queue.drain():
+            self._end_unrun(ticket.item, "leaving")
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that wait or run."""
+        return len(self._executions)
+
+    def close(self) -> None:
+        """Stop probing and close idle connections."""
+        if self._probing is not None:
+            self._probing.cancel()
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._client.close()
+
+    def _refusal(self, request: RelayRequest) -> str:
+        if self.leaving:
+            return "leaving"
+        if request.service_name != self._service:
+            return "other-service"
+        if self._is_leaving(request.instance_id):
+            return "instance-leaving"
+        if not self.up:
+            return "server-down"
+        if request.remaining_ms <= 0:
+            return "deadline"
+        return ""
+
+    def _start(self, now_ms: float) -> None:
+        for ticket in self.queue.startable(now_ms):
+            self._run(ticket.item, now_ms)
+
+    def _run(self, execution: Execution, now_ms: float) -> None:
+        request = execution.request
+        left_ms = execution.deadline_ms - now_ms
+        names = self._names
+        payload = b"".join(
+            (
+                request.method.encode(),
+                b" ",
+                request.target,
+                b" HTTP/1.1\r\n",
+                request.headers,
+                b"%b: %d\r\n" % (names.time_left_ms, max(int(left_ms), 1)),
+                b"%b: %b\r\n" % (names.expected_instance, request.instance_id.encode()),
+                b"Content-Length: %d\r\n" % len(request.body) if request.body else b"",
+                b"\r\n",
+                request.body,
+            )
+        )
+        request_id = request.request_id.encode()
+        id_name = names.request_id.lower()
+
+        def is_own(response: HttpResponse) -> bool:
+            return any(
+                value == request_id
+                for name, value in response.fields
+                if name.lower() == id_name
+            )
+
+        if not self.queue.running - 1:
+            self._answered_ms = now_ms
+        execution.exchange = Exchange(
+            payload, request.method.encode(), is_own, self._exchange_done, execution
+        )
+        execution.timer = self._loop.call_later(
+            (left_ms + OVERTIME_MS) / 1000, self._overtime, execution
+        )
+        self.running[request.request_id] = execution
+        self._client.send(execution.exchange, fresh=not request.idempotent)
+
+    def _exchange_done(self, exchange: Exchange, end: HttpResponse | Fault) -> None:
+        execution = exchange.item
+        now_ms = self._loop.time() * 1000
+        if isinstance(end, HttpResponse):
+            self._answered_ms = now_ms
+            self._answered(execution, end)
+        elif end is Fault.UNREACHABLE:
+            self._went_down()
+            self._end(execution, Verdict.NOT_RUN, "server-down")
+        else:
+            execution.offered = True
+            self._end(execution, Verdict.MAY_HAVE_RUN, f"server-{end.value}")
+
+    def _answered(self, execution: Execution, response: HttpResponse) -> None:
+        names = self._names
+        execution.offered = True
+        lowered = {name.lower(): value for name, value in response.fields}
+        if names.not_executed.lower() in lowered or response.status == 421:
+            reason = "other-instance" if response.status == 421 else "server-shed"
+            self._end(execution, Verdict.NOT_RUN, reason)
+            return
+        encoded = b"content-encoding" in lowered
+        signed = names.signature.lower() in lowered
+        if encoded or (response.status < 300 and not signed):
+            self._end(execution, Verdict.MAY_HAVE_RUN, "server-garbled")
+            return
+        dropped = HOP_BY_HOP | named_by_connection(response.fields)
+        lines = serialize_fields(
+            found for found in response.fields if found[0].lower() not in dropped
+        )
+        self._end(
+            execution,
+            Verdict.ANSWERED,
+            "",
+            status=response.status,
+            headers=lines,
+            body=response.body,
+        )
+
+    def _overtime(self, execution: Execution) -> None:
+        if execution.ended:
+            return
+        self._client.cancel(execution.exchange)
+        execution.offered = True
+        self._end(execution, Verdict.MAY_HAVE_RUN, "deadline")
+        self._check_silence()
+
+    def _break_off(self, execution: Execution) -> None:
+        if execution.ended:
+            return
+        self._client.cancel(execution.exchange)
+        self._release(execution)
+        self._forget(execution)
+        self._start(self._loop.time() * 1000)
+
+    def _end_unrun(self, execution: Execution, reason: str) -> None:
+        self._end(execution, Verdict.NOT_RUN, reason)
+
+    def _end(
+        self,
+        execution: Execution,
+        verdict: int,
+        reason: str,
+        *,
+        status: int = 0,
+        headers: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        self._release(execution)
+        self._forget(execution)
+        request = execution.request
+        if reason:
+            log_event(
+                "execution_ended",
+                level="warning",
+                request_id=request.request_id,
+                instance=request.instance_id,
+                reason=reason,
+                offered=execution.offered,
+                running=self.queue.running,
+                queued=self.queue.queued,
+                limit=self.queue.limit,
+            )
+        self._start(self._loop.time() * 1000)
+        execution.reply(
+            RelayResponse(
+                call_id=request.call_id,
+                verdict=verdict,
+                status=status,
+                headers=headers,
+                body=body,
+                reason=reason,
+                offered=execution.offered,
+                slot_times=[
+                    SlotTime(service, taken_ms)
+                    for service, taken_ms in execution.slot_ms.items()
+                ],
+                load=self.load(),
+                retry_after_ms=0,
+            )
+        )
+
+    def _release(self, execution: Execution) -> None:
+        ticket = execution.ticket
+        if ticket is None or ticket.started_at_ms is None or execution.ended:
+            return
+        held_ms = self.queue.finished(ticket, self._loop.time() * 1000)
+        taken_ms = execution.slot_ms
+        taken_ms[self._service] = taken_ms.get(self._service, 0.0) + held_ms
+
+    def _forget(self, execution: Execution) -> None:
+        execution.ended = True
+        if execution.timer is not None:
+            execution.timer.cancel()
+        request = execution.request
+        self._executions.pop((execution.owner, request.call_id), None)
+        if self.running.get(request.request_id) is execution:
+            del self.running[request.request_id]
+
+    def _tick(self) -> None:
+        self._ticking = None
+        now_ms = self._loop.time() * 1000
+        for ticket in self.queue.expired(now_ms):
+            self._end_unrun(ticket.item, "queue-timeout")
+        if self.queue.queued:
+            self._ticking = self._loop.call_later(TICK_S, self._tick)
+
+    def _check_silence(self) -> None:
+        now_ms = self._loop.time() * 1000
+        patience_ms = max(SILENT_MS, SILENT_HOLDS * self.queue.hold_ms)
+        if now_ms - self._answered_ms > patience_ms:
+            self._went_down()
+
+    def _went_down(self) -> None:
+        if not self.up:
+            return
+        self.up = False
+        log_event("backend_down", level="warning", service=self._service)
+        for ticket in self.queue.drain():
+            self._end_unrun(ticket.item, "server-down")
+        self._client.close()
+        self._probing = self._loop.create_task(self._probe())
+
+    async def _probe(self) -> None:
+        while not await self._client.reachable():
+            await asyncio.sleep(PROBE_S)
+        self.up = True
+        self._answered_ms = self._loop.time() * 1000
+        log_event("backend_up", service=self._service)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -0,0 +1,199 @@
+"""The backend servers and routes in force, as a replica tells them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from sassafraswinch.errors import InvalidFieldsError
+from sassafraswinch_sidecar.replica import MAX_REMOVED, Entry, Replica
+from sassafraswinch_sidecar.routes import RouteTable
+
+RETURN_MS = 2_200.0
+"""Time after an outage of the platform in which entries that expired meanwhile come
+back; the platform promises about 2 s."""
+
+EXPIRY_MS = 2_500.0
+"""Shortest outage in which entries expire: they live for several heartbeats."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """One lifetime of a backend server.
+
+    Attributes:
+        id: names this lifetime and no other.
+        service: name of the service.
+        ip: IP number of its host, where a sidecar accepts links.
+        availability_zone: where it runs.
+        slots: requests that it runs at once.
+        leaving: whether it must get no new work.
+        cold_ms: how much longer it was slow when this was written.
+    """
+
+    id: str
+    service: str
+    ip: str
+    availability_zone: str
+    slots: int
+    leaving: bool
+    cold_ms: float
+
+
+class Decoder(Protocol):
+    """Reads the platform's items; the adapter of a platform brings it."""
+
+    def instance_id(self, key: str) -> str | None:
+        """Return the instance that a key describes, if it describes one."""
+
+    def is_route_table(self, key: str) -> bool:
+        """Return whether a key holds the routes."""
+
+    def parse_instance(self, instance_id: str, value: bytes) -> Instance:
+        """Read an instance.
+
+        Raises:
+            InvalidFieldsError: names each wrong field.
+        """
+
+    def parse_route_table(self, value: bytes) -> RouteTable:
+        """Read the routes.
+
+        Raises:
+            InvalidFieldsError: names each wrong field.
+        """
+
+
+class Fleet:
+    """What the platform's data means: instances by service, and the route table.
+
+    An item that can't be read changes nothing: what was in force stays, and the
+    fault is reported. The table's version never falls in the lifetime of a process.
+    """
+
+    def __init__(
+        self,
+        *,
+        decoder: Decoder,
+        report: Callable[[InvalidFieldsError], None],
+    ):
+        self.table: RouteTable | None = None
+        self.instances: dict[str, Instance] = {}
+        self._decoder = decoder
+        self._report = report
+        self._by_service: dict[str, list[Instance]] = {}
+        self._known_at_ms: dict[str, float] = {}
+        self._held: dict[str, float] = {}
+        self._removed: dict[str, None] = {}
+        self._away_since_ms: float | None = None
+        self._hold_until_ms = 0.0
+
+    def of_service(self, service: str) -> list[Instance]:
+        """Return the instances of a service that may get work."""
+        return self._by_service.get(service, [])
+
+    def at(self, ip: str) -> list[Instance]:
+        """Return the instances at an address, leaving ones included."""
+        return [found for found in self.instances.values() if found.ip == ip]
+
+    def is_leaving(self, instance_id: str) -> bool:
+        """Return whether an instance must get no new work.
+
+        One that is unknown here may: the sender's copy can be the newer one, and the
+        backend server checks the id itself.
+        """
+        instance = self.instances.get(instance_id)
+        return instance_id in self._removed if instance is None else instance.leaving
+
+    def cold_left_ms(self, instance: Instance, now_ms: float) -> float:
+        """Return how much longer an instance is slow after its start."""
+        known_ms = now_ms - self._known_at_ms.get(instance.id, now_ms)
+        return max(0.0, instance.cold_ms - known_ms)
+
+    def platform_away(self, now_ms: float) -> None:
+        """Note that the platform can't be read."""
+        if self._away_since_ms is None:
+            self._away_since_ms = now_ms
+
+    def platform_back(self, now_ms: float) -> None:
+        """Note that the platform can be read."""
+        if self._was_away_long(now_ms):
+            self._hold_until_ms = now_ms + RETURN_MS
+        self._away_since_ms = None
+
+    def apply(self, entries: Iterable[Entry], now_ms: float) -> None:
+        """Take in changed entries."""
+        for entry in entries:
+            instance_id = self._decoder.instance_id(entry.key)
+            if instance_id is not None:
+                self._apply_instance(instance_id, entry, now_ms)
+            elif self._decoder.is_route_table(entry.key) and entry.value is not None:
+                self._apply_table(entry.value)
+        self._index()
+
+    def tick(self, replica: Replica, now_ms: float) -> None:
+        """Drop held instances whose entries didn't come back."""
+        over = [found for found, until in self._held.items() if now_ms >= until]
+        if not over:
+            return
+        live = {self._decoder.instance_id(entry.key) for entry in replica.live()}
+        for instance_id in over:
+            del self._held[instance_id]
+            if instance_id not in live:
+                self._remove(instance_id)
+        self._index()
+
+    def _apply_instance(self, instance_id: str, entry: Entry, now_ms: float) -> None:
+        if entry.value is None:
+            if self._may_return(instance_id, now_ms):
+                self._held.setdefault(instance_id, now_ms + RETURN_MS)
+            else:
+                self._remove(instance_id)
+            return
+        try:
+            instance = self._decoder.parse_instance(instance_id, entry.value)
+        except InvalidFieldsError as error:
+            self._report(error)
+            return
+        self._held.pop(instance_id, None)
+        self._removed.pop(instance_id, None)
+        if self.instances.get(instance_id) != instance:
+            self._known_at_ms[instance_id] = now_ms
+        self.instances[instance_id] = instance
+
+    def _was_away_long(self, now_ms: float) -> bool:
+        since_ms = self._away_since_ms
+        return since_ms is not None and now_ms - since_ms >= EXPIRY_MS
+
+    def _may_return(self, instance_id: str, now_ms: float) -> bool:
+        """Return whether a removal may only be an expiry during an outage.
+
+        Failure: entries that expired while the platform was away are removed at its
+        return, and every request is refused until their servers have written again.
+        Held entries of servers that live come back under the same id.
+        """
+        known = self.instances.get(instance_id)
+        if known is None or known.leaving:
+            return False
+        return now_ms < self._hold_until_ms or self._was_away_long(now_ms)
+
+    def _remove(self, instance_id: str) -> None:
+        self.instances.pop(instance_id, None)
+        self._known_at_ms.pop(instance_id, None)
+        self._removed[instance_id] = None
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
+    def _apply_table(self, value: bytes) -> None:
+        try:
+            table = self._decoder.parse_route_table(value)
+        except InvalidFieldsError as error:
+            self._report(error)
+            return
+        if self.table is None or table.version > self.table.version:
+            self.table = table
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for instance in self.instances.values():
+            if not instance.leaving:
+                self._by_service.setdefault(instance.service, []).append(instance)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -0,0 +1,308 @@
+"""The HTTP/1.1 edge towards callers: whole requests in, whole responses out."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import httptools
+
+from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
+from sassafraswinch_sidecar.routes import RequestLimits
+
+SWEEP_S = 0.5
+"""Pause between checks of the connections' timeouts, which are seconds long."""
+
+WRITE_TIMEOUT_MS = 20_000.0
+"""Time after which a caller that reads nothing of its answer is cut off: what is
+held for it counts toward this process's memory."""
+
+MAX_PIPELINED = 8
+"""Requests read ahead on one connection; then it isn't read until one is answered."""
+
+
+@dataclass(slots=True, eq=False)
+class HttpRequest:
+    """A whole request of a caller."""
+
+    method: bytes
+    target: bytes
+    fields: Fields
+    body: bytes
+    keep_alive: bool
+    arrived_ms: float
+
+
+class RequestHandler(Protocol):
+    """Takes the requests of all connections."""
+
+    def handle(self, request: HttpRequest, connection: "CallerConnection") -> None:
+        """Take a request; ``connection.respond`` gives its only answer."""
+
+    def gone(self, request: HttpRequest) -> None:
+        """The caller closed its connection before the answer."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller; its requests are handled one after the other."""
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        limits: Callable[[], RequestLimits],
+        connections: set["CallerConnection"],
+        closing: Callable[[], bool],
+    ):
+        self._handler = handler
+        self._limits = limits
+        self._connections = connections
+        self._closing = closing
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._ready: deque[HttpRequest] = deque()
+        self._current: HttpRequest | None = None
+        self._in_message = False
+        self._ended = False
+        self._begin_ms = self._idle_since_ms = self._loop.time() * 1000
+        self._write_blocked_ms: float | None = None
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._fields: Fields = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Take over the transport (asyncio.Protocol)."""
+        self._transport = transport
+        self._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the handler that nobody waits any more (asyncio.Protocol)."""
+        self._connections.discard(self)
+        self._ended = True
+        self._ready.clear()
+        current, self._current = self._current, None
+        if current is not None:
+            self._handler.gone(current)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was read (asyncio.Protocol)."""
+        if self._ended:
+            return
+        self._header_bytes += 0 if self._body_bytes else len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        else:
+            self._check_header_size()
+        self._next()
+
+    def pause_writing(self) -> None:
+        """Note that the caller reads slowly (asyncio.Protocol)."""
+        self._write_blocked_ms = self._loop.time() * 1000
+
+    def resume_writing(self) -> None:
+        """Note that the caller reads again (asyncio.Protocol)."""
+        self._write_blocked_ms = None
+
+    def on_message_begin(self) -> None:
+        """Begin a request (httptools)."""
+        self._reset_message()
+        self._in_message = True
+        self._begin_ms = self._loop.time() * 1000
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target (httptools)."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field (httptools)."""
+        self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check what the header alone tells (httptools)."""
+        limits = self._limits()
+        for name, value in self._fields:
+            lowered = name.lower()
+            if lowered == b"content-length" and int(value) > limits.max_body_bytes:
+                self._refuse(413)
+            elif lowered == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        size = sum(len(name) + len(value) + 4 for name, value in self._fields)
+        if size > limits.max_header_bytes:
+            self._refuse(431)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (httptools)."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits().max_body_bytes:
+            self._refuse(413)
+        elif not self._ended:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request (httptools)."""
+        self._in_message = False
+        if self._ended:
+            return
+        request = HttpRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            fields=self._fields,
+            body=b"".join(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+            arrived_ms=self._loop.time() * 1000,
+        )
+        self._reset_message()
+        self._ready.append(request)
+        if len(self._ready) > MAX_PIPELINED:
+            self._transport.pause_reading()
+
+    def respond(
+        self,
+        request: HttpRequest,
+        *,
+        status: int,
+        header_lines: bytes,
+        body: bytes = b"",
+    ) -> None:
+        """Write the answer of the request that was handed over last.
+
+        Args:
+            request: the request; an answer to one whose caller has left is dropped.
+            status: status code.
+            header_lines: fields of the answer but for its framing.
+            body: the whole body.
+        """
+        if request is not self._current:
+            return
+        self._current = None
+        keep = request.keep_alive and not self._closing()
+        if has_body(status, request.method):
+            framing = b"Content-Length: %d\r\n" % len(body)
+        else:
+            framing, body = b"", b""
+        if not keep:
+            framing += b"Connection: close\r\n"
+        self._transport.write(
+            b"".join((status_line(status), header_lines, framing, b"\r\n", body))
+        )
+        self._idle_since_ms = self._loop.time() * 1000
+        if not keep:
+            self._end()
+        elif self._ready:
+            self._loop.call_soon(self._next)
+
+    def sweep(self, now_ms: float) -> None:
+        """Close the connection where the caller has let a timeout pass."""
+        limits = self._limits()
+        if self._write_blocked_ms is not None:
+            if now_ms - self._write_blocked_ms > WRITE_TIMEOUT_MS:
+                self._transport.abort()
+        elif self._current is not None:
+            return
+        elif self._in_message:
+            if now_ms - self._begin_ms > limits.header_timeout_ms:
+                self._refuse(408)
+        elif now_ms - self._idle_since_ms > limits.idle_timeout_ms:
+            self._end()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is under way on it."""
+        if self._current is None and not self._ready and not self._in_message:
+            self._end()
+
+    def _next(self) -> None:
+        if self._current is not None or self._ended or not self._ready:
+            return
+        if len(self._ready) > MAX_PIPELINED:
+            self._transport.resume_reading()
+        self._current = self._ready.popleft()
+        self._handler.handle(self._current, self)
+
+    def _check_header_size(self) -> None:
+        limit = self._limits().max_header_bytes
+        if self._in_message and not self._fields and self._header_bytes > 2 * limit:
+            self._refuse(431)
+
+    def _refuse(self, status: int) -> None:
+        if self._ended:
+            return
+        if self._current is None and not self._ready:
+            self._transport.write(
+                status_line(status) + b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+            )
+            self._end()
+        else:
+            # The requests before the broken one still get their answers.
+            self._transport.pause_reading()
+            for request in (self._current, *self._ready):
+                if request is not None:
+                    request.keep_alive = False
+
+    def _end(self) -> None:
+        self._ended = True
+        self._transport.close()
+
+
+class HttpListener:
+    """A listening socket and its connections.
+
+    Args:
+        handler: takes the requests.
+        limits: returns the bounds in force.
+    """
+
+    def __init__(self, *, handler: RequestHandler, limits: Callable[[], RequestLimits]):
+        self.connections: set[CallerConnection] = set()
+        self.closing = False
+        self._handler = handler
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task | None = None
+
+    async def open(self, ip: str, port: int, *, backlog: int = 1024) -> None:
+        """Listen at an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connection, ip, port, backlog=backlog, reuse_address=True
+        )
+        self._sweeper = loop.create_task(self._sweep())
+
+    def drain(self) -> None:
+        """Answer each further request with the close of its connection."""
+        self.closing = True
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    async def close(self) -> None:
+        """Stop listening and drop what is open."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    def _connection(self) -> CallerConnection:
+        return CallerConnection(
+            handler=self._handler,
+            limits=self._limits,
+            connections=self.connections,
+            closing=lambda: self.closing,
+        )
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_ms = loop.time() * 1000
+            for connection in list(self.connections):
+                connection.sweep(now_ms)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -0,0 +1,166 @@
+"""One TCP connection between two sidecars."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+from sassafraswinch_node.frames import FrameSplitter
+from sassafraswinch_node.wire import WireError
+from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
+from sassafraswinch_sidecar.relay_wire import (
+    MAX_FRAME_BYTES,
+    Message,
+    parse_message,
+    serialize_message,
+)
+
+PROTOCOL_VERSION = 1
+
+SUSPECT_MS = 700.0
+"""Silence after an unanswered heartbeat from which a peer gets no new requests: well
+above the delay of a busy event loop, and below what callers wait for."""
+
+DEAD_MS = 1_300.0
+"""Silence after which the link is given up and dialled anew. Connections may go
+silent for good, without a reset, while new ones work."""
+
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+"""Bytes held for a peer that reads slowly; a tenth of a host's memory."""
+
+
+class PeerLink(asyncio.Protocol):
+    """Frames of one connection; writes of one turn of the event loop go together.
+
+    Args:
+        greeting: what this side says first.
+        greeted: called once the peer has said hello.
+        receive: called with each further message.
+        lost: called once when the connection is gone.
+
+    Attributes:
+        peer_ip: address that the peer names in its greeting; empty until then.
+    """
+
+    def __init__(
+        self,
+        *,
+        greeting: Hello,
+        greeted: Callable[["PeerLink"], None],
+        receive: Callable[["PeerLink", Message], None],
+        lost: Callable[["PeerLink"], None],
+    ):
+        self.peer_ip = ""
+        self.incarnation = 0
+        self.fault = ""
+        self._greeting = greeting
+        self._greeted = greeted
+        self._receive = receive
+        self._lost = lost
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._splitter = FrameSplitter()
+        self._unsent: list[bytes] = []
+        self._owed_since_ms: float | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages may be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; False where nothing of it will be written."""
+        if not self.is_open:
+            return False
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            return False
+        if not self._unsent:
+            self._loop.call_soon(self._flush)
+        self._unsent.append(serialize_message(message))
+        return True
+
+    def expect_reply(self) -> None:
+        """Note that a heartbeat was sent."""
+        if self._owed_since_ms is None:
+            self._owed_since_ms = self._now_ms()
+
+    def forgive_silence(self) -> None:
+        """Start the watch for silence anew, after this process stood still."""
+        if self._owed_since_ms is not None:
+            self._owed_since_ms = self._now_ms()
+
+    def silent_ms(self) -> float:
+        """Return how long the peer has owed a sign of life."""
+        if self._owed_since_ms is None:
+            return 0.0
+        return self._now_ms() - self._owed_since_ms
+
+    def replied(self) -> None:
+        """Note the reply to a heartbeat: the peer reads what is sent."""
+        self._owed_since_ms = None
+
+    def abort(self, fault: str = "") -> None:
+        """Close at once and drop what is queued."""
+        self.fault = self.fault or fault
+        self._unsent.clear()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Write what is queued and close."""
+        self._flush()
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Greet the peer (asyncio.Protocol)."""
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            raw.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(DEAD_MS * 2)
+            )
+        self.send(self._greeting)
+
+    def data_received(self, data: bytes) -> None:
+        """Decode and hand over whole messages (asyncio.Protocol)."""
+        self._splitter.feed(data)
+        try:
+            while self.is_open:
+                payload = self._splitter.next_payload()
+                if payload is None:
+                    return
+                message = parse_message(payload)
+                if self.peer_ip:
+                    self._receive(self, message)
+                else:
+                    self._greet(message)
+        except WireError as error:
+            self.abort(error.reason)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection (asyncio.Protocol)."""
+        self.fault = self.fault or (str(exc) if exc else "closed")
+        self._lost(self)
+
+    def _greet(self, message: Message) -> None:
+        if not isinstance(message, Hello):
+            raise WireError(reason="a message before the greeting")
+        if message.protocol_version != PROTOCOL_VERSION:
+            raise WireError(
+                reason=f"protocol version {message.protocol_version}, "
+                f"not {PROTOCOL_VERSION}"
+            )
+        self.peer_ip = message.ip
+        self.incarnation = message.incarnation
+        self._splitter.accept_long(MAX_FRAME_BYTES)
+        self._greeted(self)
+
+    def _flush(self) -> None:
+        if self._unsent and self.is_open:
+            self._transport.write(b"".join(self._unsent))
+        self._unsent.clear()
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -0,0 +1,241 @@
+"""Links to all other sidecars: dialled to those that may run requests."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.peer_link import (
+    DEAD_MS,
+    PROTOCOL_VERSION,
+    SUSPECT_MS,
+    PeerLink,
+)
+from sassafraswinch_sidecar.placement import PeerLoad
+from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
+from sassafraswinch_sidecar.relay_wire import Message
+
+HEARTBEAT_S = 0.4
+"""Pause between heartbeats: three fit before a silent link is given up."""
+
+MAX_HEARTBEATS_PER_S = 64.0
+"""Heartbeats that one sidecar sends in a second. In large fleets the pause grows, so
+that control stays below a hundredth of a core."""
+
+DIAL_TIMEOUT_S = 0.8
+"""Time for a connection: ways take milliseconds, and a host that is cut off never
+answers."""
+
+REDIAL_S = 0.3
+"""Pause before a lost link is dialled again: restarted processes are back soon."""
+
+STALL_MS = 300.0
+"""Delay of the heartbeats from which this process itself stood still."""
+
+
+class LinkListener(Protocol):
+    """What the owner of the links is told."""
+
+    def link_up(self, ip: str) -> None:
+        """A dialled link to a peer is open."""
+
+    def link_lost(self, ip: str) -> None:
+        """A dialled link is gone; what was written may still arrive."""
+
+    def dialled_message(self, ip: str, message: Message) -> None:
+        """A peer answered on a dialled link."""
+
+    def accepted_message(self, link: PeerLink, message: Message) -> None:
+        """A peer asked something on the link that it dialled."""
+
+    def accepted_lost(self, link: PeerLink) -> None:
+        """A link that a peer dialled is gone."""
+
+    def heartbeat(self) -> Message:
+        """Return the heartbeat for all peers."""
+
+
+class Peer:
+    """A host to which a link is kept."""
+
+    def __init__(self):
+        self.link: PeerLink | None = None
+        self.load = PeerLoad()
+        self.dialling: asyncio.Task | None = None
+
+
+class PeerLinks:
+    """Dials, accepts and watches the links of one sidecar."""
+
+    def __init__(
+        self,
+        *,
+        own_ip: str,
+        port: int,
+        incarnation: int,
+        listener: LinkListener,
+    ):
+        self.peers: dict[str, Peer] = {}
+        self.accepted: set[PeerLink] = set()
+        self._own_ip = own_ip
+        self._port = port
+        self._greeting = Hello(
+            protocol_version=PROTOCOL_VERSION, ip=own_ip, incarnation=incarnation
+        )
+        self._listener = listener
+        self._server: asyncio.Server | None = None
+        self._beating: asyncio.Task | None = None
+
+    async def open(self) -> None:
+        """Accept links and begin to send heartbeats."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: self._new_link(self._accepted_greeted, self._accepted_lost),
+            self._own_ip,
+            self._port,
+            reuse_address=True,
+        )
+        self._beating = loop.create_task(self._beat())
+
+    async def close(self) -> None:
+        """Close all links."""
+        if self._beating is not None:
+            self._beating.cancel()
+        if self._server is not None:
+            self._server.close()
+        for peer in self.peers.values():
+            if peer.dialling is not None:
+                peer.dialling.cancel()
+            if peer.link is not None:
+                peer.link.close()
+        for link in list(self.accepted):
+            link.close()
+
+    def keep(self, ips: Iterable[str]) -> None:
+        """Keep links to these hosts, and give up those to others."""
+        wanted = set(ips) - {self._own_ip}
+        for ip in self.peers.keys() - wanted:
+            peer = self.peers.pop(ip)
+            if peer.dialling is not None:
+                peer.dialling.cancel()
+            if peer.link is not None:
+                peer.link.close()
+        for ip in wanted - self.peers.keys():
+            self.peers[ip] = Peer()
+            self._dial(ip, 0.0)
+
+    def load_of(self, ip: str) -> PeerLoad | None:
+        """Return the load of a peer that can be reached; None otherwise."""
+        peer = self.peers.get(ip)
+        if peer is None or peer.link is None or peer.link.silent_ms() > SUSPECT_MS:
+            return None
+        return peer.load
+
+    def send(self, ip: str, message: Message) -> bool:
+        """Write to a peer; False where nothing was written."""
+        peer = self.peers.get(ip)
+        return peer is not None and peer.link is not None and peer.link.send(message)
+
+    def linked(self) -> Iterable[str]:
+        """Return the addresses of peers with an open link."""
+        return (ip for ip, peer in self.peers.items() if peer.link is not None)
+
+    def _new_link(
+        self,
+        greeted: Callable[[PeerLink], None],
+        lost: Callable[[PeerLink], None],
+    ) -> PeerLink:
+        dialled = greeted == self._dialled_greeted
+        return PeerLink(
+            greeting=self._greeting,
+            greeted=greeted,
+            receive=self._dialled_message if dialled else self._accepted_message,
+            lost=lost,
+        )
+
+    def _dial(self, ip: str, delay_s: float) -> None:
+        peer = self.peers.get(ip)
+        if peer is not None and peer.dialling is None:
+            loop = asyncio.get_running_loop()
+            peer.dialling = loop.create_task(self._keep_dialling(ip, peer, delay_s))
+
+    async def _keep_dialling(self, ip: str, peer: Peer, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(delay_s)
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(DIAL_TIMEOUT_S):
+                    await loop.create_connection(
+                        lambda: self._new_link(
+                            self._dialled_greeted, self._dialled_lost
+                        ),
+                        ip,
+                        self._port,
+                    )
+                # The peer's greeting completes the link; without one it is dropped.
+                await asyncio.sleep(DIAL_TIMEOUT_S)
+                if peer.link is not None:
+                    break
+            await asyncio.sleep(REDIAL_S)
+        peer.dialling = None
+
+    def _dialled_greeted(self, link: PeerLink) -> None:
+        peer = self.peers.get(link.peer_ip)
+        if peer is None:
+            link.abort("not wanted any more")
+            return
+        old, peer.link = peer.link, link
+        if old is not None:
+            old.abort("replaced")
+        peer.load = PeerLoad()
+        if peer.dialling is not None:
+            peer.dialling.cancel()
+            peer.dialling = None
+        log_event("link_up", peer=link.peer_ip, incarnation=link.incarnation)
+        self._listener.link_up(link.peer_ip)
+        link.send(self._listener.heartbeat())
+        link.expect_reply()
+
+    def _dialled_lost(self, link: PeerLink) -> None:
+        peer = self.peers.get(link.peer_ip)
+        if peer is None or peer.link is not link:
+            return
+        peer.link = None
+        log_event("link_lost", peer=link.peer_ip, reason=link.fault)
+        self._listener.link_lost(link.peer_ip)
+        self._dial(link.peer_ip, REDIAL_S)
+
+    def _dialled_message(self, link: PeerLink, message: Message) -> None:
+        peer = self.peers.get(link.peer_ip)
+        if peer is not None and peer.link is link:
+            self._listener.dialled_message(link.peer_ip, message)
+
+    def _accepted_greeted(self, link: PeerLink) -> None:
+        self.accepted.add(link)
+
+    def _accepted_message(self, link: PeerLink, message: Message) -> None:
+        self._listener.accepted_message(link, message)
+
+    def _accepted_lost(self, link: PeerLink) -> None:
+        self.accepted.discard(link)
+        self._listener.accepted_lost(link)
+
+    async def _beat(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            pause_s = max(HEARTBEAT_S, len(self.peers) / MAX_HEARTBEATS_PER_S)
+            due_ms = (loop.time() + pause_s) * 1000
+            await asyncio.sleep(pause_s)
+            stalled = loop.time() * 1000 - due_ms > STALL_MS
+            heartbeat = self._listener.heartbeat()
+            for peer in list(self.peers.values()):
+                link = peer.link
+                if link is None:
+                    continue
+                if stalled:
+                    link.forgive_silence()
+                if link.silent_ms() > DEAD_MS:
+                    link.abort("silent")
+                elif link.send(heartbeat):
+                    link.expect_reply()
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -0,0 +1,139 @@
+"""Which instance of a service a request is sent to."""
+
+import random
+from collections.abc import Callable, Container, Iterable
+from dataclasses import dataclass
+
+from sassafraswinch_sidecar.fleet import Instance
+
+OTHER_ZONE_COST = 0.25
+"""Share of the slots by which an instance in another zone must be emptier. The way
+there and back takes 3 ms, and bytes between zones are paid for."""
+
+OTHER_HOST_COST = 0.03
+"""The same for another host in the zone: a link instead of none."""
+
+JITTER = 0.06
+"""Random part of the cost: sidecars that know the same don't all choose the same."""
+
+COLD_COST = 0.4
+"""Added for an instance that has just started and is slow for some seconds."""
+
+FAILING_COST = 1.5
+"""Added for each part of the recent requests that failed: an instance that fails
+half of them comes after full ones."""
+
+SAMPLE = 10
+"""Instances that are compared; the cost of a choice stays flat in large services."""
+
+FAILURE_GAIN = 0.08
+"""Weight of one end of a request in the failing share: the last dozen."""
+
+FAILURE_HALF_LIFE_MS = 3_000.0
+"""Time in which a failing share halves, so that the instance is tried again."""
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """What is known of the backend server beside a peer.
+
+    Attributes:
+        in_flight: requests that it runs.
+        queued: requests that wait for it.
+        limit: requests that are let onto it at once; None before the first report,
+            0 while it is down.
+        queue_delay_ms: wait that a new request would meet.
+        sent_since: requests sent to it since the report.
+        leaving: whether the peer takes no new requests.
+        failing: share of recent requests that failed there.
+    """
+
+    in_flight: int = 0
+    queued: int = 0
+    limit: int | None = None
+    queue_delay_ms: float = 0.0
+    sent_since: int = 0
+    leaving: bool = False
+    failing: float = 0.0
+    failing_at_ms: float = 0.0
+
+    def report(
+        self, *, in_flight: int, queued: int, limit: int, queue_delay_ms: float
+    ) -> None:
+        """Take in what the peer says of its backend server."""
+        self.in_flight = in_flight
+        self.queued = queued
+        self.limit = limit
+        self.queue_delay_ms = queue_delay_ms
+        self.sent_since = 0
+
+    def ended(self, *, failed: bool, now_ms: float) -> None:
+        """Count the end of a request."""
+        known = self.failing_share(now_ms)
+        self.failing = known + FAILURE_GAIN * (float(failed) - known)
+        self.failing_at_ms = now_ms
+
+    def failing_share(self, now_ms: float) -> float:
+        """Return the share of recent requests that failed, fading with time."""
+        if not self.failing:
+            return 0.0
+        age_ms = now_ms - self.failing_at_ms
+        return self.failing * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+
+
+class Placement:
+    """Chooses the emptiest near instance.
+
+    Args:
+        own_ip: address of this host.
+        availability_zone: where this host is.
+        load_of: returns what is known of the server at an address; None if it
+            can't be reached.
+        cold_left_ms: returns how much longer an instance is slow.
+        rng: source of the jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_ip: str,
+        availability_zone: str,
+        load_of: Callable[[str], PeerLoad | None],
+        cold_left_ms: Callable[[Instance, float], float],
+        rng: random.Random,
+    ):
+        self._own_ip = own_ip
+        self._zone = availability_zone
+        self._load_of = load_of
+        self._cold_left_ms = cold_left_ms
+        self._rng = rng
+
+    def choose(
+        self, instances: Iterable[Instance], tried: Container[str], now_ms: float
+    ) -> Instance | None:
+        """Return the instance with the least cost; None if none may be tried."""
+        candidates = [found for found in instances if found.id not in tried]
+        if len(candidates) > SAMPLE:
+            candidates = self._rng.sample(candidates, SAMPLE)
+        best, best_cost = None, float("inf")
+        for instance in candidates:
+            cost = self._cost(instance, now_ms)
+            if cost is not None and cost < best_cost:
+                best, best_cost = instance, cost
+        return best
+
+    def _cost(self, instance: Instance, now_ms: float) -> float | None:
+        load = self._load_of(instance.ip)
+        if load is None or load.leaving or load.limit == 0:
+            return None
+        limit = load.limit or max(instance.slots, 1)
+        cost = (load.in_flight + load.queued + load.sent_since) / limit
+        cost += FAILING_COST * load.failing_share(now_ms)
+        cost += JITTER * self._rng.random()
+        if instance.cold_ms and self._cold_left_ms(instance, now_ms):
+            cost += COLD_COST
+        if instance.availability_zone != self._zone:
+            cost += OTHER_ZONE_COST
+        elif instance.ip != self._own_ip:
+            cost += OTHER_HOST_COST
+        return cost
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -0,0 +1,505 @@
+"""Owns the requests that arrive at this host, from their arrival to their answer."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.entry_admission import LEVELS, EntryAdmission
+from sassafraswinch_sidecar.executor import Execution, Executor
+from sassafraswinch_sidecar.fleet import Fleet, Instance
+from sassafraswinch_sidecar.http_fields import (
+    HOP_BY_HOP,
+    named_by_connection,
+    serialize_fields,
+)
+from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.peer_links import PeerLinks
+from sassafraswinch_sidecar.placement import PeerLoad, Placement
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    RelayCancel,
+    RelayRequest,
+    RelayResponse,
+    Verdict,
+)
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.routes import Route, ShareChooser
+from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
+
+ROOT_WAIT_SHARE = 0.12
+"""Part of the target latency that a root request waits for a slot: after that it is
+better off elsewhere, or told to come back while there is time."""
+
+INNER_WAIT_SHARE = 0.4
+"""Part of its time that a call of a running request waits for a slot. Refusing it
+would waste what its root request has taken so far."""
+
+MAX_PLACES = 4
+"""Instances that are asked for one request; refusals by their sidecars before the
+backend server are free, but each takes a way there and back."""
+
+MIN_RETRY_LEFT_MS = 40.0
+"""Time that must be left for one more try: a way across and a short run."""
+
+FINAL_MARGIN_MS = 250.0
+"""Time past its limit until which the answer of the executing sidecar is awaited: it
+tells whether the request has run. Routes allow half a second."""
+
+RETRY_AFTER_SHARES = (0.15, 0.5)
+"""Parts of the target latency between which refused callers are told to come back:
+soon enough for an answer of full worth, and spread so that they don't come at once."""
+
+MIN_RETRY_AFTER_MS = 50.0
+
+UNREADY_RETRY_MS = 500.0
+"""Wait told while no routes are known: reading them takes less than a second."""
+
+NOT_OFFERED_STATUS = 503
+MAY_HAVE_RUN_STATUS = 502
+TIMEOUT_STATUS = 504
+
+
+@dataclass(slots=True, eq=False)
+class Relay:
+    """A request that this sidecar owns."""
+
+    http: HttpRequest
+    connection: CallerConnection
+    route: Route
+    service: str
+    request_id: str
+    header_lines: bytes
+    deadline_ms: float
+    priority: int
+    level: int
+    parent: Execution | None
+    repeated: bool
+    timer: asyncio.TimerHandle | None = None
+    call_id: int = 0
+    ip: str = ""
+    instance_id: str = ""
+    tried: set[str] = field(default_factory=set)
+    offers: int = 0
+    places: int = 0
+    may_have_run: bool = False
+    last_answer: RelayResponse | None = None
+    ended: bool = False
+    slot_ms: dict[str, float] = field(default_factory=dict)
+
+
+class RelayOwner:
+    """Takes callers' requests, places them, and gives each its one answer.
+
+    A request that must not run twice is sent again only after a proof that it hasn't
+    run; others within the repeat budget.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_ip: str,
+        service: str,
+        names: HeaderNames,
+        fleet: Fleet,
+        links: PeerLinks,
+        executor: Executor,
+        placement: Placement,
+        admission: EntryAdmission,
+        budget: RepeatBudget,
+        counts: RelayCounts,
+        rng: random.Random,
+    ):
+        self.relays: dict[int, Relay] = {}
+        self.own_load = PeerLoad()
+        self.refuse_new = False
+        self._own_ip = own_ip
+        self._caller_service = service.encode()
+        self._names = names
+        self._own_names = HOP_BY_HOP | {
+            names.time_left_ms.lower(),
+            names.expected_instance.lower(),
+            names.caller_service.lower(),
+        }
+        self._fleet = fleet
+        self._links = links
+        self._executor = executor
+        self._placement = placement
+        self._admission = admission
+        self._budget = budget
+        self._counts = counts
+        self._rng = rng
+        self._shares = ShareChooser()
+        self._call_ids = itertools.count(1)
+        self._loop = asyncio.get_running_loop()
+        self._by_http: dict[HttpRequest, Relay] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self._by_http)
+
+    def handle(self, http: HttpRequest, connection: CallerConnection) -> None:
+        """Take a request (RequestHandler)."""
+        relay = self._accept(http, connection)
+        if relay is None:
+            return
+        self._by_http[http] = relay
+        if relay.parent is None and not self._admit(relay):
+            return
+        now_ms = self._now_ms()
+        margin_ms = min(FINAL_MARGIN_MS, relay.route.timeout_ms)
+        relay.timer = self._loop.call_later(
+            (relay.deadline_ms + margin_ms - now_ms) / 1000, self._timed_out, relay
+        )
+        self._place(relay)
+
+    def gone(self, http: HttpRequest) -> None:
+        """The caller has left: stop what is idempotent (RequestHandler)."""
+        relay = self._by_http.get(http)
+        if relay is None:
+            return
+        self._counts.ended("caller-left")
+        log_event(
+            "caller_left",
+            level="debug",
+            request_id=relay.request_id,
+            instance=relay.instance_id,
+        )
+        self._cancel(relay)
+        self._finish(relay)
+
+    def response(self, response: RelayResponse, load: PeerLoad | None) -> None:
+        """Take the end of a call from the executing sidecar."""
+        if load is not None:
+            told = response.load
+            load.report(
+                in_flight=told.in_flight,
+                queued=told.queued,
+                limit=told.limit,
+                queue_delay_ms=told.queue_delay_ms,
+            )
+        relay = self.relays.pop(response.call_id, None)
+        if relay is None or relay.ended:
+            return
+        for taken in response.slot_times:
+            known_ms = relay.slot_ms.get(taken.service_name, 0.0)
+            relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
+        if response.offered:
+            relay.offers += 1
+        self._learn(response, load)
+        if response.verdict == Verdict.ANSWERED:
+            self._answered(relay, response)
+        elif response.verdict == Verdict.NOT_RUN:
+            self._not_run(relay, response)
+        else:
+            relay.may_have_run = True
+            self._may_have_run(relay, response.reason)
+
+    def link_lost(self, ip: str) -> None:
+        """Decide anew on all calls that a lost link carried."""
+        for relay in [found for found in self.relays.values() if found.ip == ip]:
+            self.relays.pop(relay.call_id, None)
+            relay.may_have_run = True
+            relay.offers += 1
+            self._may_have_run(relay, "link-lost")
+
+    def _accept(self, http: HttpRequest, connection: CallerConnection) -> Relay | None:
+        names = self._names
+        host = request_id = ""
+        left_ms: float | None = None
+        for name, value in http.fields:
+            lowered = name.lower()
+            if lowered == b"host":
+                host = value.decode("latin-1")
+            elif lowered == names.request_id.lower():
+                request_id = value.decode("latin-1")
+            elif lowered == names.time_left_ms.lower():
+                left_ms = float(value) if value.isdigit() else None
+        table = self._fleet.table
+        if table is None or self.refuse_new:
+            reason = "no-routes" if table is None else "leaving"
+            self._refuse(http, connection, request_id, reason, UNREADY_RETRY_MS)
+            return None
+        route = table.find(host, http.target.decode("latin-1"))
+        if route is None:
+            self._counts.ended("no-route")
+            log_event(
+                "no_route",
+                level="warning",
+                request_id=request_id,
+                host=host,
+                version=table.version,
+            )
+            connection.respond(http, status=404, header_lines=b"")
+            return None
+        deadline_ms = http.arrived_ms + min(left_ms or 1e9, route.timeout_ms)
+        parent = self._executor.running.get(request_id.rpartition(".")[0])
+        level = self._rng.randrange(LEVELS)
+        if parent is not None:
+            deadline_ms = min(deadline_ms, parent.deadline_ms)
+            level = parent.request.level
+        return Relay(
+            http=http,
+            connection=connection,
+            route=route,
+            service=self._shares.choose(route),
+            request_id=request_id,
+            header_lines=self._header_lines(http),
+            deadline_ms=deadline_ms,
+            priority=parent.request.priority if parent else route.priority,
+            level=level,
+            parent=parent,
+            repeated=parent is not None and parent.request.repeated,
+        )
+
+    def _header_lines(self, http: HttpRequest) -> bytes:
+        dropped = self._own_names | named_by_connection(http.fields)
+        kept = [found for found in http.fields if found[0].lower() not in dropped]
+        kept.append((self._names.caller_service, self._caller_service))
+        return serialize_fields(kept)
+
+    def _admit(self, relay: Relay) -> bool:
+        route = relay.route
+        self._admission.offered(route.name, route.priority)
+        blocking = self._admission.blocking(route.name, route.priority, relay.level)
+        if blocking is None:
+            return True
+        log_event(
+            "refused_at_entry",
+            level="warning",
+            request_id=relay.request_id,
+            route=route.name,
+            blocked_by=blocking,
+            place=self._admission.places[blocking],
+            level_of_request=relay.level,
+        )
+        self._end_not_run(relay, "overloaded")
+        return False
+
+    def _place(self, relay: Relay) -> None:
+        now_ms = self._now_ms()
+        left_ms = relay.deadline_ms - now_ms
+        instances = self._fleet.of_service(relay.service)
+        instance = None
+        if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
+            instance = self._placement.choose(instances, relay.tried, now_ms)
+        if instance is None:
+            self._no_place(relay, len(instances))
+            return
+        relay.places += 1
+        relay.tried.add(instance.id)
+        self._send(relay, instance, left_ms)
+
+    def _send(self, relay: Relay, instance: Instance, left_ms: float) -> None:
+        inner = relay.parent is not None
+        call_id = relay.call_id = next(self._call_ids)
+        relay.ip = instance.ip
+        relay.instance_id = instance.id
+        share = INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE
+        span_ms = left_ms if inner else relay.route.target_latency_ms
+        request = RelayRequest(
+            call_id=call_id,
+            instance_id=instance.id,
+            service_name=relay.service,
+            request_id=relay.request_id,
+            method=relay.http.method.decode("latin-1"),
+            target=relay.http.target,
+            headers=relay.header_lines,
+            body=relay.http.body,
+            remaining_ms=int(left_ms),
+            max_wait_ms=int(span_ms * share),
+            priority=relay.priority,
+            level=relay.level,
+            inner=inner,
+            idempotent=relay.route.idempotent,
+            repeated=relay.repeated,
+        )
+        self.relays[call_id] = relay
+        self._budget.sent(relay.service, repeated=relay.repeated, now_ms=self._now_ms())
+        if instance.ip == self._own_ip:
+            self.own_load.sent_since += 1
+            self._executor.submit(request, self._own_response, self)
+            return
+        load = self._links.load_of(instance.ip)
+        if not self._links.send(instance.ip, request):
+            del self.relays[call_id]
+            self._place(relay)
+        elif load is not None:
+            load.sent_since += 1
+
+    def _own_response(self, response: RelayResponse) -> None:
+        self._loop.call_soon(self.response, response, self.own_load)
+
+    def _learn(self, response: RelayResponse, load: PeerLoad | None) -> None:
+        if load is None or not response.offered:
+            return
+        failed = response.verdict != Verdict.ANSWERED or response.status >= 500
+        if response.reason != "deadline":
+            load.ended(failed=failed, now_ms=self._now_ms())
+
+    def _answered(self, relay: Relay, response: RelayResponse) -> None:
+        server_failed = response.status >= 500
+        if server_failed and self._may_repeat(relay):
+            relay.last_answer = response
+            self._repeat(relay, f"status-{response.status}")
+            return
+        self._deliver(relay, response)
+
+    def _deliver(self, relay: Relay, response: RelayResponse) -> None:
+        if relay.parent is None and response.status < 300:
+            self._admission.learn(relay.route.name, relay.slot_ms)
+        self._counts.answered(
+            relay.route.name, self._now_ms() - relay.http.arrived_ms, response.status
+        )
+        log_event(
+            "answered",
+            level="debug",
+            request_id=relay.request_id,
+            status=response.status,
+            instance=relay.instance_id,
+        )
+        relay.connection.respond(
+            relay.http,
+            status=response.status,
+            header_lines=response.headers,
+            body=response.body,
+        )
+        self._finish(relay)
+
+    def _not_run(self, relay: Relay, response: RelayResponse) -> None:
+        if not response.offered:
+            self._place(relay)
+        elif relay.offers < relay.route.max_attempts and self._budget.allows(
+            relay.service, self._now_ms()
+        ):
+            self._repeat(relay, response.reason)
+        else:
+            self._end(relay, response.reason)
+
+    def _may_have_run(self, relay: Relay, reason: str) -> None:
+        if self._may_repeat(relay):
+            self._repeat(relay, reason)
+        else:
+            self._end(relay, reason)
+
+    def _may_repeat(self, relay: Relay) -> bool:
+        now_ms = self._now_ms()
+        return (
+            relay.route.idempotent
+            and relay.offers < relay.route.max_attempts
+            and relay.deadline_ms - now_ms >= MIN_RETRY_LEFT_MS
+            and self._budget.allows(relay.service, now_ms)
+        )
+
+    def _repeat(self, relay: Relay, reason: str) -> None:
+        log_event(
+            "repeated",
+            level="warning",
+            request_id=relay.request_id,
+            service=relay.service,
+            reason=reason,
+            offers=relay.offers,
+        )
+        self._counts.repeated(relay.service)
+        relay.repeated = True
+        self._place(relay)
+
+    def _no_place(self, relay: Relay, known: int) -> None:
+        if relay.last_answer is not None:
+            self._deliver(relay, relay.last_answer)
+            return
+        reason = "no-instance" if not known else "no-room"
+        if relay.deadline_ms - self._now_ms() < MIN_RETRY_LEFT_MS:
+            reason = "deadline"
+        self._end(relay, reason)
+
+    def _end(self, relay: Relay, reason: str) -> None:
+        """Give the final answer to a request that has none of a server."""
+        if relay.last_answer is not None:
+            self._deliver(relay, relay.last_answer)
+        elif not relay.may_have_run:
+            self._end_not_run(relay, reason)
+        else:
+            late = relay.deadline_ms - self._now_ms() < MIN_RETRY_LEFT_MS
+            status = TIMEOUT_STATUS if late else MAY_HAVE_RUN_STATUS
+            self._fail(relay, reason, status, b"")
+
+    def _end_not_run(self, relay: Relay, reason: str) -> None:
+        self._fail(relay, reason, NOT_OFFERED_STATUS, self._retry_after(relay))
+
+    def _fail(
+        self, relay: Relay, reason: str, status: int, header_lines: bytes
+    ) -> None:
+        self._counts.ended(reason)
+        log_event(
+            "not_served",
+            level="warning",
+            request_id=relay.request_id,
+            route=relay.route.name,
+            status=status,
+            reason=reason,
+            offers=relay.offers,
+            places=relay.places,
+            instance=relay.instance_id,
+            held_ms=self._now_ms() - relay.http.arrived_ms,
+            inner=relay.parent is not None,
+        )
+        name = self._names.request_id
+        lines = b"%b: %b\r\n" % (name, relay.request_id.encode("latin-1"))
+        relay.connection.respond(
+            relay.http, status=status, header_lines=lines + header_lines
+        )
+        self._finish(relay)
+
+    def _retry_after(self, relay: Relay) -> bytes:
+        span_ms = relay.route.target_latency_ms
+        low, high = RETRY_AFTER_SHARES
+        wait_ms = max(span_ms * self._rng.uniform(low, high), MIN_RETRY_AFTER_MS)
+        return b"Retry-After: %.3f\r\n" % (wait_ms / 1000)
+
+    def _refuse(
+        self,
+        http: HttpRequest,
+        connection: CallerConnection,
+        request_id: str,
+        reason: str,
+        wait_ms: float,
+    ) -> None:
+        self._counts.ended(reason)
+        log_event("refused", level="warning", request_id=request_id, reason=reason)
+        connection.respond(
+            http,
+            status=NOT_OFFERED_STATUS,
+            header_lines=b"Retry-After: %.3f\r\n" % (wait_ms / 1000),
+        )
+
+    def _timed_out(self, relay: Relay) -> None:
+        if relay.ended:
+            return
+        self._cancel(relay)
+        relay.may_have_run = True
+        self._end(relay, "deadline")
+
+    def _cancel(self, relay: Relay) -> None:
+        if self.relays.pop(relay.call_id, None) is None:
+            return
+        if relay.ip == self._own_ip:
+            self._executor.cancel(self, relay.call_id)
+        else:
+            self._links.send(relay.ip, RelayCancel(call_id=relay.call_id))
+
+    def _finish(self, relay: Relay) -> None:
+        relay.ended = True
+        if relay.timer is not None:
+            relay.timer.cancel()
+        self._by_http.pop(relay.http, None)
+        parent = relay.parent
+        if parent is not None and not parent.ended:
+            for service, taken_ms in relay.slot_ms.items():
+                known_ms = parent.slot_ms.get(service, 0.0)
+                parent.slot_ms[service] = known_ms + taken_ms
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ["ttypes", "constants"]
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -0,0 +1,82 @@
+"""Coding of messages between sidecars: thrift structs to frames and back."""
+
+from thrift.protocol import fastbinary
+from thrift.Thrift import TException
+
+from sassafraswinch_node.frames import LENGTH_BYTES
+from sassafraswinch_node.wire import FrameReader, WireError
+from sassafraswinch_sidecar.relay_protocol import ttypes
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    RelayCancel,
+    RelayRequest,
+    RelayResponse,
+    ReplicaReply,
+    ReplicaRequest,
+)
+
+Message = (
+    Heartbeat
+    | HeartbeatReply
+    | Hello
+    | RelayCancel
+    | RelayRequest
+    | RelayResponse
+    | ReplicaReply
+    | ReplicaRequest
+)
+
+MAX_FRAME_BYTES = 80 * 1024 * 1024
+"""Longest frame: the longest body that routes commonly allow, with its header."""
+
+_FRAME_SPEC = [ttypes.Frame, ttypes.Frame.thrift_spec]
+_SLOTS = {
+    RelayRequest: "request",
+    RelayResponse: "response",
+    RelayCancel: "cancel",
+    Heartbeat: "heartbeat",
+    HeartbeatReply: "heartbeat_reply",
+    ReplicaRequest: "replica_request",
+    ReplicaReply: "replica_reply",
+    Hello: "hello",
+}
+
+_DECODING_ERRORS = (TException, EOFError, TypeError, ValueError, OverflowError)
+
+
+def serialize_message(message: Message) -> bytes:
+    """Write a message as one frame, its length included.
+
+    Raises:
+        WireError: a field doesn't fit its type on the wire.
+    """
+    frame = ttypes.Frame()
+    setattr(frame, _SLOTS[type(message)], message)
+    try:
+        payload = fastbinary.encode_compact(frame, _FRAME_SPEC)
+    except (TException, ValueError, OverflowError, TypeError) as error:
+        raise WireError(reason=f"can't be coded: {error}") from error
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
+def parse_message(payload: bytes) -> Message:
+    """Read the message of one frame, without its length.
+
+    Raises:
+        WireError: the payload isn't a whole message of this protocol.
+    """
+    frame = ttypes.Frame()
+    reader = FrameReader(payload)
+    try:
+        fastbinary.decode_compact(frame, reader, _FRAME_SPEC)
+        reader.check_end(payload)
+        for slot in _SLOTS.values():
+            message = getattr(frame, slot)
+            if message is not None:
+                message.validate()
+                return message
+    except _DECODING_ERRORS as error:
+        raise WireError(reason=f"not a frame: {error!r}") from error
+    raise WireError(reason="a frame without a message of this protocol version")
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -0,0 +1,95 @@
+"""The bound on requests that are sent to a backend server once more.
+
+Sidecars share no state, so each spends a part of the fleet's budget that is safe
+whatever the others do: a share of the requests that it sends itself, and an even part
+of what is free of charge.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+SHARE_OF_RATIO = 0.35
+"""Part of the fleet's ratio that one sidecar spends. A repeated request repeats its
+calls, which count at the services below as well: with a third, the repeats of three
+levels add up to the whole ratio."""
+
+BUCKET_MS = 1_000.0
+"""Grain of the window: a tenth of it."""
+
+
+@dataclass(slots=True)
+class _Bucket:
+    started_at_ms: float
+    requests: int = 0
+    repeats: int = 0
+
+
+@dataclass(slots=True)
+class _Window:
+    buckets: deque[_Bucket] = field(default_factory=deque)
+    requests: int = 0
+    repeats: int = 0
+
+    def current(self, window_ms: float, now_ms: float) -> _Bucket:
+        buckets = self.buckets
+        while buckets and now_ms - buckets[0].started_at_ms >= window_ms:
+            old = buckets.popleft()
+            self.requests -= old.requests
+            self.repeats -= old.repeats
+        if not buckets or now_ms - buckets[-1].started_at_ms >= BUCKET_MS:
+            buckets.append(_Bucket(now_ms))
+        return buckets[-1]
+
+
+class RepeatBudget:
+    """Counts requests and repeats by service over a sliding window.
+
+    Args:
+        ratio: repeats for each request that the whole fleet may make.
+        slack: repeats of the whole fleet in a window that need no request.
+        window_ms: length of the window.
+        sidecars: returns how many sidecars there may be at the most.
+    """
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_ms: float,
+        sidecars: Callable[[], int],
+    ):
+        self._ratio = ratio * SHARE_OF_RATIO
+        self._slack = slack * 0.5
+        self._window_ms = window_ms + BUCKET_MS
+        self._sidecars = sidecars
+        self._windows: dict[str, _Window] = {}
+
+    def sent(self, service: str, *, repeated: bool, now_ms: float) -> None:
+        """Count a request that goes to a service.
+
+        Args:
+            service: name of the service.
+            repeated: whether it, or a request above it, was sent before.
+            now_ms: monotonic time.
+        """
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = _Window()
+        bucket = window.current(self._window_ms, now_ms)
+        if repeated:
+            bucket.repeats += 1
+            window.repeats += 1
+        else:
+            bucket.requests += 1
+            window.requests += 1
+
+    def allows(self, service: str, now_ms: float) -> bool:
+        """Return whether one more request of this service may be repeated."""
+        slack = self._slack / max(1, self._sidecars())
+        window = self._windows.get(service)
+        if window is None:
+            return slack >= 1.0
+        window.current(self._window_ms, now_ms)
+        return window.repeats + 1 <= self._ratio * window.requests + slack
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -0,0 +1,129 @@
+"""Which requests start at the backend server, which wait, and which are refused.
+
+A backend server that is handed more than it can run may never answer again, so what
+exceeds its slots waits here, in an order that wastes the least work.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+SLOT_SHARE = 0.94
+"""Part of the slots that is used: a new connection and a health check hold a slot
+for a moment, and some servers slow down above 95%."""
+
+HOLD_GAIN = 0.05
+"""Weight of one request in the mean time that a slot is held: the last twenty."""
+
+COLD_HOLD_MS = 50.0
+"""Mean assumed before any request has ended."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request before the backend server.
+
+    Attributes:
+        item: what the caller of the queue knows it by.
+        inner: whether a running request made it; such requests go first, since
+            refusing one wastes all that was done for its root request.
+        priority: priority of the root request; 0 is the most important.
+        give_up_at_ms: when it leaves the queue if it hasn't started.
+    """
+
+    item: Any
+    inner: bool
+    priority: int
+    give_up_at_ms: float
+    started_at_ms: float | None = None
+    left: bool = False
+
+
+@dataclass(slots=True)
+class ServerQueue:
+    """Slots of one backend server and the requests that wait for them."""
+
+    limit: int
+    running: int = 0
+    hold_ms: float = COLD_HOLD_MS
+    _waiting: list[tuple[bool, int, int, Ticket]] = field(default_factory=list)
+    _sequence: Any = field(default_factory=itertools.count)
+    _queued: int = 0
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return self._queued
+
+    def delay_ms(self, *, inner: bool = False, priority: int = 0) -> float:
+        """Return the wait that a new request would meet."""
+        if self.running < self.limit and not self._queued:
+            return 0.0
+        ahead = sum(
+            1
+            for order in self._waiting
+            if not order[3].left and order[:2] <= (not inner, priority)
+        )
+        return (ahead + 1) * self.hold_ms / max(self.limit, 1)
+
+    def offer(self, ticket: Ticket, now_ms: float) -> bool:
+        """Take a request, which then starts with ``startable`` or is refused.
+
+        Returns:
+            False if it would wait longer than it may: it is refused at once, so
+            that it can go elsewhere or come back.
+        """
+        delay_ms = self.delay_ms(inner=ticket.inner, priority=ticket.priority)
+        if delay_ms and now_ms + delay_ms > ticket.give_up_at_ms:
+            return False
+        order = (not ticket.inner, ticket.priority, next(self._sequence), ticket)
+        heapq.heappush(self._waiting, order)
+        self._queued += 1
+        return True
+
+    def startable(self, now_ms: float) -> Iterable[Ticket]:
+        """Yield the requests that start now."""
+        while self._waiting and self.running < self.limit:
+            ticket = heapq.heappop(self._waiting)[3]
+            if ticket.left:
+                continue
+            self._queued -= 1
+            self.running += 1
+            ticket.started_at_ms = now_ms
+            yield ticket
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting request out; False if it has started or left already."""
+        if ticket.left or ticket.started_at_ms is not None:
+            return False
+        ticket.left = True
+        self._queued -= 1
+        return True
+
+    def finished(self, ticket: Ticket, now_ms: float) -> float:
+        """Take back the slot of a started request; return how long it was held."""
+        self.running -= 1
+        held_ms = now_ms - ticket.started_at_ms
+        self.hold_ms += HOLD_GAIN * (held_ms - self.hold_ms)
+        return held_ms
+
+    def expired(self, now_ms: float) -> list[Ticket]:
+        """Take out the requests that have waited as long as they may."""
+        late = [
+            ticket
+            for *_, ticket in self._waiting
+            if not ticket.left and now_ms >= ticket.give_up_at_ms
+        ]
+        for ticket in late:
+            self.withdraw(ticket)
+        return late
+
+    def drain(self) -> list[Ticket]:
+        """Take out all that wait."""
+        waiting = [ticket for *_, ticket in self._waiting if not ticket.left]
+        for ticket in waiting:
+            self.withdraw(ticket)
+        self._waiting.clear()
+        return waiting
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -0,0 +1,446 @@
+"""One sidecar: its listeners, links, decisions and their life from start to stop."""
+
+import asyncio
+import random
+import signal
+import time
+
+from sassafraswinch.errors import InvalidFieldsError
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.entry_admission import Capacity, EntryAdmission
+from sassafraswinch_sidecar.executor import Executor
+from sassafraswinch_sidecar.fleet import Decoder, Fleet
+from sassafraswinch_sidecar.http_client import HttpClient
+from sassafraswinch_sidecar.http_server import (
+    CallerConnection,
+    HttpListener,
+    HttpRequest,
+)
+from sassafraswinch_sidecar.peer_link import PeerLink
+from sassafraswinch_sidecar.peer_links import PeerLinks
+from sassafraswinch_sidecar.placement import PeerLoad, Placement
+from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
+from sassafraswinch_sidecar.relay import RelayOwner
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    Heartbeat,
+    HeartbeatReply,
+    RelayCancel,
+    RelayRequest,
+    RelayResponse,
+    ReplicaEntry,
+    ReplicaReply,
+    ReplicaRequest,
+    ServiceDemand,
+)
+from sassafraswinch_sidecar.relay_wire import Message
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sassafraswinch_sidecar.routes import RequestLimits
+from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
+from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
+
+TICK_S = 0.125
+"""Pause between the periodic decisions; half the interval of the admission."""
+
+SERVE_ON_SHARE = 0.55
+"""Part of the time to stop in which new requests are still served. The platform sends
+callers elsewhere after two missed questions, a second apart."""
+
+STOP_SHARE = 0.9
+"""Part of that time after which the process ends, whatever is in flight."""
+
+QUIET_MS = 300.0
+"""Time without any request after which a stopping process ends early."""
+
+ASK_AGAIN_MS = 300.0
+"""Pause before changes are asked of another peer: the first may not answer."""
+
+DEFAULT_LIMITS = RequestLimits()
+
+
+class Sidecar:
+    """Composes the parts of one process.
+
+    Args:
+        settings: checked settings.
+        names: header fields of the deployment.
+        store: reads the platform's data.
+        decoder: tells what that data means.
+        ready_path: path of the platform's question whether to send callers here.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: SidecarSettings,
+        names: HeaderNames,
+        store: PlatformStore,
+        decoder: Decoder,
+        ready_path: bytes,
+    ):
+        rng = random.Random(f"{settings.ip}/{time.time_ns()}")
+        self._settings = settings
+        self._ready_path = ready_path
+        self._loop = asyncio.get_running_loop()
+        self._replica = Replica()
+        self._fleet = Fleet(decoder=decoder, report=_report_faults)
+        backend = settings.address("backend")
+        self._executor = Executor(
+            service=settings.service,
+            client=HttpClient(ip=backend.ip, port=backend.port),
+            names=names,
+            is_leaving=self._fleet.is_leaving,
+        )
+        self._links = PeerLinks(
+            own_ip=settings.ip,
+            port=settings.link_port,
+            incarnation=time.time_ns(),
+            listener=self,
+        )
+        self._admission = EntryAdmission()
+        self._counts = RelayCounts()
+        self._most_sidecars = 1
+        self._owner = RelayOwner(
+            own_ip=settings.ip,
+            service=settings.service,
+            names=names,
+            fleet=self._fleet,
+            links=self._links,
+            executor=self._executor,
+            placement=Placement(
+                own_ip=settings.ip,
+                availability_zone=settings.availability_zone,
+                load_of=self._load_of,
+                cold_left_ms=self._fleet.cold_left_ms,
+                rng=rng,
+            ),
+            admission=self._admission,
+            budget=RepeatBudget(
+                ratio=settings.repeat_ratio,
+                slack=settings.repeat_slack,
+                window_ms=settings.repeat_window_s * 1000,
+                sidecars=lambda: self._most_sidecars,
+            ),
+            counts=self._counts,
+            rng=rng,
+        )
+        self._outbound = HttpListener(handler=self._owner, limits=self._limits)
+        self._ready = HttpListener(handler=ReadyPage(self), limits=_default_limits)
+        self._metrics = HttpListener(
+            handler=MetricsPage(
+                SidecarMetrics(counts=self._counts, gauges=self._gauges)
+            ),
+            limits=_default_limits,
+        )
+        self._reader = PlatformReader(store=store, keeper=self, rng=rng)
+        self._sequence = 0
+        self._asked_ms = 0.0
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision of the platform's data up to which all is known."""
+        return self._replica.revision
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._fleet.table is not None and not self._stopping.is_set()
+
+    def answers_ready(self, http: HttpRequest) -> bool:
+        """Return whether a request asks for readiness."""
+        return http.target.partition(b"?")[0] == self._ready_path
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is under way."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        settings = self._settings
+        log_event("starting", level="warning", host=settings.host, ip=settings.ip)
+        await self._links.open()
+        for listener, field in ((self._outbound, "outbound"), (self._ready, "ready")):
+            address = settings.address(field)
+            await listener.open(address.ip, address.port)
+        await self._metrics.open(settings.ip, settings.metrics_port)
+        self._tasks = [
+            self._loop.create_task(self._reader.run()),
+            self._loop.create_task(self._tick_forever()),
+        ]
+        await self._stopping.wait()
+        await self._drain()
+        await self._close()
+
+    def take(self, delta: Delta, source: str) -> None:
+        """Take in changes of the platform's data (ReplicaKeeper)."""
+        changed = self._replica.merge(delta)
+        if not changed:
+            return
+        now_ms = self._now_ms()
+        version = self._fleet.table.version if self._fleet.table else None
+        self._fleet.apply(changed, now_ms)
+        table = self._fleet.table
+        log_event(
+            "platform_data_changed",
+            level="warning",
+            source=source,
+            revision=delta.revision,
+            keys=",".join(entry.key for entry in changed[:4]),
+            changed=len(changed),
+        )
+        if table is not None and table.version != version:
+            log_event("routes_in_force", level="warning", version=table.version)
+        self._follow_fleet()
+
+    def platform_away(self) -> None:
+        """The platform can't be read (ReplicaKeeper)."""
+        self._fleet.platform_away(self._now_ms())
+
+    def platform_back(self) -> None:
+        """The platform can be read (ReplicaKeeper)."""
+        self._fleet.platform_back(self._now_ms())
+
+    def link_up(self, ip: str) -> None:
+        """Nothing to do: the first heartbeat follows (LinkListener)."""
+
+    def link_lost(self, ip: str) -> None:
+        """Decide anew on the calls of a lost link (LinkListener)."""
+        self._owner.link_lost(ip)
+
+    def dialled_message(self, ip: str, message: Message) -> None:
+        """Take a message from a peer that this sidecar dialled (LinkListener)."""
+        peer = self._links.peers[ip]
+        if isinstance(message, RelayResponse):
+            self._owner.response(message, peer.load)
+        elif isinstance(message, HeartbeatReply):
+            peer.link.replied()
+            peer.load.leaving = message.leaving
+            told = message.load
+            peer.load.report(
+                in_flight=told.in_flight,
+                queued=told.queued,
+                limit=told.limit,
+                queue_delay_ms=told.queue_delay_ms,
+            )
+            self._ask_if_behind(message.revision, peer.link)
+        elif isinstance(message, ReplicaReply):
+            self.take(_delta_of(message), f"peer-{ip}")
+
+    def accepted_message(self, link: PeerLink, message: Message) -> None:
+        """Take a message from a peer that dialled this sidecar (LinkListener)."""
+        if isinstance(message, RelayRequest):
+            self._executor.submit(message, link.send, link)
+        elif isinstance(message, RelayCancel):
+            self._executor.cancel(link, message.call_id)
+        elif isinstance(message, Heartbeat):
+            self._heard(link, message)
+        elif isinstance(message, ReplicaRequest):
+            link.send(_reply_of(self._replica.since(message.after_revision)))
+        elif isinstance(message, ReplicaReply):
+            self.take(_delta_of(message), f"peer-{link.peer_ip}")
+
+    def accepted_lost(self, link: PeerLink) -> None:
+        """Cancel what the peer can't be told the end of (LinkListener)."""
+        self._executor.owner_lost(link)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat for all peers (LinkListener)."""
+        self._sequence += 1
+        demand = [
+            ServiceDemand(service, slots)
+            for service, slots in self._admission.demand().items()
+        ]
+        return Heartbeat(sequence=self._sequence, revision=self.revision, demand=demand)
+
+    def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        demand = {told.service_name: told.slots for told in heartbeat.demand}
+        self._admission.heard(link.peer_ip, demand, self._now_ms())
+        link.send(
+            HeartbeatReply(
+                sequence=heartbeat.sequence,
+                revision=self.revision,
+                load=self._executor.load(),
+                leaving=self._stopping.is_set(),
+            )
+        )
+        self._ask_if_behind(heartbeat.revision, link)
+        if link.peer_ip not in self._links.peers:
+            self._follow_fleet()
+
+    def _ask_if_behind(self, revision: int, link: PeerLink) -> None:
+        """Ask a peer for what the platform doesn't tell this host, or not yet."""
+        now_ms = self._now_ms()
+        if revision <= self.revision or now_ms - self._asked_ms < ASK_AGAIN_MS:
+            return
+        self._asked_ms = now_ms
+        link.send(ReplicaRequest(after_revision=self.revision))
+
+    def _follow_fleet(self) -> None:
+        """Link to all hosts that the platform or their own greeting told."""
+        greeted = {link.peer_ip for link in self._links.accepted}
+        known = {instance.ip for instance in self._fleet.instances.values()}
+        self._links.keep(known | greeted)
+        self._most_sidecars = max(self._most_sidecars, len(known | greeted))
+        for instance in self._fleet.at(self._settings.ip):
+            if not instance.leaving:
+                self._executor.set_slots(instance.slots)
+
+    def _load_of(self, ip: str) -> PeerLoad | None:
+        if ip != self._settings.ip:
+            return self._links.load_of(ip)
+        load, told = self._owner.own_load, self._executor.load()
+        load.report(
+            in_flight=told.in_flight,
+            queued=told.queued,
+            limit=told.limit,
+            queue_delay_ms=told.queue_delay_ms,
+        )
+        load.leaving = self._executor.leaving
+        return load
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now_ms = self._now_ms()
+            self._fleet.tick(self._replica, now_ms)
+            if self._admission.due(now_ms):
+                self._admission.decide(self._capacities(), now_ms)
+
+    def _capacities(self) -> dict[str, Capacity]:
+        slots: dict[str, float] = {}
+        used: dict[str, float] = {}
+        for instance in self._fleet.instances.values():
+            load = None if instance.leaving else self._load_of(instance.ip)
+            if load is None or load.leaving:
+                continue
+            limit = instance.slots if load.limit is None else load.limit
+            busy = load.in_flight + load.queued
+            slots[instance.service] = slots.get(instance.service, 0.0) + limit
+            used[instance.service] = used.get(instance.service, 0.0) + busy
+        return {
+            service: Capacity(total, used[service]) for service, total in slots.items()
+        }
+
+    async def _drain(self) -> None:
+        """Finish what is under way, while callers and peers go elsewhere."""
+        drain_ms = self._settings.drain_s * 1000
+        began_ms = self._now_ms()
+        log_event("stopping", level="warning", in_flight=self._in_flight())
+        self._executor.leave()
+        self._outbound.drain()
+        quiet_since_ms = began_ms
+        while True:
+            await asyncio.sleep(0.05)
+            now_ms = self._now_ms()
+            spent_ms = now_ms - began_ms
+            if spent_ms > drain_ms * SERVE_ON_SHARE:
+                self._owner.refuse_new = True
+            if self._in_flight():
+                quiet_since_ms = now_ms
+            served_on = spent_ms > drain_ms * SERVE_ON_SHARE
+            if served_on and now_ms - quiet_since_ms > QUIET_MS:
+                return
+            if spent_ms > drain_ms * STOP_SHARE:
+                return
+
+    async def _close(self) -> None:
+        log_event("stopped", level="warning", in_flight=self._in_flight())
+        for task in self._tasks:
+            task.cancel()
+        for listener in (self._outbound, self._ready, self._metrics):
+            await listener.close()
+        await self._links.close()
+        self._executor.close()
+
+    def _in_flight(self) -> int:
+        return self._owner.in_flight + self._executor.in_flight
+
+    def _reload(self) -> None:
+        log_event("settings_unchanged", level="warning", host=self._settings.host)
+
+    def _limits(self) -> RequestLimits:
+        table = self._fleet.table
+        return DEFAULT_LIMITS if table is None else table.limits
+
+    def _gauges(self) -> dict[str, float]:
+        load = self._executor.load()
+        table = self._fleet.table
+        return {
+            "backend_in_flight": load.in_flight,
+            "backend_queued": load.queued,
+            "backend_limit": load.limit,
+            "owned_requests": self._owner.in_flight,
+            "linked_peers": sum(1 for _ in self._links.linked()),
+            "route_table_version": table.version if table else 0,
+            "platform_revision": self.revision,
+        }
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000
+
+
+class ReadyPage:
+    """Tells the platform whether callers may be sent here."""
+
+    def __init__(self, sidecar: Sidecar):
+        self._sidecar = sidecar
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Answer one question (RequestHandler)."""
+        status = 404
+        if self._sidecar.answers_ready(request):
+            status = 200 if self._sidecar.is_ready else 503
+        connection.respond(request, status=status, header_lines=b"")
+
+    def gone(self, request: HttpRequest) -> None:
+        """Nothing is under way (RequestHandler)."""
+
+
+class MetricsPage:
+    """Serves the metrics."""
+
+    def __init__(self, metrics: SidecarMetrics):
+        self._metrics = metrics
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Render the page (RequestHandler)."""
+        connection.respond(
+            request,
+            status=200,
+            header_lines=b"Content-Type: text/plain; version=0.0.4\r\n",
+            body=self._metrics.render(),
+        )
+
+    def gone(self, request: HttpRequest) -> None:
+        """Nothing is under way (RequestHandler)."""
+
+
+def _default_limits() -> RequestLimits:
+    return DEFAULT_LIMITS
+
+
+def _report_faults(group: InvalidFieldsError) -> None:
+    for error in group.exceptions:
+        log_event(
+            "platform_data_invalid",
+            level="error",
+            source=error.source,
+            field=error.field,
+            reason=error.reason,
+        )
+
+
+def _delta_of(reply: ReplicaReply) -> Delta:
+    entries = tuple(
+        Entry(key=told.key, revision=told.revision, value=told.value)
+        for told in reply.entries
+    )
+    return Delta(revision=reply.revision, whole=reply.whole, entries=entries)
+
+
+def _reply_of(delta: Delta) -> ReplicaReply:
+    entries = [
+        ReplicaEntry(entry.key, entry.revision, entry.value) for entry in delta.entries
+    ]
+    return ReplicaReply(revision=delta.revision, whole=delta.whole, entries=entries)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_metrics.py
@@ -0,0 +1,104 @@
+"""Counters and latencies of a sidecar, in the text format of Prometheus."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from sassafraswinch.latencies import (
+    LatencyCounts,
+    count_latency,
+    histogram_of,
+    quantiles_ms as latency_quantiles_ms,
+)
+
+PREFIX = "sassafraswinch_sidecar"
+PERCENTS = (50.0, 90.0, 99.0, 100.0)
+
+
+class RelayCounts:
+    """Counts the ends of requests at their entry."""
+
+    def __init__(self):
+        self.answers: Counter[tuple[str, int]] = Counter()
+        self.ends: Counter[str] = Counter()
+        self.repeats: Counter[str] = Counter()
+        self.latencies: dict[str, LatencyCounts] = {}
+
+    def answered(self, route: str, latency_ms: float, status: int) -> None:
+        """Count an answer of a backend server."""
+        self.answers[route, status] += 1
+        count_latency(self.latencies.setdefault(route, {}), latency_ms)
+
+    def ended(self, reason: str) -> None:
+        """Count a request that got no answer of a backend server."""
+        self.ends[reason] += 1
+
+    def repeated(self, service: str) -> None:
+        """Count a request that is sent once more."""
+        self.repeats[service] += 1
+
+
+class SidecarMetrics(Collector):
+    """Renders the metrics page.
+
+    Args:
+        counts: ends of requests.
+        gauges: returns the figures of the moment by name.
+    """
+
+    def __init__(
+        self, *, counts: RelayCounts, gauges: Callable[[], Mapping[str, float]]
+    ):
+        self._counts = counts
+        self._gauges = gauges
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    def render(self) -> bytes:
+        """Return the page."""
+        return generate_latest(self._registry)
+
+    def describe(self) -> list[Metric]:
+        """Return nothing: registering must not take a snapshot."""
+        return []
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics of the moment."""
+        counts = self._counts
+        answers = CounterMetricFamily(
+            f"{PREFIX}_answers", "Answers passed on.", labels=("route", "status")
+        )
+        for (route, status), count in counts.answers.items():
+            answers.add_metric([route, str(status)], count)
+        ends = CounterMetricFamily(
+            f"{PREFIX}_not_served", "Requests without an answer.", labels=("reason",)
+        )
+        for reason, count in counts.ends.items():
+            ends.add_metric([reason], count)
+        repeats = CounterMetricFamily(
+            f"{PREFIX}_repeats", "Requests sent once more.", labels=("service",)
+        )
+        for service, count in counts.repeats.items():
+            repeats.add_metric([service], count)
+        yield from (answers, ends, repeats, self._latencies())
+        for name, value in self._gauges().items():
+            yield GaugeMetricFamily(f"{PREFIX}_{name}", name.replace("_", " "), value)
+
+    def _latencies(self) -> Metric:
+        family = GaugeMetricFamily(
+            f"{PREFIX}_latency_seconds",
+            "Quantiles of the time to an answer since the start.",
+            labels=("route", "quantile"),
+        )
+        for route, counts in self._counts.latencies.items():
+            values = latency_quantiles_ms(histogram_of(counts), PERCENTS)
+            for percent, value_ms in zip(PERCENTS, values, strict=True):
+                family.add_metric([route, str(percent / 100)], value_ms / 1000)
+        return family
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -0,0 +1,91 @@
+"""Settings of a sidecar: what it can't learn from the platform."""
+
+from typing import Annotated
+
+import yaml
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
+from sassafraswinch_node.settings import Address, parse_address
+
+
+def _address(text: str) -> str:
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_address)]
+
+
+class SidecarSettings(BaseModel):
+    """The settings file as it must be written; times are in the unit of their name.
+
+    Attributes:
+        host: name of this host, for logs.
+        ip: IP number of this host, at which its sidecar accepts links.
+        availability_zone: where it is.
+        service: service of the backend server beside it.
+        backend: address of that server.
+        outbound: where callers on this host send their requests.
+        ready: where the platform asks whether the sidecar takes requests.
+        link_port: port at which sidecars accept links; the same on all hosts.
+        metrics_port: port of the metrics page.
+        platform: address of the platform's store.
+        drain_s: time that a stopping process has; then it is killed.
+        repeat_ratio: repeats for each request that the fleet may make.
+        repeat_slack: repeats in a window that need no request.
+        repeat_window_s: length of that window.
+        log_level: debug, info, warning or error.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    host: str = Field(min_length=1, max_length=200)
+    ip: str = Field(min_length=1, max_length=64)
+    availability_zone: str = Field(min_length=1, max_length=200)
+    service: str = Field(min_length=1, max_length=200)
+    backend: AddressText
+    outbound: AddressText
+    ready: AddressText
+    link_port: int = Field(ge=1, le=65_535)
+    metrics_port: int = Field(ge=1, le=65_535)
+    platform: AddressText
+    drain_s: float = Field(default=6.0, gt=0, le=600)
+    repeat_ratio: float = Field(default=0.2, ge=0, le=10)
+    repeat_slack: float = Field(default=50.0, ge=0, le=1e6)
+    repeat_window_s: float = Field(default=10.0, gt=0, le=600)
+    log_level: str = Field(default="warning", pattern="^(debug|info|warning|error)$")
+
+    def address(self, field: str) -> Address:
+        """Return one of the addresses, parsed."""
+        return parse_address(getattr(self, field))
+
+
+def parse_sidecar_settings(text: str, *, source: str) -> SidecarSettings:
+    """Read the YAML of a settings file.
+
+    Raises:
+        InvalidFieldsError: with one InvalidFieldError for each fault.
+    """
+    try:
+        raw = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise _faults(source, [("(file)", f"not YAML: {error}")]) from None
+    if not isinstance(raw, dict):
+        raise _faults(source, [("(file)", "expected a mapping of fields")])
+    try:
+        return SidecarSettings.model_validate(raw)
+    except ValidationError as error:
+        found = [
+            (".".join(map(str, item["loc"])) or "(file)", item["msg"])
+            for item in error.errors()
+        ]
+        raise _faults(source, found) from None
+
+
+def _faults(source: str, found: list[tuple[str, str]]) -> InvalidFieldsError:
+    errors = [
+        InvalidFieldError(source=source, field=field, reason=reason)
+        for field, reason in found
+    ]
+    return InvalidFieldsError(f"{source}: {len(errors)} fault(s)", errors)
