--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
@@ -67,12 +67,15 @@
         if delta.whole and delta.revision >= self.revision:
             named = {entry.key for entry in delta.entries}
             changed += self._remove_others(named, delta.revision)
+            # A whole reading doesn't name what was removed before it, so a peer that
+            # lags behind it can't be told removals one by one.
+            self._forgotten_revision = max(self._forgotten_revision, delta.revision)
         self.revision = max(self.revision, delta.revision)
         return changed
 
     def since(self, revision: int) -> Delta:
         """Return what a copy of that revision lacks."""
-        whole = revision < self._forgotten_revision or revision == 0
+        whole = revision < self._forgotten_revision
         entries = tuple(
             entry
             for entry in self._entries.values()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -224,8 +224,8 @@
                 queue_delay_ms=told.queue_delay_ms,
             )
             self._ask_if_behind(message.revision, peer.link)
-        elif isinstance(message, ReplicaReply):
-            self.take(_delta_of(message), f"peer-{ip}")
+        else:
+            self._exchange_data(peer.link, message)
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Take a message from a peer that dialled this sidecar (LinkListener)."""
@@ -235,10 +235,8 @@
             self._executor.cancel(link, message.call_id)
         elif isinstance(message, Heartbeat):
             self._heard(link, message)
-        elif isinstance(message, ReplicaRequest):
-            link.send(_reply_of(self._replica.since(message.after_revision)))
-        elif isinstance(message, ReplicaReply):
-            self.take(_delta_of(message), f"peer-{link.peer_ip}")
+        else:
+            self._exchange_data(link, message)
 
     def accepted_lost(self, link: PeerLink) -> None:
         """Cancel what the peer can't be told the end of (LinkListener)."""
@@ -268,6 +266,12 @@
         if link.peer_ip not in self._links.peers:
             self._follow_fleet()
 
+    def _exchange_data(self, link: PeerLink, message: Message) -> None:
+        if isinstance(message, ReplicaRequest):
+            link.send(_reply_of(self._replica.since(message.after_revision)))
+        elif isinstance(message, ReplicaReply):
+            self.take(_delta_of(message), f"peer-{link.peer_ip}")
+
     def _ask_if_behind(self, revision: int, link: PeerLink) -> None:
         """Ask a peer for what the platform doesn't tell this host, or not yet."""
         now_ms = self._now_ms()
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the sidecars."""
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
@@ -0,0 +1,131 @@
+"""Root requests refused at their entry, replayed against loads on a paused clock."""
+
+import random
+from collections import Counter
+
+from sassafraswinch_sidecar.entry_admission import (
+    INTERVAL_MS,
+    LEVELS,
+    Capacity,
+    EntryAdmission,
+)
+
+APPROVE, STATUS, HISTORY = "approve", "status", "history"
+PRIORITIES = {APPROVE: 0, STATUS: 1, HISTORY: 2}
+SLOT_MS = {
+    APPROVE: {"schvaleni": 400.0, "prehled": 440.0},
+    STATUS: {"prehled": 88.0},
+    HISTORY: {"archiv": 500.0, "prehled": 220.0},
+}
+SLOTS = {"archiv": 600.0, "schvaleni": 500.0, "prehled": 180.0}
+
+
+def play(rates_per_s, *, entries=4, seconds=10.0, slots=SLOTS, slot_ms=SLOT_MS):
+    """Send requests to entries that tell each other their demand.
+
+    Returns:
+        The share of requests admitted in the second half, by route, and the slots that
+        the admitted ones take at each service.
+    """
+    rng = random.Random(7)
+    nodes = [EntryAdmission() for _ in range(entries)]
+    offered, admitted, used = Counter(), Counter(), Counter()
+    steps = int(seconds * 1000 / INTERVAL_MS)
+    for step in range(steps):
+        now_ms = step * INTERVAL_MS
+        in_use = Counter()
+        for name, rate in rates_per_s.items():
+            for _ in range(round(rate * INTERVAL_MS / 1000)):
+                node = rng.choice(nodes)
+                node.offered(name, PRIORITIES[name])
+                level = rng.randrange(LEVELS)
+                passed = node.blocking(name, PRIORITIES[name], level) is None
+                if passed:
+                    node.learn(name, slot_ms[name])
+                    for service, taken_ms in slot_ms[name].items():
+                        in_use[service] += taken_ms / INTERVAL_MS
+                if step > steps / 2:
+                    offered[name] += 1
+                    admitted[name] += passed
+        used += Counter(in_use) if step > steps / 2 else Counter()
+        capacities = {s: Capacity(n, min(in_use[s], n)) for s, n in slots.items()}
+        for node in nodes:
+            for number, peer in enumerate(nodes):
+                if peer is not node:
+                    node.heard(str(number), peer.demand(), now_ms)
+        for node in nodes:
+            if node.due(now_ms):
+                node.decide(capacities, now_ms)
+    measured = steps - steps // 2 - 1
+    shares = {name: admitted[name] / offered[name] for name in offered}
+    return shares, {service: total / measured for service, total in used.items()}
+
+
+def test_nothing_is_refused_while_all_fits():
+    shares, _ = play({APPROVE: 90, STATUS: 100, HISTORY: 250})
+    assert shares == {APPROVE: 1.0, STATUS: 1.0, HISTORY: 1.0}
+
+
+def test_surge_refuses_the_least_important_and_fills_the_deepest_service():
+    """Month-end: twice the usual requests. Each leads to four calls in turn at the
+    deepest service, which is the first to be full. Approvals and status checks must
+    all pass, and lookups fill what is left without pushing the service over.
+    """
+    shares, used = play({APPROVE: 180, STATUS: 200, HISTORY: 510})
+    assert shares[APPROVE] == 1.0
+    assert shares[STATUS] == 1.0
+    assert 0.5 < shares[HISTORY] < 0.85
+    assert 0.85 * SLOTS["prehled"] < used["prehled"] < 1.02 * SLOTS["prehled"]
+
+
+def test_service_that_turns_five_times_slower_is_not_flooded():
+    """The deepest service takes five times as long; what a request needs there is
+    learnt from the answers, and even important requests are cut to what fits.
+    """
+    slow = {
+        name: {s: ms * (5 if s == "prehled" else 1) for s, ms in taken.items()}
+        for name, taken in SLOT_MS.items()
+    }
+    shares, used = play({APPROVE: 90, STATUS: 100, HISTORY: 250}, slot_ms=slow)
+    assert used["prehled"] < 1.1 * SLOTS["prehled"]
+    assert shares[HISTORY] < 0.1
+    assert shares[APPROVE] > 0.7
+
+
+def test_entries_of_one_zone_alone_work_with_its_servers():
+    """A zone is cut off with a third of the servers and a third of the callers: it
+    admits what its own servers carry.
+    """
+    third = {service: slots / 3 for service, slots in SLOTS.items()}
+    shares, used = play({APPROVE: 60, STATUS: 66, HISTORY: 170}, entries=2, slots=third)
+    assert shares[APPROVE] == 1.0
+    assert used["prehled"] < 1.05 * third["prehled"]
+
+
+def test_refusals_end_soon_after_the_surge():
+    """Recovery: a second after the load is back to normal all is admitted again."""
+    node = EntryAdmission()
+    now_ms = 0.0
+    for rate in [400] * 20 + [50] * 12:
+        for _ in range(rate):
+            node.offered(HISTORY, 2)
+            if node.blocking(HISTORY, 2, 500) is None:
+                node.learn(HISTORY, SLOT_MS[HISTORY])
+        now_ms += INTERVAL_MS
+        node.due(now_ms)
+        node.decide({"prehled": Capacity(100.0, 90.0)}, now_ms)
+        if rate == 400 and now_ms > 2_000:
+            assert node.places
+    assert not node.places
+
+
+def test_demand_of_a_peer_that_fell_silent_no_longer_counts():
+    node = EntryAdmission()
+    node.offered(STATUS, 1)
+    node.learn(STATUS, SLOT_MS[STATUS])
+    node.due(0.0)
+    node.heard("gone", {"prehled": [500.0]}, 0.0)
+    node.decide({"prehled": Capacity(100.0, 50.0)}, 300.0)
+    assert node.places["prehled"] < 1
+    node.decide({"prehled": Capacity(100.0, 50.0)}, 3_000.0)
+    assert not node.places
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
@@ -0,0 +1,82 @@
+"""The fleet's bound on repeats holds although no sidecar knows the others' counts."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+
+RATIO, SLACK, WINDOW_MS = 0.2, 50.0, 10_000.0
+
+
+def new_budget(sidecars):
+    return RepeatBudget(
+        ratio=RATIO, slack=SLACK, window_ms=WINDOW_MS, sidecars=lambda: sidecars
+    )
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    st.integers(1, 40),
+    st.floats(0.1, 30.0),
+    st.floats(0.0, 1.0),
+    st.integers(0, 2**32),
+)
+def test_sum_over_the_fleet_stays_within_ratio_and_slack(
+    sidecars, rate_per_s, failing, seed
+):
+    """Every request fails and every sidecar repeats whatever its budget allows.
+
+    The platform counts all arrivals beyond the first of each request, over any ten
+    seconds, against a share of the requests and a slack for the whole fleet.
+    """
+    rng = random.Random(seed)
+    budgets = [new_budget(sidecars) for _ in range(sidecars)]
+    requests, repeats = [], []
+    now_ms = 0.0
+    while now_ms < 25_000:
+        now_ms += rng.expovariate(rate_per_s * sidecars) * 1000
+        budget = rng.choice(budgets)
+        budget.sent("archiv", repeated=False, now_ms=now_ms)
+        requests.append(now_ms)
+        if rng.random() < failing and budget.allows("archiv", now_ms):
+            budget.sent("archiv", repeated=True, now_ms=now_ms)
+            repeats.append(now_ms)
+    for end_ms in range(10_000, 26_000, 1_000):
+        begin_ms = end_ms - WINDOW_MS
+        told = sum(begin_ms < at_ms <= end_ms for at_ms in repeats)
+        asked = sum(begin_ms < at_ms <= end_ms for at_ms in requests)
+        assert told <= RATIO * asked + SLACK
+
+
+def test_repeats_of_three_levels_of_calls_add_up_to_the_ratio():
+    """A repeated request repeats its calls, and theirs: each level's own repeats come
+    on top of those that it inherits, and the deepest service sees the sum.
+    """
+    levels = ["archiv", "schvaleni", "vydej"]
+    budget = new_budget(1)
+    arrivals = dict.fromkeys(levels, 0)
+    for number in range(2_000):
+        now_ms = number * 4.0
+        repeated = False
+        for service in levels:
+            budget.sent(service, repeated=repeated, now_ms=now_ms)
+            arrivals[service] += repeated
+            if not repeated and budget.allows(service, now_ms):
+                repeated = True
+                budget.sent(service, repeated=True, now_ms=now_ms)
+                arrivals[service] += 1
+    assert max(arrivals.values()) <= RATIO * 2_000 + SLACK
+
+
+def test_unknown_service_may_use_its_part_of_the_slack():
+    assert new_budget(1).allows("archiv", 0.0)
+    assert not new_budget(100).allows("archiv", 0.0)
+
+
+def test_old_repeats_are_forgotten():
+    budget = new_budget(10)
+    for _ in range(2):
+        budget.sent("archiv", repeated=True, now_ms=0.0)
+    assert not budget.allows("archiv", 5_000.0)
+    assert budget.allows("archiv", 11_500.0)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_server_queue.py
@@ -0,0 +1,102 @@
+"""Order, bounds and refusals of the requests before one backend server."""
+
+from hypothesis import given, settings, strategies as st
+
+from sassafraswinch_sidecar.server_queue import ServerQueue, Ticket
+
+
+def ticket(name, *, inner=False, priority=0, give_up_at_ms=1_000.0):
+    return Ticket(name, inner, priority, give_up_at_ms)
+
+
+def started(queue, now_ms=0.0):
+    return [found.item for found in queue.startable(now_ms)]
+
+
+def test_calls_of_running_requests_start_before_new_ones():
+    """The deepest service is full while requests that are half done call it in turn.
+
+    A call that is refused fails the whole request above it and wastes its work, so it
+    goes before a new request of any priority.
+    """
+    queue = ServerQueue(limit=1)
+    queue.offer(ticket("first"), 0.0)
+    assert started(queue) == ["first"]
+    first = ticket("low", priority=2)
+    queue.offer(first, 0.0)
+    queue.offer(ticket("high", priority=0), 0.0)
+    queue.offer(ticket("call", inner=True, priority=2), 0.0)
+    order = []
+    for _ in range(3):
+        queue.running -= 1
+        order += started(queue)
+    assert order == ["call", "high", "low"]
+
+
+def test_request_that_would_wait_too_long_is_refused_at_once():
+    queue = ServerQueue(limit=1, hold_ms=100.0)
+    queue.offer(ticket("running"), 0.0)
+    started(queue)
+    assert not queue.offer(ticket("hasty", give_up_at_ms=50.0), 0.0)
+    assert queue.offer(ticket("patient", give_up_at_ms=150.0), 0.0)
+    assert queue.queued == 1
+
+
+def test_waiting_request_leaves_at_its_time_and_only_once():
+    queue = ServerQueue(limit=1, hold_ms=1.0)
+    queue.offer(ticket("running"), 0.0)
+    started(queue)
+    waiting = ticket("waiting", give_up_at_ms=50.0)
+    queue.offer(waiting, 0.0)
+    assert queue.expired(49.0) == []
+    assert [found.item for found in queue.expired(50.0)] == ["waiting"]
+    assert not queue.withdraw(waiting)
+    queue.running -= 1
+    assert started(queue) == []
+
+
+def test_lower_limit_stops_starts_until_enough_has_ended():
+    queue = ServerQueue(limit=2)
+    for name in ("a", "b", "c"):
+        queue.offer(ticket(name), 0.0)
+    running = list(queue.startable(0.0))
+    queue.limit = 1
+    queue.finished(running[0], 10.0)
+    assert started(queue) == []
+    queue.finished(running[1], 10.0)
+    assert started(queue) == ["c"]
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.integers(1, 4),
+    st.lists(
+        st.tuples(st.sampled_from(["offer", "finish", "withdraw", "expire"]),
+                  st.booleans(), st.integers(0, 2)),
+        max_size=60,
+    ),
+)  # fmt: skip
+def test_no_more_than_the_limit_run_and_counts_hold(limit, steps):
+    queue = ServerQueue(limit=limit)
+    waiting, running = [], []
+    for number, (step, inner, priority) in enumerate(steps):
+        now_ms = number * 10.0
+        if step == "offer":
+            new = ticket(
+                number, inner=inner, priority=priority, give_up_at_ms=now_ms + 200
+            )
+            if queue.offer(new, now_ms):
+                waiting.append(new)
+        elif step == "finish" and running:
+            queue.finished(running.pop(), now_ms)
+        elif step == "withdraw" and waiting:
+            queue.withdraw(waiting.pop())
+        elif step == "expire":
+            late = queue.expired(now_ms)
+            waiting = [found for found in waiting if found not in late]
+        new_running = list(queue.startable(now_ms))
+        running += new_running
+        waiting = [found for found in waiting if found not in new_running]
+        assert queue.running == len(running) <= limit
+        assert queue.queued == len(waiting)
+        assert not waiting or len(running) == limit
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the sidecar's tests."""
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/utils/fleet.py
@@ -0,0 +1,281 @@
+"""A few sidecars on loopback addresses, with a platform in memory."""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
+from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.platform_reader import PlatformUnavailableError
+from sassafraswinch_sidecar.replica import Delta, Entry
+from sassafraswinch_sidecar.routes import RequestLimits, Route, RouteTable, Share
+from sassafraswinch_sidecar.sidecar import Sidecar
+from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
+
+from .backend import Backend
+
+ROUTES = "routes"
+INSTANCE = "instance/"
+
+
+class MemoryDecoder:
+    """Reads the values that ``MemoryStore`` holds: JSON of the fields."""
+
+    def instance_id(self, key):
+        return key[len(INSTANCE) :] if key.startswith(INSTANCE) else None
+
+    def is_route_table(self, key):
+        return key == ROUTES
+
+    def parse_instance(self, instance_id, value):
+        return Instance(id=instance_id, **json.loads(value))
+
+    def parse_route_table(self, value):
+        read = json.loads(value)
+        if "fault" in read:
+            error = InvalidFieldError(source=ROUTES, field="fault", reason="is wrong")
+            raise InvalidFieldsError("routes", [error])
+        return RouteTable(
+            version=read["version"],
+            routes=tuple(
+                Route(**route | {"shares": tuple(Share(**s) for s in route["shares"])})
+                for route in read["routes"]
+            ),
+            limits=RequestLimits(**read.get("limits", {})),
+        )
+
+
+class MemoryStore:
+    """The platform's store: one revision, watches, and outages on demand."""
+
+    def __init__(self):
+        self.entries: dict[str, Entry] = {}
+        self.revision = 0
+        self.down = False
+        self.changed = asyncio.Condition()
+
+    async def put(self, key: str, value: dict | None) -> None:
+        self.revision += 1
+        body = None if value is None else json.dumps(value).encode()
+        self.entries[key] = Entry(key=key, revision=self.revision, value=body)
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def read(self) -> Delta:
+        self._check()
+        live = (e for e in self.entries.values() if e.value is not None)
+        return Delta(revision=self.revision, whole=True, entries=tuple(live))
+
+    async def watch(self, after_revision: int, wait_ms: int) -> Delta:
+        self._check()
+        async with self.changed:
+            await self.changed.wait_for(
+                lambda: self.down or self.revision > after_revision
+            )
+        self._check()
+        found = (e for e in self.entries.values() if e.revision > after_revision)
+        return Delta(revision=self.revision, whole=False, entries=tuple(found))
+
+    async def set_down(self, down: bool) -> None:
+        self.down = down
+        async with self.changed:
+            self.changed.notify_all()
+
+    def _check(self):
+        if self.down:
+            raise PlatformUnavailableError(reason="is down")
+
+
+@dataclass
+class Node:
+    """A sidecar with its backend server and its view of the platform."""
+
+    ip: str
+    service: str
+    backend: Backend
+    backend_port: int
+    store: MemoryStore
+    settings: SidecarSettings
+    sidecar: Sidecar | None = None
+    task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        self.sidecar = Sidecar(
+            settings=self.settings,
+            names=HeaderNames(),
+            store=self.store,
+            decoder=MemoryDecoder(),
+            ready_path=b"/ready",
+        )
+        self.task = asyncio.create_task(self.sidecar.run())
+
+    async def kill(self) -> None:
+        """End without a word, as a killed process does."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        for link in [*self.sidecar._links.accepted]:
+            link.abort()
+        await self.sidecar._close()
+
+    async def put_instance(self, store, *, leaving=False, name=None) -> None:
+        await store.put(
+            f"{INSTANCE}{name or 'i-' + self.ip}",
+            {
+                "service": self.service,
+                "ip": self.ip,
+                "availability_zone": "brno-a",
+                "slots": 8,
+                "leaving": leaving,
+                "cold_ms": 0.0,
+            },
+        )
+
+
+@dataclass
+class TestFleet:
+    """Sidecars, and a shortcut for requests of callers."""
+
+    __test__ = False
+
+    store: MemoryStore
+    nodes: list[Node] = field(default_factory=list)
+
+    def of(self, service: str) -> list[Node]:
+        return [node for node in self.nodes if node.service == service]
+
+    async def call(self, node: Node, **options) -> "Got":
+        return await call(node.settings.address("outbound"), **options)
+
+
+@dataclass
+class Got:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def request_bytes(
+    *,
+    target="/orders/1",
+    method="GET",
+    request_id="r-1",
+    time_left_ms=3_000,
+    body=b"",
+    fields="",
+) -> bytes:
+    """Return the bytes of a request."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (
+        f"{method} {target} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {time_left_ms}\r\n"
+        f"{fields}{length}\r\n"
+    ).encode() + body
+
+
+async def read_answer(reader) -> Got:
+    """Read one answer."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = dict(line.split(": ", 1) for line in head[1:] if line)
+    headers = {name.lower(): value for name, value in headers.items()}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Got(status=int(head[0].split()[1]), headers=headers, body=body)
+
+
+async def call(address, **options) -> Got:
+    """Send one request on a connection of its own."""
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    writer.write(request_bytes(**options))
+    try:
+        async with asyncio.timeout(10):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+def free_port() -> int:
+    """Return a port that is free on all loopback addresses just now."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("0.0.0.0", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, prefix, service, **fields) -> dict:
+    """Return a route as ``MemoryDecoder`` reads it."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "prefix": prefix,
+        "shares": [{"service": service, "weight": 1}],
+        "idempotent": True,
+        "max_attempts": 2,
+        "timeout_ms": 2_000.0,
+        "target_latency_ms": 1_000.0,
+        "priority": 1,
+    } | fields
+
+
+async def until(condition, *, seconds=10.0) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running_fleet(*services: str) -> AsyncIterator[TestFleet]:
+    """Start a sidecar and a backend server for each named service."""
+    store = MemoryStore()
+    fleet = TestFleet(store)
+    link_port = free_port()
+    for number, service in enumerate(services, 2):
+        ip = f"127.0.0.{number}"
+        backend = Backend()
+        port = await backend.open(ip)
+        settings = SidecarSettings(
+            host=f"host-{number}",
+            ip=ip,
+            availability_zone="brno-a",
+            service=service,
+            backend=f"{ip}:{port}",
+            outbound=f"{ip}:{free_port()}",
+            ready=f"{ip}:{free_port()}",
+            link_port=link_port,
+            metrics_port=free_port(),
+            platform="127.0.0.1:1",
+            drain_s=2.0,
+        )
+        node = Node(ip, service, backend, port, store, settings)
+        fleet.nodes.append(node)
+        await node.put_instance(store)
+    await store.put(
+        ROUTES,
+        {
+            "version": 1,
+            "routes": [
+                route("orders", "/orders/", "archiv"),
+                route("approve", "/approve/", "schvaleni", idempotent=False),
+            ],
+        },
+    )
+    for node in fleet.nodes:
+        node.start()
+    try:
+        await until(lambda: all(linked(node, fleet) for node in fleet.nodes))
+        yield fleet
+    finally:
+        for node in fleet.nodes:
+            await node.kill()
+            node.backend.close()
+
+
+def linked(node: Node, fleet: TestFleet) -> bool:
+    """Return whether a node has links to all others and routes in force."""
+    links = set(node.sidecar._links.linked())
+    return node.sidecar.is_ready and len(links) == len(fleet.nodes) - 1
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,119 @@
+"""Calls to the platform's store, against a small one that speaks its protocol."""
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+import pytest
+
+from sassafraswinch_platform.store import ReadOnlyStore
+from sassafraswinch_sidecar.platform_reader import (
+    HistoryGoneError,
+    PlatformUnavailableError,
+)
+
+
+def item(key, rev, value=b"{}"):
+    coded = base64.b64encode(value).decode()
+    return {"key": key, "value": coded, "rev": rev, "created_rev": rev, "lease": 0}
+
+
+class StandInStore:
+    """Answers each path with what a test puts there."""
+
+    def __init__(self):
+        self.answers = {}
+        self.asked = []
+
+    async def open(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        while line := await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            target = urlsplit(line.split()[1].decode())
+            query = {name: values[0] for name, values in parse_qs(target.query).items()}
+            self.asked.append((target.path, query))
+            status, body = self.answers[target.path](query)
+            if status is None:
+                writer.close()
+                return
+            payload = json.dumps(body).encode()
+            writer.write(
+                b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (status, len(payload), payload)
+            )
+
+
+@pytest.fixture
+async def standin():
+    store = StandInStore()
+    store.port = await store.open()
+    yield store
+    store.server.close()
+
+
+@pytest.fixture
+async def store(standin):
+    return ReadOnlyStore(ip="127.0.0.1", port=standin.port)
+
+
+async def test_reading_follows_the_pages_and_takes_the_first_revision(standin, store):
+    """A server leaves between two pages. The watch that follows must begin before
+    it, or nobody ever hears of it.
+    """
+    pages = {
+        None: {"items": [item("servers/a", 3)], "has_more": True, "at_rev": 5},
+        "servers/a": {"items": [item("servers/b", 4)], "has_more": False, "at_rev": 9},
+    }
+    standin.answers["/v1/kv-range"] = lambda query: (200, pages[query.get("after")])
+    routes = item("op/config", 2, b'{"version": "01"}') | {"at_rev": 9}
+    standin.answers["/v1/kv-key"] = lambda query: (200, routes)
+    delta = await store.read()
+    assert (delta.revision, delta.whole) == (5, True)
+    assert [entry.key for entry in delta.entries] == [
+        "servers/a",
+        "servers/b",
+        "op/config",
+    ]
+    assert delta.entries[2].value == b'{"version": "01"}'
+
+
+async def test_store_without_routes_yet_is_read(standin, store):
+    empty = {"items": [], "has_more": False, "at_rev": 1}
+    standin.answers["/v1/kv-range"] = lambda query: (200, empty)
+    standin.answers["/v1/kv-key"] = lambda query: (404, {})
+    assert (await store.read()).entries == ()
+
+
+async def test_watch_tells_changes_and_removals_of_what_matters(standin, store):
+    events = [
+        item("servers/a", 6),
+        {"key": "servers/b", "rev": 7, "compacted": True},
+        item("else/c", 8),
+    ]
+    standin.answers["/v1/kv-watch"] = lambda query: (
+        200,
+        {"events": events, "at_rev": 8},
+    )
+    delta = await store.watch(5, 1_000)
+    assert (delta.revision, delta.whole) == (8, False)
+    assert [(e.key, e.value) for e in delta.entries] == [
+        ("servers/a", b"{}"),
+        ("servers/b", None),
+    ]
+    assert standin.asked == [
+        ("/v1/kv-watch", {"after": "5", "wait_ms": "1000"}),
+    ]
+
+
+async def test_lost_history_and_outages_are_told_apart(standin, store):
+    standin.answers["/v1/kv-watch"] = lambda query: (410, {})
+    with pytest.raises(HistoryGoneError):
+        await store.watch(5, 1_000)
+    for status in (429, 503, None):
+        standin.answers["/v1/kv-watch"] = lambda query, status=status: (status, {})
+        with pytest.raises(PlatformUnavailableError):
+            await store.watch(5, 1_000)
