--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -40,6 +40,7 @@
 
     Attributes:
         peer_ip: address that the peer names in its greeting; empty until then.
+        heard_since_check: whether anything was read since its owner looked last.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.peer_ip = ""
         self.incarnation = 0
         self.fault = ""
+        self.heard_since_check = False
         self._greeting = greeting
         self._greeted = greeted
         self._receive = receive
@@ -70,13 +72,17 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; False where nothing of it will be written."""
+        return self.is_open and self.send_frame(serialize_message(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Queue a message that was serialized before; as ``send``."""
         if not self.is_open:
             return False
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
         if not self._unsent:
             self._loop.call_soon(self._flush)
-        self._unsent.append(serialize_message(message))
+        self._unsent.append(frame)
         return True
 
     def expect_reply(self) -> None:
@@ -126,6 +132,7 @@
     def data_received(self, data: bytes) -> None:
         """Decode and hand over whole messages (asyncio.Protocol)."""
         self._splitter.feed(data)
+        self.heard_since_check = True
         try:
             while self.is_open:
                 payload = self._splitter.next_payload()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -14,10 +14,15 @@
 )
 from sassafraswinch_sidecar.placement import PeerLoad
 from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
-from sassafraswinch_sidecar.relay_wire import Message
+from sassafraswinch_sidecar.relay_wire import Message, serialize_message
 
-HEARTBEAT_S = 0.4
-"""Pause between heartbeats: three fit before a silent link is given up."""
+CHECK_S = 0.5
+"""Pause between checks of all links. One with requests under way from which nothing
+came since the last check gets a heartbeat."""
+
+HEARTBEAT_S = 1.0
+"""Pause between the heartbeats of a link that shows signs of life. They carry demand,
+load and the revision that is known, all of which requests and answers tell sooner."""
 
 MAX_HEARTBEATS_PER_S = 64.0
 """Heartbeats that one sidecar sends in a second. In large fleets the pause grows, so
@@ -63,6 +68,7 @@
         self.link: PeerLink | None = None
         self.load = PeerLoad()
         self.dialling: asyncio.Task | None = None
+        self.beat_ms = 0.0
 
 
 class PeerLinks:
@@ -224,18 +230,34 @@
     async def _beat(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
+            due_ms = (loop.time() + CHECK_S) * 1000
+            await asyncio.sleep(CHECK_S)
+            now_ms = loop.time() * 1000
+            stalled = now_ms - due_ms > STALL_MS
             pause_s = max(HEARTBEAT_S, len(self.peers) / MAX_HEARTBEATS_PER_S)
-            due_ms = (loop.time() + pause_s) * 1000
-            await asyncio.sleep(pause_s)
-            stalled = loop.time() * 1000 - due_ms > STALL_MS
-            heartbeat = self._listener.heartbeat()
+            heartbeat = serialize_message(self._listener.heartbeat())
             for peer in list(self.peers.values()):
-                link = peer.link
-                if link is None:
-                    continue
-                if stalled:
-                    link.forgive_silence()
-                if link.silent_ms() > DEAD_MS:
-                    link.abort("silent")
-                elif link.send(heartbeat):
-                    link.expect_reply()
+                if peer.link is not None:
+                    self._check(peer, heartbeat, now_ms, pause_s * 1000, stalled)
+
+    def _check(
+        self,
+        peer: Peer,
+        heartbeat: bytes,
+        now_ms: float,
+        pause_ms: float,
+        stalled: bool,
+    ) -> None:
+        link = peer.link
+        if stalled:
+            link.forgive_silence()
+        if link.silent_ms() > DEAD_MS:
+            link.abort("silent")
+            return
+        quiet = not link.heard_since_check and peer.load.outstanding > 0
+        link.heard_since_check = False
+        if not quiet and now_ms - peer.beat_ms < pause_ms - CHECK_S * 500:
+            return
+        if link.send_frame(heartbeat):
+            peer.beat_ms = now_ms
+            link.expect_reply()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -1,7 +1,7 @@
 """Which instance of a service a request is sent to."""
 
 import random
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Hashable, Iterable
 from dataclasses import dataclass
 
 from sassafraswinch_sidecar.fleet import Instance
@@ -23,14 +23,27 @@
 """Added for each part of the recent requests that failed: an instance that fails
 half of them comes after full ones."""
 
+PACE_COST = 0.3
+"""Added for each time over the mean that an instance takes: one that is twice as slow
+as the others gets its requests when they are nearly a third fuller."""
+
+PACE_GAIN = 0.08
+"""Weight of one request in an instance's pace: the last dozen."""
+
+PACE_BOUNDS = (0.2, 5.0)
+"""Bounds of one request's pace: single long requests say little."""
+
+MEAN_GAIN = 0.02
+"""Weight of one request in the mean of its kind: the last fifty."""
+
 SAMPLE = 10
 """Instances that are compared; the cost of a choice stays flat in large services."""
 
 FAILURE_GAIN = 0.08
 """Weight of one end of a request in the failing share: the last dozen."""
 
-FAILURE_HALF_LIFE_MS = 3_000.0
-"""Time in which a failing share halves, so that the instance is tried again."""
+HALF_LIFE_MS = 3_000.0
+"""Time in which what was learnt of an instance halves, so that it is tried again."""
 
 
 @dataclass(slots=True)
@@ -44,8 +57,10 @@
             0 while it is down.
         queue_delay_ms: wait that a new request would meet.
         sent_since: requests sent to it since the report.
+        outstanding: requests sent to it that have no end yet.
         leaving: whether the peer takes no new requests.
         failing: share of recent requests that failed there.
+        pace: time that recent requests took, as share of the mean of all instances.
     """
 
     in_flight: int = 0
@@ -53,9 +68,12 @@
     limit: int | None = None
     queue_delay_ms: float = 0.0
     sent_since: int = 0
+    outstanding: int = 0
     leaving: bool = False
     failing: float = 0.0
     failing_at_ms: float = 0.0
+    pace: float = 1.0
+    pace_at_ms: float = 0.0
 
     def report(
         self, *, in_flight: int, queued: int, limit: int, queue_delay_ms: float
@@ -77,8 +95,35 @@
         """Return the share of recent requests that failed, fading with time."""
         if not self.failing:
             return 0.0
-        age_ms = now_ms - self.failing_at_ms
-        return self.failing * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+        return self.failing * _faded(now_ms - self.failing_at_ms)
+
+    def took(self, pace: float, now_ms: float) -> None:
+        """Count the time of a request, as share of the mean for its route."""
+        low, high = PACE_BOUNDS
+        known = self.pace_now(now_ms)
+        self.pace = known + PACE_GAIN * (min(max(pace, low), high) - known)
+        self.pace_at_ms = now_ms
+
+    def pace_now(self, now_ms: float) -> float:
+        """Return the pace, fading to that of the others with time."""
+        return 1.0 + (self.pace - 1.0) * _faded(now_ms - self.pace_at_ms)
+
+
+class PaceMeter:
+    """Mean times by kind of request, against which each request is measured."""
+
+    def __init__(self):
+        self._means_ms: dict[Hashable, float] = {}
+
+    def measure(self, kind: Hashable, time_ms: float) -> float:
+        """Return a request's time as share of the mean, and count it."""
+        mean_ms = self._means_ms.setdefault(kind, time_ms)
+        self._means_ms[kind] = mean_ms + MEAN_GAIN * (time_ms - mean_ms)
+        return time_ms / max(mean_ms, 1.0)
+
+
+def _faded(age_ms: float) -> float:
+    return 0.5 ** (age_ms / HALF_LIFE_MS)
 
 
 class Placement:
@@ -129,6 +174,7 @@
         limit = load.limit or max(instance.slots, 1)
         cost = (load.in_flight + load.queued + load.sent_since) / limit
         cost += FAILING_COST * load.failing_share(now_ms)
+        cost += PACE_COST * (load.pace_now(now_ms) - 1.0)
         cost += JITTER * self._rng.random()
         if instance.cold_ms and self._cold_left_ms(instance, now_ms):
             cost += COLD_COST
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -17,7 +17,7 @@
 )
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.placement import PeerLoad, Placement
+from sassafraswinch_sidecar.placement import PaceMeter, PeerLoad, Placement
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayCancel,
     RelayRequest,
@@ -53,6 +53,13 @@
 
 MIN_RETRY_AFTER_MS = 50.0
 
+SETTLE_MS = 2_000.0
+"""Time after its start in which a sidecar waits for its first links rather than refuse
+for want of them: a killed process is back at once, and its callers come at once."""
+
+SETTLE_PAUSE_S = 0.03
+"""Pause between looks for a link in that time: dialling takes milliseconds."""
+
 UNREADY_RETRY_MS = 500.0
 """Wait told while no routes are known: reading them takes less than a second."""
 
@@ -131,8 +138,10 @@
         self._counts = counts
         self._rng = rng
         self._shares = ShareChooser()
+        self._paces = PaceMeter()
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
+        self._started_ms = self._now_ms()
         self._by_http: dict[HttpRequest, Relay] = {}
 
     @property
@@ -173,6 +182,7 @@
     def response(self, response: RelayResponse, load: PeerLoad | None) -> None:
         """Take the end of a call from the executing sidecar."""
         if load is not None:
+            load.outstanding = max(0, load.outstanding - 1)
             told = response.load
             load.report(
                 in_flight=told.in_flight,
@@ -188,7 +198,7 @@
             relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
         if response.offered:
             relay.offers += 1
-        self._learn(response, load)
+        self._learn(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
             self._answered(relay, response)
         elif response.verdict == Verdict.NOT_RUN:
@@ -285,6 +295,9 @@
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
             instance = self._placement.choose(instances, relay.tried, now_ms)
+        if instance is None and not relay.tried and self._settling(left_ms):
+            self._loop.call_later(SETTLE_PAUSE_S, self._place_again, relay)
+            return
         if instance is None:
             self._no_place(relay, len(instances))
             return
@@ -292,6 +305,14 @@
         relay.tried.add(instance.id)
         self._send(relay, instance, left_ms)
 
+    def _place_again(self, relay: Relay) -> None:
+        if not relay.ended:
+            self._place(relay)
+
+    def _settling(self, left_ms: float) -> bool:
+        young = self._now_ms() - self._started_ms < SETTLE_MS
+        return young and left_ms >= MIN_RETRY_LEFT_MS
+
     def _send(self, relay: Relay, instance: Instance, left_ms: float) -> None:
         inner = relay.parent is not None
         call_id = relay.call_id = next(self._call_ids)
@@ -328,16 +349,27 @@
             self._place(relay)
         elif load is not None:
             load.sent_since += 1
+            load.outstanding += 1
 
     def _own_response(self, response: RelayResponse) -> None:
         self._loop.call_soon(self.response, response, self.own_load)
 
-    def _learn(self, response: RelayResponse, load: PeerLoad | None) -> None:
+    def _learn(
+        self, relay: Relay, response: RelayResponse, load: PeerLoad | None
+    ) -> None:
+        """Learn from the end of a request how fast and sound its instance is."""
         if load is None or not response.offered:
             return
+        now_ms = self._now_ms()
         failed = response.verdict != Verdict.ANSWERED or response.status >= 500
         if response.reason != "deadline":
-            load.ended(failed=failed, now_ms=self._now_ms())
+            load.ended(failed=failed, now_ms=now_ms)
+        for taken in response.slot_times:
+            if not failed and taken.service_name == relay.service:
+                pace = self._paces.measure(
+                    (relay.route.name, relay.service), taken.slot_ms
+                )
+                load.took(pace, now_ms)
 
     def _answered(self, relay: Relay, response: RelayResponse) -> None:
         server_failed = response.status >= 500
@@ -487,8 +519,11 @@
             return
         if relay.ip == self._own_ip:
             self._executor.cancel(self, relay.call_id)
-        else:
-            self._links.send(relay.ip, RelayCancel(call_id=relay.call_id))
+            return
+        self._links.send(relay.ip, RelayCancel(call_id=relay.call_id))
+        load = self._links.load_of(relay.ip)
+        if load is not None:
+            load.outstanding = max(0, load.outstanding - 1)
 
     def _finish(self, relay: Relay) -> None:
         relay.ended = True
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -214,7 +214,8 @@
         if isinstance(message, RelayResponse):
             self._owner.response(message, peer.load)
         elif isinstance(message, HeartbeatReply):
-            peer.link.replied()
+            if message.sequence:
+                peer.link.replied()
             peer.load.leaving = message.leaving
             told = message.load
             peer.load.report(
@@ -254,18 +255,19 @@
     def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         demand = {told.service_name: told.slots for told in heartbeat.demand}
         self._admission.heard(link.peer_ip, demand, self._now_ms())
-        link.send(
-            HeartbeatReply(
-                sequence=heartbeat.sequence,
-                revision=self.revision,
-                load=self._executor.load(),
-                leaving=self._stopping.is_set(),
-            )
-        )
+        link.send(self._heartbeat_reply(heartbeat.sequence))
         self._ask_if_behind(heartbeat.revision, link)
         if link.peer_ip not in self._links.peers:
             self._follow_fleet()
 
+    def _heartbeat_reply(self, sequence: int) -> HeartbeatReply:
+        return HeartbeatReply(
+            sequence=sequence,
+            revision=self.revision,
+            load=self._executor.load(),
+            leaving=self._stopping.is_set(),
+        )
+
     def _exchange_data(self, link: PeerLink, message: Message) -> None:
         if isinstance(message, ReplicaRequest):
             link.send(_reply_of(self._replica.since(message.after_revision)))
@@ -332,6 +334,8 @@
         began_ms = self._now_ms()
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
+        for link in self._links.accepted:
+            link.send(self._heartbeat_reply(0))
         self._outbound.drain()
         quiet_since_ms = began_ms
         while True:
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -0,0 +1,115 @@
+"""Where requests go: the emptiest, nearest, soundest and fastest instance."""
+
+import random
+from collections import Counter
+
+from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.placement import PaceMeter, PeerLoad, Placement
+
+
+def instance(number, zone="brno-a", cold_ms=0.0):
+    return Instance(
+        id=f"i-{number}",
+        service="prehled",
+        ip=f"10.0.0.{number}",
+        availability_zone=zone,
+        slots=64,
+        leaving=False,
+        cold_ms=cold_ms,
+    )
+
+
+def new_placement(loads, own_ip="10.0.0.99"):
+    return Placement(
+        own_ip=own_ip,
+        availability_zone="brno-a",
+        load_of=loads.get,
+        cold_left_ms=lambda found, now_ms: found.cold_ms,
+        rng=random.Random(3),
+    )
+
+
+def choices(loads, instances, count=200, **options):
+    placement = new_placement(loads, **options)
+    chosen = Counter()
+    for _ in range(count):
+        found = placement.choose(instances, (), 0.0)
+        chosen[found.id if found else None] += 1
+    return chosen
+
+
+def loads_of(instances, **fields):
+    return {found.ip: PeerLoad(limit=60, **fields) for found in instances}
+
+
+def test_unreachable_leaving_and_dead_instances_get_nothing():
+    found = [instance(n) for n in range(1, 5)]
+    loads = loads_of(found)
+    del loads["10.0.0.1"]
+    loads["10.0.0.2"].leaving = True
+    loads["10.0.0.3"].limit = 0
+    assert choices(loads, found) == {"i-4": 200}
+    assert choices({}, found) == {None: 200}
+
+
+def test_own_zone_is_used_until_it_is_clearly_fuller():
+    near, far = instance(1), instance(2, zone="brno-b")
+    loads = loads_of([near, far])
+    loads[near.ip].in_flight = 10
+    assert choices(loads, [near, far]) == {"i-1": 200}
+    loads[near.ip].in_flight = 40
+    assert choices(loads, [near, far]) == {"i-2": 200}
+
+
+def test_requests_in_a_row_spread_before_a_new_report():
+    """Reports come a few times a second. A sidecar that sent all requests of the
+    meantime to the one that was emptiest would overrun it.
+    """
+    found = [instance(n) for n in range(1, 4)]
+    loads = loads_of(found)
+    placement = new_placement(loads)
+    counts = Counter()
+    for _ in range(90):
+        chosen = placement.choose(found, (), 0.0)
+        loads[chosen.ip].sent_since += 1
+        counts[chosen.id] += 1
+    assert max(counts.values()) <= 40
+
+
+def test_server_that_fails_half_of_its_requests_is_the_last_choice():
+    """A server fails part of its requests and answers health checks well."""
+    found = [instance(1), instance(2)]
+    loads = loads_of(found)
+    for number in range(30):
+        loads["10.0.0.1"].ended(failed=number % 2 == 0, now_ms=0.0)
+    loads["10.0.0.2"].in_flight = 30
+    assert choices(loads, found) == {"i-2": 200}
+
+
+def test_failing_server_is_tried_again_after_a_while():
+    load = PeerLoad(limit=60)
+    for _ in range(30):
+        load.ended(failed=True, now_ms=0.0)
+    assert load.failing_share(0.0) > 0.8
+    assert load.failing_share(15_000.0) < 0.05
+
+
+def test_server_five_times_slower_gets_less():
+    """A server turns slow and has as many requests in flight as the others."""
+    found = [instance(1), instance(2)]
+    loads = loads_of(found, in_flight=20)
+    meter = PaceMeter()
+    for _ in range(40):
+        loads["10.0.0.1"].took(meter.measure("r", 440.0), 0.0)
+        for _ in range(3):
+            loads["10.0.0.2"].took(meter.measure("r", 88.0), 0.0)
+    assert choices(loads, found)["i-2"] == 200
+    assert loads["10.0.0.1"].pace_now(20_000.0) < 1.1
+
+
+def test_cold_instance_is_spared_but_not_left_out():
+    warm, cold = instance(1), instance(2, cold_ms=2_000.0)
+    loads = loads_of([warm, cold])
+    assert choices(loads, [warm, cold]) == {"i-1": 200}
+    loads[warm.ip].in_flight = 45
+    assert choices(loads, [warm, cold]) == {"i-2": 200}
