--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -24,6 +24,7 @@
     SlotTime,
     Verdict,
 )
+from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, ServerQueue, Ticket
 
 Reply = Callable[[RelayResponse], None]
@@ -72,6 +73,7 @@
         client: connections to the server.
         names: header fields of the deployment.
         is_leaving: tells whether an instance must get no new work.
+        log: lines about single requests.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         client: HttpClient,
         names: HeaderNames,
         is_leaving: Callable[[str], bool],
+        log: RequestLog,
     ):
         self.queue = ServerQueue(limit=int(UNKNOWN_SLOTS * SLOT_SHARE))
         self.running: dict[str, Execution] = {}
@@ -90,6 +93,7 @@
         self._client = client
         self._names = names
         self._is_leaving = is_leaving
+        self._log = log
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
         self._answered_ms = 0.0
@@ -310,10 +314,9 @@
         self._forget(execution)
         request = execution.request
         if reason:
-            log_event(
+            self._log.failed(
                 "execution_ended",
-                level="warning",
-                request_id=request.request_id,
+                request.request_id,
                 instance=request.instance_id,
                 reason=reason,
                 offered=execution.offered,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -5,7 +5,6 @@
 import random
 from dataclasses import dataclass, field
 
-from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import LEVELS, EntryAdmission
 from sassafraswinch_sidecar.executor import Execution, Executor
@@ -25,6 +24,7 @@
     Verdict,
 )
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import Route, ShareChooser
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
 
@@ -116,6 +116,7 @@
         admission: EntryAdmission,
         budget: RepeatBudget,
         counts: RelayCounts,
+        log: RequestLog,
         rng: random.Random,
     ):
         self.relays: dict[int, Relay] = {}
@@ -136,6 +137,7 @@
         self._admission = admission
         self._budget = budget
         self._counts = counts
+        self._log = log
         self._rng = rng
         self._shares = ShareChooser()
         self._paces = PaceMeter()
@@ -170,11 +172,11 @@
         if relay is None:
             return
         self._counts.ended("caller-left")
-        log_event(
+        self._log.failed(
             "caller_left",
-            level="debug",
-            request_id=relay.request_id,
+            relay.request_id,
             instance=relay.instance_id,
+            held_ms=self._now_ms() - http.arrived_ms,
         )
         self._cancel(relay)
         self._finish(relay)
@@ -235,13 +237,7 @@
         route = table.find(host, http.target.decode("latin-1"))
         if route is None:
             self._counts.ended("no-route")
-            log_event(
-                "no_route",
-                level="warning",
-                request_id=request_id,
-                host=host,
-                version=table.version,
-            )
+            self._log.failed("no_route", request_id, host=host, version=table.version)
             connection.respond(http, status=404, header_lines=b"")
             return None
         deadline_ms = http.arrived_ms + min(left_ms or 1e9, route.timeout_ms)
@@ -276,10 +272,9 @@
         blocking = self._admission.blocking(route.name, route.priority, relay.level)
         if blocking is None:
             return True
-        log_event(
+        self._log.failed(
             "refused_at_entry",
-            level="warning",
-            request_id=relay.request_id,
+            relay.request_id,
             route=route.name,
             blocked_by=blocking,
             place=self._admission.places[blocking],
@@ -385,12 +380,16 @@
         self._counts.answered(
             relay.route.name, self._now_ms() - relay.http.arrived_ms, response.status
         )
-        log_event(
+        told = self._log.served if response.status < 400 else self._log.failed
+        told(
             "answered",
-            level="debug",
-            request_id=relay.request_id,
+            relay.request_id,
             status=response.status,
+            route=relay.route.name,
             instance=relay.instance_id,
+            offers=relay.offers,
+            held_ms=self._now_ms() - relay.http.arrived_ms,
+            version=self._fleet.table.version,
         )
         relay.connection.respond(
             relay.http,
@@ -426,10 +425,9 @@
         )
 
     def _repeat(self, relay: Relay, reason: str) -> None:
-        log_event(
+        self._log.failed(
             "repeated",
-            level="warning",
-            request_id=relay.request_id,
+            relay.request_id,
             service=relay.service,
             reason=reason,
             offers=relay.offers,
@@ -465,10 +463,9 @@
         self, relay: Relay, reason: str, status: int, header_lines: bytes
     ) -> None:
         self._counts.ended(reason)
-        log_event(
+        self._log.failed(
             "not_served",
-            level="warning",
-            request_id=relay.request_id,
+            relay.request_id,
             route=relay.route.name,
             status=status,
             reason=reason,
@@ -500,7 +497,7 @@
         wait_ms: float,
     ) -> None:
         self._counts.ended(reason)
-        log_event("refused", level="warning", request_id=request_id, reason=reason)
+        self._log.failed("refused", request_id, reason=reason)
         connection.respond(
             http,
             status=NOT_OFFERED_STATUS,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -36,6 +36,7 @@
 from sassafraswinch_sidecar.relay_wire import Message
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
@@ -85,12 +86,14 @@
         self._loop = asyncio.get_running_loop()
         self._replica = Replica()
         self._fleet = Fleet(decoder=decoder, report=_report_faults)
+        self._log = RequestLog(now_ms=self._now_ms)
         backend = settings.address("backend")
         self._executor = Executor(
             service=settings.service,
             client=HttpClient(ip=backend.ip, port=backend.port),
             names=names,
             is_leaving=self._fleet.is_leaving,
+            log=self._log,
         )
         self._links = PeerLinks(
             own_ip=settings.ip,
@@ -123,6 +126,7 @@
                 sidecars=lambda: self._most_sidecars,
             ),
             counts=self._counts,
+            log=self._log,
             rng=rng,
         )
         self._outbound = HttpListener(handler=self._owner, limits=self._limits)
@@ -310,6 +314,7 @@
             await asyncio.sleep(TICK_S)
             now_ms = self._now_ms()
             self._fleet.tick(self._replica, now_ms)
+            self._log.tell_left_out()
             if self._admission.due(now_ms):
                 self._admission.decide(self._capacities(), now_ms)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -54,7 +54,7 @@
     repeat_ratio: float = Field(default=0.2, ge=0, le=10)
     repeat_slack: float = Field(default=50.0, ge=0, le=1e6)
     repeat_window_s: float = Field(default=10.0, gt=0, le=600)
-    log_level: str = Field(default="warning", pattern="^(debug|info|warning|error)$")
+    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
 
     def address(self, field: str) -> Address:
         """Return one of the addresses, parsed."""
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_request_log.py
@@ -0,0 +1,60 @@
+"""Log lines within bounds, to a reader that may stand still."""
+
+import io
+import os
+
+import pytest
+
+from sassafraswinch_node.logs import configure_logs
+from sassafraswinch_sidecar.line_output import MAX_HELD_BYTES, LineOutput
+from sassafraswinch_sidecar.request_log import RequestLog
+
+
+@pytest.fixture
+def stream():
+    stream = io.StringIO()
+    configure_logs(level="info", stream=stream)
+    yield stream
+    configure_logs(level="info")
+
+
+def test_failures_have_lines_when_successes_have_used_up_theirs(stream):
+    """Under load thousands of requests a second are served, and few fail. On-call
+    engineers look for the ids of the few.
+    """
+    now_ms = [0.0]
+    log = RequestLog(now_ms=lambda: now_ms[0])
+    for number in range(1_000):
+        log.served("answered", f"s-{number}", status=200)
+    log.failed("not_served", "f-1", reason="deadline")
+    lines = stream.getvalue().splitlines()
+    assert len(lines) < 40
+    assert "event=not_served request_id=f-1 reason=deadline" in lines[-1]
+
+
+def test_lines_left_out_are_counted(stream):
+    now_ms = [0.0]
+    log = RequestLog(now_ms=lambda: now_ms[0])
+    for number in range(1_000):
+        log.failed("not_served", f"f-{number}")
+    now_ms[0] = 10_001.0
+    log.tell_left_out()
+    assert "event=lines_left_out of=failures count=900" in stream.getvalue()
+
+
+async def test_reader_that_stands_still_holds_nothing_up():
+    """Whoever reads the log stops reading. The pipe fills up; the process must neither
+    wait nor hold ever more text.
+    """
+    reader, writer = os.pipe()
+    output = LineOutput(fd=writer)
+    for _ in range(20_000):
+        output.write("event=x " + "y" * 100 + "\n")
+        output.flush()
+    output._write_out()
+    assert output.dropped_lines > 10_000
+    assert output._held_bytes <= MAX_HELD_BYTES
+    assert os.read(reader, 7) == b"event=x"
+    os.close(reader)
+    output._write_out()
+    os.close(writer)
