--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/line_output.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/line_output.py
@@ -1,4 +1,4 @@
-"""Log lines to a file descriptor that may not be read: written late, never waited for."""
+"""Log lines to a file descriptor that may not be read; nobody waits for it."""
 
 import asyncio
 import os
