--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -76,6 +76,8 @@
   8: required list<SlotTime> slot_times
   9: required ServerLoad load
   10: required i32 retry_after_ms
+  /** Instance that the backend server says it is, where it refused another. */
+  11: optional string actual_instance_id
 }
 
 /** Nobody waits for the answer any more. */
@@ -88,6 +90,9 @@
   1: required string service_name
   /** By priority, the most important first. */
   2: required list<double> slots
+  /** Requests and repeats that the sender sent to the service in the window. */
+  3: required i32 sent
+  4: required i32 repeated
 }
 
 struct Heartbeat {
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/dialect.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/dialect.py
@@ -14,6 +14,8 @@
         not_executed: the backend server proves that it did not run a request.
         caller_service: service of the host where a request began.
         signature: marks a backend server's own answer.
+        actual_instance: instance id of a backend server that refuses a request for
+            another one.
     """
 
     request_id: bytes = b"x-request-id"
@@ -22,3 +24,4 @@
     not_executed: bytes = b"x-not-run"
     caller_service: bytes = b"x-caller-service"
     signature: bytes = b"x-signature"
+    actual_instance: bytes = b"x-instance"
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -35,6 +35,10 @@
 """Measured use of the slots above which admission tightens, and below which it
 relaxes: demand that no entry knows, such as that of running trees."""
 
+ABSENT_INTERVALS = 1
+"""Intervals after which a service without reachable slots refuses all that needs it;
+a link that is dialled anew is back within one."""
+
 TRIM_STEP = 0.03
 MIN_TRIM, MAX_TRIM = 0.6, 1.25
 """Step of the correction in an interval, and its bounds."""
@@ -64,6 +68,7 @@
         self._peers: dict[str, tuple[float, Mapping[str, list[float]]]] = {}
         self._places: dict[str, float] = {}
         self._trims: dict[str, float] = {}
+        self._without: dict[str, int] = {}
         self._decided_at_ms: float | None = None
 
     @property
@@ -143,7 +148,13 @@
         for service, by_priority in wanted.items():
             capacity = capacities.get(service)
             if capacity is None or not capacity.slots:
+                # Failure: a zone is cut off from all servers of a service deep in the
+                # tree. Requests run, their calls find no server, and all is wasted.
+                if self._without.get(service, 0) >= ABSENT_INTERVALS:
+                    places[service] = 0.0
+                self._without[service] = self._without.get(service, 0) + 1
                 continue
+            self._without.pop(service, None)
             room = capacity.slots * TARGET_SHARE * self._trim(service, capacity)
             place = _fitting(by_priority, room)
             if place is not None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -45,6 +45,15 @@
 
 SILENT_HOLDS = 8.0
 
+FRESH_START_MS = 8_000.0
+"""Time after the start of this process in which the instance id that the server tells
+is trusted before the platform knows it. The settings were read at the start, so the
+server beside it is still of the service that they name; later its address may have
+gone to another service, whose requests it must not run."""
+
+OTHER_INSTANCE = "other-instance"
+MISDIRECTED_STATUS = 421
+
 UNKNOWN_SLOTS = 16
 """Slots assumed before the platform has told them."""
 
@@ -62,6 +71,7 @@
     timer: asyncio.TimerHandle | None = None
     offered: bool = False
     ended: bool = False
+    actual_instance_id: str | None = None
     slot_ms: dict[str, float] = field(default_factory=dict)
 
 
@@ -97,6 +107,8 @@
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
         self._answered_ms = 0.0
+        self._started_ms = self._loop.time() * 1000
+        self._actual_instance_id: str | None = None
         self._ticking: asyncio.TimerHandle | None = None
         self._probing: asyncio.Task | None = None
 
@@ -131,6 +143,8 @@
         )
         refusal = self._refusal(request)
         if refusal:
+            if refusal == OTHER_INSTANCE:
+                execution.actual_instance_id = self._trusted_instance_id()
             self._end_unrun(execution, refusal)
             return
         execution.ticket = Ticket(
@@ -193,12 +207,20 @@
             return "other-service"
         if self._is_leaving(request.instance_id):
             return "instance-leaving"
+        known = self._actual_instance_id
+        if known is not None and known != request.instance_id:
+            return OTHER_INSTANCE
         if not self.up:
             return "server-down"
         if request.remaining_ms <= 0:
             return "deadline"
         return ""
 
+    def _trusted_instance_id(self) -> str | None:
+        """Return the server's instance id if requests may go to it by that alone."""
+        young = self._loop.time() * 1000 - self._started_ms < FRESH_START_MS
+        return self._actual_instance_id if young else None
+
     def _start(self, now_ms: float) -> None:
         for ticket in self.queue.startable(now_ms):
             self._run(ticket.item, now_ms)
@@ -249,9 +271,12 @@
             self._answered_ms = now_ms
             self._answered(execution, end)
         elif end is Fault.UNREACHABLE:
+            self._actual_instance_id = None
             self._went_down()
             self._end(execution, Verdict.NOT_RUN, "server-down")
         else:
+            # The server may have ended: who answers next may be another instance.
+            self._actual_instance_id = None
             execution.offered = True
             self._end(execution, Verdict.MAY_HAVE_RUN, f"server-{end.value}")
 
@@ -259,10 +284,16 @@
         names = self._names
         execution.offered = True
         lowered = {name.lower(): value for name, value in response.fields}
-        if names.not_executed.lower() in lowered or response.status == 421:
-            reason = "other-instance" if response.status == 421 else "server-shed"
-            self._end(execution, Verdict.NOT_RUN, reason)
+        if response.status == MISDIRECTED_STATUS:
+            told = lowered.get(names.actual_instance.lower())
+            self._actual_instance_id = told.decode("latin-1") if told else None
+            execution.actual_instance_id = self._trusted_instance_id()
+            self._end(execution, Verdict.NOT_RUN, OTHER_INSTANCE)
+            return
+        if names.not_executed.lower() in lowered:
+            self._end(execution, Verdict.NOT_RUN, "server-shed")
             return
+        self._actual_instance_id = execution.request.instance_id
         encoded = b"content-encoding" in lowered
         signed = names.signature.lower() in lowered
         if encoded or (response.status < 300 and not signed):
@@ -340,6 +371,7 @@
                 ],
                 load=self.load(),
                 retry_after_ms=0,
+                actual_instance_id=execution.actual_instance_id,
             )
         )
 
@@ -388,5 +420,6 @@
         while not await self._client.reachable():
             await asyncio.sleep(PROBE_S)
         self.up = True
+        self._actual_instance_id = None
         self._answered_ms = self._loop.time() * 1000
         log_event("backend_up", service=self._service)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -24,6 +24,7 @@
         id: names this lifetime and no other.
         service: name of the service.
         ip: IP number of its host, where a sidecar accepts links.
+        port: port of the server, which with the IP number has one server at a time.
         availability_zone: where it runs.
         slots: requests that it runs at once.
         leaving: whether it must get no new work.
@@ -33,6 +34,7 @@
     id: str
     service: str
     ip: str
+    port: int
     availability_zone: str
     slots: int
     leaving: bool
@@ -84,6 +86,7 @@
         self._known_at_ms: dict[str, float] = {}
         self._held: dict[str, float] = {}
         self._removed: dict[str, None] = {}
+        self._born: dict[str, int] = {}
         self._away_since_ms: float | None = None
         self._hold_until_ms = 0.0
 
@@ -159,6 +162,7 @@
         if self.instances.get(instance_id) != instance:
             self._known_at_ms[instance_id] = now_ms
         self.instances[instance_id] = instance
+        self._born.setdefault(instance_id, entry.revision)
 
     def _was_away_long(self, now_ms: float) -> bool:
         since_ms = self._away_since_ms
@@ -179,6 +183,7 @@
     def _remove(self, instance_id: str) -> None:
         self.instances.pop(instance_id, None)
         self._known_at_ms.pop(instance_id, None)
+        self._born.pop(instance_id, None)
         self._removed[instance_id] = None
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -193,7 +198,19 @@
             self.table = table
 
     def _index(self) -> None:
-        self._by_service = {}
+        """Sort the instances by service, without those that another one replaced.
+
+        Failure: after a loss of power the entries of the old lifetimes live on for
+        seconds beside the new ones, and half of the requests go to instances that are
+        gone. An address has one server at a time, the one that was written last.
+        """
+        at_address: dict[tuple[str, int], Instance] = {}
         for instance in self.instances.values():
+            address = (instance.ip, instance.port)
+            known = at_address.get(address)
+            if known is None or self._born[instance.id] > self._born[known.id]:
+                at_address[address] = instance
+        self._by_service = {}
+        for instance in at_address.values():
             if not instance.leaving:
                 self._by_service.setdefault(instance.service, []).append(instance)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -17,11 +17,11 @@
 
 PROTOCOL_VERSION = 1
 
-SUSPECT_MS = 700.0
+SUSPECT_MS = 450.0
 """Silence after an unanswered heartbeat from which a peer gets no new requests: well
 above the delay of a busy event loop, and below what callers wait for."""
 
-DEAD_MS = 1_300.0
+DEAD_MS = 1_000.0
 """Silence after which the link is given up and dialled anew. Connections may go
 silent for good, without a reset, while new ones work."""
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -16,7 +16,7 @@
 from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
 from sassafraswinch_sidecar.relay_wire import Message, serialize_message
 
-CHECK_S = 0.5
+CHECK_S = 0.25
 """Pause between checks of all links. One with requests under way from which nothing
 came since the last check gets a heartbeat."""
 
@@ -256,7 +256,7 @@
             return
         quiet = not link.heard_since_check and peer.load.outstanding > 0
         link.heard_since_check = False
-        if not quiet and now_ms - peer.beat_ms < pause_ms - CHECK_S * 500:
+        if not quiet and now_ms - peer.beat_ms < pause_ms - CHECK_S * 1000 / 2:
             return
         if link.send_frame(heartbeat):
             peer.beat_ms = now_ms
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -53,6 +53,10 @@
 
 MIN_RETRY_AFTER_MS = 50.0
 
+SUBSTITUTE_MS = 6_000.0
+"""Time in which an instance id that a server told stands in for the one that the
+platform names at its address: entries of ended servers expire within it."""
+
 SETTLE_MS = 2_000.0
 """Time after its start in which a sidecar waits for its first links rather than refuse
 for want of them: a killed process is back at once, and its callers come at once."""
@@ -144,6 +148,7 @@
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
+        self._substitutes: dict[str, tuple[str, float]] = {}
         self._by_http: dict[HttpRequest, Relay] = {}
 
     @property
@@ -312,12 +317,12 @@
         inner = relay.parent is not None
         call_id = relay.call_id = next(self._call_ids)
         relay.ip = instance.ip
-        relay.instance_id = instance.id
+        relay.instance_id = self._actual_id(instance.id)
         share = INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE
         span_ms = left_ms if inner else relay.route.target_latency_ms
         request = RelayRequest(
             call_id=call_id,
-            instance_id=instance.id,
+            instance_id=relay.instance_id,
             service_name=relay.service,
             request_id=relay.request_id,
             method=relay.http.method.decode("latin-1"),
@@ -333,7 +338,10 @@
             repeated=relay.repeated,
         )
         self.relays[call_id] = relay
-        self._budget.sent(relay.service, repeated=relay.repeated, now_ms=self._now_ms())
+        if relay.repeated or relay.places == 1:
+            self._budget.sent(
+                relay.service, repeated=relay.repeated, now_ms=self._now_ms()
+            )
         if instance.ip == self._own_ip:
             self.own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
@@ -346,6 +354,25 @@
             load.sent_since += 1
             load.outstanding += 1
 
+    def _actual_id(self, instance_id: str) -> str:
+        """Return the id by which the server at an instance's address answers."""
+        actual_id, told_ms = self._substitutes.get(instance_id, (instance_id, 0.0))
+        if told_ms and self._now_ms() - told_ms > SUBSTITUTE_MS:
+            del self._substitutes[instance_id]
+            return instance_id
+        return actual_id
+
+    def _note_instance(self, relay: Relay, actual_id: str) -> None:
+        """Ask a restarted server by its new id, before the platform knows it.
+
+        Failure: after a loss of power all servers have new ids, and the platform tells
+        the old ones for seconds, in which every request is refused.
+        """
+        for instance in self._fleet.of_service(relay.service):
+            if instance.ip == relay.ip and instance.id != actual_id:
+                self._substitutes[instance.id] = (actual_id, self._now_ms())
+                relay.tried.discard(instance.id)
+
     def _own_response(self, response: RelayResponse) -> None:
         self._loop.call_soon(self.response, response, self.own_load)
 
@@ -400,6 +427,8 @@
         self._finish(relay)
 
     def _not_run(self, relay: Relay, response: RelayResponse) -> None:
+        if response.actual_instance_id:
+            self._note_instance(relay, response.actual_instance_id)
         if not response.offered:
             self._place(relay)
         elif relay.offers < relay.route.max_attempts and self._budget.allows(
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/__init__.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ["ttypes", "constants"]
+__all__ = ['ttypes', 'constants']
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/constants.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/constants.py
@@ -6,13 +6,7 @@
 #  options string: py:slots
 #
 
-from thrift.Thrift import (
-    TType,
-    TMessageType,
-    TFrozenDict,
-    TException,
-    TApplicationException,
-)
+from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -6,20 +6,13 @@
 #  options string: py:slots
 #
 
-from thrift.Thrift import (
-    TType,
-    TMessageType,
-    TFrozenDict,
-    TException,
-    TApplicationException,
-)
+from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
 from thrift.protocol.TProtocol import TProtocolException
 from thrift.TRecursive import fix_spec
 
 import sys
 
 from thrift.transport import TTransport
-
 all_structs = []
 
 
@@ -54,30 +47,21 @@
     """
 
     __slots__ = (
-        "in_flight",
-        "queued",
-        "limit",
-        "queue_delay_ms",
+        'in_flight',
+        'queued',
+        'limit',
+        'queue_delay_ms',
     )
 
-    def __init__(
-        self,
-        in_flight=None,
-        queued=None,
-        limit=None,
-        queue_delay_ms=None,
-    ):
+
+    def __init__(self, in_flight=None, queued=None, limit=None, queue_delay_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
         self.queue_delay_ms = queue_delay_ms
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -112,25 +96,23 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ServerLoad")
+        oprot.writeStructBegin('ServerLoad')
         if self.in_flight is not None:
-            oprot.writeFieldBegin("in_flight", TType.I32, 1)
+            oprot.writeFieldBegin('in_flight', TType.I32, 1)
             oprot.writeI32(self.in_flight)
             oprot.writeFieldEnd()
         if self.queued is not None:
-            oprot.writeFieldBegin("queued", TType.I32, 2)
+            oprot.writeFieldBegin('queued', TType.I32, 2)
             oprot.writeI32(self.queued)
             oprot.writeFieldEnd()
         if self.limit is not None:
-            oprot.writeFieldBegin("limit", TType.I32, 3)
+            oprot.writeFieldBegin('limit', TType.I32, 3)
             oprot.writeI32(self.limit)
             oprot.writeFieldEnd()
         if self.queue_delay_ms is not None:
-            oprot.writeFieldBegin("queue_delay_ms", TType.I32, 4)
+            oprot.writeFieldBegin('queue_delay_ms', TType.I32, 4)
             oprot.writeI32(self.queue_delay_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -138,18 +120,19 @@
 
     def validate(self):
         if self.in_flight is None:
-            raise TProtocolException(message="Required field in_flight is unset!")
+            raise TProtocolException(message='Required field in_flight is unset!')
         if self.queued is None:
-            raise TProtocolException(message="Required field queued is unset!")
+            raise TProtocolException(message='Required field queued is unset!')
         if self.limit is None:
-            raise TProtocolException(message="Required field limit is unset!")
+            raise TProtocolException(message='Required field limit is unset!')
         if self.queue_delay_ms is None:
-            raise TProtocolException(message="Required field queue_delay_ms is unset!")
+            raise TProtocolException(message='Required field queue_delay_ms is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -177,27 +160,19 @@
     """
 
     __slots__ = (
-        "protocol_version",
-        "ip",
-        "incarnation",
+        'protocol_version',
+        'ip',
+        'incarnation',
     )
 
-    def __init__(
-        self,
-        protocol_version=None,
-        ip=None,
-        incarnation=None,
-    ):
+
+    def __init__(self, protocol_version=None, ip=None, incarnation=None,):
         self.protocol_version = protocol_version
         self.ip = ip
         self.incarnation = incarnation
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -212,11 +187,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.ip = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.ip = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -231,23 +202,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Hello")
+        oprot.writeStructBegin('Hello')
         if self.protocol_version is not None:
-            oprot.writeFieldBegin("protocol_version", TType.I32, 1)
+            oprot.writeFieldBegin('protocol_version', TType.I32, 1)
             oprot.writeI32(self.protocol_version)
             oprot.writeFieldEnd()
         if self.ip is not None:
-            oprot.writeFieldBegin("ip", TType.STRING, 2)
-            oprot.writeString(
-                self.ip.encode("utf-8") if sys.version_info[0] == 2 else self.ip
-            )
+            oprot.writeFieldBegin('ip', TType.STRING, 2)
+            oprot.writeString(self.ip.encode('utf-8') if sys.version_info[0] == 2 else self.ip)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin("incarnation", TType.I64, 3)
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -255,18 +222,17 @@
 
     def validate(self):
         if self.protocol_version is None:
-            raise TProtocolException(
-                message="Required field protocol_version is unset!"
-            )
+            raise TProtocolException(message='Required field protocol_version is unset!')
         if self.ip is None:
-            raise TProtocolException(message="Required field ip is unset!")
+            raise TProtocolException(message='Required field ip is unset!')
         if self.incarnation is None:
-            raise TProtocolException(message="Required field incarnation is unset!")
+            raise TProtocolException(message='Required field incarnation is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -306,41 +272,25 @@
     """
 
     __slots__ = (
-        "call_id",
-        "instance_id",
-        "service_name",
-        "request_id",
-        "method",
-        "target",
-        "headers",
-        "body",
-        "remaining_ms",
-        "max_wait_ms",
-        "priority",
-        "level",
-        "inner",
-        "idempotent",
-        "repeated",
+        'call_id',
+        'instance_id',
+        'service_name',
+        'request_id',
+        'method',
+        'target',
+        'headers',
+        'body',
+        'remaining_ms',
+        'max_wait_ms',
+        'priority',
+        'level',
+        'inner',
+        'idempotent',
+        'repeated',
     )
 
-    def __init__(
-        self,
-        call_id=None,
-        instance_id=None,
-        service_name=None,
-        request_id=None,
-        method=None,
-        target=None,
-        headers=None,
-        body=None,
-        remaining_ms=None,
-        max_wait_ms=None,
-        priority=None,
-        level=None,
-        inner=None,
-        idempotent=None,
-        repeated=None,
-    ):
+
+    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None,):
         self.call_id = call_id
         self.instance_id = instance_id
         self.service_name = service_name
@@ -358,11 +308,7 @@
         self.repeated = repeated
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -377,38 +323,22 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.instance_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.request_id = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.method = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -468,83 +398,67 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("RelayRequest")
+        oprot.writeStructBegin('RelayRequest')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.I64, 1)
+            oprot.writeFieldBegin('call_id', TType.I64, 1)
             oprot.writeI64(self.call_id)
             oprot.writeFieldEnd()
         if self.instance_id is not None:
-            oprot.writeFieldBegin("instance_id", TType.STRING, 2)
-            oprot.writeString(
-                self.instance_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.instance_id
-            )
+            oprot.writeFieldBegin('instance_id', TType.STRING, 2)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
             oprot.writeFieldEnd()
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 3)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.request_id is not None:
-            oprot.writeFieldBegin("request_id", TType.STRING, 4)
-            oprot.writeString(
-                self.request_id.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.request_id
-            )
+            oprot.writeFieldBegin('request_id', TType.STRING, 4)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
         if self.method is not None:
-            oprot.writeFieldBegin("method", TType.STRING, 5)
-            oprot.writeString(
-                self.method.encode("utf-8") if sys.version_info[0] == 2 else self.method
-            )
+            oprot.writeFieldBegin('method', TType.STRING, 5)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
             oprot.writeFieldEnd()
         if self.target is not None:
-            oprot.writeFieldBegin("target", TType.STRING, 6)
+            oprot.writeFieldBegin('target', TType.STRING, 6)
             oprot.writeBinary(self.target)
             oprot.writeFieldEnd()
         if self.headers is not None:
-            oprot.writeFieldBegin("headers", TType.STRING, 7)
+            oprot.writeFieldBegin('headers', TType.STRING, 7)
             oprot.writeBinary(self.headers)
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin("body", TType.STRING, 8)
+            oprot.writeFieldBegin('body', TType.STRING, 8)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.remaining_ms is not None:
-            oprot.writeFieldBegin("remaining_ms", TType.I32, 9)
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 9)
             oprot.writeI32(self.remaining_ms)
             oprot.writeFieldEnd()
         if self.max_wait_ms is not None:
-            oprot.writeFieldBegin("max_wait_ms", TType.I32, 10)
+            oprot.writeFieldBegin('max_wait_ms', TType.I32, 10)
             oprot.writeI32(self.max_wait_ms)
             oprot.writeFieldEnd()
         if self.priority is not None:
-            oprot.writeFieldBegin("priority", TType.I32, 11)
+            oprot.writeFieldBegin('priority', TType.I32, 11)
             oprot.writeI32(self.priority)
             oprot.writeFieldEnd()
         if self.level is not None:
-            oprot.writeFieldBegin("level", TType.I32, 12)
+            oprot.writeFieldBegin('level', TType.I32, 12)
             oprot.writeI32(self.level)
             oprot.writeFieldEnd()
         if self.inner is not None:
-            oprot.writeFieldBegin("inner", TType.BOOL, 13)
+            oprot.writeFieldBegin('inner', TType.BOOL, 13)
             oprot.writeBool(self.inner)
             oprot.writeFieldEnd()
         if self.idempotent is not None:
-            oprot.writeFieldBegin("idempotent", TType.BOOL, 14)
+            oprot.writeFieldBegin('idempotent', TType.BOOL, 14)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
         if self.repeated is not None:
-            oprot.writeFieldBegin("repeated", TType.BOOL, 15)
+            oprot.writeFieldBegin('repeated', TType.BOOL, 15)
             oprot.writeBool(self.repeated)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -552,40 +466,41 @@
 
     def validate(self):
         if self.call_id is None:
-            raise TProtocolException(message="Required field call_id is unset!")
+            raise TProtocolException(message='Required field call_id is unset!')
         if self.instance_id is None:
-            raise TProtocolException(message="Required field instance_id is unset!")
+            raise TProtocolException(message='Required field instance_id is unset!')
         if self.service_name is None:
-            raise TProtocolException(message="Required field service_name is unset!")
+            raise TProtocolException(message='Required field service_name is unset!')
         if self.request_id is None:
-            raise TProtocolException(message="Required field request_id is unset!")
+            raise TProtocolException(message='Required field request_id is unset!')
         if self.method is None:
-            raise TProtocolException(message="Required field method is unset!")
+            raise TProtocolException(message='Required field method is unset!')
         if self.target is None:
-            raise TProtocolException(message="Required field target is unset!")
+            raise TProtocolException(message='Required field target is unset!')
         if self.headers is None:
-            raise TProtocolException(message="Required field headers is unset!")
+            raise TProtocolException(message='Required field headers is unset!')
         if self.body is None:
-            raise TProtocolException(message="Required field body is unset!")
+            raise TProtocolException(message='Required field body is unset!')
         if self.remaining_ms is None:
-            raise TProtocolException(message="Required field remaining_ms is unset!")
+            raise TProtocolException(message='Required field remaining_ms is unset!')
         if self.max_wait_ms is None:
-            raise TProtocolException(message="Required field max_wait_ms is unset!")
+            raise TProtocolException(message='Required field max_wait_ms is unset!')
         if self.priority is None:
-            raise TProtocolException(message="Required field priority is unset!")
+            raise TProtocolException(message='Required field priority is unset!')
         if self.level is None:
-            raise TProtocolException(message="Required field level is unset!")
+            raise TProtocolException(message='Required field level is unset!')
         if self.inner is None:
-            raise TProtocolException(message="Required field inner is unset!")
+            raise TProtocolException(message='Required field inner is unset!')
         if self.idempotent is None:
-            raise TProtocolException(message="Required field idempotent is unset!")
+            raise TProtocolException(message='Required field idempotent is unset!')
         if self.repeated is None:
-            raise TProtocolException(message="Required field repeated is unset!")
+            raise TProtocolException(message='Required field repeated is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -612,24 +527,17 @@
     """
 
     __slots__ = (
-        "service_name",
-        "slot_ms",
+        'service_name',
+        'slot_ms',
     )
 
-    def __init__(
-        self,
-        service_name=None,
-        slot_ms=None,
-    ):
+
+    def __init__(self, service_name=None, slot_ms=None,):
         self.service_name = service_name
         self.slot_ms = slot_ms
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -639,11 +547,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -658,21 +562,15 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("SlotTime")
+        oprot.writeStructBegin('SlotTime')
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 1)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.slot_ms is not None:
-            oprot.writeFieldBegin("slot_ms", TType.DOUBLE, 2)
+            oprot.writeFieldBegin('slot_ms', TType.DOUBLE, 2)
             oprot.writeDouble(self.slot_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -680,14 +578,15 @@
 
     def validate(self):
         if self.service_name is None:
-            raise TProtocolException(message="Required field service_name is unset!")
+            raise TProtocolException(message='Required field service_name is unset!')
         if self.slot_ms is None:
-            raise TProtocolException(message="Required field slot_ms is unset!")
+            raise TProtocolException(message='Required field slot_ms is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -718,35 +617,26 @@
      - slot_times
      - load
      - retry_after_ms
+     - actual_instance_id: Instance that the backend server says it is, where it refused another.
 
     """
 
     __slots__ = (
-        "call_id",
-        "verdict",
-        "status",
-        "headers",
-        "body",
-        "reason",
-        "offered",
-        "slot_times",
-        "load",
-        "retry_after_ms",
+        'call_id',
+        'verdict',
+        'status',
+        'headers',
+        'body',
+        'reason',
+        'offered',
+        'slot_times',
+        'load',
+        'retry_after_ms',
+        'actual_instance_id',
     )
 
-    def __init__(
-        self,
-        call_id=None,
-        verdict=None,
-        status=None,
-        headers=None,
-        body=None,
-        reason=None,
-        offered=None,
-        slot_times=None,
-        load=None,
-        retry_after_ms=None,
-    ):
+
+    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, retry_after_ms=None, actual_instance_id=None,):
         self.call_id = call_id
         self.verdict = verdict
         self.status = status
@@ -757,13 +647,10 @@
         self.slot_times = slot_times
         self.load = load
         self.retry_after_ms = retry_after_ms
+        self.actual_instance_id = actual_instance_id
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -798,11 +685,7 @@
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.STRING:
-                    self.reason = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
@@ -832,6 +715,11 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.actual_instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -839,85 +727,86 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("RelayResponse")
+        oprot.writeStructBegin('RelayResponse')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.I64, 1)
+            oprot.writeFieldBegin('call_id', TType.I64, 1)
             oprot.writeI64(self.call_id)
             oprot.writeFieldEnd()
         if self.verdict is not None:
-            oprot.writeFieldBegin("verdict", TType.I32, 2)
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
             oprot.writeI32(self.verdict)
             oprot.writeFieldEnd()
         if self.status is not None:
-            oprot.writeFieldBegin("status", TType.I32, 3)
+            oprot.writeFieldBegin('status', TType.I32, 3)
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
         if self.headers is not None:
-            oprot.writeFieldBegin("headers", TType.STRING, 4)
+            oprot.writeFieldBegin('headers', TType.STRING, 4)
             oprot.writeBinary(self.headers)
             oprot.writeFieldEnd()
         if self.body is not None:
-            oprot.writeFieldBegin("body", TType.STRING, 5)
+            oprot.writeFieldBegin('body', TType.STRING, 5)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         if self.reason is not None:
-            oprot.writeFieldBegin("reason", TType.STRING, 6)
-            oprot.writeString(
-                self.reason.encode("utf-8") if sys.version_info[0] == 2 else self.reason
-            )
+            oprot.writeFieldBegin('reason', TType.STRING, 6)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
         if self.offered is not None:
-            oprot.writeFieldBegin("offered", TType.BOOL, 7)
+            oprot.writeFieldBegin('offered', TType.BOOL, 7)
             oprot.writeBool(self.offered)
             oprot.writeFieldEnd()
         if self.slot_times is not None:
-            oprot.writeFieldBegin("slot_times", TType.LIST, 8)
+            oprot.writeFieldBegin('slot_times', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.slot_times))
             for iter6 in self.slot_times:
                 iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
-            oprot.writeFieldBegin("load", TType.STRUCT, 9)
+            oprot.writeFieldBegin('load', TType.STRUCT, 9)
             self.load.write(oprot)
             oprot.writeFieldEnd()
         if self.retry_after_ms is not None:
-            oprot.writeFieldBegin("retry_after_ms", TType.I32, 10)
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 10)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.actual_instance_id is not None:
+            oprot.writeFieldBegin('actual_instance_id', TType.STRING, 11)
+            oprot.writeString(self.actual_instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.actual_instance_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.call_id is None:
-            raise TProtocolException(message="Required field call_id is unset!")
+            raise TProtocolException(message='Required field call_id is unset!')
         if self.verdict is None:
-            raise TProtocolException(message="Required field verdict is unset!")
+            raise TProtocolException(message='Required field verdict is unset!')
         if self.status is None:
-            raise TProtocolException(message="Required field status is unset!")
+            raise TProtocolException(message='Required field status is unset!')
         if self.headers is None:
-            raise TProtocolException(message="Required field headers is unset!")
+            raise TProtocolException(message='Required field headers is unset!')
         if self.body is None:
-            raise TProtocolException(message="Required field body is unset!")
+            raise TProtocolException(message='Required field body is unset!')
         if self.reason is None:
-            raise TProtocolException(message="Required field reason is unset!")
+            raise TProtocolException(message='Required field reason is unset!')
         if self.offered is None:
-            raise TProtocolException(message="Required field offered is unset!")
+            raise TProtocolException(message='Required field offered is unset!')
         if self.slot_times is None:
-            raise TProtocolException(message="Required field slot_times is unset!")
+            raise TProtocolException(message='Required field slot_times is unset!')
         if self.load is None:
-            raise TProtocolException(message="Required field load is unset!")
+            raise TProtocolException(message='Required field load is unset!')
         if self.retry_after_ms is None:
-            raise TProtocolException(message="Required field retry_after_ms is unset!")
+            raise TProtocolException(message='Required field retry_after_ms is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -942,20 +831,16 @@
 
     """
 
-    __slots__ = ("call_id",)
+    __slots__ = (
+        'call_id',
+    )
+
 
-    def __init__(
-        self,
-        call_id=None,
-    ):
+    def __init__(self, call_id=None,):
         self.call_id = call_id
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -975,13 +860,11 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("RelayCancel")
+        oprot.writeStructBegin('RelayCancel')
         if self.call_id is not None:
-            oprot.writeFieldBegin("call_id", TType.I64, 1)
+            oprot.writeFieldBegin('call_id', TType.I64, 1)
             oprot.writeI64(self.call_id)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -989,12 +872,13 @@
 
     def validate(self):
         if self.call_id is None:
-            raise TProtocolException(message="Required field call_id is unset!")
+            raise TProtocolException(message='Required field call_id is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1017,28 +901,27 @@
     Attributes:
      - service_name
      - slots: By priority, the most important first.
+     - sent: Requests and repeats that the sender sent to the service in the window.
+     - repeated
 
     """
 
     __slots__ = (
-        "service_name",
-        "slots",
+        'service_name',
+        'slots',
+        'sent',
+        'repeated',
     )
 
-    def __init__(
-        self,
-        service_name=None,
-        slots=None,
-    ):
+
+    def __init__(self, service_name=None, slots=None, sent=None, repeated=None,):
         self.service_name = service_name
         self.slots = slots
+        self.sent = sent
+        self.repeated = repeated
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1048,11 +931,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1065,6 +944,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.sent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.repeated = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1072,39 +961,46 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ServiceDemand")
+        oprot.writeStructBegin('ServiceDemand')
         if self.service_name is not None:
-            oprot.writeFieldBegin("service_name", TType.STRING, 1)
-            oprot.writeString(
-                self.service_name.encode("utf-8")
-                if sys.version_info[0] == 2
-                else self.service_name
-            )
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
         if self.slots is not None:
-            oprot.writeFieldBegin("slots", TType.LIST, 2)
+            oprot.writeFieldBegin('slots', TType.LIST, 2)
             oprot.writeListBegin(TType.DOUBLE, len(self.slots))
             for iter13 in self.slots:
                 oprot.writeDouble(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I32, 3)
+            oprot.writeI32(self.sent)
+            oprot.writeFieldEnd()
+        if self.repeated is not None:
+            oprot.writeFieldBegin('repeated', TType.I32, 4)
+            oprot.writeI32(self.repeated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.service_name is None:
-            raise TProtocolException(message="Required field service_name is unset!")
+            raise TProtocolException(message='Required field service_name is unset!')
         if self.slots is None:
-            raise TProtocolException(message="Required field slots is unset!")
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.sent is None:
+            raise TProtocolException(message='Required field sent is unset!')
+        if self.repeated is None:
+            raise TProtocolException(message='Required field repeated is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1130,27 +1026,19 @@
     """
 
     __slots__ = (
-        "sequence",
-        "revision",
-        "demand",
+        'sequence',
+        'revision',
+        'demand',
     )
 
-    def __init__(
-        self,
-        sequence=None,
-        revision=None,
-        demand=None,
-    ):
+
+    def __init__(self, sequence=None, revision=None, demand=None,):
         self.sequence = sequence
         self.revision = revision
         self.demand = demand
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1186,21 +1074,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Heartbeat")
+        oprot.writeStructBegin('Heartbeat')
         if self.sequence is not None:
-            oprot.writeFieldBegin("sequence", TType.I64, 1)
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin("revision", TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.demand is not None:
-            oprot.writeFieldBegin("demand", TType.LIST, 3)
+            oprot.writeFieldBegin('demand', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
             for iter20 in self.demand:
                 iter20.write(oprot)
@@ -1211,16 +1097,17 @@
 
     def validate(self):
         if self.sequence is None:
-            raise TProtocolException(message="Required field sequence is unset!")
+            raise TProtocolException(message='Required field sequence is unset!')
         if self.revision is None:
-            raise TProtocolException(message="Required field revision is unset!")
+            raise TProtocolException(message='Required field revision is unset!')
         if self.demand is None:
-            raise TProtocolException(message="Required field demand is unset!")
+            raise TProtocolException(message='Required field demand is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1247,30 +1134,21 @@
     """
 
     __slots__ = (
-        "sequence",
-        "revision",
-        "load",
-        "leaving",
+        'sequence',
+        'revision',
+        'load',
+        'leaving',
     )
 
-    def __init__(
-        self,
-        sequence=None,
-        revision=None,
-        load=None,
-        leaving=None,
-    ):
+
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
         self.leaving = leaving
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1306,25 +1184,23 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("HeartbeatReply")
+        oprot.writeStructBegin('HeartbeatReply')
         if self.sequence is not None:
-            oprot.writeFieldBegin("sequence", TType.I64, 1)
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin("revision", TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.load is not None:
-            oprot.writeFieldBegin("load", TType.STRUCT, 3)
+            oprot.writeFieldBegin('load', TType.STRUCT, 3)
             self.load.write(oprot)
             oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin("leaving", TType.BOOL, 4)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1332,18 +1208,19 @@
 
     def validate(self):
         if self.sequence is None:
-            raise TProtocolException(message="Required field sequence is unset!")
+            raise TProtocolException(message='Required field sequence is unset!')
         if self.revision is None:
-            raise TProtocolException(message="Required field revision is unset!")
+            raise TProtocolException(message='Required field revision is unset!')
         if self.load is None:
-            raise TProtocolException(message="Required field load is unset!")
+            raise TProtocolException(message='Required field load is unset!')
         if self.leaving is None:
-            raise TProtocolException(message="Required field leaving is unset!")
+            raise TProtocolException(message='Required field leaving is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1368,20 +1245,16 @@
 
     """
 
-    __slots__ = ("after_revision",)
+    __slots__ = (
+        'after_revision',
+    )
 
-    def __init__(
-        self,
-        after_revision=None,
-    ):
+
+    def __init__(self, after_revision=None,):
         self.after_revision = after_revision
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1401,13 +1274,11 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ReplicaRequest")
+        oprot.writeStructBegin('ReplicaRequest')
         if self.after_revision is not None:
-            oprot.writeFieldBegin("after_revision", TType.I64, 1)
+            oprot.writeFieldBegin('after_revision', TType.I64, 1)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1415,12 +1286,13 @@
 
     def validate(self):
         if self.after_revision is None:
-            raise TProtocolException(message="Required field after_revision is unset!")
+            raise TProtocolException(message='Required field after_revision is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1446,27 +1318,19 @@
     """
 
     __slots__ = (
-        "key",
-        "revision",
-        "value",
+        'key',
+        'revision',
+        'value',
     )
 
-    def __init__(
-        self,
-        key=None,
-        revision=None,
-        value=None,
-    ):
+
+    def __init__(self, key=None, revision=None, value=None,):
         self.key = key
         self.revision = revision
         self.value = value
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1476,11 +1340,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.key = (
-                        iprot.readString().decode("utf-8", errors="replace")
-                        if sys.version_info[0] == 2
-                        else iprot.readString()
-                    )
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -1500,23 +1360,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ReplicaEntry")
+        oprot.writeStructBegin('ReplicaEntry')
         if self.key is not None:
-            oprot.writeFieldBegin("key", TType.STRING, 1)
-            oprot.writeString(
-                self.key.encode("utf-8") if sys.version_info[0] == 2 else self.key
-            )
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin("revision", TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.value is not None:
-            oprot.writeFieldBegin("value", TType.STRING, 3)
+            oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1524,14 +1380,15 @@
 
     def validate(self):
         if self.key is None:
-            raise TProtocolException(message="Required field key is unset!")
+            raise TProtocolException(message='Required field key is unset!')
         if self.revision is None:
-            raise TProtocolException(message="Required field revision is unset!")
+            raise TProtocolException(message='Required field revision is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1557,27 +1414,19 @@
     """
 
     __slots__ = (
-        "revision",
-        "whole",
-        "entries",
+        'revision',
+        'whole',
+        'entries',
     )
 
-    def __init__(
-        self,
-        revision=None,
-        whole=None,
-        entries=None,
-    ):
+
+    def __init__(self, revision=None, whole=None, entries=None,):
         self.revision = revision
         self.whole = whole
         self.entries = entries
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1613,21 +1462,19 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("ReplicaReply")
+        oprot.writeStructBegin('ReplicaReply')
         if self.revision is not None:
-            oprot.writeFieldBegin("revision", TType.I64, 1)
+            oprot.writeFieldBegin('revision', TType.I64, 1)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.whole is not None:
-            oprot.writeFieldBegin("whole", TType.BOOL, 2)
+            oprot.writeFieldBegin('whole', TType.BOOL, 2)
             oprot.writeBool(self.whole)
             oprot.writeFieldEnd()
         if self.entries is not None:
-            oprot.writeFieldBegin("entries", TType.LIST, 3)
+            oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
             for iter27 in self.entries:
                 iter27.write(oprot)
@@ -1638,16 +1485,17 @@
 
     def validate(self):
         if self.revision is None:
-            raise TProtocolException(message="Required field revision is unset!")
+            raise TProtocolException(message='Required field revision is unset!')
         if self.whole is None:
-            raise TProtocolException(message="Required field whole is unset!")
+            raise TProtocolException(message='Required field whole is unset!')
         if self.entries is None:
-            raise TProtocolException(message="Required field entries is unset!")
+            raise TProtocolException(message='Required field entries is unset!')
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1680,27 +1528,18 @@
     """
 
     __slots__ = (
-        "request",
-        "response",
-        "cancel",
-        "heartbeat",
-        "heartbeat_reply",
-        "replica_request",
-        "replica_reply",
-        "hello",
+        'request',
+        'response',
+        'cancel',
+        'heartbeat',
+        'heartbeat_reply',
+        'replica_request',
+        'replica_reply',
+        'hello',
     )
 
-    def __init__(
-        self,
-        request=None,
-        response=None,
-        cancel=None,
-        heartbeat=None,
-        heartbeat_reply=None,
-        replica_request=None,
-        replica_reply=None,
-        hello=None,
-    ):
+
+    def __init__(self, request=None, response=None, cancel=None, heartbeat=None, heartbeat_reply=None, replica_request=None, replica_reply=None, hello=None,):
         self.request = request
         self.response = response
         self.cancel = cancel
@@ -1711,11 +1550,7 @@
         self.hello = hello
 
     def read(self, iprot):
-        if (
-            iprot._fast_decode is not None
-            and isinstance(iprot.trans, TTransport.CReadableTransport)
-            and self.thrift_spec is not None
-        ):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
             return
         iprot.readStructBegin()
@@ -1778,41 +1613,39 @@
 
     def write(self, oprot):
         if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(
-                oprot._fast_encode(self, [self.__class__, self.thrift_spec])
-            )
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin("Frame")
+        oprot.writeStructBegin('Frame')
         if self.request is not None:
-            oprot.writeFieldBegin("request", TType.STRUCT, 1)
+            oprot.writeFieldBegin('request', TType.STRUCT, 1)
             self.request.write(oprot)
             oprot.writeFieldEnd()
         if self.response is not None:
-            oprot.writeFieldBegin("response", TType.STRUCT, 2)
+            oprot.writeFieldBegin('response', TType.STRUCT, 2)
             self.response.write(oprot)
             oprot.writeFieldEnd()
         if self.cancel is not None:
-            oprot.writeFieldBegin("cancel", TType.STRUCT, 3)
+            oprot.writeFieldBegin('cancel', TType.STRUCT, 3)
             self.cancel.write(oprot)
             oprot.writeFieldEnd()
         if self.heartbeat is not None:
-            oprot.writeFieldBegin("heartbeat", TType.STRUCT, 4)
+            oprot.writeFieldBegin('heartbeat', TType.STRUCT, 4)
             self.heartbeat.write(oprot)
             oprot.writeFieldEnd()
         if self.heartbeat_reply is not None:
-            oprot.writeFieldBegin("heartbeat_reply", TType.STRUCT, 5)
+            oprot.writeFieldBegin('heartbeat_reply', TType.STRUCT, 5)
             self.heartbeat_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.replica_request is not None:
-            oprot.writeFieldBegin("replica_request", TType.STRUCT, 6)
+            oprot.writeFieldBegin('replica_request', TType.STRUCT, 6)
             self.replica_request.write(oprot)
             oprot.writeFieldEnd()
         if self.replica_reply is not None:
-            oprot.writeFieldBegin("replica_reply", TType.STRUCT, 7)
+            oprot.writeFieldBegin('replica_reply', TType.STRUCT, 7)
             self.replica_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.hello is not None:
-            oprot.writeFieldBegin("hello", TType.STRUCT, 8)
+            oprot.writeFieldBegin('hello', TType.STRUCT, 8)
             self.hello.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1822,8 +1655,9 @@
         return
 
     def __repr__(self):
-        L = ["%s=%r" % (key, getattr(self, key)) for key in self.__slots__]
-        return "%s(%s)" % (self.__class__.__name__, ", ".join(L))
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
 
     def __eq__(self, other):
         if not isinstance(other, self.__class__):
@@ -1837,472 +1671,119 @@
 
     def __ne__(self, other):
         return not (self == other)
-
-
 all_structs.append(ServerLoad)
 ServerLoad.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I32,
-        "in_flight",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "queued",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I32,
-        "limit",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.I32,
-        "queue_delay_ms",
-        None,
-        None,
-    ),  # 4
+    (1, TType.I32, 'in_flight', None, None, ),  # 1
+    (2, TType.I32, 'queued', None, None, ),  # 2
+    (3, TType.I32, 'limit', None, None, ),  # 3
+    (4, TType.I32, 'queue_delay_ms', None, None, ),  # 4
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I32,
-        "protocol_version",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "ip",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I64,
-        "incarnation",
-        None,
-        None,
-    ),  # 3
+    (1, TType.I32, 'protocol_version', None, None, ),  # 1
+    (2, TType.STRING, 'ip', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "call_id",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRING,
-        "instance_id",
-        "UTF8",
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "request_id",
-        "UTF8",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.STRING,
-        "method",
-        "UTF8",
-        None,
-    ),  # 5
-    (
-        6,
-        TType.STRING,
-        "target",
-        "BINARY",
-        None,
-    ),  # 6
-    (
-        7,
-        TType.STRING,
-        "headers",
-        "BINARY",
-        None,
-    ),  # 7
-    (
-        8,
-        TType.STRING,
-        "body",
-        "BINARY",
-        None,
-    ),  # 8
-    (
-        9,
-        TType.I32,
-        "remaining_ms",
-        None,
-        None,
-    ),  # 9
-    (
-        10,
-        TType.I32,
-        "max_wait_ms",
-        None,
-        None,
-    ),  # 10
-    (
-        11,
-        TType.I32,
-        "priority",
-        None,
-        None,
-    ),  # 11
-    (
-        12,
-        TType.I32,
-        "level",
-        None,
-        None,
-    ),  # 12
-    (
-        13,
-        TType.BOOL,
-        "inner",
-        None,
-        None,
-    ),  # 13
-    (
-        14,
-        TType.BOOL,
-        "idempotent",
-        None,
-        None,
-    ),  # 14
-    (
-        15,
-        TType.BOOL,
-        "repeated",
-        None,
-        None,
-    ),  # 15
+    (1, TType.I64, 'call_id', None, None, ),  # 1
+    (2, TType.STRING, 'instance_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'request_id', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'method', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'target', 'BINARY', None, ),  # 6
+    (7, TType.STRING, 'headers', 'BINARY', None, ),  # 7
+    (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
+    (9, TType.I32, 'remaining_ms', None, None, ),  # 9
+    (10, TType.I32, 'max_wait_ms', None, None, ),  # 10
+    (11, TType.I32, 'priority', None, None, ),  # 11
+    (12, TType.I32, 'level', None, None, ),  # 12
+    (13, TType.BOOL, 'inner', None, None, ),  # 13
+    (14, TType.BOOL, 'idempotent', None, None, ),  # 14
+    (15, TType.BOOL, 'repeated', None, None, ),  # 15
 )
 all_structs.append(SlotTime)
 SlotTime.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.DOUBLE,
-        "slot_ms",
-        None,
-        None,
-    ),  # 2
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'slot_ms', None, None, ),  # 2
 )
 all_structs.append(RelayResponse)
 RelayResponse.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "call_id",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I32,
-        "verdict",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.I32,
-        "status",
-        None,
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRING,
-        "headers",
-        "BINARY",
-        None,
-    ),  # 4
-    (
-        5,
-        TType.STRING,
-        "body",
-        "BINARY",
-        None,
-    ),  # 5
-    (
-        6,
-        TType.STRING,
-        "reason",
-        "UTF8",
-        None,
-    ),  # 6
-    (
-        7,
-        TType.BOOL,
-        "offered",
-        None,
-        None,
-    ),  # 7
-    (
-        8,
-        TType.LIST,
-        "slot_times",
-        (TType.STRUCT, [SlotTime, None], False),
-        None,
-    ),  # 8
-    (
-        9,
-        TType.STRUCT,
-        "load",
-        [ServerLoad, None],
-        None,
-    ),  # 9
-    (
-        10,
-        TType.I32,
-        "retry_after_ms",
-        None,
-        None,
-    ),  # 10
+    (1, TType.I64, 'call_id', None, None, ),  # 1
+    (2, TType.I32, 'verdict', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.STRING, 'headers', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
+    (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
+    (7, TType.BOOL, 'offered', None, None, ),  # 7
+    (8, TType.LIST, 'slot_times', (TType.STRUCT, [SlotTime, None], False), None, ),  # 8
+    (9, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 9
+    (10, TType.I32, 'retry_after_ms', None, None, ),  # 10
+    (11, TType.STRING, 'actual_instance_id', 'UTF8', None, ),  # 11
 )
 all_structs.append(RelayCancel)
 RelayCancel.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "call_id",
-        None,
-        None,
-    ),  # 1
+    (1, TType.I64, 'call_id', None, None, ),  # 1
 )
 all_structs.append(ServiceDemand)
 ServiceDemand.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "service_name",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.LIST,
-        "slots",
-        (TType.DOUBLE, None, False),
-        None,
-    ),  # 2
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'slots', (TType.DOUBLE, None, False), None, ),  # 2
+    (3, TType.I32, 'sent', None, None, ),  # 3
+    (4, TType.I32, 'repeated', None, None, ),  # 4
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "sequence",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "revision",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.LIST,
-        "demand",
-        (TType.STRUCT, [ServiceDemand, None], False),
-        None,
-    ),  # 3
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 3
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "sequence",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "revision",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRUCT,
-        "load",
-        [ServerLoad, None],
-        None,
-    ),  # 3
-    (
-        4,
-        TType.BOOL,
-        "leaving",
-        None,
-        None,
-    ),  # 4
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
 )
 all_structs.append(ReplicaRequest)
 ReplicaRequest.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "after_revision",
-        None,
-        None,
-    ),  # 1
+    (1, TType.I64, 'after_revision', None, None, ),  # 1
 )
 all_structs.append(ReplicaEntry)
 ReplicaEntry.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRING,
-        "key",
-        "UTF8",
-        None,
-    ),  # 1
-    (
-        2,
-        TType.I64,
-        "revision",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRING,
-        "value",
-        "BINARY",
-        None,
-    ),  # 3
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
 all_structs.append(ReplicaReply)
 ReplicaReply.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.I64,
-        "revision",
-        None,
-        None,
-    ),  # 1
-    (
-        2,
-        TType.BOOL,
-        "whole",
-        None,
-        None,
-    ),  # 2
-    (
-        3,
-        TType.LIST,
-        "entries",
-        (TType.STRUCT, [ReplicaEntry, None], False),
-        None,
-    ),  # 3
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.BOOL, 'whole', None, None, ),  # 2
+    (3, TType.LIST, 'entries', (TType.STRUCT, [ReplicaEntry, None], False), None, ),  # 3
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
-    (
-        1,
-        TType.STRUCT,
-        "request",
-        [RelayRequest, None],
-        None,
-    ),  # 1
-    (
-        2,
-        TType.STRUCT,
-        "response",
-        [RelayResponse, None],
-        None,
-    ),  # 2
-    (
-        3,
-        TType.STRUCT,
-        "cancel",
-        [RelayCancel, None],
-        None,
-    ),  # 3
-    (
-        4,
-        TType.STRUCT,
-        "heartbeat",
-        [Heartbeat, None],
-        None,
-    ),  # 4
-    (
-        5,
-        TType.STRUCT,
-        "heartbeat_reply",
-        [HeartbeatReply, None],
-        None,
-    ),  # 5
-    (
-        6,
-        TType.STRUCT,
-        "replica_request",
-        [ReplicaRequest, None],
-        None,
-    ),  # 6
-    (
-        7,
-        TType.STRUCT,
-        "replica_reply",
-        [ReplicaReply, None],
-        None,
-    ),  # 7
-    (
-        8,
-        TType.STRUCT,
-        "hello",
-        [Hello, None],
-        None,
-    ),  # 8
+    (1, TType.STRUCT, 'request', [RelayRequest, None], None, ),  # 1
+    (2, TType.STRUCT, 'response', [RelayResponse, None], None, ),  # 2
+    (3, TType.STRUCT, 'cancel', [RelayCancel, None], None, ),  # 3
+    (4, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 4
+    (5, TType.STRUCT, 'heartbeat_reply', [HeartbeatReply, None], None, ),  # 5
+    (6, TType.STRUCT, 'replica_request', [ReplicaRequest, None], None, ),  # 6
+    (7, TType.STRUCT, 'replica_reply', [ReplicaReply, None], None, ),  # 7
+    (8, TType.STRUCT, 'hello', [Hello, None], None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 SHARE_OF_RATIO = 0.35
@@ -14,6 +14,16 @@
 calls, which count at the services below as well: with a third, the repeats of three
 levels add up to the whole ratio."""
 
+CALM_SHARE_OF_RATIO = 0.9
+"""The same while the fleet's repeats, as last told by all, are few."""
+
+CALM_SHARE = 0.4
+"""Part of the fleet's bound below which its repeats are few. What all sidecars add
+before they hear of each other, a second of a window of ten, stays below the rest."""
+
+TOLD_LIFE_MS = 3_000.0
+"""Age at which a peer's counts no longer say anything: several heartbeats."""
+
 BUCKET_MS = 1_000.0
 """Grain of the window: a tenth of it."""
 
@@ -42,6 +52,14 @@
         return buckets[-1]
 
 
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """Requests and repeats that one sidecar sent to a service in the window."""
+
+    requests: int
+    repeats: int
+
+
 class RepeatBudget:
     """Counts requests and repeats by service over a sliding window.
 
@@ -60,11 +78,12 @@
         window_ms: float,
         sidecars: Callable[[], int],
     ):
-        self._ratio = ratio * SHARE_OF_RATIO
-        self._slack = slack * 0.5
+        self._ratio = ratio
+        self._slack = slack
         self._window_ms = window_ms + BUCKET_MS
         self._sidecars = sidecars
         self._windows: dict[str, _Window] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, Counted]]] = {}
 
     def sent(self, service: str, *, repeated: bool, now_ms: float) -> None:
         """Count a request that goes to a service.
@@ -85,11 +104,43 @@
             bucket.requests += 1
             window.requests += 1
 
+    def counted(self, now_ms: float) -> dict[str, Counted]:
+        """Return what this sidecar sent in the window, by service."""
+        for window in self._windows.values():
+            window.current(self._window_ms, now_ms)
+        return {
+            service: Counted(window.requests, window.repeats)
+            for service, window in self._windows.items()
+            if window.requests or window.repeats
+        }
+
+    def heard(self, peer: str, counted: Mapping[str, Counted], now_ms: float) -> None:
+        """Take in what another sidecar sent."""
+        self._peers[peer] = (now_ms, counted)
+
     def allows(self, service: str, now_ms: float) -> bool:
         """Return whether one more request of this service may be repeated."""
-        slack = self._slack / max(1, self._sidecars())
+        slack = self._slack / 2 / max(1, self._sidecars())
         window = self._windows.get(service)
         if window is None:
             return slack >= 1.0
         window.current(self._window_ms, now_ms)
-        return window.repeats + 1 <= self._ratio * window.requests + slack
+        calm = self._fleet_is_calm(service, window, now_ms)
+        share = CALM_SHARE_OF_RATIO if calm else SHARE_OF_RATIO
+        ratio = self._ratio * share
+        return window.repeats + 1 <= ratio * window.requests + slack
+
+    def _fleet_is_calm(self, service: str, window: _Window, now_ms: float) -> bool:
+        """Return whether all others are heard and the fleet repeats little."""
+        told = [
+            counted
+            for told_ms, counted in self._peers.values()
+            if now_ms - told_ms < TOLD_LIFE_MS
+        ]
+        if len(told) + 1 < self._sidecars():
+            return False
+        counts = [counted[service] for counted in told if service in counted]
+        requests = window.requests + sum(count.requests for count in counts)
+        repeats = window.repeats + sum(count.repeats for count in counts)
+        bound = self._ratio * requests + self._slack
+        return repeats < CALM_SHARE * bound
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -34,7 +34,7 @@
     ServiceDemand,
 )
 from sassafraswinch_sidecar.relay_wire import Message
-from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
@@ -104,6 +104,12 @@
         self._admission = EntryAdmission()
         self._counts = RelayCounts()
         self._most_sidecars = 1
+        self._budget = RepeatBudget(
+            ratio=settings.repeat_ratio,
+            slack=settings.repeat_slack,
+            window_ms=settings.repeat_window_s * 1000,
+            sidecars=lambda: self._most_sidecars,
+        )
         self._owner = RelayOwner(
             own_ip=settings.ip,
             service=settings.service,
@@ -119,12 +125,7 @@
                 rng=rng,
             ),
             admission=self._admission,
-            budget=RepeatBudget(
-                ratio=settings.repeat_ratio,
-                slack=settings.repeat_slack,
-                window_ms=settings.repeat_window_s * 1000,
-                sidecars=lambda: self._most_sidecars,
-            ),
+            budget=self._budget,
             counts=self._counts,
             log=self._log,
             rng=rng,
@@ -250,15 +251,29 @@
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat for all peers (LinkListener)."""
         self._sequence += 1
+        demand = self._admission.demand()
+        counted = self._budget.counted(self._now_ms())
+        none = Counted(0, 0)
         demand = [
-            ServiceDemand(service, slots)
-            for service, slots in self._admission.demand().items()
+            ServiceDemand(
+                service,
+                demand.get(service, []),
+                counted.get(service, none).requests,
+                counted.get(service, none).repeats,
+            )
+            for service in demand.keys() | counted.keys()
         ]
         return Heartbeat(sequence=self._sequence, revision=self.revision, demand=demand)
 
     def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         demand = {told.service_name: told.slots for told in heartbeat.demand}
-        self._admission.heard(link.peer_ip, demand, self._now_ms())
+        counted = {
+            told.service_name: Counted(told.sent, told.repeated)
+            for told in heartbeat.demand
+        }
+        now_ms = self._now_ms()
+        self._admission.heard(link.peer_ip, demand, now_ms)
+        self._budget.heard(link.peer_ip, counted, now_ms)
         link.send(self._heartbeat_reply(heartbeat.sequence))
         self._ask_if_behind(heartbeat.revision, link)
         if link.peer_ip not in self._links.peers:
--- a/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
@@ -113,7 +113,9 @@
                 node.learn(HISTORY, SLOT_MS[HISTORY])
         now_ms += INTERVAL_MS
         node.due(now_ms)
-        node.decide({"prehled": Capacity(100.0, 90.0)}, now_ms)
+        node.decide(
+            {"prehled": Capacity(100.0, 90.0), "archiv": Capacity(600.0, 90.0)}, now_ms
+        )
         if rate == 400 and now_ms > 2_000:
             assert node.places
     assert not node.places
@@ -129,3 +131,22 @@
     assert node.places["prehled"] < 1
     node.decide({"prehled": Capacity(100.0, 50.0)}, 3_000.0)
     assert not node.places
+
+
+def test_route_whose_tree_needs_an_unreachable_service_is_refused_at_its_entry():
+    """A zone is cut off from the last server of a service deep in the tree. Requests
+    would run, their calls find no server, and non-repeatable ones fail for good; told
+    at once that nothing ran, callers come back after the cut.
+    """
+    node = EntryAdmission()
+    for number in range(1, 5):
+        node.offered(STATUS, 1)
+        node.offered(HISTORY, 2)
+        node.learn(STATUS, SLOT_MS[STATUS])
+        node.learn(HISTORY, SLOT_MS[HISTORY])
+        node.decide({"prehled": Capacity(100.0, 10.0)}, number * INTERVAL_MS)
+    assert node.blocking(HISTORY, 2, 0) == "archiv"
+    assert node.blocking(STATUS, 1, 0) is None
+    back = {"prehled": Capacity(100.0, 10.0), "archiv": Capacity(600.0, 10.0)}
+    node.decide(back, 5 * INTERVAL_MS)
+    assert node.blocking(HISTORY, 2, 0) is None
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -12,6 +12,7 @@
         id=f"i-{number}",
         service="prehled",
         ip=f"10.0.0.{number}",
+        port=8080,
         availability_zone=zone,
         slots=64,
         leaving=False,
--- a/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 
 RATIO, SLACK, WINDOW_MS = 0.2, 50.0, 10_000.0
 
@@ -33,9 +33,12 @@
     rng = random.Random(seed)
     budgets = [new_budget(sidecars) for _ in range(sidecars)]
     requests, repeats = [], []
-    now_ms = 0.0
+    now_ms = told_ms = 0.0
     while now_ms < 25_000:
         now_ms += rng.expovariate(rate_per_s * sidecars) * 1000
+        if now_ms - told_ms > 1_000.0:
+            told_ms = now_ms
+            exchange(budgets, now_ms)
         budget = rng.choice(budgets)
         budget.sent("archiv", repeated=False, now_ms=now_ms)
         requests.append(now_ms)
@@ -49,6 +52,42 @@
         assert told <= RATIO * asked + SLACK
 
 
+def exchange(budgets, now_ms):
+    """Let each sidecar hear the counts of all others, as heartbeats do."""
+    for teller in budgets:
+        counted = teller.counted(now_ms)
+        for hearer in budgets:
+            if hearer is not teller:
+                hearer.heard(str(id(teller)), counted, now_ms)
+
+
+def test_many_repeats_pass_while_the_fleet_makes_few():
+    """One service loses two answers of five for some seconds. The fleet's bound leaves
+    room for all repeats, though each sidecar's own safe part doesn't.
+    """
+    budgets = [new_budget(10) for _ in range(10)]
+    for budget in budgets:
+        for number in range(100):
+            budget.sent("archiv", repeated=False, now_ms=number * 10.0)
+    exchange(budgets, 1_000.0)
+    one = budgets[0]
+    allowed = 0
+    while one.allows("archiv", 1_000.0) and allowed < 100:
+        one.sent("archiv", repeated=True, now_ms=1_000.0)
+        allowed += 1
+    assert 15 <= allowed <= 25
+
+
+def test_sidecar_that_does_not_hear_all_others_keeps_to_its_safe_part():
+    budget = new_budget(10)
+    for number in range(100):
+        budget.sent("archiv", repeated=False, now_ms=number * 10.0)
+    budget.heard("one", {"archiv": Counted(100, 0)}, 1_000.0)
+    for _ in range(9):
+        budget.sent("archiv", repeated=True, now_ms=1_000.0)
+    assert not budget.allows("archiv", 1_000.0)
+
+
 def test_repeats_of_three_levels_of_calls_add_up_to_the_ratio():
     """A repeated request repeats its calls, and theirs: each level's own repeats come
     on top of those that it inherits, and the deepest service sees the sum.
--- a/packages/sassafraswinch-sidecar/tests/utils/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/utils/fleet.py
@@ -127,6 +127,7 @@
             {
                 "service": self.service,
                 "ip": self.ip,
+                "port": self.backend_port,
                 "availability_zone": "brno-a",
                 "slots": 8,
                 "leaving": leaving,
