Write single frames at once, lower header names once, learn faster after a start

After a loss of power entries learn the first answers' slot times as a mean, take the first interval's rate whole, and tell each other four times a second; the correction may double the slots that count.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -39,8 +39,8 @@
 """Intervals after which a service without reachable slots refuses all that needs it;
 a link that is dialled anew is back within one."""
 
-TRIM_STEP = 0.03
-MIN_TRIM, MAX_TRIM = 0.6, 1.25
+TRIM_STEP = 0.04
+MIN_TRIM, MAX_TRIM = 0.6, 2.0
 """Step of the correction in an interval, and its bounds."""
 
 
@@ -56,12 +56,18 @@
 class _RouteDemand:
     priority: int
     offered: int = 0
-    rate_per_s: float = 0.0
+    answers: int = 0
+    rate_per_s: float | None = None
     slot_s: dict[str, float] = field(default_factory=dict)
 
 
 class EntryAdmission:
-    """Learns what routes need, and refuses what can't be carried to the end."""
+    """Learns what routes need, and refuses what can't be carried to the end.
+
+    Attributes:
+        wanted: slots that all entries' arrivals need, by service and priority, as of
+            the last decision.
+    """
 
     def __init__(self):
         self._routes: dict[str, _RouteDemand] = {}
@@ -69,6 +75,7 @@
         self._places: dict[str, float] = {}
         self._trims: dict[str, float] = {}
         self._without: dict[str, int] = {}
+        self.wanted: Mapping[str, list[float]] = {}
         self._decided_at_ms: float | None = None
 
     @property
@@ -76,6 +83,10 @@
         """For each service under pressure, the place up to which it admits."""
         return self._places
 
+    def trim_of(self, service: str) -> float:
+        """Return the correction to a service's slots that is in force."""
+        return self._trims.get(service, 1.0)
+
     def offered(self, route: str, priority: int) -> None:
         """Count a root request that arrived."""
         demand = self._routes.get(route)
@@ -89,6 +100,8 @@
         demand = self._routes.get(route)
         if demand is None:
             return
+        demand.answers += 1
+        gain = max(LEARN_GAIN, 1 / demand.answers)
         known = demand.slot_s
         for service in known.keys() | slot_ms.keys():
             taken_s = slot_ms.get(service, 0.0) / 1000
@@ -96,7 +109,7 @@
             if before_s is None:
                 known[service] = taken_s
             else:
-                known[service] = before_s + LEARN_GAIN * (taken_s - before_s)
+                known[service] = before_s + gain * (taken_s - before_s)
 
     def blocking(self, route: str, priority: int, level: int) -> str | None:
         """Return a service that can't carry the request, None if it may go on."""
@@ -116,7 +129,7 @@
         total: dict[str, list[float]] = {}
         for route in self._routes.values():
             for service, slot_s in route.slot_s.items():
-                if slot_s < MIN_SLOTS or route.rate_per_s < 0.01:
+                if slot_s < MIN_SLOTS or not route.rate_per_s:
                     continue
                 slots = total.setdefault(service, [])
                 slots += [0.0] * (route.priority + 1 - len(slots))
@@ -144,6 +157,7 @@
             if now_ms - told[0] < DEMAND_LIFE_MS
         }
         wanted = _summed([self.demand(), *(told[1] for told in self._peers.values())])
+        self.wanted = wanted
         places = {}
         for service, by_priority in wanted.items():
             capacity = capacities.get(service)
@@ -167,6 +181,8 @@
         for name, route in list(self._routes.items()):
             rate_per_s = route.offered / seconds
             route.offered = 0
+            if route.rate_per_s is None:
+                route.rate_per_s = rate_per_s
             route.rate_per_s += RATE_GAIN * (rate_per_s - route.rate_per_s)
             if route.rate_per_s < 1e-4:
                 del self._routes[name]
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -14,8 +14,7 @@
 )
 from sassafraswinch_sidecar.http_fields import (
     HOP_BY_HOP,
-    named_by_connection,
-    serialize_fields,
+    serialize_end_to_end,
 )
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayRequest,
@@ -248,9 +247,8 @@
 
         def is_own(response: HttpResponse) -> bool:
             return any(
-                value == request_id
-                for name, value in response.fields
-                if name.lower() == id_name
+                lowered == id_name and value == request_id
+                for lowered, _, value in response.fields
             )
 
         if not self.queue.running - 1:
@@ -283,7 +281,7 @@
     def _answered(self, execution: Execution, response: HttpResponse) -> None:
         names = self._names
         execution.offered = True
-        lowered = {name.lower(): value for name, value in response.fields}
+        lowered = {name: value for name, _, value in response.fields}
         if response.status == MISDIRECTED_STATUS:
             told = lowered.get(names.actual_instance.lower())
             self._actual_instance_id = told.decode("latin-1") if told else None
@@ -299,10 +297,7 @@
         if encoded or (response.status < 300 and not signed):
             self._end(execution, Verdict.MAY_HAVE_RUN, "server-garbled")
             return
-        dropped = HOP_BY_HOP | named_by_connection(response.fields)
-        lines = serialize_fields(
-            found for found in response.fields if found[0].lower() not in dropped
-        )
+        lines = serialize_end_to_end(response.fields, HOP_BY_HOP)
         self._end(
             execution,
             Verdict.ANSWERED,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -27,6 +27,9 @@
 that its server dropped meanwhile resets it, and nobody knows whether it ran."""
 
 
+_FRAMING = (b"content-length", b"transfer-encoding")
+
+
 class Fault(enum.Enum):
     """Why there is no response."""
 
@@ -142,15 +145,14 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header field (httptools)."""
         if self._complete is None:
-            self._fields.append((name, value))
+            self._fields.append((name.lower(), name, value))
 
     def on_headers_complete(self) -> None:
         """Find out where the body ends (httptools)."""
         if self._complete is not None or self._exchange is None:
             return
-        names = {name.lower() for name, _ in self._fields}
         status = self._parser.get_status_code()
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        framed = any(lowered in _FRAMING for lowered, _, _ in self._fields)
         if not framed and has_body(status, self._exchange.method):
             self._until_close = True
         if self._exchange.method == b"HEAD" and status >= 200:
@@ -213,8 +215,8 @@
             exchange.done(exchange, fault)
 
     def _read_idle_limit(self, response: HttpResponse) -> None:
-        for name, value in response.fields:
-            if name.lower() != b"keep-alive":
+        for lowered, _, value in response.fields:
+            if lowered != b"keep-alive":
                 continue
             for part in value.split(b","):
                 key, _, seconds = part.strip().partition(b"=")
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
@@ -1,10 +1,10 @@
 """Header fields of HTTP/1.1 messages that pass through a sidecar."""
 
-from collections.abc import Iterable
 from http import HTTPStatus
 
-Fields = list[tuple[bytes, bytes]]
-"""Names and values of header fields, in order and as received."""
+Fields = list[tuple[bytes, bytes, bytes]]
+"""Header fields in order: name in lower case, name as received, value. Names are
+compared several times on the path of each message, and lowered once."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -27,21 +27,27 @@
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-def named_by_connection(fields: Fields) -> frozenset[bytes]:
-    """Return the fields that ``Connection`` declares to be of one connection."""
-    return frozenset(
-        option.strip().lower()
-        for name, value in fields
-        if name.lower() == b"connection"
-        for option in value.split(b",")
+def serialize_end_to_end(fields: Fields, dropped: frozenset[bytes]) -> bytes:
+    """Write the header lines that are passed on, each with its line end.
+
+    Args:
+        fields: fields of the message.
+        dropped: names that aren't passed on, in lower case; those that ``Connection``
+            declares to be of one connection are left out as well.
+    """
+    for lowered, _, value in fields:
+        if lowered == b"connection":
+            options = value.lower().split(b",")
+            dropped = dropped.union(option.strip() for option in options)
+    return b"".join(
+        [
+            b"%b: %b\r\n" % (name, value)
+            for lowered, name, value in fields
+            if lowered not in dropped
+        ]
     )
 
 
-def serialize_fields(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """Write header lines, each with its line end."""
-    return b"".join([b"%b: %b\r\n" % field for field in fields])
-
-
 def status_line(status: int) -> bytes:
     """Write the first line of a response."""
     return b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b"Unknown"))
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -126,18 +126,18 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header field (httptools)."""
-        self._fields.append((name, value))
+        self._fields.append((name.lower(), name, value))
 
     def on_headers_complete(self) -> None:
         """Check what the header alone tells (httptools)."""
         limits = self._limits()
-        for name, value in self._fields:
-            lowered = name.lower()
+        size = 0
+        for lowered, _, value in self._fields:
+            size += len(lowered) + len(value) + 4
             if lowered == b"content-length" and int(value) > limits.max_body_bytes:
                 self._refuse(413)
             elif lowered == b"expect" and value.lower() == b"100-continue":
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        size = sum(len(name) + len(value) + 4 for name, value in self._fields)
         if size > limits.max_header_bytes:
             self._refuse(431)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -29,14 +29,47 @@
 """Bytes held for a peer that reads slowly; a tenth of a host's memory."""
 
 
+class WriteBatch:
+    """Puts off the writes of links while a chunk of messages is handled.
+
+    A busy peer sends many messages in one chunk, and the frames that they cause go out
+    in one system call a link. A single one is written at once: putting it off to the
+    next turn of the event loop would cost a further system call.
+    """
+
+    def __init__(self):
+        self._depth = 0
+        self._links: list[PeerLink] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Whether writes are put off now."""
+        return self._depth > 0
+
+    def add(self, link: "PeerLink") -> None:
+        """Write a link's frames when the batch ends."""
+        self._links.append(link)
+
+    def __enter__(self) -> None:
+        self._depth += 1
+
+    def __exit__(self, *exc: object) -> None:
+        self._depth -= 1
+        if not self._depth:
+            links, self._links = self._links, []
+            for link in links:
+                link.flush()
+
+
 class PeerLink(asyncio.Protocol):
-    """Frames of one connection; writes of one turn of the event loop go together.
+    """Frames of one connection.
 
     Args:
         greeting: what this side says first.
         greeted: called once the peer has said hello.
         receive: called with each further message.
         lost: called once when the connection is gone.
+        batch: puts off writes, together with those of other links.
 
     Attributes:
         peer_ip: address that the peer names in its greeting; empty until then.
@@ -50,6 +83,7 @@
         greeted: Callable[["PeerLink"], None],
         receive: Callable[["PeerLink", Message], None],
         lost: Callable[["PeerLink"], None],
+        batch: WriteBatch,
     ):
         self.peer_ip = ""
         self.incarnation = 0
@@ -59,6 +93,7 @@
         self._greeted = greeted
         self._receive = receive
         self._lost = lost
+        self._batch = batch
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._splitter = FrameSplitter()
@@ -80,9 +115,12 @@
             return False
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
-        if not self._unsent:
-            self._loop.call_soon(self._flush)
-        self._unsent.append(frame)
+        if self._batch.is_open:
+            if not self._unsent:
+                self._batch.add(self)
+            self._unsent.append(frame)
+        else:
+            self._transport.write(frame)
         return True
 
     def expect_reply(self) -> None:
@@ -114,7 +152,7 @@
 
     def close(self) -> None:
         """Write what is queued and close."""
-        self._flush()
+        self.flush()
         if self._transport is not None:
             self._transport.close()
 
@@ -134,15 +172,8 @@
         self._splitter.feed(data)
         self.heard_since_check = True
         try:
-            while self.is_open:
-                payload = self._splitter.next_payload()
-                if payload is None:
-                    return
-                message = parse_message(payload)
-                if self.peer_ip:
-                    self._receive(self, message)
-                else:
-                    self._greet(message)
+            with self._batch:
+                self._handle_messages()
         except WireError as error:
             self.abort(error.reason)
 
@@ -151,6 +182,17 @@
         self.fault = self.fault or (str(exc) if exc else "closed")
         self._lost(self)
 
+    def _handle_messages(self) -> None:
+        while self.is_open:
+            payload = self._splitter.next_payload()
+            if payload is None:
+                return
+            message = parse_message(payload)
+            if self.peer_ip:
+                self._receive(self, message)
+            else:
+                self._greet(message)
+
     def _greet(self, message: Message) -> None:
         if not isinstance(message, Hello):
             raise WireError(reason="a message before the greeting")
@@ -164,7 +206,8 @@
         self._splitter.accept_long(MAX_FRAME_BYTES)
         self._greeted(self)
 
-    def _flush(self) -> None:
+    def flush(self) -> None:
+        """Write the frames that were put off."""
         if self._unsent and self.is_open:
             self._transport.write(b"".join(self._unsent))
         self._unsent.clear()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -11,6 +11,7 @@
     PROTOCOL_VERSION,
     SUSPECT_MS,
     PeerLink,
+    WriteBatch,
 )
 from sassafraswinch_sidecar.placement import PeerLoad
 from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
@@ -24,6 +25,10 @@
 """Pause between the heartbeats of a link that shows signs of life. They carry demand,
 load and the revision that is known, all of which requests and answers tell sooner."""
 
+YOUNG_MS = 3_000.0
+"""Time after the start in which all links get a heartbeat at each check: after a loss
+of power the entries know nothing of each other's demand, and servers are cold."""
+
 MAX_HEARTBEATS_PER_S = 64.0
 """Heartbeats that one sidecar sends in a second. In large fleets the pause grows, so
 that control stays below a hundredth of a core."""
@@ -72,7 +77,14 @@
 
 
 class PeerLinks:
-    """Dials, accepts and watches the links of one sidecar."""
+    """Dials, accepts and watches the links of one sidecar.
+
+    Args:
+        own_ip: address of this host.
+        port: port at which all sidecars accept links.
+        incarnation: number of this process, which no other process has.
+        listener: is told what happens.
+    """
 
     def __init__(
         self,
@@ -90,8 +102,10 @@
             protocol_version=PROTOCOL_VERSION, ip=own_ip, incarnation=incarnation
         )
         self._listener = listener
+        self._batch = WriteBatch()
         self._server: asyncio.Server | None = None
         self._beating: asyncio.Task | None = None
+        self._opened_ms = 0.0
 
     async def open(self) -> None:
         """Accept links and begin to send heartbeats."""
@@ -103,6 +117,7 @@
             reuse_address=True,
         )
         self._beating = loop.create_task(self._beat())
+        self._opened_ms = loop.time() * 1000
 
     async def close(self) -> None:
         """Close all links."""
@@ -158,6 +173,7 @@
             greeted=greeted,
             receive=self._dialled_message if dialled else self._accepted_message,
             lost=lost,
+            batch=self._batch,
         )
 
     def _dial(self, ip: str, delay_s: float) -> None:
@@ -235,6 +251,8 @@
             now_ms = loop.time() * 1000
             stalled = now_ms - due_ms > STALL_MS
             pause_s = max(HEARTBEAT_S, len(self.peers) / MAX_HEARTBEATS_PER_S)
+            if now_ms - self._opened_ms < YOUNG_MS:
+                pause_s = CHECK_S
             heartbeat = serialize_message(self._listener.heartbeat())
             for peer in list(self.peers.values()):
                 if peer.link is not None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -11,8 +11,7 @@
 from sassafraswinch_sidecar.fleet import Fleet, Instance
 from sassafraswinch_sidecar.http_fields import (
     HOP_BY_HOP,
-    named_by_connection,
-    serialize_fields,
+    serialize_end_to_end,
 )
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
@@ -127,7 +126,9 @@
         self.own_load = PeerLoad()
         self.refuse_new = False
         self._own_ip = own_ip
-        self._caller_service = service.encode()
+        self._caller_line = b"%b: %b\r\n" % (names.caller_service, service.encode())
+        self._id_name = names.request_id.lower()
+        self._time_left_name = names.time_left_ms.lower()
         self._names = names
         self._own_names = HOP_BY_HOP | {
             names.time_left_ms.lower(),
@@ -223,16 +224,14 @@
             self._may_have_run(relay, "link-lost")
 
     def _accept(self, http: HttpRequest, connection: CallerConnection) -> Relay | None:
-        names = self._names
         host = request_id = ""
         left_ms: float | None = None
-        for name, value in http.fields:
-            lowered = name.lower()
+        for lowered, _, value in http.fields:
             if lowered == b"host":
                 host = value.decode("latin-1")
-            elif lowered == names.request_id.lower():
+            elif lowered == self._id_name:
                 request_id = value.decode("latin-1")
-            elif lowered == names.time_left_ms.lower():
+            elif lowered == self._time_left_name:
                 left_ms = float(value) if value.isdigit() else None
         table = self._fleet.table
         if table is None or self.refuse_new:
@@ -266,10 +265,7 @@
         )
 
     def _header_lines(self, http: HttpRequest) -> bytes:
-        dropped = self._own_names | named_by_connection(http.fields)
-        kept = [found for found in http.fields if found[0].lower() not in dropped]
-        kept.append((self._names.caller_service, self._caller_service))
-        return serialize_fields(kept)
+        return serialize_end_to_end(http.fields, self._own_names) + self._caller_line
 
     def _admit(self, relay: Relay) -> bool:
         route = relay.route
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -331,7 +331,24 @@
             self._fleet.tick(self._replica, now_ms)
             self._log.tell_left_out()
             if self._admission.due(now_ms):
-                self._admission.decide(self._capacities(), now_ms)
+                capacities = self._capacities()
+                self._admission.decide(capacities, now_ms)
+                self._log_admission(capacities)
+
+    def _log_admission(self, capacities: dict[str, Capacity]) -> None:
+        for service, place in self._admission.places.items():
+            capacity = capacities.get(service, Capacity(0.0, 0.0))
+            log_event(
+                "admission",
+                service=service,
+                place=place,
+                slots=capacity.slots,
+                used=capacity.used,
+                trim=self._admission.trim_of(service),
+                wanted=",".join(
+                    f"{slots:.0f}" for slots in self._admission.wanted.get(service, ())
+                ),
+            )
 
     def _capacities(self) -> dict[str, Capacity]:
         slots: dict[str, float] = {}
