--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/pages.py
@@ -0,0 +1,48 @@
+"""Pages of a sidecar for the platform: readiness and metrics."""
+
+from collections.abc import Callable
+
+from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.sidecar_metrics import SidecarMetrics
+
+
+class ReadyPage:
+    """Tells whether callers may be sent here.
+
+    Args:
+        path: path of the question.
+        is_ready: returns the answer.
+    """
+
+    def __init__(self, *, path: bytes, is_ready: Callable[[], bool]):
+        self._path = path
+        self._is_ready = is_ready
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Answer one question (RequestHandler)."""
+        status = 404
+        if request.target.partition(b"?")[0] == self._path:
+            status = 200 if self._is_ready() else 503
+        connection.respond(request, status=status, header_lines=b"")
+
+    def gone(self, request: HttpRequest) -> None:
+        """Nothing is under way (RequestHandler)."""
+
+
+class MetricsPage:
+    """Serves the metrics."""
+
+    def __init__(self, metrics: SidecarMetrics):
+        self._metrics = metrics
+
+    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
+        """Render the page (RequestHandler)."""
+        connection.respond(
+            request,
+            status=200,
+            header_lines=b"Content-Type: text/plain; version=0.0.4\r\n",
+            body=self._metrics.render(),
+        )
+
+    def gone(self, request: HttpRequest) -> None:
+        """Nothing is under way (RequestHandler)."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -2,20 +2,20 @@
 
 import asyncio
 import itertools
-import random
-from dataclasses import dataclass, field
 
-from sassafraswinch_sidecar.dialect import HeaderNames
-from sassafraswinch_sidecar.entry_admission import LEVELS, EntryAdmission
-from sassafraswinch_sidecar.executor import Execution, Executor
+from sassafraswinch_sidecar.entry_admission import EntryAdmission
+from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.fleet import Fleet, Instance
-from sassafraswinch_sidecar.http_fields import (
-    HOP_BY_HOP,
-    serialize_end_to_end,
-)
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import PaceMeter, PeerLoad, Placement
+from sassafraswinch_sidecar.relay_answers import (
+    MAY_HAVE_RUN_STATUS,
+    NOT_RUN_STATUS,
+    TIMEOUT_STATUS,
+    RelayAnswers,
+)
+from sassafraswinch_sidecar.relay_intake import Relay, RelayIntake
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayCancel,
     RelayRequest,
@@ -24,8 +24,8 @@
 )
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
-from sassafraswinch_sidecar.routes import Route, ShareChooser
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
+from sassafraswinch_sidecar.substitutes import Substitutes
 
 ROOT_WAIT_SHARE = 0.12
 """Part of the target latency that a root request waits for a slot: after that it is
@@ -46,15 +46,6 @@
 """Time past its limit until which the answer of the executing sidecar is awaited: it
 tells whether the request has run."""
 
-RETRY_AFTER_SHARES = (0.15, 0.5)
-"""Parts of the target latency between which refused callers are told to come back:
-soon enough for an answer of full worth, and spread so that they don't come at once."""
-
-MIN_RETRY_AFTER_MS = 50.0
-
-SUBSTITUTE_MS = 6_000.0
-"""Time in which an instance id that a server told stands in for the one that the
-platform names at its address: entries of ended servers expire within it."""
 
 SETTLE_MS = 2_000.0
 """Time after its start in which a sidecar waits for its first links rather than refuse
@@ -63,40 +54,6 @@
 SETTLE_PAUSE_S = 0.03
 """Pause between looks for a link in that time: dialling takes milliseconds."""
 
-UNREADY_RETRY_MS = 500.0
-"""Wait told while no routes are known: reading them takes less than a second."""
-
-NOT_OFFERED_STATUS = 503
-MAY_HAVE_RUN_STATUS = 502
-TIMEOUT_STATUS = 504
-
-
-@dataclass(slots=True, eq=False)
-class Relay:
-    """A request that this sidecar owns."""
-
-    http: HttpRequest
-    connection: CallerConnection
-    route: Route
-    service: str
-    request_id: str
-    header_lines: bytes
-    deadline_ms: float
-    priority: int
-    level: int
-    parent: Execution | None
-    repeated: bool
-    call_id: int = 0
-    ip: str = ""
-    instance_id: str = ""
-    tried: set[str] = field(default_factory=set)
-    offers: int = 0
-    places: int = 0
-    may_have_run: bool = False
-    last_answer: RelayResponse | None = None
-    ended: bool = False
-    slot_ms: dict[str, float] = field(default_factory=dict)
-
 
 class RelayOwner:
     """Takes callers' requests, places them, and gives each its one answer.
@@ -109,8 +66,8 @@
         self,
         *,
         own_ip: str,
-        service: str,
-        names: HeaderNames,
+        intake: RelayIntake,
+        answers: RelayAnswers,
         fleet: Fleet,
         links: PeerLinks,
         executor: Executor,
@@ -119,21 +76,13 @@
         budget: RepeatBudget,
         counts: RelayCounts,
         log: RequestLog,
-        rng: random.Random,
     ):
         self.relays: dict[int, Relay] = {}
         self.own_load = PeerLoad()
         self.refuse_new = False
         self._own_ip = own_ip
-        self._caller_line = b"%b: %b\r\n" % (names.caller_service, service.encode())
-        self._id_name = names.request_id.lower()
-        self._time_left_name = names.time_left_ms.lower()
-        self._names = names
-        self._own_names = HOP_BY_HOP | {
-            names.time_left_ms.lower(),
-            names.expected_instance.lower(),
-            names.caller_service.lower(),
-        }
+        self._intake = intake
+        self._answers = answers
         self._fleet = fleet
         self._links = links
         self._executor = executor
@@ -142,13 +91,11 @@
         self._budget = budget
         self._counts = counts
         self._log = log
-        self._rng = rng
-        self._shares = ShareChooser()
         self._paces = PaceMeter()
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
-        self._substitutes: dict[str, tuple[str, float]] = {}
+        self._substitutes = Substitutes()
         self._by_http: dict[HttpRequest, Relay] = {}
 
     @property
@@ -158,9 +105,11 @@
 
     def handle(self, http: HttpRequest, connection: CallerConnection) -> None:
         """Take a request (RequestHandler)."""
-        relay = self._accept(http, connection)
-        if relay is None:
+        taken = self._intake.take(http, connection, closed=self.refuse_new)
+        if not isinstance(taken, Relay):
+            self._answers.refuse(http, connection, taken)
             return
+        relay = taken
         self._by_http[http] = relay
         if relay.parent is None and not self._admit(relay):
             return
@@ -226,50 +175,6 @@
             relay.offers += 1
             self._may_have_run(relay, "link-lost")
 
-    def _accept(self, http: HttpRequest, connection: CallerConnection) -> Relay | None:
-        host = request_id = ""
-        left_ms: float | None = None
-        for lowered, _, value in http.fields:
-            if lowered == b"host":
-                host = value.decode("latin-1")
-            elif lowered == self._id_name:
-                request_id = value.decode("latin-1")
-            elif lowered == self._time_left_name:
-                left_ms = float(value) if value.isdigit() else None
-        table = self._fleet.table
-        if table is None or self.refuse_new:
-            reason = "no-routes" if table is None else "leaving"
-            self._refuse(http, connection, request_id, reason, UNREADY_RETRY_MS)
-            return None
-        route = table.find(host, http.target.decode("latin-1"))
-        if route is None:
-            self._counts.ended("no-route")
-            self._log.failed("no_route", request_id, host=host, version=table.version)
-            connection.respond(http, status=404, header_lines=b"")
-            return None
-        deadline_ms = http.arrived_ms + min(left_ms or 1e9, route.timeout_ms)
-        parent = self._executor.running.get(request_id.rpartition(".")[0])
-        level = self._rng.randrange(LEVELS)
-        if parent is not None:
-            deadline_ms = min(deadline_ms, parent.deadline_ms)
-            level = parent.request.level
-        return Relay(
-            http=http,
-            connection=connection,
-            route=route,
-            service=self._shares.choose(route),
-            request_id=request_id,
-            header_lines=self._header_lines(http),
-            deadline_ms=deadline_ms,
-            priority=parent.request.priority if parent else route.priority,
-            level=level,
-            parent=parent,
-            repeated=parent is not None and parent.request.repeated,
-        )
-
-    def _header_lines(self, http: HttpRequest) -> bytes:
-        return serialize_end_to_end(http.fields, self._own_names) + self._caller_line
-
     def _admit(self, relay: Relay) -> bool:
         route = relay.route
         self._admission.offered(route.name, route.priority)
@@ -284,7 +189,7 @@
             place=self._admission.places[blocking],
             level_of_request=relay.level,
         )
-        self._end_not_run(relay, "overloaded")
+        self._fail(relay, "overloaded", NOT_RUN_STATUS)
         return False
 
     def _place(self, relay: Relay) -> None:
@@ -314,9 +219,10 @@
 
     def _send(self, relay: Relay, instance: Instance, left_ms: float) -> None:
         inner = relay.parent is not None
+        now_ms = self._now_ms()
         call_id = relay.call_id = next(self._call_ids)
         relay.ip = instance.ip
-        relay.instance_id = self._actual_id(instance.id)
+        relay.instance_id = self._substitutes.actual_id(instance.id, now_ms)
         share = INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE
         span_ms = left_ms if inner else relay.route.target_latency_ms
         request = RelayRequest(
@@ -338,9 +244,7 @@
         )
         self.relays[call_id] = relay
         if relay.repeated or relay.places == 1:
-            self._budget.sent(
-                relay.service, repeated=relay.repeated, now_ms=self._now_ms()
-            )
+            self._budget.sent(relay.service, repeated=relay.repeated, now_ms=now_ms)
         if instance.ip == self._own_ip:
             self.own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
@@ -353,25 +257,22 @@
             load.sent_since += 1
             load.outstanding += 1
 
-    def _actual_id(self, instance_id: str) -> str:
-        """Return the id by which the server at an instance's address answers."""
-        actual_id, told_ms = self._substitutes.get(instance_id, (instance_id, 0.0))
-        if told_ms and self._now_ms() - told_ms > SUBSTITUTE_MS:
-            del self._substitutes[instance_id]
-            return instance_id
-        return actual_id
-
     def _note_instance(self, relay: Relay, actual_id: str) -> None:
-        """Ask a restarted server by its new id, before the platform knows it.
-
-        Failure: after a loss of power all servers have new ids, and the platform tells
-        the old ones for seconds, in which every request is refused.
-        """
         for instance in self._fleet.of_service(relay.service):
             if instance.ip == relay.ip and instance.id != actual_id:
-                self._substitutes[instance.id] = (actual_id, self._now_ms())
+                self._substitutes.note(instance.id, actual_id, self._now_ms())
                 relay.tried.discard(instance.id)
 
+    def _deliver(self, relay: Relay, response: RelayResponse) -> None:
+        if relay.parent is None and response.status < 300:
+            self._admission.learn(relay.route.name, relay.slot_ms)
+        self._answers.deliver(relay, response)
+        self._finish(relay)
+
+    def _fail(self, relay: Relay, reason: str, status: int) -> None:
+        self._answers.fail(relay, reason, status)
+        self._finish(relay)
+
     def _own_response(self, response: RelayResponse) -> None:
         self._loop.call_soon(self.response, response, self.own_load)
 
@@ -400,31 +301,6 @@
             return
         self._deliver(relay, response)
 
-    def _deliver(self, relay: Relay, response: RelayResponse) -> None:
-        if relay.parent is None and response.status < 300:
-            self._admission.learn(relay.route.name, relay.slot_ms)
-        self._counts.answered(
-            relay.route.name, self._now_ms() - relay.http.arrived_ms, response.status
-        )
-        told = self._log.served if response.status < 400 else self._log.failed
-        told(
-            "answered",
-            relay.request_id,
-            status=response.status,
-            route=relay.route.name,
-            instance=relay.instance_id,
-            offers=relay.offers,
-            held_ms=self._now_ms() - relay.http.arrived_ms,
-            version=self._fleet.table.version,
-        )
-        relay.connection.respond(
-            relay.http,
-            status=response.status,
-            header_lines=response.headers,
-            body=response.body,
-        )
-        self._finish(relay)
-
     def _not_run(self, relay: Relay, response: RelayResponse) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
@@ -478,59 +354,11 @@
         if relay.last_answer is not None:
             self._deliver(relay, relay.last_answer)
         elif not relay.may_have_run:
-            self._end_not_run(relay, reason)
+            self._fail(relay, reason, NOT_RUN_STATUS)
         else:
             late = relay.deadline_ms - self._now_ms() < MIN_RETRY_LEFT_MS
             status = TIMEOUT_STATUS if late else MAY_HAVE_RUN_STATUS
-            self._fail(relay, reason, status, b"")
-
-    def _end_not_run(self, relay: Relay, reason: str) -> None:
-        self._fail(relay, reason, NOT_OFFERED_STATUS, self._retry_after(relay))
-
-    def _fail(
-        self, relay: Relay, reason: str, status: int, header_lines: bytes
-    ) -> None:
-        self._counts.ended(reason)
-        self._log.failed(
-            "not_served",
-            relay.request_id,
-            route=relay.route.name,
-            status=status,
-            reason=reason,
-            offers=relay.offers,
-            places=relay.places,
-            instance=relay.instance_id,
-            held_ms=self._now_ms() - relay.http.arrived_ms,
-            inner=relay.parent is not None,
-        )
-        name = self._names.request_id
-        lines = b"%b: %b\r\n" % (name, relay.request_id.encode("latin-1"))
-        relay.connection.respond(
-            relay.http, status=status, header_lines=lines + header_lines
-        )
-        self._finish(relay)
-
-    def _retry_after(self, relay: Relay) -> bytes:
-        span_ms = relay.route.target_latency_ms
-        low, high = RETRY_AFTER_SHARES
-        wait_ms = max(span_ms * self._rng.uniform(low, high), MIN_RETRY_AFTER_MS)
-        return b"Retry-After: %.3f\r\n" % (wait_ms / 1000)
-
-    def _refuse(
-        self,
-        http: HttpRequest,
-        connection: CallerConnection,
-        request_id: str,
-        reason: str,
-        wait_ms: float,
-    ) -> None:
-        self._counts.ended(reason)
-        self._log.failed("refused", request_id, reason=reason)
-        connection.respond(
-            http,
-            status=NOT_OFFERED_STATUS,
-            header_lines=b"Retry-After: %.3f\r\n" % (wait_ms / 1000),
-        )
+            self._fail(relay, reason, status)
 
     def _timed_out(self, relay: Relay) -> None:
         if relay.ended:
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -0,0 +1,122 @@
+"""Final answers to callers, each with its count and its line in the log."""
+
+import asyncio
+import random
+
+from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.relay_intake import Relay, Unroutable
+from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
+from sassafraswinch_sidecar.request_log import RequestLog
+from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
+
+RETRY_AFTER_SHARES = (0.15, 0.5)
+"""Parts of the target latency between which refused callers are told to come back:
+soon enough for an answer of full worth, and spread so that they don't come at once."""
+
+MIN_RETRY_AFTER_MS = 50.0
+"""Shortest wait told: below it a caller meets the same queue."""
+
+UNREADY_RETRY_MS = 500.0
+"""Wait told while no routes are known: reading them takes less than a second."""
+
+NO_ROUTE_STATUS = 404
+NOT_RUN_STATUS = 503
+"""Promises that the request hasn't run and never will."""
+
+MAY_HAVE_RUN_STATUS = 502
+TIMEOUT_STATUS = 504
+
+
+class RelayAnswers:
+    """Writes what callers get."""
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        counts: RelayCounts,
+        log: RequestLog,
+        rng: random.Random,
+    ):
+        self._id_name = names.request_id
+        self._counts = counts
+        self._log = log
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+
+    def deliver(self, relay: Relay, response: RelayResponse) -> None:
+        """Pass a backend server's answer on."""
+        held_ms = self._held_ms(relay.http)
+        self._counts.answered(relay.route.name, held_ms, response.status)
+        told = self._log.served if response.status < 400 else self._log.failed
+        told(
+            "answered",
+            relay.request_id,
+            status=response.status,
+            route=relay.route.name,
+            instance=relay.instance_id,
+            offers=relay.offers,
+            held_ms=held_ms,
+        )
+        relay.connection.respond(
+            relay.http,
+            status=response.status,
+            header_lines=response.headers,
+            body=response.body,
+        )
+
+    def fail(self, relay: Relay, reason: str, status: int) -> None:
+        """Answer a request that has no answer of a backend server.
+
+        Args:
+            relay: the request.
+            reason: why, as a word for logs and counters.
+            status: ``NOT_RUN_STATUS`` only with a proof.
+        """
+        self._counts.ended(reason)
+        self._log.failed(
+            "not_served",
+            relay.request_id,
+            route=relay.route.name,
+            status=status,
+            reason=reason,
+            offers=relay.offers,
+            places=relay.places,
+            instance=relay.instance_id,
+            held_ms=self._held_ms(relay.http),
+            inner=relay.parent is not None,
+        )
+        lines = b"%b: %b\r\n" % (self._id_name, relay.request_id.encode("latin-1"))
+        if status == NOT_RUN_STATUS:
+            lines += _retry_after(self._wait_ms(relay))
+        relay.connection.respond(relay.http, status=status, header_lines=lines)
+
+    def refuse(
+        self, http: HttpRequest, connection: CallerConnection, why: Unroutable
+    ) -> None:
+        """Answer a request that takes no route."""
+        self._counts.ended(why.reason)
+        self._log.failed(
+            "refused",
+            why.request_id,
+            reason=why.reason,
+            host=why.host,
+            version=why.version,
+        )
+        if why.reason == "no-route":
+            connection.respond(http, status=NO_ROUTE_STATUS, header_lines=b"")
+            return
+        lines = _retry_after(UNREADY_RETRY_MS)
+        connection.respond(http, status=NOT_RUN_STATUS, header_lines=lines)
+
+    def _wait_ms(self, relay: Relay) -> float:
+        share = self._rng.uniform(*RETRY_AFTER_SHARES)
+        return max(relay.route.target_latency_ms * share, MIN_RETRY_AFTER_MS)
+
+    def _held_ms(self, http: HttpRequest) -> float:
+        return self._loop.time() * 1000 - http.arrived_ms
+
+
+def _retry_after(wait_ms: float) -> bytes:
+    return b"Retry-After: %.3f\r\n" % (wait_ms / 1000)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -13,9 +13,11 @@
     RelayCancel,
     RelayRequest,
     RelayResponse,
+    ReplicaEntry,
     ReplicaReply,
     ReplicaRequest,
 )
+from sassafraswinch_sidecar.replica import Delta, Entry
 
 Message = (
     Heartbeat
@@ -80,3 +82,20 @@
     except _DECODING_ERRORS as error:
         raise WireError(reason=f"not a frame: {error!r}") from error
     raise WireError(reason="a frame without a message of this protocol version")
+
+
+def serialize_delta(delta: Delta) -> ReplicaReply:
+    """Return the message that carries changes of the platform's data."""
+    entries = [
+        ReplicaEntry(entry.key, entry.revision, entry.value) for entry in delta.entries
+    ]
+    return ReplicaReply(revision=delta.revision, whole=delta.whole, entries=entries)
+
+
+def parse_delta(reply: ReplicaReply) -> Delta:
+    """Return the changes that a message carries."""
+    entries = tuple(
+        Entry(key=told.key, revision=told.revision, value=told.value)
+        for told in reply.entries
+    )
+    return Delta(revision=reply.revision, whole=reply.whole, entries=entries)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -12,30 +12,28 @@
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.fleet import Decoder, Fleet
 from sassafraswinch_sidecar.http_client import HttpClient
-from sassafraswinch_sidecar.http_server import (
-    CallerConnection,
-    HttpListener,
-    HttpRequest,
-)
+from sassafraswinch_sidecar.http_server import HttpListener
+from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
 from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
 from sassafraswinch_sidecar.relay import RelayOwner
+from sassafraswinch_sidecar.relay_answers import RelayAnswers
+from sassafraswinch_sidecar.relay_intake import RelayIntake
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     Heartbeat,
     HeartbeatReply,
     RelayCancel,
     RelayRequest,
     RelayResponse,
-    ReplicaEntry,
     ReplicaReply,
     ReplicaRequest,
     ServiceDemand,
 )
-from sassafraswinch_sidecar.relay_wire import Message
+from sassafraswinch_sidecar.relay_wire import Message, parse_delta, serialize_delta
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
-from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sassafraswinch_sidecar.replica import Delta, Replica
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
@@ -83,7 +81,6 @@
     ):
         rng = random.Random(f"{settings.ip}/{time.time_ns()}")
         self._settings = settings
-        self._ready_path = ready_path
         self._loop = asyncio.get_running_loop()
         self._replica = Replica()
         self._fleet = Fleet(decoder=decoder, report=_report_faults)
@@ -113,8 +110,16 @@
         )
         self._owner = RelayOwner(
             own_ip=settings.ip,
-            service=settings.service,
-            names=names,
+            intake=RelayIntake(
+                service=settings.service,
+                names=names,
+                fleet=self._fleet,
+                executor=self._executor,
+                rng=rng,
+            ),
+            answers=RelayAnswers(
+                names=names, counts=self._counts, log=self._log, rng=rng
+            ),
             fleet=self._fleet,
             links=self._links,
             executor=self._executor,
@@ -129,10 +134,12 @@
             budget=self._budget,
             counts=self._counts,
             log=self._log,
-            rng=rng,
         )
         self._outbound = HttpListener(handler=self._owner, limits=self._limits)
-        self._ready = HttpListener(handler=ReadyPage(self), limits=_default_limits)
+        self._ready = HttpListener(
+            handler=ReadyPage(path=ready_path, is_ready=lambda: self.is_ready),
+            limits=_default_limits,
+        )
         self._metrics = HttpListener(
             handler=MetricsPage(
                 SidecarMetrics(counts=self._counts, gauges=self._gauges)
@@ -155,10 +162,6 @@
         """Whether callers may be sent here."""
         return self._fleet.table is not None and not self._stopping.is_set()
 
-    def answers_ready(self, http: HttpRequest) -> bool:
-        """Return whether a request asks for readiness."""
-        return http.target.partition(b"?")[0] == self._ready_path
-
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what is under way."""
         self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
@@ -290,9 +293,9 @@
 
     def _exchange_data(self, link: PeerLink, message: Message) -> None:
         if isinstance(message, ReplicaRequest):
-            link.send(_reply_of(self._replica.since(message.after_revision)))
+            link.send(serialize_delta(self._replica.since(message.after_revision)))
         elif isinstance(message, ReplicaReply):
-            self.take(_delta_of(message), f"peer-{link.peer_ip}")
+            self.take(parse_delta(message), f"peer-{link.peer_ip}")
 
     def _ask_if_behind(self, revision: int, link: PeerLink) -> None:
         """Ask a peer for what the platform doesn't tell this host, or not yet."""
@@ -428,42 +431,6 @@
         return self._loop.time() * 1000
 
 
-class ReadyPage:
-    """Tells the platform whether callers may be sent here."""
-
-    def __init__(self, sidecar: Sidecar):
-        self._sidecar = sidecar
-
-    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        """Answer one question (RequestHandler)."""
-        status = 404
-        if self._sidecar.answers_ready(request):
-            status = 200 if self._sidecar.is_ready else 503
-        connection.respond(request, status=status, header_lines=b"")
-
-    def gone(self, request: HttpRequest) -> None:
-        """Nothing is under way (RequestHandler)."""
-
-
-class MetricsPage:
-    """Serves the metrics."""
-
-    def __init__(self, metrics: SidecarMetrics):
-        self._metrics = metrics
-
-    def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
-        """Render the page (RequestHandler)."""
-        connection.respond(
-            request,
-            status=200,
-            header_lines=b"Content-Type: text/plain; version=0.0.4\r\n",
-            body=self._metrics.render(),
-        )
-
-    def gone(self, request: HttpRequest) -> None:
-        """Nothing is under way (RequestHandler)."""
-
-
 def _default_limits() -> RequestLimits:
     return DEFAULT_LIMITS
 
@@ -477,18 +444,3 @@
             field=error.field,
             reason=error.reason,
         )
-
-
-def _delta_of(reply: ReplicaReply) -> Delta:
-    entries = tuple(
-        Entry(key=told.key, revision=told.revision, value=told.value)
-        for told in reply.entries
-    )
-    return Delta(revision=reply.revision, whole=reply.whole, entries=entries)
-
-
-def _reply_of(delta: Delta) -> ReplicaReply:
-    entries = [
-        ReplicaEntry(entry.key, entry.revision, entry.value) for entry in delta.entries
-    ]
-    return ReplicaReply(revision=delta.revision, whole=delta.whole, entries=entries)
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -231,6 +231,19 @@
     assert (await fleet.call(node)).status == 200
 
 
+async def test_request_right_after_a_restart_waits_for_the_first_link(fleet):
+    """A process is killed and back at once; its callers didn't wait. It knows the
+    servers a moment before it has links to them: refusing then would be of no use.
+    """
+    node = fleet.nodes[2]
+    await node.kill()
+    node.start()
+    await until(lambda: node.sidecar.is_ready)
+    for peer in node.sidecar._links.peers.values():
+        peer.link = None
+    assert (await fleet.call(node)).status == 200
+
+
 async def test_sidecar_shut_out_by_the_platform_hears_of_changes_from_peers(fleet):
     """The platform turns one host away and serves the others. A server leaves; the
     host must hear of it all the same.
