--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -239,8 +239,11 @@
     await node.kill()
     node.start()
     await until(lambda: node.sidecar.is_ready)
+    await until(lambda: len(list(node.sidecar._links.linked())) == 2)
     for peer in node.sidecar._links.peers.values():
-        peer.link = None
+        peer.link.abort("lost")
+    await asyncio.sleep(0)
+    assert not list(node.sidecar._links.linked())
     assert (await fleet.call(node)).status == 200
 
 
