--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -52,6 +52,10 @@
     used: float
 
 
+NO_CAPACITY = Capacity(0.0, 0.0)
+"""Nothing of a service can be reached."""
+
+
 @dataclass(slots=True)
 class _RouteDemand:
     priority: int
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Container, Hashable, Iterable
 from dataclasses import dataclass
 
+from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, Capacity
 from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
 
 OTHER_ZONE_COST = 0.25
 """Share of the slots by which an instance in another zone must be emptier. The way
@@ -75,14 +77,12 @@
     pace: float = 1.0
     pace_at_ms: float = 0.0
 
-    def report(
-        self, *, in_flight: int, queued: int, limit: int, queue_delay_ms: float
-    ) -> None:
+    def report(self, told: ServerLoad) -> None:
         """Take in what the peer says of its backend server."""
-        self.in_flight = in_flight
-        self.queued = queued
-        self.limit = limit
-        self.queue_delay_ms = queue_delay_ms
+        self.in_flight = told.in_flight
+        self.queued = told.queued
+        self.limit = told.limit
+        self.queue_delay_ms = told.queue_delay_ms
         self.sent_since = 0
 
     def ended(self, *, failed: bool, now_ms: float) -> None:
@@ -183,3 +183,20 @@
         elif instance.ip != self._own_ip:
             cost += OTHER_HOST_COST
         return cost
+
+
+def capacities_of(
+    instances: Iterable[Instance], load_of: Callable[[str], PeerLoad | None]
+) -> dict[str, Capacity]:
+    """Return the slots that can be reached, by service, and how many are in use."""
+    capacities: dict[str, Capacity] = {}
+    for instance in instances:
+        load = load_of(instance.ip)
+        if load is None or load.leaving:
+            continue
+        known = capacities.get(instance.service, NO_CAPACITY)
+        limit = instance.slots if load.limit is None else load.limit
+        capacities[instance.service] = Capacity(
+            known.slots + limit, known.used + load.in_flight + load.queued
+        )
+    return capacities
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -0,0 +1,88 @@
+"""What this sidecar knows of the platform's data, and how peers share it."""
+
+import asyncio
+from collections.abc import Callable
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.fleet import Fleet
+from sassafraswinch_sidecar.peer_link import PeerLink
+from sassafraswinch_sidecar.relay_protocol.ttypes import ReplicaReply, ReplicaRequest
+from sassafraswinch_sidecar.relay_wire import Message, parse_delta, serialize_delta
+from sassafraswinch_sidecar.replica import Delta, Replica
+
+ASK_AGAIN_MS = 300.0
+"""Pause before changes are asked of another peer: the first may not answer."""
+
+
+class PlatformData:
+    """Merges what the platform and peers tell, and keeps the fleet up to date.
+
+    A sidecar that the platform turns away, or that starts while it is down, hears of
+    every change from a peer: heartbeats tell revisions, and whoever is behind asks.
+
+    Args:
+        fleet: follows the changes.
+        changed: called after each change.
+    """
+
+    def __init__(self, *, fleet: Fleet, changed: Callable[[], None]):
+        self._fleet = fleet
+        self._changed = changed
+        self._replica = Replica()
+        self._loop = asyncio.get_running_loop()
+        self._asked_ms = 0.0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the platform's data up to which all is known."""
+        return self._replica.revision
+
+    def take(self, delta: Delta, source: str) -> None:
+        """Take in changes (ReplicaKeeper)."""
+        changed = self._replica.merge(delta)
+        if not changed:
+            return
+        version = self._fleet.table.version if self._fleet.table else None
+        self._fleet.apply(changed, self._now_ms())
+        log_event(
+            "platform_data_changed",
+            level="warning",
+            source=source,
+            revision=delta.revision,
+            keys=",".join(entry.key for entry in changed[:4]),
+            changed=len(changed),
+        )
+        table = self._fleet.table
+        if table is not None and table.version != version:
+            log_event("routes_in_force", level="warning", version=table.version)
+        self._changed()
+
+    def platform_away(self) -> None:
+        """The platform can't be read (ReplicaKeeper)."""
+        self._fleet.platform_away(self._now_ms())
+
+    def platform_back(self) -> None:
+        """The platform can be read (ReplicaKeeper)."""
+        self._fleet.platform_back(self._now_ms())
+
+    def tick(self, now_ms: float) -> None:
+        """Drop what didn't come back after an outage."""
+        self._fleet.tick(self._replica, now_ms)
+
+    def exchange(self, link: PeerLink, message: Message) -> None:
+        """Answer a peer's question for changes, or take in its answer."""
+        if isinstance(message, ReplicaRequest):
+            link.send(serialize_delta(self._replica.since(message.after_revision)))
+        elif isinstance(message, ReplicaReply):
+            self.take(parse_delta(message), f"peer-{link.peer_ip}")
+
+    def ask_if_behind(self, revision: int, link: PeerLink) -> None:
+        """Ask a peer for what it knows and this sidecar doesn't."""
+        now_ms = self._now_ms()
+        if revision <= self.revision or now_ms - self._asked_ms < ASK_AGAIN_MS:
+            return
+        self._asked_ms = now_ms
+        link.send(ReplicaRequest(after_revision=self.revision))
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -143,13 +143,7 @@
         """Take the end of a call from the executing sidecar."""
         if load is not None:
             load.outstanding = max(0, load.outstanding - 1)
-            told = response.load
-            load.report(
-                in_flight=told.in_flight,
-                queued=told.queued,
-                limit=told.limit,
-                queue_delay_ms=told.queue_delay_ms,
-            )
+            load.report(response.load)
         relay = self.relays.pop(response.call_id, None)
         if relay is None or relay.ended:
             return
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -67,7 +67,8 @@
         ratio: repeats for each request that the whole fleet may make.
         slack: repeats of the whole fleet in a window that need no request.
         window_ms: length of the window.
-        sidecars: returns how many sidecars there may be at the most.
+        most_sidecars: returns how many sidecars there may be at the most.
+        sidecars: returns how many are known now.
     """
 
     def __init__(
@@ -76,11 +77,13 @@
         ratio: float,
         slack: float,
         window_ms: float,
+        most_sidecars: Callable[[], int],
         sidecars: Callable[[], int],
     ):
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms + BUCKET_MS
+        self._most_sidecars = most_sidecars
         self._sidecars = sidecars
         self._windows: dict[str, _Window] = {}
         self._peers: dict[str, tuple[float, Mapping[str, Counted]]] = {}
@@ -120,7 +123,7 @@
 
     def allows(self, service: str, now_ms: float) -> bool:
         """Return whether one more request of this service may be repeated."""
-        slack = self._slack / 2 / max(1, self._sidecars())
+        slack = self._slack / 2 / max(1, self._most_sidecars())
         window = self._windows.get(service)
         if window is None:
             return slack >= 1.0
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -4,11 +4,12 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 
 from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
-from sassafraswinch_sidecar.entry_admission import Capacity, EntryAdmission
+from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.fleet import Decoder, Fleet
 from sassafraswinch_sidecar.http_client import HttpClient
@@ -16,7 +17,8 @@
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.placement import PeerLoad, Placement
+from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
+from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
 from sassafraswinch_sidecar.relay import RelayOwner
 from sassafraswinch_sidecar.relay_answers import RelayAnswers
@@ -27,13 +29,10 @@
     RelayCancel,
     RelayRequest,
     RelayResponse,
-    ReplicaReply,
-    ReplicaRequest,
     ServiceDemand,
 )
-from sassafraswinch_sidecar.relay_wire import Message, parse_delta, serialize_delta
+from sassafraswinch_sidecar.relay_wire import Message
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
-from sassafraswinch_sidecar.replica import Delta, Replica
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
@@ -53,9 +52,6 @@
 QUIET_MS = 300.0
 """Time without any request after which a stopping process ends early."""
 
-ASK_AGAIN_MS = 300.0
-"""Pause before changes are asked of another peer: the first may not answer."""
-
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -68,6 +64,7 @@
         store: reads the platform's data.
         decoder: tells what that data means.
         ready_path: path of the platform's question whether to send callers here.
+        load_settings: reads the settings again, for SIGHUP.
     """
 
     def __init__(
@@ -78,12 +75,14 @@
         store: PlatformStore,
         decoder: Decoder,
         ready_path: bytes,
+        load_settings: Callable[[], SidecarSettings],
     ):
         rng = random.Random(f"{settings.ip}/{time.time_ns()}")
         self._settings = settings
+        self._load_settings = load_settings
         self._loop = asyncio.get_running_loop()
-        self._replica = Replica()
         self._fleet = Fleet(decoder=decoder, report=_report_faults)
+        self._data = PlatformData(fleet=self._fleet, changed=self._follow_fleet)
         self._log = RequestLog(now_ms=self._now_ms)
         backend = settings.address("backend")
         self._executor = Executor(
@@ -101,12 +100,13 @@
         )
         self._admission = EntryAdmission()
         self._counts = RelayCounts()
-        self._most_sidecars = 1
+        self._known_sidecars = self._most_sidecars = 1
         self._budget = RepeatBudget(
             ratio=settings.repeat_ratio,
             slack=settings.repeat_slack,
             window_ms=settings.repeat_window_s * 1000,
-            sidecars=lambda: self._most_sidecars,
+            most_sidecars=lambda: self._most_sidecars,
+            sidecars=lambda: self._known_sidecars,
         )
         self._owner = RelayOwner(
             own_ip=settings.ip,
@@ -146,17 +146,11 @@
             ),
             limits=_default_limits,
         )
-        self._reader = PlatformReader(store=store, keeper=self, rng=rng)
+        self._reader = PlatformReader(store=store, keeper=self._data, rng=rng)
         self._sequence = 0
-        self._asked_ms = 0.0
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
-    @property
-    def revision(self) -> int:
-        """Revision of the platform's data up to which all is known."""
-        return self._replica.revision
-
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -181,35 +175,6 @@
         await self._drain()
         await self._close()
 
-    def take(self, delta: Delta, source: str) -> None:
-        """Take in changes of the platform's data (ReplicaKeeper)."""
-        changed = self._replica.merge(delta)
-        if not changed:
-            return
-        now_ms = self._now_ms()
-        version = self._fleet.table.version if self._fleet.table else None
-        self._fleet.apply(changed, now_ms)
-        table = self._fleet.table
-        log_event(
-            "platform_data_changed",
-            level="warning",
-            source=source,
-            revision=delta.revision,
-            keys=",".join(entry.key for entry in changed[:4]),
-            changed=len(changed),
-        )
-        if table is not None and table.version != version:
-            log_event("routes_in_force", level="warning", version=table.version)
-        self._follow_fleet()
-
-    def platform_away(self) -> None:
-        """The platform can't be read (ReplicaKeeper)."""
-        self._fleet.platform_away(self._now_ms())
-
-    def platform_back(self) -> None:
-        """The platform can be read (ReplicaKeeper)."""
-        self._fleet.platform_back(self._now_ms())
-
     def link_up(self, ip: str) -> None:
         """Nothing to do: the first heartbeat follows (LinkListener)."""
 
@@ -226,16 +191,10 @@
             if message.sequence:
                 peer.link.replied()
             peer.load.leaving = message.leaving
-            told = message.load
-            peer.load.report(
-                in_flight=told.in_flight,
-                queued=told.queued,
-                limit=told.limit,
-                queue_delay_ms=told.queue_delay_ms,
-            )
-            self._ask_if_behind(message.revision, peer.link)
+            peer.load.report(message.load)
+            self._data.ask_if_behind(message.revision, peer.link)
         else:
-            self._exchange_data(peer.link, message)
+            self._data.exchange(peer.link, message)
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Take a message from a peer that dialled this sidecar (LinkListener)."""
@@ -246,7 +205,7 @@
         elif isinstance(message, Heartbeat):
             self._heard(link, message)
         else:
-            self._exchange_data(link, message)
+            self._data.exchange(link, message)
 
     def accepted_lost(self, link: PeerLink) -> None:
         """Cancel what the peer can't be told the end of (LinkListener)."""
@@ -267,7 +226,9 @@
             )
             for service in demand.keys() | counted.keys()
         ]
-        return Heartbeat(sequence=self._sequence, revision=self.revision, demand=demand)
+        return Heartbeat(
+            sequence=self._sequence, revision=self._data.revision, demand=demand
+        )
 
     def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
         demand = {told.service_name: told.slots for told in heartbeat.demand}
@@ -279,38 +240,25 @@
         self._admission.heard(link.peer_ip, demand, now_ms)
         self._budget.heard(link.peer_ip, counted, now_ms)
         link.send(self._heartbeat_reply(heartbeat.sequence))
-        self._ask_if_behind(heartbeat.revision, link)
+        self._data.ask_if_behind(heartbeat.revision, link)
         if link.peer_ip not in self._links.peers:
             self._follow_fleet()
 
     def _heartbeat_reply(self, sequence: int) -> HeartbeatReply:
         return HeartbeatReply(
             sequence=sequence,
-            revision=self.revision,
+            revision=self._data.revision,
             load=self._executor.load(),
             leaving=self._stopping.is_set(),
         )
 
-    def _exchange_data(self, link: PeerLink, message: Message) -> None:
-        if isinstance(message, ReplicaRequest):
-            link.send(serialize_delta(self._replica.since(message.after_revision)))
-        elif isinstance(message, ReplicaReply):
-            self.take(parse_delta(message), f"peer-{link.peer_ip}")
-
-    def _ask_if_behind(self, revision: int, link: PeerLink) -> None:
-        """Ask a peer for what the platform doesn't tell this host, or not yet."""
-        now_ms = self._now_ms()
-        if revision <= self.revision or now_ms - self._asked_ms < ASK_AGAIN_MS:
-            return
-        self._asked_ms = now_ms
-        link.send(ReplicaRequest(after_revision=self.revision))
-
     def _follow_fleet(self) -> None:
         """Link to all hosts that the platform or their own greeting told."""
         greeted = {link.peer_ip for link in self._links.accepted}
         known = {instance.ip for instance in self._fleet.instances.values()}
         self._links.keep(known | greeted)
-        self._most_sidecars = max(self._most_sidecars, len(known | greeted))
+        self._known_sidecars = len(known | greeted | {self._settings.ip})
+        self._most_sidecars = max(self._most_sidecars, self._known_sidecars)
         for instance in self._fleet.at(self._settings.ip):
             if not instance.leaving:
                 self._executor.set_slots(instance.slots)
@@ -318,13 +266,8 @@
     def _load_of(self, ip: str) -> PeerLoad | None:
         if ip != self._settings.ip:
             return self._links.load_of(ip)
-        load, told = self._owner.own_load, self._executor.load()
-        load.report(
-            in_flight=told.in_flight,
-            queued=told.queued,
-            limit=told.limit,
-            queue_delay_ms=told.queue_delay_ms,
-        )
+        load = self._owner.own_load
+        load.report(self._executor.load())
         load.leaving = self._executor.leaving
         return load
 
@@ -334,16 +277,17 @@
             now_ms = self._now_ms()
             self._owner.expire(now_ms)
             self._executor.expire(now_ms)
-            self._fleet.tick(self._replica, now_ms)
+            self._data.tick(now_ms)
             self._log.tell_left_out()
             if self._admission.due(now_ms):
-                capacities = self._capacities()
-                self._admission.decide(capacities, now_ms)
-                self._log_admission(capacities)
+                self._admit_anew(now_ms)
 
-    def _log_admission(self, capacities: dict[str, Capacity]) -> None:
+    def _admit_anew(self, now_ms: float) -> None:
+        capacities = capacities_of(self._fleet.serving(), self._load_of)
+        self._admission.decide(capacities, now_ms)
         for service, place in self._admission.places.items():
-            capacity = capacities.get(service, Capacity(0.0, 0.0))
+            capacity = capacities.get(service, NO_CAPACITY)
+            wanted = self._admission.wanted.get(service, ())
             log_event(
                 "admission",
                 service=service,
@@ -351,26 +295,9 @@
                 slots=capacity.slots,
                 used=capacity.used,
                 trim=self._admission.trim_of(service),
-                wanted=",".join(
-                    f"{slots:.0f}" for slots in self._admission.wanted.get(service, ())
-                ),
+                wanted=",".join(f"{slots:.0f}" for slots in wanted),
             )
 
-    def _capacities(self) -> dict[str, Capacity]:
-        slots: dict[str, float] = {}
-        used: dict[str, float] = {}
-        for instance in self._fleet.serving():
-            load = self._load_of(instance.ip)
-            if load is None or load.leaving:
-                continue
-            limit = instance.slots if load.limit is None else load.limit
-            busy = load.in_flight + load.queued
-            slots[instance.service] = slots.get(instance.service, 0.0) + limit
-            used[instance.service] = used.get(instance.service, 0.0) + busy
-        return {
-            service: Capacity(total, used[service]) for service, total in slots.items()
-        }
-
     async def _drain(self) -> None:
         """Finish what is under way, while callers and peers go elsewhere."""
         drain_ms = self._settings.drain_s * 1000
@@ -408,7 +335,18 @@
         return self._owner.in_flight + self._executor.in_flight
 
     def _reload(self) -> None:
-        log_event("settings_unchanged", level="warning", host=self._settings.host)
+        """Say what changed in the settings; a sidecar takes them at its start only."""
+        try:
+            settings = self._load_settings()
+        except (OSError, InvalidFieldsError) as error:
+            log_event("settings_unreadable", level="error", reason=str(error))
+            return
+        changed = [
+            field
+            for field in SidecarSettings.model_fields
+            if getattr(settings, field) != getattr(self._settings, field)
+        ]
+        log_event("settings_read", level="warning", changed=",".join(changed) or "none")
 
     def _limits(self) -> RequestLimits:
         table = self._fleet.table
@@ -424,7 +362,7 @@
             "owned_requests": self._owner.in_flight,
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
-            "platform_revision": self.revision,
+            "platform_revision": self._data.revision,
         }
 
     def _now_ms(self) -> float:
--- a/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
@@ -11,7 +11,11 @@
 
 def new_budget(sidecars):
     return RepeatBudget(
-        ratio=RATIO, slack=SLACK, window_ms=WINDOW_MS, sidecars=lambda: sidecars
+        ratio=RATIO,
+        slack=SLACK,
+        window_ms=WINDOW_MS,
+        most_sidecars=lambda: sidecars,
+        sidecars=lambda: sidecars,
     )
 
 
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sassafraswinch_sidecar.placement import capacities_of
+
 from .utils.backend import answer
 from .utils.fleet import (
     ROUTES,
@@ -262,7 +264,7 @@
 async def test_invalid_routes_change_nothing_and_are_reported(fleet, capsys):
     node = fleet.nodes[0]
     await fleet.store.put(ROUTES, {"fault": True})
-    await until(lambda: node.sidecar.revision == fleet.store.revision)
+    await until(lambda: node.sidecar._data.revision == fleet.store.revision)
     assert node.sidecar._fleet.table.version == 1
     assert (await fleet.call(node)).status == 200
 
@@ -369,13 +371,11 @@
     found = node.sidecar._fleet
     await until(lambda: [i.id for i in found.of_service("schvaleni")] == ["i-second"])
     await node.put_instance(fleet.store)
-    await until(lambda: node.sidecar.revision == fleet.store.revision)
+    await until(lambda: node.sidecar._data.revision == fleet.store.revision)
     assert [i.id for i in found.of_service("schvaleni")] == ["i-second"]
     # Counted twice, the same slots would let in twice what the server can run.
-    assert (
-        node.sidecar._capacities()["schvaleni"].slots
-        == node.sidecar._executor.load().limit
-    )
+    slots = capacities_of(found.serving(), node.sidecar._load_of)["schvaleni"].slots
+    assert slots == node.sidecar._executor.load().limit
 
 
 async def test_metrics_page_counts_answers(fleet):
--- a/packages/sassafraswinch-sidecar/tests/utils/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/utils/fleet.py
@@ -110,6 +110,7 @@
             store=self.store,
             decoder=MemoryDecoder(),
             ready_path=b"/ready",
+            load_settings=lambda: self.settings,
         )
         self.task = asyncio.create_task(self.sidecar.run())
 
