--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -1,7 +1,7 @@
 /**
  * Messages between sidecars. One frame on a link is a 4-byte length, most
  * significant byte first, and one Frame in thrift's compact protocol.
- * docs/SIDECAR.md tells their order and meaning.
+ * docs/PLATFORM.md tells their order and meaning.
  */
 namespace py relay_protocol
 
