--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -31,17 +31,23 @@
 MIN_SLOTS = 0.002
 """Slot seconds of a route at a service below which it doesn't need the service."""
 
-FULL_SHARE, FREE_SHARE = 0.98, 0.88
-"""Measured use of the slots above which admission tightens, and below which it
-relaxes: demand that no entry knows, such as that of running trees."""
+AIM_SHARE = 0.93
+"""Measured use of the slots, waiting requests included, that the correction aims at:
+demand that no entry knows, such as that of running trees, shows in it."""
+
+TRIM_GAIN = 0.3
+"""Step of the correction in an interval, as share of the distance from the aim. What
+is admitted shows in the use up to a second later; a greater gain swings."""
+
+MAX_TRIM_STEP = 0.05
+"""Longest step: a queue after a burst says little of the next seconds."""
 
 ABSENT_INTERVALS = 1
 """Intervals after which a service without reachable slots refuses all that needs it;
 a link that is dialled anew is back within one."""
 
-TRIM_STEP = 0.04
 MIN_TRIM, MAX_TRIM = 0.6, 2.0
-"""Step of the correction in an interval, and its bounds."""
+"""Bounds of the correction."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,12 +200,11 @@
     def _trim(self, service: str, capacity: Capacity) -> float:
         trim = self._trims.get(service, 1.0)
         use = capacity.used / capacity.slots
-        if use > FULL_SHARE:
-            trim -= TRIM_STEP
-        elif use < FREE_SHARE:
-            trim += TRIM_STEP if service in self._places else 0.0
-        if service not in self._places and use <= FULL_SHARE:
-            trim += TRIM_STEP if trim < 1.0 else -TRIM_STEP if trim > 1.0 else 0.0
+        if service in self._places or use > AIM_SHARE:
+            step = TRIM_GAIN * (AIM_SHARE - use)
+        else:
+            step = 1.0 - trim
+        trim += min(max(step, -MAX_TRIM_STEP), MAX_TRIM_STEP)
         trim = self._trims[service] = min(max(trim, MIN_TRIM), MAX_TRIM)
         return trim
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -25,9 +25,9 @@
 """Added for each part of the recent requests that failed: an instance that fails
 half of them comes after full ones."""
 
-PACE_COST = 0.3
+PACE_COST = 0.6
 """Added for each time over the mean that an instance takes: one that is twice as slow
-as the others gets its requests when they are nearly a third fuller."""
+as the others gets its requests when they are more than half fuller."""
 
 PACE_GAIN = 0.08
 """Weight of one request in an instance's pace: the last dozen."""
