--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -65,6 +65,7 @@
         self._ready: deque[HttpRequest] = deque()
         self._current: HttpRequest | None = None
         self._in_message = False
+        self._in_header = False
         self._ended = False
         self._begin_ms = self._idle_since_ms = self._loop.time() * 1000
         self._write_blocked_ms: float | None = None
@@ -95,7 +96,6 @@
         """Parse what was read (asyncio.Protocol)."""
         if self._ended:
             return
-        self._header_bytes += 0 if self._body_bytes else len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -103,7 +103,7 @@
         except httptools.HttpParserError:
             self._refuse(400)
         else:
-            self._check_header_size()
+            self._check_header_size(len(data))
         self._next()
 
     def pause_writing(self) -> None:
@@ -117,7 +117,7 @@
     def on_message_begin(self) -> None:
         """Begin a request (httptools)."""
         self._reset_message()
-        self._in_message = True
+        self._in_message = self._in_header = True
         self._begin_ms = self._loop.time() * 1000
 
     def on_url(self, url: bytes) -> None:
@@ -130,6 +130,7 @@
 
     def on_headers_complete(self) -> None:
         """Check what the header alone tells (httptools)."""
+        self._in_header = False
         limits = self._limits()
         size = 0
         for lowered, _, value in self._fields:
@@ -229,9 +230,12 @@
         self._current = self._ready.popleft()
         self._handler.handle(self._current, self)
 
-    def _check_header_size(self) -> None:
-        limit = self._limits().max_header_bytes
-        if self._in_message and not self._fields and self._header_bytes > 2 * limit:
+    def _check_header_size(self, read_bytes: int) -> None:
+        """Refuse a header that never ends, before all of it is held."""
+        if not self._in_header:
+            return
+        self._header_bytes += read_bytes
+        if self._header_bytes > 2 * self._limits().max_header_bytes:
             self._refuse(431)
 
     def _refuse(self, status: int) -> None:
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -0,0 +1,156 @@
+"""The HTTP edge towards callers, on a real socket."""
+
+import asyncio
+
+import pytest
+
+from sassafraswinch_sidecar.http_server import HttpListener
+from sassafraswinch_sidecar.routes import RequestLimits
+
+from .utils.fleet import read_answer, request_bytes
+
+
+class Handler:
+    """Keeps the requests that arrive, and answers when a test says so."""
+
+    def __init__(self):
+        self.requests = []
+        self.left = []
+        self.holds = False
+
+    def handle(self, request, connection):
+        self.requests.append((request, connection))
+        if not self.holds:
+            connection.respond(request, status=200, header_lines=b"", body=request.body)
+
+    def gone(self, request):
+        self.left.append(request)
+
+
+@pytest.fixture
+async def edge():
+    limits = RequestLimits(
+        max_header_bytes=1_000,
+        max_body_bytes=2_000,
+        header_timeout_ms=300.0,
+        idle_timeout_ms=800.0,
+    )
+    listener = HttpListener(handler=Handler(), limits=lambda: limits)
+    await listener.open("127.0.0.1", 0)
+    listener.port = listener._server.sockets[0].getsockname()[1]
+    yield listener
+    await listener.close()
+
+
+async def send(edge, *chunks):
+    reader, writer = await asyncio.open_connection("127.0.0.1", edge.port)
+    for chunk in chunks:
+        writer.write(chunk)
+        await writer.drain()
+    return reader, writer
+
+
+async def status_of(edge, *chunks):
+    reader, writer = await send(edge, *chunks)
+    got = await asyncio.wait_for(read_answer(reader), 5)
+    writer.close()
+    return got.status
+
+
+async def test_body_in_pieces_arrives_whole(edge):
+    raw = request_bytes(method="POST", body=b"x" * 1_500)
+    assert await status_of(
+        edge, *(raw[i : i + 97] for i in range(0, len(raw), 97))
+    ) == (200)
+    ((request, _),) = edge._handler.requests
+    assert request.body == b"x" * 1_500
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (request_bytes(fields="X-Long: " + "y" * 1_200 + "\r\n"), 431),
+        (request_bytes(method="POST", body=b"x" * 2_001), 413),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX-Half", 408),
+        (b"no http at all\r\n\r\n", 400),
+        (b"GET /" + b"z" * 5_000, 431),
+    ],
+    ids=["header", "body", "slow header", "garbage", "endless target"],
+)
+async def test_request_beyond_the_limits_gets_its_status(edge, raw, status):
+    assert await status_of(edge, raw) == status
+    assert edge._handler.requests == []
+
+
+async def test_chunked_body_beyond_the_limit_is_refused(edge):
+    head = request_bytes(method="POST", fields="Transfer-Encoding: chunked\r\n")
+    chunks = [b"3e8\r\n" + b"x" * 1_000 + b"\r\n"] * 3
+    assert await status_of(edge, head, *chunks) == 413
+
+
+async def test_requests_in_a_row_are_answered_in_order(edge):
+    """A caller sends three requests at once on one connection."""
+    bodies = [b"one", b"two", b"three"]
+    reader, writer = await send(
+        edge, b"".join(request_bytes(method="POST", body=body) for body in bodies)
+    )
+    assert [(await read_answer(reader)).body for _ in bodies] == bodies
+    writer.close()
+
+
+async def test_broken_request_behind_a_good_one_leaves_that_its_answer(edge):
+    """A caller's second request is garbage while its first is under way. The first one
+    still gets its answer, and the connection ends with it.
+    """
+    edge._handler.holds = True
+    reader, writer = await send(edge, request_bytes() + b"garbage\r\n\r\n")
+    while not edge._handler.requests:
+        await asyncio.sleep(0.01)
+    ((request, connection),) = edge._handler.requests
+    connection.respond(request, status=200, header_lines=b"", body=b"first")
+    got = await read_answer(reader)
+    assert (got.body, got.headers["connection"]) == (b"first", "close")
+    assert await reader.read() == b""
+    writer.close()
+
+
+async def test_idle_connection_is_closed_after_its_timeout_and_not_before(edge):
+    reader, writer = await send(edge, request_bytes())
+    await read_answer(reader)
+    await asyncio.sleep(0.5)
+    writer.write(request_bytes())
+    assert (await read_answer(reader)).status == 200
+    assert await asyncio.wait_for(reader.read(), 3) == b""
+    writer.close()
+
+
+async def test_caller_that_leaves_is_told_to_the_handler(edge):
+    edge._handler.holds = True
+    _, writer = await send(edge, request_bytes())
+    while not edge._handler.requests:
+        await asyncio.sleep(0.01)
+    writer.close()
+    while not edge._handler.left:
+        await asyncio.sleep(0.01)
+
+
+async def test_answer_to_head_has_no_body(edge):
+    reader, writer = await send(edge, request_bytes(method="HEAD"))
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"Content-Length" not in head
+    writer.close()
+
+
+async def test_closing_listener_ends_idle_connections_and_answers_the_rest(edge):
+    edge._handler.holds = True
+    idle_reader, idle = await send(edge)
+    reader, writer = await send(edge, request_bytes())
+    while not edge._handler.requests:
+        await asyncio.sleep(0.01)
+    edge.drain()
+    assert await asyncio.wait_for(idle_reader.read(), 3) == b""
+    ((request, connection),) = edge._handler.requests
+    connection.respond(request, status=200, header_lines=b"")
+    assert (await read_answer(reader)).headers["connection"] == "close"
+    writer.close()
+    idle.close()
