--- a/packages/sassafraswinch-node/sassafraswinch_node/settings.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/settings.py
@@ -143,9 +143,9 @@
         raw = yaml.safe_load(text)
     except yaml.YAMLError as error:
         reason = f"not YAML: {error}"
-        raise _faults(source, [("(file)", reason)]) from None
+        raise settings_faults(source, [("(file)", reason)]) from None
     if not isinstance(raw, dict):
-        raise _faults(source, [("(file)", "expected a mapping of fields")])
+        raise settings_faults(source, [("(file)", "expected a mapping of fields")])
     try:
         model = SettingsModel.model_validate(raw)
     except ValidationError as error:
@@ -153,7 +153,7 @@
             (".".join(map(str, item["loc"])) or "(file)", item["msg"])
             for item in error.errors()
         ]
-        raise _faults(source, found) from None
+        raise settings_faults(source, found) from None
     fields = model.model_dump()
     fields |= {name: parse_address(fields[name]) for name in ADDRESS_FIELDS}
     fields["platform"] = tuple(model.platform)
@@ -169,11 +169,19 @@
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise _faults(str(path), [("(file)", f"can't be read: {error}")]) from None
+        raise settings_faults(
+            str(path), [("(file)", f"can't be read: {error}")]
+        ) from None
     return parse_settings(text, source=str(path))
 
 
-def _faults(source: str, found: list[tuple[str, str]]) -> InvalidFieldsError:
+def settings_faults(source: str, found: list[tuple[str, str]]) -> InvalidFieldsError:
+    """Return the error that names all faults of a settings file.
+
+    Args:
+        source: the file.
+        found: field and reason of each fault.
+    """
     errors = [
         InvalidFieldError(source=source, field=field, reason=reason)
         for field, reason in found
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
@@ -0,0 +1,110 @@
+"""What is known of the backend server beside this sidecar: up or down, and its id."""
+
+import asyncio
+from collections.abc import Callable
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.http_client import HttpClient
+
+PROBE_S = 0.4
+"""Pause between attempts to connect to a backend server that is down."""
+
+SILENT_MS = 1_500.0
+"""Time without any answer, while requests run, from which a server may be dead; at
+least so many times the mean of ``SILENT_HOLDS``."""
+
+SILENT_HOLDS = 8.0
+"""Times the mean time of a request: some take five times as long as the mean."""
+
+FRESH_START_MS = 8_000.0
+"""Time after the start of this process in which the instance id that the server tells
+is trusted before the platform knows it. The settings were read at the start, so the
+server beside it is still of the service that they name; later its address may have
+gone to another service, whose requests it must not run."""
+
+
+class BackendWatch:
+    """Finds out from requests whether the server lives, and which instance it is.
+
+    No health check is sent: it would take a slot, and may lie. While the server is
+    down, connections are tried until one is made.
+
+    Args:
+        client: connections to the server.
+        service: its service, for the log.
+        went_down: called when the server is found to be down.
+    """
+
+    def __init__(
+        self, *, client: HttpClient, service: str, went_down: Callable[[], None]
+    ):
+        self.up = True
+        self._client = client
+        self._service = service
+        self._went_down = went_down
+        self._loop = asyncio.get_running_loop()
+        self._started_ms = self._now_ms()
+        self._answered_ms = 0.0
+        self._instance_id: str | None = None
+        self._probing: asyncio.Task | None = None
+
+    def is_another(self, instance_id: str) -> bool:
+        """Return whether the server is known to be another instance."""
+        return self._instance_id is not None and self._instance_id != instance_id
+
+    def trusted_instance_id(self) -> str | None:
+        """Return the server's instance id if requests may go to it by that alone."""
+        young = self._now_ms() - self._started_ms < FRESH_START_MS
+        return self._instance_id if young else None
+
+    def busy_again(self) -> None:
+        """Note that a request starts after a time without any."""
+        self._answered_ms = self._now_ms()
+
+    def answered(self) -> None:
+        """Note an answer of any kind."""
+        self._answered_ms = self._now_ms()
+
+    def is_instance(self, instance_id: str | None) -> None:
+        """Note which instance the server says it is; None where it may have ended."""
+        self._instance_id = instance_id
+
+    def unreachable(self) -> None:
+        """Note that no connection could be made."""
+        self._instance_id = None
+        self._down()
+
+    def overdue(self, mean_hold_ms: float) -> None:
+        """Note a request without an answer in its time.
+
+        Args:
+            mean_hold_ms: mean time of a request at the server.
+        """
+        patience_ms = max(SILENT_MS, SILENT_HOLDS * mean_hold_ms)
+        if self._now_ms() - self._answered_ms > patience_ms:
+            self._down()
+
+    def close(self) -> None:
+        """Stop trying to connect."""
+        if self._probing is not None:
+            self._probing.cancel()
+
+    def _down(self) -> None:
+        if not self.up:
+            return
+        self.up = False
+        log_event("backend_down", level="warning", service=self._service)
+        self._went_down()
+        self._client.close()
+        self._probing = self._loop.create_task(self._probe())
+
+    async def _probe(self) -> None:
+        while not await self._client.reachable():
+            await asyncio.sleep(PROBE_S)
+        self.up = True
+        self._instance_id = None
+        self._answered_ms = self._now_ms()
+        log_event("backend_up", service=self._service)
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.http_client import (
     Exchange,
@@ -13,7 +13,7 @@
     HttpResponse,
 )
 from sassafraswinch_sidecar.http_fields import (
-    HOP_BY_HOP,
+    DROPPED,
     serialize_end_to_end,
 )
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
@@ -35,21 +35,6 @@
 """Time past its limit after which a server's answer is no longer waited for. It
 stops at the limit by itself, and its answer to that is the truer one."""
 
-PROBE_S = 0.4
-"""Pause between attempts to connect to a backend server that is down."""
-
-SILENT_MS = 1_500.0
-"""Time without any answer, while requests run, from which a server may be dead; at
-least so many times the mean of ``SILENT_HOLDS``."""
-
-SILENT_HOLDS = 8.0
-
-FRESH_START_MS = 8_000.0
-"""Time after the start of this process in which the instance id that the server tells
-is trusted before the platform knows it. The settings were read at the start, so the
-server beside it is still of the service that they name; later its address may have
-gone to another service, whose requests it must not run."""
-
 OTHER_INSTANCE = "other-instance"
 MISDIRECTED_STATUS = 421
 
@@ -96,7 +81,6 @@
         self.queue = ServerQueue(limit=int(UNKNOWN_SLOTS * SLOT_SHARE))
         self.running: dict[str, Execution] = {}
         self.leaving = False
-        self.up = True
         self._service = service
         self._client = client
         self._names = names
@@ -104,11 +88,10 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
-        self._answered_ms = 0.0
-        self._started_ms = self._loop.time() * 1000
-        self._actual_instance_id: str | None = None
         self._ticking: asyncio.TimerHandle | None = None
-        self._probing: asyncio.Task | None = None
+        self._watch = BackendWatch(
+            client=client, service=service, went_down=self._refuse_waiting
+        )
 
     def set_slots(self, slots: int) -> None:
         """Take the number of requests that the server runs at once."""
@@ -120,7 +103,7 @@
         return ServerLoad(
             in_flight=queue.running,
             queued=queue.queued,
-            limit=queue.limit if self.up else 0,
+            limit=queue.limit if self._watch.up else 0,
             queue_delay_ms=int(queue.delay_ms()),
         )
 
@@ -142,7 +125,7 @@
         refusal = self._refusal(request)
         if refusal:
             if refusal == OTHER_INSTANCE:
-                execution.actual_instance_id = self._trusted_instance_id()
+                execution.actual_instance_id = self._watch.trusted_instance_id()
             self._end_unrun(execution, refusal)
             return
         execution.ticket = Ticket(
@@ -192,8 +175,7 @@
 
     def close(self) -> None:
         """Stop probing and close idle connections."""
-        if self._probing is not None:
-            self._probing.cancel()
+        self._watch.close()
         if self._ticking is not None:
             self._ticking.cancel()
         self._client.close()
@@ -205,20 +187,14 @@
             return "other-service"
         if self._is_leaving(request.instance_id):
             return "instance-leaving"
-        known = self._actual_instance_id
-        if known is not None and known != request.instance_id:
+        if self._watch.is_another(request.instance_id):
             return OTHER_INSTANCE
-        if not self.up:
+        if not self._watch.up:
             return "server-down"
         if request.remaining_ms <= 0:
             return "deadline"
         return ""
 
-    def _trusted_instance_id(self) -> str | None:
-        """Return the server's instance id if requests may go to it by that alone."""
-        young = self._loop.time() * 1000 - self._started_ms < FRESH_START_MS
-        return self._actual_instance_id if young else None
-
     def _start(self, now_ms: float) -> None:
         for ticket in self.queue.startable(now_ms):
             self._run(ticket.item, now_ms)
@@ -250,8 +226,8 @@
                 for lowered, _, value in response.fields
             )
 
-        if not self.queue.running - 1:
-            self._answered_ms = now_ms
+        if self.queue.running == 1:
+            self._watch.busy_again()
         execution.exchange = Exchange(
             payload, request.method.encode(), is_own, self._exchange_done, execution
         )
@@ -260,17 +236,15 @@
 
     def _exchange_done(self, exchange: Exchange, end: HttpResponse | Fault) -> None:
         execution = exchange.item
-        now_ms = self._loop.time() * 1000
         if isinstance(end, HttpResponse):
-            self._answered_ms = now_ms
+            self._watch.answered()
             self._answered(execution, end)
         elif end is Fault.UNREACHABLE:
-            self._actual_instance_id = None
-            self._went_down()
+            self._watch.unreachable()
             self._end(execution, Verdict.NOT_RUN, "server-down")
         else:
             # The server may have ended: who answers next may be another instance.
-            self._actual_instance_id = None
+            self._watch.is_instance(None)
             execution.offered = True
             self._end(execution, Verdict.MAY_HAVE_RUN, f"server-{end.value}")
 
@@ -280,20 +254,20 @@
         lowered = {name: value for name, _, value in response.fields}
         if response.status == MISDIRECTED_STATUS:
             told = lowered.get(names.actual_instance.lower())
-            self._actual_instance_id = told.decode("latin-1") if told else None
-            execution.actual_instance_id = self._trusted_instance_id()
+            self._watch.is_instance(told.decode("latin-1") if told else None)
+            execution.actual_instance_id = self._watch.trusted_instance_id()
             self._end(execution, Verdict.NOT_RUN, OTHER_INSTANCE)
             return
         if names.not_executed.lower() in lowered:
             self._end(execution, Verdict.NOT_RUN, "server-shed")
             return
-        self._actual_instance_id = execution.request.instance_id
+        self._watch.is_instance(execution.request.instance_id)
         encoded = b"content-encoding" in lowered
         signed = names.signature.lower() in lowered
         if encoded or (response.status < 300 and not signed):
             self._end(execution, Verdict.MAY_HAVE_RUN, "server-garbled")
             return
-        lines = serialize_end_to_end(response.fields, HOP_BY_HOP)
+        lines = serialize_end_to_end(response.fields, DROPPED)
         self._end(
             execution,
             Verdict.ANSWERED,
@@ -320,7 +294,7 @@
         self._client.cancel(execution.exchange)
         execution.offered = True
         self._end(execution, Verdict.MAY_HAVE_RUN, "deadline")
-        self._check_silence()
+        self._watch.overdue(self.queue.hold_ms)
 
     def _break_off(self, execution: Execution) -> None:
         if execution.ended:
@@ -400,26 +374,6 @@
         if self.queue.queued:
             self._ticking = self._loop.call_later(TICK_S, self._tick)
 
-    def _check_silence(self) -> None:
-        now_ms = self._loop.time() * 1000
-        patience_ms = max(SILENT_MS, SILENT_HOLDS * self.queue.hold_ms)
-        if now_ms - self._answered_ms > patience_ms:
-            self._went_down()
-
-    def _went_down(self) -> None:
-        if not self.up:
-            return
-        self.up = False
-        log_event("backend_down", level="warning", service=self._service)
+    def _refuse_waiting(self) -> None:
         for ticket in self.queue.drain():
             self._end_unrun(ticket.item, "server-down")
-        self._client.close()
-        self._probing = self._loop.create_task(self._probe())
-
-    async def _probe(self) -> None:
-        while not await self._client.reachable():
-            await asyncio.sleep(PROBE_S)
-        self.up = True
-        self._actual_instance_id = None
-        self._answered_ms = self._loop.time() * 1000
-        log_event("backend_up", service=self._service)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
@@ -2,27 +2,15 @@
 
 from http import HTTPStatus
 
+from sassafraswinch_node.http_status import HOP_BY_HOP
+
 Fields = list[tuple[bytes, bytes, bytes]]
 """Header fields in order: name in lower case, name as received, value. Names are
 compared several times on the path of each message, and lowered once."""
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Fields of one connection (RFC 9110, 7.6.1), and the framing, which each sender
-writes itself: a request with two framings could smuggle another one inside."""
+DROPPED = HOP_BY_HOP | {b"content-length", b"expect"}
+"""Fields that aren't passed on: those of one connection, and the framing, which each
+sender writes itself. A request with two framings could smuggle another one inside."""
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -7,7 +7,7 @@
 from sassafraswinch_sidecar.entry_admission import LEVELS
 from sassafraswinch_sidecar.executor import Execution, Executor
 from sassafraswinch_sidecar.fleet import Fleet
-from sassafraswinch_sidecar.http_fields import HOP_BY_HOP, serialize_end_to_end
+from sassafraswinch_sidecar.http_fields import DROPPED, serialize_end_to_end
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
 from sassafraswinch_sidecar.routes import Route, ShareChooser
@@ -100,7 +100,7 @@
         self._caller_line = b"%b: %b\r\n" % (names.caller_service, service.encode())
         self._id_name = names.request_id.lower()
         self._time_left_name = names.time_left_ms.lower()
-        self._own_names = HOP_BY_HOP | {
+        self._own_names = DROPPED | {
             self._time_left_name,
             names.expected_instance.lower(),
             names.caller_service.lower(),
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -1,20 +1,14 @@
 """Settings of a sidecar: what it can't learn from the platform."""
 
-from typing import Annotated
-
 import yaml
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
-
-from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
-from sassafraswinch_node.settings import Address, parse_address
-
-
-def _address(text: str) -> str:
-    parse_address(text)
-    return text
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-
-AddressText = Annotated[str, AfterValidator(_address)]
+from sassafraswinch_node.settings import (
+    Address,
+    AddressText,
+    parse_address,
+    settings_faults,
+)
 
 
 class SidecarSettings(BaseModel):
@@ -70,9 +64,9 @@
     try:
         raw = yaml.safe_load(text)
     except yaml.YAMLError as error:
-        raise _faults(source, [("(file)", f"not YAML: {error}")]) from None
+        raise settings_faults(source, [("(file)", f"not YAML: {error}")]) from None
     if not isinstance(raw, dict):
-        raise _faults(source, [("(file)", "expected a mapping of fields")])
+        raise settings_faults(source, [("(file)", "expected a mapping of fields")])
     try:
         return SidecarSettings.model_validate(raw)
     except ValidationError as error:
@@ -80,12 +74,4 @@
             (".".join(map(str, item["loc"])) or "(file)", item["msg"])
             for item in error.errors()
         ]
-        raise _faults(source, found) from None
-
-
-def _faults(source: str, found: list[tuple[str, str]]) -> InvalidFieldsError:
-    errors = [
-        InvalidFieldError(source=source, field=field, reason=reason)
-        for field, reason in found
-    ]
-    return InvalidFieldsError(f"{source}: {len(errors)} fault(s)", errors)
+        raise settings_faults(source, found) from None
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -348,7 +348,7 @@
     sent to the new id before the platform tells its service.
     """
     node = fleet.nodes[2]
-    node.sidecar._executor._started_ms -= 60_000.0
+    node.sidecar._executor._watch._started_ms -= 60_000.0
 
     def other(connection, seen):
         told = b"X-Instance: i-other\r\n"
