--- a/packages/sassafraswinch-sidecar/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the sidecars."""
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -13,9 +13,8 @@
     HttpClient,
     HttpResponse,
 )
-
-from .utils.backend import Backend, answer
-from .utils.fleet import request_bytes, until
+from sidecar_standins.backend import Backend, answer
+from sidecar_standins.fleet import request_bytes, until
 
 
 @pytest.fixture
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -6,8 +6,7 @@
 
 from sassafraswinch_sidecar.http_server import HttpListener
 from sassafraswinch_sidecar.routes import RequestLimits
-
-from .utils.fleet import read_answer, request_bytes
+from sidecar_standins.fleet import read_answer, request_bytes
 
 
 class Handler:
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -5,9 +5,8 @@
 import pytest
 
 from sassafraswinch_sidecar.placement import capacities_of
-
-from .utils.backend import answer
-from .utils.fleet import (
+from sidecar_standins.backend import answer
+from sidecar_standins.fleet import (
     ROUTES,
     call,
     read_answer,
