Trust a server's own id only while it is the first that the sidecar sees

Reasoned, not seen: a sidecar restarted by itself shortly before its server's address went to another service would have passed that one off as its own service. The test failed without the guard's second condition.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
@@ -46,6 +46,7 @@
         self._started_ms = self._now_ms()
         self._answered_ms = 0.0
         self._instance_id: str | None = None
+        self._seen_ids: set[str] = set()
         self._probing: asyncio.Task | None = None
 
     def is_another(self, instance_id: str) -> bool:
@@ -53,9 +54,13 @@
         return self._instance_id is not None and self._instance_id != instance_id
 
     def trusted_instance_id(self) -> str | None:
-        """Return the server's instance id if requests may go to it by that alone."""
+        """Return the server's instance id if requests may go to it by that alone.
+
+        Once a second id was seen, the address has changed hands, perhaps to a server
+        of another service.
+        """
         young = self._now_ms() - self._started_ms < FRESH_START_MS
-        return self._instance_id if young else None
+        return self._instance_id if young and len(self._seen_ids) == 1 else None
 
     def busy_again(self) -> None:
         """Note that a request starts after a time without any."""
@@ -68,6 +73,8 @@
     def is_instance(self, instance_id: str | None) -> None:
         """Note which instance the server says it is; None where it may have ended."""
         self._instance_id = instance_id
+        if instance_id is not None and len(self._seen_ids) < 2:
+            self._seen_ids.add(instance_id)
 
     def unreachable(self) -> None:
         """Note that no connection could be made."""
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -364,6 +364,31 @@
     assert len(node.backend.seen) == 1
 
 
+async def test_second_server_at_an_address_is_not_trusted_even_soon_after_a_start(
+    fleet,
+):
+    """A sidecar has just been restarted by itself when its server ends and the address
+    goes to another service. It has answered for the first server, so the second one's
+    word alone counts for nothing.
+    """
+    node = fleet.nodes[2]
+    got = await fleet.call(fleet.nodes[0], target="/approve/1")
+    assert got.status == 200
+
+    def other(connection, seen):
+        told = b"X-Instance: i-other\r\n"
+        connection.transport.write(answer(seen, status=421, fields=told, signed=False))
+
+    node.backend.behaviour = other
+    for number in range(3):
+        got = await fleet.call(
+            fleet.nodes[0], target="/approve/1", request_id=f"r-{number}"
+        )
+        assert got.status == 503
+    ids = {seen.headers[b"x-expected-instance"] for seen in node.backend.seen}
+    assert b"i-other" not in ids
+
+
 async def test_newer_instance_at_an_address_replaces_the_older_one(fleet):
     node = fleet.nodes[2]
     await node.put_instance(fleet.store, name="i-second")
