--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -0,0 +1,120 @@
+"""What the platform's data means: held expiries, superseded instances, versions."""
+
+import json
+
+from sassafraswinch_sidecar.fleet import EXPIRY_MS, RETURN_MS, Fleet
+from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sidecar_standins.fleet import INSTANCE, ROUTES, MemoryDecoder
+
+
+class World:
+    """A fleet fed from a replica, as a sidecar does it."""
+
+    def __init__(self):
+        self.faults = []
+        self.replica = Replica()
+        self.fleet = Fleet(decoder=MemoryDecoder(), report=self.faults.append)
+        self.revision = 0
+
+    def put(self, name, now_ms, **fields):
+        value = {
+            "service": "archiv",
+            "ip": "10.0.0.1",
+            "port": 8080,
+            "availability_zone": "brno-a",
+            "slots": 8,
+            "leaving": False,
+            "cold_ms": 0.0,
+        } | fields
+        self.write(INSTANCE + name, json.dumps(value).encode(), now_ms)
+
+    def remove(self, name, now_ms):
+        self.write(INSTANCE + name, None, now_ms)
+
+    def write(self, key, value, now_ms):
+        self.revision += 1
+        entry = Entry(key=key, revision=self.revision, value=value)
+        delta = Delta(revision=self.revision, whole=False, entries=(entry,))
+        self.fleet.apply(self.replica.merge(delta), now_ms)
+
+    def ids(self):
+        return [found.id for found in self.fleet.of_service("archiv")]
+
+
+def test_entries_that_expired_in_an_outage_are_held_until_they_may_be_back():
+    """The platform was away for five seconds. At its return all entries are removed,
+    and the servers that live write theirs again within two seconds. Without the hold
+    every request of that time would be refused.
+    """
+    world = World()
+    world.put("a", 0.0)
+    world.put("b", 0.0, ip="10.0.0.2")
+    world.fleet.platform_away(1_000.0)
+    world.fleet.platform_back(6_000.0)
+    world.remove("a", 6_010.0)
+    world.remove("b", 6_010.0)
+    assert sorted(world.ids()) == ["a", "b"]
+    world.put("a", 7_000.0)
+    world.fleet.tick(world.replica, 6_010.0 + RETURN_MS)
+    assert world.ids() == ["a"]
+
+
+def test_removal_told_by_a_peer_during_a_long_outage_counts_after_the_same_time():
+    world = World()
+    world.put("a", 0.0)
+    world.fleet.platform_away(1_000.0)
+    world.remove("a", 1_000.0 + EXPIRY_MS)
+    assert world.ids() == ["a"]
+    world.fleet.tick(world.replica, 1_000.0 + EXPIRY_MS + RETURN_MS)
+    assert world.ids() == []
+
+
+def test_removal_counts_at_once_without_a_long_outage():
+    """A watch is cut for a moment while a server leaves: that server must get no more
+    work, so a short outage holds nothing.
+    """
+    world = World()
+    world.put("a", 0.0)
+    world.fleet.platform_away(1_000.0)
+    world.fleet.platform_back(1_500.0)
+    world.remove("a", 1_510.0)
+    assert world.ids() == []
+    assert world.fleet.is_leaving("a")
+
+
+def test_leaving_instance_is_not_held():
+    world = World()
+    world.put("a", 0.0, leaving=True)
+    world.fleet.platform_away(1_000.0)
+    world.fleet.platform_back(6_000.0)
+    world.remove("a", 6_010.0)
+    assert world.fleet.at("10.0.0.1") == []
+
+
+def test_old_lifetime_at_an_address_gives_way_to_the_new_one():
+    """After a loss of power old and new entries stand side by side for seconds."""
+    world = World()
+    world.put("old", 0.0)
+    world.put("new", 10.0)
+    world.put("old", 20.0, slots=9)
+    assert world.ids() == ["new"]
+    assert len(list(world.fleet.serving())) == 1
+
+
+def test_cold_time_runs_from_when_it_was_told():
+    world = World()
+    world.put("a", 1_000.0, cold_ms=3_000.0)
+    (found,) = world.fleet.at("10.0.0.1")
+    assert world.fleet.cold_left_ms(found, 2_000.0) == 2_000.0
+    assert world.fleet.cold_left_ms(found, 9_000.0) == 0.0
+
+
+def test_version_of_the_routes_never_falls_and_faults_change_nothing():
+    world = World()
+    for version in (5, 3):
+        value = json.dumps({"version": version, "routes": []}).encode()
+        world.write(ROUTES, value, 0.0)
+    assert world.fleet.table.version == 5
+    world.write(ROUTES, b'{"fault": true}', 0.0)
+    assert world.fleet.table.version == 5
+    assert len(world.faults) == 1
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -0,0 +1,89 @@
+"""Following the platform through outages, lost history and silence."""
+
+import asyncio
+import random
+
+from sassafraswinch_sidecar.platform_reader import (
+    HistoryGoneError,
+    PlatformReader,
+    PlatformUnavailableError,
+)
+from sassafraswinch_sidecar.replica import Delta
+
+
+class ScriptedStore:
+    """Answers calls in turn; the last answer is waited for for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def read(self):
+        return await self._next("read")
+
+    async def watch(self, after_revision, wait_ms):
+        return await self._next(("watch", after_revision))
+
+    async def _next(self, call):
+        self.calls.append(call)
+        if not self.answers:
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return Delta(revision=answer, whole=call == "read", entries=())
+
+
+class Keeper:
+    """Notes what it is told."""
+
+    def __init__(self):
+        self.revision = 0
+        self.told = []
+
+    def take(self, delta, source):
+        self.revision = max(self.revision, delta.revision)
+
+    def platform_away(self):
+        self.told.append("away")
+
+    def platform_back(self):
+        self.told.append("back")
+
+
+async def follow(*answers):
+    store, keeper = ScriptedStore(*answers), Keeper()
+    reader = PlatformReader(store=store, keeper=keeper, rng=random.Random(1))
+    task = asyncio.create_task(reader.run())
+    async with asyncio.timeout(10):
+        while store.answers or len(store.calls) <= len(answers):
+            await asyncio.sleep(0.01)
+    task.cancel()
+    return store, keeper
+
+
+async def test_reading_is_followed_by_watches_from_its_revision():
+    store, _ = await follow(4, 6)
+    assert store.calls == ["read", ("watch", 4), ("watch", 6)]
+
+
+async def test_lost_history_is_read_anew():
+    store, _ = await follow(4, HistoryGoneError(), 9)
+    assert store.calls == ["read", ("watch", 4), "read", ("watch", 9)]
+
+
+async def test_outage_is_told_and_the_watch_goes_on_where_it_was():
+    """The platform is away for a moment. Changes of the meantime are still in its
+    history, so nothing is read anew: all hosts would do so at once.
+    """
+    down = PlatformUnavailableError(reason="reset")
+    store, keeper = await follow(4, down, 5)
+    assert store.calls == ["read", ("watch", 4), ("watch", 4), ("watch", 5)]
+    assert keeper.told == ["back", "away", "back"]
+
+
+async def test_start_during_an_outage_reads_once_it_is_over():
+    down = PlatformUnavailableError(reason="status 503")
+    store, keeper = await follow(down, down, 7)
+    assert store.calls == ["read", "read", "read", ("watch", 7)]
+    assert keeper.revision == 7
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
@@ -0,0 +1,84 @@
+"""Every message between sidecars survives the wire, and nothing else passes for one."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from sassafraswinch_node.frames import LENGTH_BYTES
+from sassafraswinch_node.wire import WireError
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    Heartbeat,
+    RelayRequest,
+    ServiceDemand,
+)
+from sassafraswinch_sidecar.relay_wire import (
+    parse_delta,
+    parse_message,
+    serialize_delta,
+    serialize_message,
+)
+from sassafraswinch_sidecar.replica import Delta, Entry
+
+REQUESTS = st.builds(
+    RelayRequest,
+    call_id=st.integers(0, 2**62),
+    instance_id=st.text(max_size=20),
+    service_name=st.text(max_size=20),
+    request_id=st.text(max_size=20),
+    method=st.sampled_from(["GET", "PUT"]),
+    target=st.binary(max_size=50),
+    headers=st.binary(max_size=50),
+    body=st.binary(max_size=200),
+    remaining_ms=st.integers(0, 2**31 - 1),
+    max_wait_ms=st.integers(0, 10_000),
+    priority=st.integers(0, 10),
+    level=st.integers(0, 1_000),
+    inner=st.booleans(),
+    idempotent=st.booleans(),
+    repeated=st.booleans(),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(REQUESTS)
+def test_request_comes_back_equal(request):
+    assert parse_message(serialize_message(request)[LENGTH_BYTES:]) == request
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            Entry,
+            key=st.text(max_size=10),
+            revision=st.integers(0, 2**40),
+            value=st.none() | st.binary(max_size=20),
+        ),
+        max_size=5,
+    ),
+    st.booleans(),
+)
+def test_changes_come_back_equal_removals_included(entries, whole):
+    delta = Delta(revision=7, whole=whole, entries=tuple(entries))
+    frame = serialize_message(serialize_delta(delta))
+    assert parse_delta(parse_message(frame[LENGTH_BYTES:])) == delta
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60))
+def test_garbage_is_refused(payload):
+    with pytest.raises(WireError):
+        parse_message(payload + b"\xff")
+
+
+def test_message_that_is_cut_off_or_has_more_behind_it_is_refused():
+    beat = Heartbeat(
+        sequence=1,
+        revision=2,
+        demand=[ServiceDemand("archiv", [1.5], 3, 4)],
+    )
+    payload = serialize_message(beat)[LENGTH_BYTES:]
+    for length in range(len(payload)):
+        with pytest.raises(WireError):
+            parse_message(payload[:length])
+    with pytest.raises(WireError):
+        parse_message(payload + b"\x00")
