--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -19,6 +19,9 @@
 LEARN_GAIN = 0.04
 """Weight of one answer in the slot time of a route: the last 25."""
 
+FIRST_GAIN = 0.3
+"""Weight of one failed request while no whole one has been answered."""
+
 RATE_GAIN = 0.3
 """Weight of one interval in the arrival rates: with 250 ms, about a second."""
 
@@ -121,6 +124,23 @@
             else:
                 known[service] = before_s + gain * (taken_s - before_s)
 
+    def learn_at_least(self, route: str, slot_ms: Mapping[str, float]) -> None:
+        """Take in the slot time of a request that failed on its way.
+
+        It says the least that a whole one takes. Under an overload that begins before
+        anything is known, as after a loss of power, nearly all requests fail, and the
+        few whole ones would tell what they need seconds too late.
+        """
+        demand = self._routes.get(route)
+        if demand is None:
+            return
+        known = demand.slot_s
+        for service, taken_ms in slot_ms.items():
+            before_s = known.get(service, 0.0)
+            if taken_ms / 1000 > before_s:
+                gain = LEARN_GAIN if demand.answers else FIRST_GAIN
+                known[service] = before_s + gain * (taken_ms / 1000 - before_s)
+
     def blocking(self, route: str, priority: int, level: int) -> str | None:
         """Return a service that can't carry the request, None if it may go on."""
         if not self._places:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -260,10 +260,14 @@
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
         if relay.parent is None and response.status < 300:
             self._admission.learn(relay.route.name, relay.slot_ms)
+        elif relay.parent is None:
+            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
         self._answers.deliver(relay, response)
         self._finish(relay)
 
     def _fail(self, relay: Relay, reason: str, status: int) -> None:
+        if relay.parent is None and relay.slot_ms:
+            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
         self._answers.fail(relay, reason, status)
         self._finish(relay)
 
--- a/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
@@ -150,3 +150,28 @@
     back = {"prehled": Capacity(100.0, 10.0), "archiv": Capacity(600.0, 10.0)}
     node.decide(back, 5 * INTERVAL_MS)
     assert node.blocking(HISTORY, 2, 0) is None
+
+
+def test_need_is_learnt_from_requests_that_fail_before_any_is_whole():
+    """All hosts lose power, and callers come back at once to cold servers. Trees fail
+    half way, and no whole answer tells what a request takes; what the failed ones took
+    must be enough to hold the next ones back.
+    """
+    node = EntryAdmission()
+    for number in range(1, 5):
+        for _ in range(100):
+            node.offered(HISTORY, 2)
+            node.learn_at_least(HISTORY, {"prehled": 200.0})
+        node.due(0.0)
+        node.decide({"prehled": Capacity(40.0, 60.0)}, number * INTERVAL_MS)
+    assert node.blocking(HISTORY, 2, 900) == "prehled"
+    assert node.blocking(HISTORY, 2, 100) is None
+
+
+def test_failed_requests_do_not_lower_what_whole_ones_told():
+    node = EntryAdmission()
+    node.offered(HISTORY, 2)
+    node.learn(HISTORY, {"prehled": 220.0})
+    for _ in range(100):
+        node.learn_at_least(HISTORY, {"prehled": 20.0})
+    assert node._routes[HISTORY].slot_s["prehled"] == 0.22
