Drop requests that left from the queue's heap; name queued requests plainly

Found by reading: under a long overload those of low priority piled up below, and every offer walked over them. The test failed with the compaction taken out.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -24,7 +24,7 @@
     Verdict,
 )
 from sassafraswinch_sidecar.request_log import RequestLog
-from sassafraswinch_sidecar.server_queue import SLOT_SHARE, ServerQueue, Ticket
+from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
 
 Reply = Callable[[RelayResponse], None]
 
@@ -50,7 +50,7 @@
     reply: Reply
     owner: object
     deadline_ms: float
-    ticket: Ticket | None = None
+    place: QueuedRequest | None = None
     exchange: Exchange | None = None
     offered: bool = False
     ended: bool = False
@@ -128,13 +128,13 @@
                 execution.actual_instance_id = self._watch.trusted_instance_id()
             self._end_unrun(execution, refusal)
             return
-        execution.ticket = Ticket(
+        execution.place = QueuedRequest(
             execution,
             request.inner,
             request.priority,
             now_ms + min(request.max_wait_ms, request.remaining_ms),
         )
-        if not self.queue.offer(execution.ticket, now_ms):
+        if not self.queue.offer(execution.place, now_ms):
             self._end_unrun(execution, "overloaded")
             return
         self._executions[owner, request.call_id] = execution
@@ -151,7 +151,7 @@
         execution = self._executions.get((owner, call_id))
         if execution is None:
             return
-        if self.queue.withdraw(execution.ticket):
+        if self.queue.withdraw(execution.place):
             self._forget(execution)
         elif execution.request.idempotent:
             self._break_off(execution)
@@ -165,8 +165,8 @@
     def leave(self) -> None:
         """Refuse what waits and all that comes; what runs may finish."""
         self.leaving = True
-        for ticket in self.queue.drain():
-            self._end_unrun(ticket.item, "leaving")
+        for queued in self.queue.drain():
+            self._end_unrun(queued.item, "leaving")
 
     @property
     def in_flight(self) -> int:
@@ -196,8 +196,8 @@
         return ""
 
     def _start(self, now_ms: float) -> None:
-        for ticket in self.queue.startable(now_ms):
-            self._run(ticket.item, now_ms)
+        for queued in self.queue.startable(now_ms):
+            self._run(queued.item, now_ms)
 
     def _run(self, execution: Execution, now_ms: float) -> None:
         request = execution.request
@@ -352,10 +352,10 @@
         )
 
     def _release(self, execution: Execution) -> None:
-        ticket = execution.ticket
-        if ticket is None or ticket.started_at_ms is None or execution.ended:
+        place = execution.place
+        if place is None or place.started_at_ms is None or execution.ended:
             return
-        held_ms = self.queue.finished(ticket, self._loop.time() * 1000)
+        held_ms = self.queue.finished(place, self._loop.time() * 1000)
         taken_ms = execution.slot_ms
         taken_ms[self._service] = taken_ms.get(self._service, 0.0) + held_ms
 
@@ -369,11 +369,11 @@
     def _tick(self) -> None:
         self._ticking = None
         now_ms = self._loop.time() * 1000
-        for ticket in self.queue.expired(now_ms):
-            self._end_unrun(ticket.item, "queue-timeout")
+        for queued in self.queue.expired(now_ms):
+            self._end_unrun(queued.item, "queue-timeout")
         if self.queue.queued:
             self._ticking = self._loop.call_later(TICK_S, self._tick)
 
     def _refuse_waiting(self) -> None:
-        for ticket in self.queue.drain():
-            self._end_unrun(ticket.item, "server-down")
+        for queued in self.queue.drain():
+            self._end_unrun(queued.item, "server-down")
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -17,12 +17,15 @@
 HOLD_GAIN = 0.05
 """Weight of one request in the mean time that a slot is held: the last twenty."""
 
+MAX_LEFT = 16
+"""Requests that have left and may stay in the heap besides those that wait."""
+
 COLD_HOLD_MS = 50.0
 """Mean assumed before any request has ended."""
 
 
 @dataclass(slots=True, eq=False)
-class Ticket:
+class QueuedRequest:
     """A request before the backend server.
 
     Attributes:
@@ -48,7 +51,7 @@
     limit: int
     running: int = 0
     hold_ms: float = COLD_HOLD_MS
-    _waiting: list[tuple[bool, int, int, Ticket]] = field(default_factory=list)
+    _waiting: list[tuple[bool, int, int, QueuedRequest]] = field(default_factory=list)
     _sequence: Any = field(default_factory=itertools.count)
     _queued: int = 0
 
@@ -68,62 +71,79 @@
         )
         return (ahead + 1) * self.hold_ms / max(self.limit, 1)
 
-    def offer(self, ticket: Ticket, now_ms: float) -> bool:
+    def offer(self, request: QueuedRequest, now_ms: float) -> bool:
         """Take a request, which then starts with ``startable`` or is refused.
 
         Returns:
             False if it would wait longer than it may: it is refused at once, so
             that it can go elsewhere or come back.
         """
-        delay_ms = self.delay_ms(inner=ticket.inner, priority=ticket.priority)
-        if delay_ms and now_ms + delay_ms > ticket.give_up_at_ms:
+        delay_ms = self.delay_ms(inner=request.inner, priority=request.priority)
+        if delay_ms and now_ms + delay_ms > request.give_up_at_ms:
             return False
-        order = (not ticket.inner, ticket.priority, next(self._sequence), ticket)
+        order = (
+            not request.inner,
+            request.priority,
+            next(self._sequence),
+            request,
+        )
         heapq.heappush(self._waiting, order)
         self._queued += 1
         return True
 
-    def startable(self, now_ms: float) -> Iterable[Ticket]:
+    def startable(self, now_ms: float) -> Iterable[QueuedRequest]:
         """Yield the requests that start now."""
         while self._waiting and self.running < self.limit:
-            ticket = heapq.heappop(self._waiting)[3]
-            if ticket.left:
+            request = heapq.heappop(self._waiting)[3]
+            if request.left:
                 continue
             self._queued -= 1
             self.running += 1
-            ticket.started_at_ms = now_ms
-            yield ticket
+            request.started_at_ms = now_ms
+            yield request
 
-    def withdraw(self, ticket: Ticket) -> bool:
+    def withdraw(self, request: QueuedRequest) -> bool:
         """Take a waiting request out; False if it has started or left already."""
-        if ticket.left or ticket.started_at_ms is not None:
+        if request.left or request.started_at_ms is not None:
             return False
-        ticket.left = True
+        request.left = True
         self._queued -= 1
+        if len(self._waiting) > 2 * self._queued + MAX_LEFT:
+            self._compact()
         return True
 
-    def finished(self, ticket: Ticket, now_ms: float) -> float:
+    def finished(self, request: QueuedRequest, now_ms: float) -> float:
         """Take back the slot of a started request; return how long it was held."""
         self.running -= 1
-        held_ms = now_ms - ticket.started_at_ms
+        held_ms = now_ms - request.started_at_ms
         self.hold_ms += HOLD_GAIN * (held_ms - self.hold_ms)
         return held_ms
 
-    def expired(self, now_ms: float) -> list[Ticket]:
+    def expired(self, now_ms: float) -> list[QueuedRequest]:
         """Take out the requests that have waited as long as they may."""
         late = [
-            ticket
-            for *_, ticket in self._waiting
-            if not ticket.left and now_ms >= ticket.give_up_at_ms
+            request
+            for *_, request in self._waiting
+            if not request.left and now_ms >= request.give_up_at_ms
         ]
-        for ticket in late:
-            self.withdraw(ticket)
+        for request in late:
+            self.withdraw(request)
         return late
 
-    def drain(self) -> list[Ticket]:
+    def _compact(self) -> None:
+        """Drop the requests that have left from the heap.
+
+        Failure: while more important requests keep coming, those at its bottom never
+        reach the top; thousands that have left pile up there, and every look at the
+        queue walks over them.
+        """
+        self._waiting = [order for order in self._waiting if not order[3].left]
+        heapq.heapify(self._waiting)
+
+    def drain(self) -> list[QueuedRequest]:
         """Take out all that wait."""
-        waiting = [ticket for *_, ticket in self._waiting if not ticket.left]
-        for ticket in waiting:
-            self.withdraw(ticket)
+        waiting = [request for *_, request in self._waiting if not request.left]
+        for request in waiting:
+            self.withdraw(request)
         self._waiting.clear()
         return waiting
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -97,7 +97,8 @@
     """The watch is cut for a moment, and the next one waits for a change. Three seconds
     later a server is removed. If the platform counted as away until that answer, the
     removal would pass for an expiry of a long outage and be held back: the server
-    would get work for two seconds more."""
+    would get work for two seconds more.
+    """
     down = PlatformUnavailableError(reason="reset")
     store, keeper = await follow(4, down, 4)
     assert store.waits_ms[0] == WATCH_MS
--- a/packages/sassafraswinch-sidecar/tests/test_server_queue.py
+++ b/packages/sassafraswinch-sidecar/tests/test_server_queue.py
@@ -2,11 +2,11 @@
 
 from hypothesis import given, settings, strategies as st
 
-from sassafraswinch_sidecar.server_queue import ServerQueue, Ticket
+from sassafraswinch_sidecar.server_queue import QueuedRequest, ServerQueue
 
 
-def ticket(name, *, inner=False, priority=0, give_up_at_ms=1_000.0):
-    return Ticket(name, inner, priority, give_up_at_ms)
+def request(name, *, inner=False, priority=0, give_up_at_ms=1_000.0):
+    return QueuedRequest(name, inner, priority, give_up_at_ms)
 
 
 def started(queue, now_ms=0.0):
@@ -20,12 +20,12 @@
     goes before a new request of any priority.
     """
     queue = ServerQueue(limit=1)
-    queue.offer(ticket("first"), 0.0)
+    queue.offer(request("first"), 0.0)
     assert started(queue) == ["first"]
-    first = ticket("low", priority=2)
+    first = request("low", priority=2)
     queue.offer(first, 0.0)
-    queue.offer(ticket("high", priority=0), 0.0)
-    queue.offer(ticket("call", inner=True, priority=2), 0.0)
+    queue.offer(request("high", priority=0), 0.0)
+    queue.offer(request("call", inner=True, priority=2), 0.0)
     order = []
     for _ in range(3):
         queue.running -= 1
@@ -35,18 +35,18 @@
 
 def test_request_that_would_wait_too_long_is_refused_at_once():
     queue = ServerQueue(limit=1, hold_ms=100.0)
-    queue.offer(ticket("running"), 0.0)
+    queue.offer(request("running"), 0.0)
     started(queue)
-    assert not queue.offer(ticket("hasty", give_up_at_ms=50.0), 0.0)
-    assert queue.offer(ticket("patient", give_up_at_ms=150.0), 0.0)
+    assert not queue.offer(request("hasty", give_up_at_ms=50.0), 0.0)
+    assert queue.offer(request("patient", give_up_at_ms=150.0), 0.0)
     assert queue.queued == 1
 
 
 def test_waiting_request_leaves_at_its_time_and_only_once():
     queue = ServerQueue(limit=1, hold_ms=1.0)
-    queue.offer(ticket("running"), 0.0)
+    queue.offer(request("running"), 0.0)
     started(queue)
-    waiting = ticket("waiting", give_up_at_ms=50.0)
+    waiting = request("waiting", give_up_at_ms=50.0)
     queue.offer(waiting, 0.0)
     assert queue.expired(49.0) == []
     assert [found.item for found in queue.expired(50.0)] == ["waiting"]
@@ -58,7 +58,7 @@
 def test_lower_limit_stops_starts_until_enough_has_ended():
     queue = ServerQueue(limit=2)
     for name in ("a", "b", "c"):
-        queue.offer(ticket(name), 0.0)
+        queue.offer(request(name), 0.0)
     running = list(queue.startable(0.0))
     queue.limit = 1
     queue.finished(running[0], 10.0)
@@ -67,6 +67,23 @@
     assert started(queue) == ["c"]
 
 
+def test_requests_that_left_do_not_pile_up_below_more_important_ones():
+    """An overload of minutes: calls of running requests take every slot, and new
+    requests give up waiting by the thousand without ever reaching the top.
+    """
+    queue = ServerQueue(limit=1, hold_ms=1.0)
+    queue.offer(request("running"), 0.0)
+    started(queue)
+    for number in range(1_000):
+        now_ms = number * 10.0
+        queue.offer(request(number, priority=2, give_up_at_ms=now_ms + 50), now_ms)
+        queue.offer(request("call", inner=True, give_up_at_ms=1e9), now_ms)
+        queue.running -= 1
+        assert started(queue, now_ms) == ["call"]
+        queue.expired(now_ms)
+        assert len(queue._waiting) < 60
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.integers(1, 4),
@@ -82,7 +99,7 @@
     for number, (step, inner, priority) in enumerate(steps):
         now_ms = number * 10.0
         if step == "offer":
-            new = ticket(
+            new = request(
                 number, inner=inner, priority=priority, give_up_at_ms=now_ms + 200
             )
             if queue.offer(new, now_ms):
