--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -171,10 +171,19 @@
             self._loop.create_task(self._reader.run()),
             self._loop.create_task(self._tick_forever()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(self._task_ended)
         await self._stopping.wait()
         await self._drain()
         await self._close()
 
+    def _task_ended(self, task: asyncio.Task) -> None:
+        """Stop if a task that must go on has failed: the platform starts it again."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log_event("task_failed", level="error", error=repr(task.exception()))
+        self._stopping.set()
+
     def link_up(self, ip: str) -> None:
         """Nothing to do: the first heartbeat follows (LinkListener)."""
 
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -406,6 +406,19 @@
     assert slots == node.sidecar._executor.load().limit
 
 
+async def test_sidecar_without_its_clock_of_decisions_stops_to_be_restarted(fleet):
+    """A fault of the program ends the task that looks at time limits. Requests would
+    hang; the process says what happened and ends, and is started again.
+    """
+    node = fleet.nodes[0]
+
+    def fail(now_ms):
+        raise KeyError("a fault of the program")
+
+    node.sidecar._owner.expire = fail
+    await asyncio.wait_for(node.task, 20.0)
+
+
 async def test_metrics_page_counts_answers(fleet):
     node = fleet.nodes[0]
     await fleet.call(node)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -117,3 +117,15 @@
         standin.answers["/v1/kv-watch"] = lambda query, status=status: (status, {})
         with pytest.raises(PlatformUnavailableError):
             await store.watch(5, 1_000)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [[], {"events": []}, {"events": [{"rev": 1}], "at_rev": 2}, {"at_rev": 3}],
+    ids=["no object", "no revision", "event without a key", "no events"],
+)
+async def test_answer_of_another_shape_is_an_outage_not_an_end(standin, store, answer):
+    """The store answers something else for once. Whoever follows it must go on."""
+    standin.answers["/v1/kv-watch"] = lambda query: (200, answer)
+    with pytest.raises(PlatformUnavailableError):
+        await store.watch(5, 1_000)
