Take out what nothing reads: queue delay and wait told on links, two unused methods

Found by reading the change: every response and heartbeat walked the queue for a delay that no owner reads, and bore a wait that was always 0; ShareChooser.keep and link_up had no use; two methods of BackendWatch did the same. No behaviour changed.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -17,8 +17,6 @@
   2: required i32 queued
   /** Calls that it lets onto its backend server at once; 0 while that is down. */
   3: required i32 limit
-  /** Wait that a new call would meet. */
-  4: required i32 queue_delay_ms
 }
 
 /** First message each way. */
@@ -75,7 +73,6 @@
   7: required bool offered
   8: required list<SlotTime> slot_times
   9: required ServerLoad load
-  10: required i32 retry_after_ms
   /** Instance that the backend server says it is, where it refused another. */
   11: optional string actual_instance_id
 }
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
@@ -62,12 +62,8 @@
         young = self._now_ms() - self._started_ms < FRESH_START_MS
         return self._instance_id if young and len(self._seen_ids) == 1 else None
 
-    def busy_again(self) -> None:
-        """Note that a request starts after a time without any."""
-        self._answered_ms = self._now_ms()
-
-    def answered(self) -> None:
-        """Note an answer of any kind."""
+    def alive(self) -> None:
+        """Note an answer of any kind, or a request after a time without any."""
         self._answered_ms = self._now_ms()
 
     def is_instance(self, instance_id: str | None) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -104,7 +104,6 @@
             in_flight=queue.running,
             queued=queue.queued,
             limit=queue.limit if self._watch.up else 0,
-            queue_delay_ms=int(queue.delay_ms()),
         )
 
     def submit(self, request: RelayRequest, reply: Reply, owner: object) -> None:
@@ -227,7 +226,7 @@
             )
 
         if self.queue.running == 1:
-            self._watch.busy_again()
+            self._watch.alive()
         execution.exchange = Exchange(
             payload, request.method.encode(), is_own, self._exchange_done, execution
         )
@@ -237,7 +236,7 @@
     def _exchange_done(self, exchange: Exchange, end: HttpResponse | Fault) -> None:
         execution = exchange.item
         if isinstance(end, HttpResponse):
-            self._watch.answered()
+            self._watch.alive()
             self._answered(execution, end)
         elif end is Fault.UNREACHABLE:
             self._watch.unreachable()
@@ -346,7 +345,6 @@
                     for service, taken_ms in execution.slot_ms.items()
                 ],
                 load=self.load(),
-                retry_after_ms=0,
                 actual_instance_id=execution.actual_instance_id,
             )
         )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -47,9 +47,6 @@
 class LinkListener(Protocol):
     """What the owner of the links is told."""
 
-    def link_up(self, ip: str) -> None:
-        """A dialled link to a peer is open."""
-
     def link_lost(self, ip: str) -> None:
         """A dialled link is gone; what was written may still arrive."""
 
@@ -215,7 +212,6 @@
             peer.dialling.cancel()
             peer.dialling = None
         log_event("link_up", peer=link.peer_ip, incarnation=link.incarnation)
-        self._listener.link_up(link.peer_ip)
         link.send(self._listener.heartbeat())
         link.expect_reply()
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -57,7 +57,6 @@
         queued: requests that wait for it.
         limit: requests that are let onto it at once; None before the first report,
             0 while it is down.
-        queue_delay_ms: wait that a new request would meet.
         sent_since: requests sent to it since the report.
         outstanding: requests sent to it that have no end yet.
         leaving: whether the peer takes no new requests.
@@ -68,7 +67,6 @@
     in_flight: int = 0
     queued: int = 0
     limit: int | None = None
-    queue_delay_ms: float = 0.0
     sent_since: int = 0
     outstanding: int = 0
     leaving: bool = False
@@ -82,7 +80,6 @@
         self.in_flight = told.in_flight
         self.queued = told.queued
         self.limit = told.limit
-        self.queue_delay_ms = told.queue_delay_ms
         self.sent_since = 0
 
     def ended(self, *, failed: bool, now_ms: float) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -42,7 +42,6 @@
      - in_flight
      - queued
      - limit: Calls that it lets onto its backend server at once; 0 while that is down.
-     - queue_delay_ms: Wait that a new call would meet.
 
     """
 
@@ -50,15 +49,13 @@
         'in_flight',
         'queued',
         'limit',
-        'queue_delay_ms',
     )
 
 
-    def __init__(self, in_flight=None, queued=None, limit=None, queue_delay_ms=None,):
+    def __init__(self, in_flight=None, queued=None, limit=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
-        self.queue_delay_ms = queue_delay_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -84,11 +81,6 @@
                     self.limit = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.queue_delay_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -111,10 +103,6 @@
             oprot.writeFieldBegin('limit', TType.I32, 3)
             oprot.writeI32(self.limit)
             oprot.writeFieldEnd()
-        if self.queue_delay_ms is not None:
-            oprot.writeFieldBegin('queue_delay_ms', TType.I32, 4)
-            oprot.writeI32(self.queue_delay_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -125,8 +113,6 @@
             raise TProtocolException(message='Required field queued is unset!')
         if self.limit is None:
             raise TProtocolException(message='Required field limit is unset!')
-        if self.queue_delay_ms is None:
-            raise TProtocolException(message='Required field queue_delay_ms is unset!')
         return
 
     def __repr__(self):
@@ -616,7 +602,6 @@
      - offered: Whether anything was written to the backend server.
      - slot_times
      - load
-     - retry_after_ms
      - actual_instance_id: Instance that the backend server says it is, where it refused another.
 
     """
@@ -631,12 +616,11 @@
         'offered',
         'slot_times',
         'load',
-        'retry_after_ms',
         'actual_instance_id',
     )
 
 
-    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, retry_after_ms=None, actual_instance_id=None,):
+    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, actual_instance_id=None,):
         self.call_id = call_id
         self.verdict = verdict
         self.status = status
@@ -646,7 +630,6 @@
         self.offered = offered
         self.slot_times = slot_times
         self.load = load
-        self.retry_after_ms = retry_after_ms
         self.actual_instance_id = actual_instance_id
 
     def read(self, iprot):
@@ -710,11 +693,6 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I32:
-                    self.retry_after_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.STRING:
                     self.actual_instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
@@ -769,10 +747,6 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 9)
             self.load.write(oprot)
             oprot.writeFieldEnd()
-        if self.retry_after_ms is not None:
-            oprot.writeFieldBegin('retry_after_ms', TType.I32, 10)
-            oprot.writeI32(self.retry_after_ms)
-            oprot.writeFieldEnd()
         if self.actual_instance_id is not None:
             oprot.writeFieldBegin('actual_instance_id', TType.STRING, 11)
             oprot.writeString(self.actual_instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.actual_instance_id)
@@ -799,8 +773,6 @@
             raise TProtocolException(message='Required field slot_times is unset!')
         if self.load is None:
             raise TProtocolException(message='Required field load is unset!')
-        if self.retry_after_ms is None:
-            raise TProtocolException(message='Required field retry_after_ms is unset!')
         return
 
     def __repr__(self):
@@ -1677,7 +1649,6 @@
     (1, TType.I32, 'in_flight', None, None, ),  # 1
     (2, TType.I32, 'queued', None, None, ),  # 2
     (3, TType.I32, 'limit', None, None, ),  # 3
-    (4, TType.I32, 'queue_delay_ms', None, None, ),  # 4
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -1723,7 +1694,7 @@
     (7, TType.BOOL, 'offered', None, None, ),  # 7
     (8, TType.LIST, 'slot_times', (TType.STRUCT, [SlotTime, None], False), None, ),  # 8
     (9, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 9
-    (10, TType.I32, 'retry_after_ms', None, None, ),  # 10
+    None,  # 10
     (11, TType.STRING, 'actual_instance_id', 'UTF8', None, ),  # 11
 )
 all_structs.append(RelayCancel)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
@@ -1,7 +1,6 @@
 """Routes: which service runs a request, and how it may be handled."""
 
 import itertools
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 
@@ -115,10 +114,3 @@
         chosen = max(credits, key=credits.__getitem__)
         credits[chosen] -= total
         return chosen
-
-    def keep(self, names: Iterable[str]) -> None:
-        """Forget routes other than the named ones."""
-        kept = set(names)
-        self._credits = {
-            name: credits for name, credits in self._credits.items() if name in kept
-        }
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -184,9 +184,6 @@
         log_event("task_failed", level="error", error=repr(task.exception()))
         self._stopping.set()
 
-    def link_up(self, ip: str) -> None:
-        """Nothing to do: the first heartbeat follows (LinkListener)."""
-
     def link_lost(self, ip: str) -> None:
         """Decide anew on the calls of a lost link (LinkListener)."""
         self._owner.link_lost(ip)
