Hold frames until told in the test of late frames, not for a set time

The relay held the frames 7 s by the wall clock; the owner needs up to 4 s to find its link silent, and starts that watch anew after a stall of its process. The calls then rightly run.

Change: a fault of the relay, held, that keeps what its open connections carry until the test ends it. The assertions stay; no time bound is left in the test.

--- a/packages/sassafraswinch-node/tests/test_process_silence.py
+++ b/packages/sassafraswinch-node/tests/test_process_silence.py
@@ -9,10 +9,6 @@
 from sassafraswinch_standins.fleet import Fleet
 from sassafraswinch_standins.polling import wait_until
 
-HELD_MS = 7_000
-"""How long the relay holds frames: a link counts as silent after 3 s, and the
-executing node closes a silent one after 10 s."""
-
 FAR_ROUTES = {"brno-b>vydej-1": "schvaleni-2", "ostrava-c>vydej-1": "schvaleni-3"}
 """Routes to the only server of vydej, and a host that calls over each."""
 
@@ -118,14 +114,13 @@
     releases = [
         patient.with_ticket(through, patient.new("POST", RELEASE)) for _ in range(5)
     ]
-    fleet.control_relay([route], delay_ms=HELD_MS)
+    fleet.control_relay([route], fault="held")
     replies = patient.together(lambda r: patient.ask(through, r), releases)
-    wait_until("calls sent", lambda: fleet.status(host)["owned_calls"] == 5)
-    fleet.control_relay([route], delay_ms=0)
     ended = [reply.result() for reply in replies]
 
     assert {reply.told for reply in ended} == {(503, "not-run", "fenced")}
     assert fleet.held_by_relay(route) > 0
+    fleet.control_relay([route], fault="none")
     wait_until("frames delivered", lambda: fleet.held_by_relay(route) == 0)
     again = [patient.new("POST", RELEASE, ticket=reply.ticket) for reply in ended]
     renewed = patient.together(lambda r: patient.ask(through, r), again)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/relay.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/relay.py
@@ -1,6 +1,7 @@
 """TCP relay that can make a connection silent, slow, or cut it."""
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 import defopt
@@ -38,6 +39,8 @@
         self.peer: Pipe | None = None
         self._early: list[bytes] = []
         self._due_s = 0.0
+        self._holding = False
+        self._held: list[tuple[Callable[..., None], tuple[bytes, ...]]] = []
 
     def connection_made(self, transport):
         """Take the client's connection over, or complete the one to the target."""
@@ -66,6 +69,10 @@
 
         A delay that is lowered while bytes wait would let later ones overtake them.
         """
+        if self._holding:
+            self.route.held += 1
+            self._held.append((act, args))
+            return
         loop = asyncio.get_running_loop()
         due_s = max(loop.time() + self.route.delay_ms / 1000, self._due_s)
         if due_s <= loop.time():
@@ -75,6 +82,17 @@
         self.route.held += 1
         loop.call_at(due_s, self._release, act, *args)
 
+    def hold(self) -> None:
+        """Keep what comes from now on."""
+        self._holding = True
+
+    def deliver_held(self) -> None:
+        """Deliver what was kept, in order, and keep nothing more."""
+        self._holding = False
+        held, self._held = self._held, []
+        for act, args in held:
+            self._release(act, *args)
+
     def _release(self, act, *args) -> None:
         self.route.held -= 1
         act(*args)
@@ -110,7 +128,8 @@
         self.address = ""
         self.pipes: set[Pipe] = set()
         self.held = 0
-        """Writes and closes that wait for their delay."""
+        """Writes and closes that wait for their delay or for the end of a fault."""
+        self._holding: list[Pipe] = []
         self._listen = settings.listen
         self._fault = Fault.NONE
         self._direction = Direction.BOTH
@@ -152,11 +171,28 @@
             for pipe in self.pipes:
                 pipe.silent |= direction in (pipe.direction, Direction.BOTH)
             return
+        if fault is Fault.HELD:
+            self._hold(direction)
+            return
+        if fault is Fault.NONE:
+            self._deliver_held()
         if fault is Fault.CUT:
             self._abort()
         self._fault = Fault.NONE if fault is Fault.CUT and only_open else fault
         self._direction = direction
 
+    def _hold(self, direction: Direction) -> None:
+        for pipe in self.pipes:
+            if direction in (pipe.direction, Direction.BOTH):
+                self._holding.append(pipe)
+                pipe.hold()
+
+    def _deliver_held(self) -> None:
+        # Pipes whose own end has closed still hold what they read before.
+        holding, self._holding = self._holding, []
+        for pipe in holding:
+            pipe.deliver_held()
+
     def connect(self, client: Pipe) -> None:
         """Open the connection to the target for a new client."""
         if self._fault is Fault.CUT:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/relay_settings.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/relay_settings.py
@@ -21,6 +21,9 @@
     """Drops bytes and the end of a connection, so that neither end learns of it."""
     CUT = "cut"
     """Resets open connections; new ones are refused while it lasts."""
+    HELD = "held"
+    """Keeps bytes and ends of the connections that are open now until the fault is
+    ended, and delivers them then; new connections work."""
 
 
 class RouteSettings(StrictModel):
