Let a relayed fleet of stand-ins read its host lists before its zones meet

Each zone's platform lists other addresses, those of the relay's routes for that zone; a node that is dialled before it has read its list asks peers, and dials addresses of their zone. Its calls then take another route than the one that the test makes silent.

Change: the stand-ins' fleet lists hosts of the own zone first, waits until every node has read its list (status field host_list_version), and lists the rest then.

--- a/packages/sassafraswinch-node/sassafraswinch_node/snapshot.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/snapshot.py
@@ -25,6 +25,7 @@
         document_digest=report.stamp.digest,
         document_age_ms=report.age_ms,
         document_faults=document_faults(report),
+        host_list_version=node.membership.list_version,
         in_flight=load.in_flight,
         queued=load.queued,
         limit=load.limit,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/fleet.py
@@ -14,6 +14,7 @@
 from sassafraswinch_standins.graph import AVAILABILITY_ZONES, Graph
 from sassafraswinch_standins.host_settings import backend_settings, node_settings
 from sassafraswinch_standins.layout import Host, Layout
+from sassafraswinch_standins.polling import wait_until
 from sassafraswinch_standins.processes import ManagedProcess
 
 START_TIMEOUT_S = 60.0
@@ -240,7 +241,7 @@
                 {
                     "listen": self.platforms[zone],
                     "document": self.graph.document(),
-                    "hosts": self.layout.host_list(zone, states={}),
+                    "hosts": self._first_host_list(zone),
                 },
             )
         if self._relay_links:
@@ -253,8 +254,31 @@
             process.listening(START_TIMEOUT_S)
         for host in self.hosts.values():
             self._add_node(host).start()
+        if self._relay_links:
+            self._join_availability_zones()
         self.wait_ready()
 
+    def _first_host_list(self, zone: str) -> list[dict[str, str]]:
+        hosts = self.layout.host_list(zone, states={})
+        if not self._relay_links:
+            return hosts
+        return [host for host in hosts if host["availability_zone"] == zone]
+
+    def _join_availability_zones(self) -> None:
+        """Publish all hosts once each node has read a list of its own zone.
+
+        A node that has no list yet takes addresses from peers, and those of another
+        zone lead through other routes of the relay than the node's own.
+        """
+        wait_until(
+            "all host lists read",
+            lambda: all(map(self._has_host_list, self.hosts.values())),
+        )
+        self.publish_hosts()
+
+    def _has_host_list(self, host: Host) -> bool:
+        return call_json(host.operators, "/status")["host_list_version"] > 0
+
     def _add_relay(self) -> None:
         self.relay_address = self.layout.free_address()
         routes = [
--- a/packages/sassafraswinch/sassafraswinch/status.py
+++ b/packages/sassafraswinch/sassafraswinch/status.py
@@ -51,6 +51,8 @@
     """Time since the version in force was taken into use."""
     document_faults: tuple[str, ...] = ()
     """Why newer documents were refused, or which version has two contents."""
+    host_list_version: int = 0
+    """Version of the platform's host list that was read; 0 before the first."""
     in_flight: int = 0
     """Calls on the local backend server."""
     queued: int = 0
