Gather changes of the platform before the next watch

Ruled out: a few watchers for each zone, whose loss would have to be noticed within the two seconds that a leaving server and a new version have.

Change: a pause of 0.25 to 0.6 s after a watch that brought changes.

The test replays a burst of twelve changes: 12 calls before, at most 3 now.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -17,6 +17,12 @@
 A long one would be answered by the next change, perhaps seconds later, and until then
 the platform would count as away."""
 
+GATHER_S = (0.25, 0.6)
+"""Pause after a watch that brought changes. They come in bursts, as when a service is
+released, and each call is paid for; with the heartbeat of a second, by which sidecars
+that are turned away learn of a change, it stays below the two seconds that are
+allowed."""
+
 RETRY_S = (0.15, 0.4)
 """Pause after a failed call: all hosts don't come back in one moment."""
 
@@ -113,7 +119,10 @@
             self._away = False
             log_event("platform_back", revision=delta.revision)
         self._keeper.platform_back()
+        brought_changes = delta.revision > self._keeper.revision
         self._keeper.take(delta, "platform")
+        if brought_changes and not delta.whole:
+            await asyncio.sleep(self._rng.uniform(*GATHER_S))
 
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -38,6 +38,31 @@
         return Delta(revision=answer, whole=call == "read", entries=())
 
 
+class BurstStore:
+    """Makes one change after the other, and answers watches as soon as there is one."""
+
+    def __init__(self, *, changes, gap_s):
+        self.changes = changes
+        self.gap_s = gap_s
+        self.watches = 0
+        self.told = 0
+        self._began_s = asyncio.get_running_loop().time()
+
+    async def read(self):
+        return Delta(revision=0, whole=True, entries=())
+
+    async def watch(self, after_revision, wait_ms):
+        self.watches += 1
+        while self._made() <= after_revision:
+            await asyncio.sleep(self.gap_s / 4)
+        self.told = self._made()
+        return Delta(revision=self.told, whole=False, entries=())
+
+    def _made(self):
+        passed_s = asyncio.get_running_loop().time() - self._began_s
+        return min(self.changes, int(passed_s / self.gap_s))
+
+
 class Keeper:
     """Notes what it is told."""
 
@@ -71,6 +96,20 @@
     assert store.calls == ["read", ("watch", 4), ("watch", 6)]
 
 
+async def test_changes_in_a_burst_take_one_call_for_all_but_the_first():
+    """The servers of a service are replaced: a dozen changes within a second, and
+    every sidecar calls the platform again after each.
+    """
+    store = BurstStore(changes=12, gap_s=0.02)
+    reader = PlatformReader(store=store, keeper=Keeper(), rng=random.Random(1))
+    task = asyncio.create_task(reader.run())
+    async with asyncio.timeout(10):
+        while store.told < 12:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert store.watches <= 3
+
+
 async def test_lost_history_is_read_anew():
     store, _ = await follow(4, HistoryGoneError(), 9)
     assert store.calls == ["read", ("watch", 4), "read", ("watch", 9)]
