Keep requests with long answers in their zone while its servers have room

By message: answers are nearly all of them, 0.9 KB for a call and some 5 KB for a lookup of callers, which cross for a difference of load that costs them nothing.

Ruled out: compression (the servers' bytes grow by it, 600 to 780 with the header); heartbeats (14 KB of 20 MB a host).

Change: the cost of another zone grows with the mean length of a route's answers.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -12,6 +12,14 @@
 """Share of the slots by which an instance in another zone must be emptier. The way
 there and back takes 3 ms, and bytes between zones are paid for."""
 
+ZONE_COST_PER_KB = 0.05
+"""Added to it for each KB of the answers that a route's requests get: long answers are
+what bytes between zones are made of, and callers lose nothing by a fuller server as
+long as it has slots."""
+
+MAX_BYTES_COST = 0.35
+"""Bound of that: a full server in the zone still gives way to an empty one outside."""
+
 OTHER_HOST_COST = 0.03
 """The same for another host in the zone: a link instead of none."""
 
@@ -119,6 +127,22 @@
         return time_ms / max(mean_ms, 1.0)
 
 
+class AnswerSizes:
+    """Mean lengths of answers by kind of request."""
+
+    def __init__(self):
+        self._means: dict[Hashable, float] = {}
+
+    def count(self, kind: Hashable, answer_bytes: int) -> None:
+        """Count one answer."""
+        mean = self._means.setdefault(kind, float(answer_bytes))
+        self._means[kind] = mean + MEAN_GAIN * (answer_bytes - mean)
+
+    def mean(self, kind: Hashable) -> float:
+        """Return the mean length in bytes; 0 before the first answer."""
+        return self._means.get(kind, 0.0)
+
+
 def _faded(age_ms: float) -> float:
     return 0.5 ** (age_ms / HALF_LIFE_MS)
 
@@ -151,20 +175,35 @@
         self._rng = rng
 
     def choose(
-        self, instances: Iterable[Instance], tried: Container[str], now_ms: float
+        self,
+        instances: Iterable[Instance],
+        tried: Container[str],
+        now_ms: float,
+        answer_bytes: float = 0.0,
     ) -> Instance | None:
-        """Return the instance with the least cost; None if none may be tried."""
+        """Return the instance with the least cost; None if none may be tried.
+
+        Args:
+            instances: the instances of the service.
+            tried: ids of those that were asked before.
+            now_ms: monotonic time.
+            answer_bytes: mean length of the answers of such requests.
+        """
+        bytes_cost = min(answer_bytes / 1000 * ZONE_COST_PER_KB, MAX_BYTES_COST)
+        other_zone_cost = OTHER_ZONE_COST + bytes_cost
         candidates = [found for found in instances if found.id not in tried]
         if len(candidates) > SAMPLE:
             candidates = self._rng.sample(candidates, SAMPLE)
         best, best_cost = None, float("inf")
         for instance in candidates:
-            cost = self._cost(instance, now_ms)
+            cost = self._cost(instance, now_ms, other_zone_cost)
             if cost is not None and cost < best_cost:
                 best, best_cost = instance, cost
         return best
 
-    def _cost(self, instance: Instance, now_ms: float) -> float | None:
+    def _cost(
+        self, instance: Instance, now_ms: float, other_zone_cost: float
+    ) -> float | None:
         load = self._load_of(instance.ip)
         if load is None or load.leaving or load.limit == 0:
             return None
@@ -176,7 +215,7 @@
         if instance.cold_ms and self._cold_left_ms(instance, now_ms):
             cost += COLD_COST
         if instance.availability_zone != self._zone:
-            cost += OTHER_ZONE_COST
+            cost += other_zone_cost
         elif instance.ip != self._own_ip:
             cost += OTHER_HOST_COST
         return cost
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -8,7 +8,12 @@
 from sassafraswinch_sidecar.fleet import Fleet, Instance
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.placement import PaceMeter, PeerLoad, Placement
+from sassafraswinch_sidecar.placement import (
+    AnswerSizes,
+    PaceMeter,
+    PeerLoad,
+    Placement,
+)
 from sassafraswinch_sidecar.relay_answers import (
     MAY_HAVE_RUN_STATUS,
     NOT_RUN_STATUS,
@@ -92,6 +97,7 @@
         self._counts = counts
         self._log = log
         self._paces = PaceMeter()
+        self._sizes = AnswerSizes()
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
@@ -192,7 +198,10 @@
         instances = self._fleet.of_service(relay.service)
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
-            instance = self._placement.choose(instances, relay.tried, now_ms)
+            answer_bytes = self._sizes.mean(relay.route.name)
+            instance = self._placement.choose(
+                instances, relay.tried, now_ms, answer_bytes
+            )
         if instance is None and not relay.tried and self._settling(left_ms):
             self._loop.call_later(SETTLE_PAUSE_S, self._place_again, relay)
             return
@@ -258,6 +267,7 @@
                 relay.tried.discard(instance.id)
 
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
+        self._sizes.count(relay.route.name, len(response.body))
         if relay.parent is None and response.status < 300:
             self._admission.learn(relay.route.name, relay.slot_ms)
         elif relay.parent is None:
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from sassafraswinch_sidecar.fleet import Instance
-from sassafraswinch_sidecar.placement import PaceMeter, PeerLoad, Placement
+from sassafraswinch_sidecar.placement import AnswerSizes, PaceMeter, PeerLoad, Placement
 
 
 def instance(number, zone="brno-a", cold_ms=0.0):
@@ -62,6 +62,31 @@
     assert choices(loads, [near, far]) == {"i-2": 200}
 
 
+def test_long_answers_stay_in_the_zone_while_its_server_has_room():
+    """Order lookups with answers of 5 KB cross to another zone whose server is a bit
+    emptier, though the own one has half of its slots free: bytes between zones for no
+    gain. A full one still gives way.
+    """
+    near, far = instance(1), instance(2, zone="brno-b")
+    loads = loads_of([near, far])
+    placement = new_placement(loads)
+    loads[near.ip].in_flight = 24
+    assert placement.choose([near, far], (), 0.0, 5_000.0) is near
+    assert placement.choose([near, far], (), 0.0, 0.0) is far
+    loads[near.ip].in_flight = 58
+    assert placement.choose([near, far], (), 0.0, 50_000.0) is far
+
+
+def test_mean_length_of_answers_follows_them():
+    sizes = AnswerSizes()
+    assert sizes.mean("r") == 0.0
+    sizes.count("r", 1_000)
+    assert sizes.mean("r") == 1_000.0
+    for _ in range(400):
+        sizes.count("r", 5_000)
+    assert 4_900 < sizes.mean("r") <= 5_000
+
+
 def test_requests_in_a_row_spread_before_a_new_report():
     """Reports come a few times a second. A sidecar that sent all requests of the
     meantime to the one that was emptiest would overrun it.
