Add a fault soak of sidecars as processes

Plays the platform's store, servers and callers, starts the adapter's program for six hosts, and injects faults from outside: signals, proxied connections that are silenced, cut, delayed or held, outages of the store, servers that crash, leave or misbehave, and changes of the routes, in series that overlap. Callers and servers check the promises.

A new setting, dial_port, lets a proxy stand before the links.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -78,7 +78,8 @@
 
     Args:
         own_ip: address of this host.
-        port: port at which all sidecars accept links.
+        port: port at which this sidecar accepts links.
+        dial_port: port at which the others are dialled.
         incarnation: number of this process, which no other process has.
         listener: is told what happens.
     """
@@ -88,6 +89,7 @@
         *,
         own_ip: str,
         port: int,
+        dial_port: int,
         incarnation: int,
         listener: LinkListener,
     ):
@@ -95,6 +97,7 @@
         self.accepted: set[PeerLink] = set()
         self._own_ip = own_ip
         self._port = port
+        self._dial_port = dial_port
         self._greeting = Hello(
             protocol_version=PROTOCOL_VERSION, ip=own_ip, incarnation=incarnation
         )
@@ -190,7 +193,7 @@
                             self._dialled_greeted, self._dialled_lost
                         ),
                         ip,
-                        self._port,
+                        self._dial_port,
                     )
                 # The peer's greeting completes the link; without one it is dropped.
                 await asyncio.sleep(DIAL_TIMEOUT_S)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -95,6 +95,7 @@
         self._links = PeerLinks(
             own_ip=settings.ip,
             port=settings.link_port,
+            dial_port=settings.dial_port or settings.link_port,
             incarnation=time.time_ns(),
             listener=self,
         )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -23,6 +23,8 @@
         outbound: where callers on this host send their requests.
         ready: where the platform asks whether the sidecar takes requests.
         link_port: port at which sidecars accept links; the same on all hosts.
+        dial_port: port at which other sidecars are dialled, where something between
+            the hosts passes connections on; ``link_port`` if not given.
         metrics_port: port of the metrics page.
         platform: address of the platform's store.
         drain_s: time that a stopping process has; then it is killed.
@@ -42,6 +44,7 @@
     outbound: AddressText
     ready: AddressText
     link_port: int = Field(ge=1, le=65_535)
+    dial_port: int | None = Field(default=None, ge=1, le=65_535)
     metrics_port: int = Field(ge=1, le=65_535)
     platform: AddressText
     drain_s: float = Field(default=6.0, gt=0, le=600)
--- /dev/null
+++ b/tests/fault_soak/record.py
@@ -0,0 +1,134 @@
+"""What callers sent and servers ran, and the promises that must hold between them."""
+
+import hashlib
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
+
+VERSION_SLACK_S = 0.5
+"""Time after an answer by a version in which requests that overtook it may still be
+handled by an older one."""
+
+DRAIN_CEILING_S = 8.0
+"""Time after a server's leaving was published in which requests may still come: the
+two seconds of the platform, and room for a busy machine."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Sent:
+    """A caller's request, or a call of a backend server."""
+
+    request_id: str
+    host: str
+    caller_service: str
+    method: str
+    target: str
+    idempotent: bool
+    version: int = 0
+    """Version of the routes that its path tells about; 0 where any may serve it."""
+    lifetime: int = 0
+    """Starts of the host's process when it was sent."""
+    sent_s: float
+    status: int | None = None
+    """None while there is no whole answer; 0 where the connection ended without."""
+    done_s: float = 0.0
+    fault: str = ""
+    """What was wrong with its answer."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """A request that a server began to run."""
+
+    request_id: str
+    instance_id: str
+    service: str
+    method: str
+    target: str
+    caller_service: str
+    started_s: float
+    drained_since_s: float | None
+    """When the server's leaving was published, if it was."""
+
+
+@dataclass(slots=True)
+class Record:
+    """All requests and runs of one play."""
+
+    sent: dict[str, Sent] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    services_of: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
+    """Services to which any version of the routes sent a path prefix."""
+    faults_until_s: float = 0.0
+    """When the last fault ended, as known so far."""
+
+    def broken_promises(self) -> list[str]:
+        """Return a line for each promise that was broken."""
+        runs_of = defaultdict(list)
+        for run in self.runs:
+            runs_of[run.request_id].append(run)
+        return [
+            *(line for run in self.runs for line in self._wrong_run(run)),
+            *(
+                line
+                for sent in self.sent.values()
+                for line in _wrong_answer(sent, runs_of[sent.request_id])
+            ),
+            *self._falling_versions(),
+        ]
+
+    def _wrong_run(self, run: Run) -> list[str]:
+        sent = self.sent.get(run.request_id)
+        if sent is None:
+            return [f"unasked: {run}"]
+        lines = []
+        if (run.method, run.target) != (sent.method, sent.target):
+            lines.append(f"changed on the way: {sent} {run}")
+        if run.caller_service != sent.caller_service:
+            lines.append(f"wrong origin: {sent} {run}")
+        if run.service not in self.services_of[prefix_of(run.target)]:
+            lines.append(f"wrong service: {run}")
+        leaving_s = run.drained_since_s
+        if leaving_s is not None and run.started_s - leaving_s > DRAIN_CEILING_S:
+            lines.append(f"sent to a server that leaves: {run}")
+        return lines
+
+    def _falling_versions(self) -> list[str]:
+        """Return where a process took up an older version after a newer one."""
+        seen: dict[tuple[str, int], list[Sent]] = defaultdict(list)
+        for sent in self.sent.values():
+            if sent.version and sent.status == 200:
+                seen[sent.host, sent.lifetime].append(sent)
+        return [
+            f"version fell: {old} after {new}"
+            for probes in seen.values()
+            for new in probes
+            for old in probes
+            if old.version < new.version and old.sent_s > new.done_s + VERSION_SLACK_S
+        ]
+
+
+def prefix_of(target: str) -> str:
+    """Return the route prefix of a target; the stand-ins' routes have one segment."""
+    return f"/{target.split('/')[1]}/"
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the body that a server answers to a request: up to some 20 KB."""
+    digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
+    return digest * (1 + digest[0] % 8 * 40)
+
+
+def _wrong_answer(sent: Sent, runs: list[Run]) -> list[str]:
+    lines = [f"{sent.fault}: {sent}"] if sent.fault else []
+    if sent.status is None and sent.done_s:
+        lines.append(f"no answer: {sent}")
+    if not sent.idempotent and len(runs) > 1:
+        lines.append(f"ran twice: {sent} {runs}")
+    if not sent.idempotent and sent.status in NOT_RUN_STATUSES and runs:
+        lines.append(f"ran though refused: {sent} {runs}")
+    if sent.status == 200 and not runs:
+        lines.append(f"answered without a run: {sent}")
+    return lines
--- /dev/null
+++ b/tests/fault_soak/store.py
@@ -0,0 +1,132 @@
+"""A store that speaks the platform's protocol, with outages on demand."""
+
+import asyncio
+import base64
+import json
+from collections import deque
+from urllib.parse import parse_qs, urlsplit
+
+HISTORY = 200
+"""Changes that are kept for watches."""
+
+
+class StoreStandIn:
+    """Items, one revision counter, watches.
+
+    Attributes:
+        outage: "" or what calls meet: "busy", "many", "reset" or "silent".
+        delay_s: added to each answer.
+    """
+
+    def __init__(self):
+        self.items: dict[str, dict] = {}
+        self.revision = 1
+        self.outage = ""
+        self.delay_s = 0.0
+        self._history: deque[dict] = deque(maxlen=HISTORY)
+        self._forgotten = 0
+        self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+
+    async def open(self, ip: str) -> str:
+        """Listen; return the address."""
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        return f"{ip}:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def put(self, key: str, value: dict) -> None:
+        """Write an item; the end of this call is its acknowledgement."""
+        self.revision += 1
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        known = self.items.get(key, {})
+        item = {"key": key, "value": text, "rev": self.revision, "lease": 0}
+        item["created_rev"] = known.get("created_rev", self.revision)
+        self.items[key] = item
+        await self._tell(item)
+
+    async def remove(self, key: str) -> None:
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        await self._tell({"key": key, "rev": self.revision, "compacted": True})
+
+    async def forget_history(self) -> None:
+        """Answer 410 to watches from before now."""
+        self._history.clear()
+        self._forgotten = self.revision
+        await self._wake()
+
+    async def set_outage(self, outage: str) -> None:
+        self.outage = outage
+        await self._wake()
+
+    async def _tell(self, event: dict) -> None:
+        if len(self._history) == HISTORY:
+            self._forgotten = self._history[0]["rev"]
+        self._history.append(event)
+        await self._wake()
+
+    async def _wake(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while line := await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                target = urlsplit(line.split()[1].decode())
+                query = {k: v[0] for k, v in parse_qs(target.query).items()}
+                status, body = await self._answer(target.path, query)
+                if status is None:
+                    break
+                payload = json.dumps(body).encode()
+                writer.write(
+                    b"HTTP/1.1 %d Any\r\nContent-Type: application/json\r\n"
+                    b"Content-Length: %d\r\n\r\n%b" % (status, len(payload), payload)
+                )
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The sidecar was killed, its connection cut, or the play has ended.
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def _answer(self, path: str, query: dict) -> tuple[int | None, dict]:
+        await asyncio.sleep(self.delay_s)
+        refusal = await self._refusal()
+        if refusal is not None:
+            return refusal
+        if path == "/v1/kv-watch":
+            return await self._watch(int(query["after"]), int(query["wait_ms"]))
+        if path == "/v1/kv-key":
+            item = self.items.get(query["key"])
+            return (200, item | {"at_rev": self.revision}) if item else (404, {})
+        prefix, after = query["path_prefix"], query.get("after", "")
+        found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix)]
+        page = [item for item in found if item["key"] > after][:10]
+        more = bool(page) and page[-1] is not found[-1]
+        return 200, {"items": page, "has_more": more, "at_rev": self.revision}
+
+    async def _refusal(self) -> tuple[int | None, dict] | None:
+        if self.outage == "silent":
+            async with self._changed:
+                await self._changed.wait_for(lambda: self.outage != "silent")
+        answers = {"busy": (503, {}), "many": (429, {}), "reset": (None, {})}
+        return answers.get(self.outage)
+
+    async def _watch(self, after: int, wait_ms: int) -> tuple[int | None, dict]:
+        def is_over() -> bool:
+            return bool(self.outage) or self.revision > after
+
+        try:
+            async with asyncio.timeout(wait_ms / 1000), self._changed:
+                await self._changed.wait_for(is_over)
+        except TimeoutError:
+            return 200, {"events": [], "at_rev": self.revision}
+        if self.outage:
+            return None, {}
+        if after < self._forgotten:
+            return 410, {}
+        events = [event for event in self._history if event["rev"] > after]
+        return 200, {"events": events, "at_rev": self.revision}
