Ask a backend server anew who it is after a second

A server leaves while nothing is under way, another one starts at its address, and the sidecar refuses every request for it on the old one's word (execution_ended reason=other-instance, without end): only a request that breaks would have made it forget that word.

Ruled out: an old entry of the platform; the refusing sidecar knew the new instance.

Change: a server's word on its id refuses requests unsent for one second; then one request asks it again, at the cost of one local refusal. The test fails without it.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
@@ -23,6 +23,12 @@
 gone to another service, whose requests it must not run."""
 
 
+INSTANCE_WORD_MS = 1_000.0
+"""Time in which the server's last word on its id lets requests for other instances be
+refused unsent. Another instance may start at the address while nothing is under way;
+one refusal of the server a second finds it out."""
+
+
 class BackendWatch:
     """Finds out from requests whether the server lives, and which instance it is.
 
@@ -46,12 +52,15 @@
         self._started_ms = self._now_ms()
         self._answered_ms = 0.0
         self._instance_id: str | None = None
+        self._told_ms = 0.0
         self._seen_ids: set[str] = set()
         self._probing: asyncio.Task | None = None
 
     def is_another(self, instance_id: str) -> bool:
-        """Return whether the server is known to be another instance."""
-        return self._instance_id is not None and self._instance_id != instance_id
+        """Return whether the server has just said that it is another instance."""
+        if self._instance_id is None or self._instance_id == instance_id:
+            return False
+        return self._now_ms() - self._told_ms < INSTANCE_WORD_MS
 
     def trusted_instance_id(self) -> str | None:
         """Return the server's instance id if requests may go to it by that alone.
@@ -69,6 +78,7 @@
     def is_instance(self, instance_id: str | None) -> None:
         """Note which instance the server says it is; None where it may have ended."""
         self._instance_id = instance_id
+        self._told_ms = self._now_ms()
         if instance_id is not None and len(self._seen_ids) < 2:
             self._seen_ids.add(instance_id)
 
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafraswinch_sidecar.backend_watch import INSTANCE_WORD_MS
 from sassafraswinch_sidecar.placement import capacities_of
 from sidecar_standins.backend import answer
 from sidecar_standins.fleet import (
@@ -393,6 +394,23 @@
     assert b"i-other" not in ids
 
 
+async def test_new_instance_at_the_address_of_an_idle_server_is_served(fleet):
+    """A server leaves while nothing is under way, and another one starts in its place.
+    Nobody notices the change: no connection breaks, and every request for the new
+    instance is refused on the word of the old one, for ever.
+    """
+    node = fleet.nodes[2]
+    assert (await fleet.call(fleet.nodes[0], target="/approve/1")).status == 200
+    await node.put_instance(fleet.store, name="i-second")
+    found = fleet.nodes[0].sidecar._fleet
+    await until(lambda: [i.id for i in found.of_service("schvaleni")] == ["i-second"])
+    node.sidecar._executor._watch._told_ms -= INSTANCE_WORD_MS
+    got = await fleet.call(fleet.nodes[0], target="/approve/1", request_id="r-2")
+    assert got.status == 200
+    asked = node.backend.seen[-1].headers[b"x-expected-instance"]
+    assert asked == b"i-second"
+
+
 async def test_newer_instance_at_an_address_replaces_the_older_one(fleet):
     node = fleet.nodes[2]
     await node.put_instance(fleet.store, name="i-second")
--- a/tests/fault_soak/server.py
+++ b/tests/fault_soak/server.py
@@ -59,9 +59,11 @@
     def header(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode()
 
-    def answer(self, status: int, fields: dict[str, str], body: bytes = b"") -> None:
+    def answer(
+        self, request_id: str, status: int, fields: dict[str, str], body: bytes = b""
+    ) -> None:
         """Write an answer."""
-        fields = {"Request-Id": self.header(b"request-id")} | fields
+        fields = {"Request-Id": request_id} | fields
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         head = f"HTTP/1.1 {status} Any\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
         self.transport.write(head.encode() + body)
@@ -137,18 +139,19 @@
         expected = connection.header(b"target-instance")
         request_id = connection.header(b"request-id")
         if expected and expected != self.instance_id:
-            connection.answer(421, {"Instance-Id": self.instance_id})
+            connection.answer(request_id, 421, {"Instance-Id": self.instance_id})
             return
         full = self._running >= SLOTS or self._rng.random() < self.shed_share
         if full or not request_id:
-            connection.answer(503 if full else 400, {"Not-Executed": "1"})
+            status = 503 if full else 400
+            connection.answer(request_id, status, {"Not-Executed": "1"})
             return
         self._running += 1
         try:
             status = await self._run(connection, request_id)
         finally:
             self._running -= 1
-        await self._answer(connection, status, body_of(request_id))
+        await self._answer(connection, status, request_id)
 
     async def _run(self, connection: ServerConnection, request_id: str) -> int:
         self.record.runs.append(
@@ -166,7 +169,8 @@
         await asyncio.sleep(self._rng.uniform(*RUN_S) * self.slow_x)
         return await self._call(request_id)
 
-    async def _answer(self, connection, status: int, body: bytes) -> None:
+    async def _answer(self, connection, status: int, request_id: str) -> None:
+        body = body_of(request_id)
         fields = {"Server-Signature": f"{self.instance_id}.{len(body)}"}
         drawn = self._rng.random()
         if drawn < self.lose_share:
@@ -177,10 +181,10 @@
             )
             connection.transport.close()
         else:
-            connection.answer(status, fields, body)
+            connection.answer(request_id, status, fields, body)
             if self._rng.random() < self.double_share:
                 await asyncio.sleep(self._rng.uniform(0.0, 0.05))
-                connection.answer(status, fields, body)
+                connection.answer(request_id, status, fields, body)
 
 
 def _now_s() -> float:
