--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/line_output.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/line_output.py
@@ -43,6 +43,16 @@
             loop = asyncio.get_running_loop()
             self._planned = loop.call_later(FLUSH_S, self._write_out)
 
+    def close(self) -> None:
+        """Write what is held, as far as it can be written; for the end of the process.
+
+        Failure: the last lines of a stop are held for a moment, and the event loop that
+        would write them has ended.
+        """
+        if self._planned is not None:
+            self._planned.cancel()
+        self._write_out()
+
     def _write_out(self) -> None:
         self._planned = None
         if self.dropped_lines and not self._held_bytes:
--- a/packages/sassafraswinch-sidecar/tests/test_request_log.py
+++ b/packages/sassafraswinch-sidecar/tests/test_request_log.py
@@ -1,5 +1,6 @@
 """Log lines within bounds, to a reader that may stand still."""
 
+import asyncio
 import io
 import os
 
@@ -14,6 +15,9 @@
 def stream():
     stream = io.StringIO()
     configure_logs(level="info", stream=stream)
+    # The log keeps what was told before it had a destination; other tests leave some.
+    stream.seek(0)
+    stream.truncate()
     yield stream
     configure_logs(level="info")
 
@@ -42,6 +46,25 @@
     assert "event=lines_left_out of=failures count=900" in stream.getvalue()
 
 
+def test_last_lines_are_written_after_the_event_loop_has_ended():
+    """A sidecar stops. Its log ends with the beginning of the stop, and whoever looks
+    for what it did last takes it for one that was killed.
+    """
+    reader, writer = os.pipe()
+    output = LineOutput(fd=writer)
+
+    async def stop():
+        output.write("event=stopped\n")
+        output.flush()
+
+    asyncio.run(stop())
+    output.close()
+    os.set_blocking(reader, False)
+    assert os.read(reader, 100) == b"event=stopped\n"
+    os.close(reader)
+    os.close(writer)
+
+
 async def test_reader_that_stands_still_holds_nothing_up():
     """Whoever reads the log stops reading. The pipe fills up; the process must neither
     wait nor hold ever more text.
