Follow the platform with two sidecars a zone; the others hear from them

Ruled out: an elected reader (one loss leaves all without news until it is noticed); stale reads (seconds old).

Change: the first two sidecars of a zone, by address, that say so in their heartbeats follow the store. The others get a heartbeat from those four times a second, hear of changes and of a watcher's loss at once, and take over by turns of 50 ms. A sidecar that reaches nobody follows by itself. While nobody follows, all try, each so much less often.

Tests: shares of duty in any cut of links (property), turns, standing by, coming on duty, being turned away.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,9 @@
 	thrift --gen py:slots \
 		-out packages/sassafraswinch-node/sassafraswinch_node \
 		packages/sassafraswinch-node/link.thrift
+	thrift --gen py:slots \
+		-out packages/sassafraswinch-sidecar/sassafraswinch_sidecar \
+		packages/sassafraswinch-sidecar/relay.thrift
 
 clean:
 	rm -rf $(VENV) out .pytest_cache .ruff_cache .hypothesis
--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -104,6 +104,8 @@
   2: required i64 revision
   3: required ServerLoad load
   4: required bool leaving
+  /** Whether it follows the platform: a watch is under way, or ended just now. */
+  5: required bool following
 }
 
 /** Asks for the platform's data that changed after a revision. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -82,6 +82,12 @@
         dial_port: port at which the others are dialled.
         incarnation: number of this process, which no other process has.
         listener: is told what happens.
+
+    Attributes:
+        peers: the hosts to which links are kept, by address.
+        relied_on: peers that get a heartbeat at each check, since this sidecar must
+            notice their loss within a second.
+        accepted: links that peers dialled.
     """
 
     def __init__(
@@ -94,6 +100,7 @@
         listener: LinkListener,
     ):
         self.peers: dict[str, Peer] = {}
+        self.relied_on: frozenset[str] = frozenset()
         self.accepted: set[PeerLink] = set()
         self._own_ip = own_ip
         self._port = port
@@ -255,7 +262,8 @@
             heartbeat = serialize_message(self._listener.heartbeat())
             for peer in list(self.peers.values()):
                 if peer.link is not None:
-                    self._check(peer, heartbeat, now_ms, pause_s * 1000, stalled)
+                    beat_s = CHECK_S if peer.link.peer_ip in self.relied_on else pause_s
+                    self._check(peer, heartbeat, now_ms, beat_s * 1000, stalled)
 
     def _check(
         self,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -68,6 +68,7 @@
         sent_since: requests sent to it since the report.
         outstanding: requests sent to it that have no end yet.
         leaving: whether the peer takes no new requests.
+        following: whether the peer follows the platform.
         failing: share of recent requests that failed there.
         pace: time that recent requests took, as share of the mean of all instances.
     """
@@ -78,6 +79,7 @@
     sent_since: int = 0
     outstanding: int = 0
     leaving: bool = False
+    following: bool = False
     failing: float = 0.0
     failing_at_ms: float = 0.0
     pace: float = 1.0
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -6,6 +6,7 @@
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.fleet import Fleet
 from sassafraswinch_sidecar.peer_link import PeerLink
+from sassafraswinch_sidecar.platform_reader import PLATFORM_SOURCE
 from sassafraswinch_sidecar.relay_protocol.ttypes import ReplicaReply, ReplicaRequest
 from sassafraswinch_sidecar.relay_wire import Message, parse_delta, serialize_delta
 from sassafraswinch_sidecar.replica import Delta, Replica
@@ -23,11 +24,24 @@
     Args:
         fleet: follows the changes.
         changed: called after each change.
+        announce: tells peers what this sidecar knows, and whether it follows the
+            platform. Those that rely on it hear at once of a change, or of its loss.
+
+    Attributes:
+        following: whether this sidecar follows the platform itself.
     """
 
-    def __init__(self, *, fleet: Fleet, changed: Callable[[], None]):
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        changed: Callable[[], None],
+        announce: Callable[[], None],
+    ):
+        self.following = False
         self._fleet = fleet
         self._changed = changed
+        self._announce = announce
         self._replica = Replica()
         self._loop = asyncio.get_running_loop()
         self._asked_ms = 0.0
@@ -56,6 +70,8 @@
         if table is not None and table.version != version:
             log_event("routes_in_force", level="warning", version=table.version)
         self._changed()
+        if source == PLATFORM_SOURCE:
+            self._announce()
 
     def platform_away(self) -> None:
         """The platform can't be read (ReplicaKeeper)."""
@@ -65,6 +81,11 @@
         """The platform can be read (ReplicaKeeper)."""
         self._fleet.platform_back(self._now_ms())
 
+    def platform_followed(self, following: bool) -> None:
+        """Following has begun or ended here (ReplicaKeeper)."""
+        self.following = following
+        self._announce()
+
     def tick(self, now_ms: float) -> None:
         """Drop what didn't come back after an outage."""
         self._fleet.tick(self._replica, now_ms)
@@ -74,6 +95,7 @@
         if isinstance(message, ReplicaRequest):
             link.send(serialize_delta(self._replica.since(message.after_revision)))
         elif isinstance(message, ReplicaReply):
+            self._asked_ms = 0.0
             self.take(parse_delta(message), f"peer-{link.peer_ip}")
 
     def ask_if_behind(self, revision: int, link: PeerLink) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -7,15 +7,20 @@
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.replica import Delta
+from sassafraswinch_sidecar.watch_duty import WatchDuty
 
-WATCH_MS = 8_000
+PLATFORM_SOURCE = "platform"
+"""Names the platform itself as the source of changes, in logs too."""
+
+WATCH_MS = 3_000
 """Longest wait of one watch: a connection that fell silent is found out within it,
 and each call is paid for."""
 
 RETURN_WATCH_MS = 20
-"""Wait of the first watch after a failure: it tells at once that the platform is back.
-A long one would be answered by the next change, perhaps seconds later, and until then
-the platform would count as away."""
+"""Wait of the first watch after a failure, or after others have followed: it tells at
+once that the platform can be read. A long one would be answered by the next change,
+perhaps seconds later, and until then the platform would count as away, and peers would
+come on duty as well."""
 
 GATHER_S = (0.25, 0.6)
 """Pause after a watch that brought changes. They come in bursts, as when a service is
@@ -27,7 +32,11 @@
 """Pause after a failed call: all hosts don't come back in one moment."""
 
 MAX_RETRY_S = 1.5
-"""Longest pause: changes must be in force within two seconds of the return."""
+"""Longest pause of a sidecar alone: changes must be in force within two seconds of the
+return. Where more share a zone, one of them calls as often, and tells the others."""
+
+STANDBY_S = 0.05
+"""Pause between looks at whether this sidecar has come on duty."""
 
 
 class PlatformUnavailableError(SassafraswinchError):
@@ -79,25 +88,45 @@
         """The platform can't be read."""
 
     def platform_back(self) -> None:
-        """The platform can be read."""
+        """The platform can be read, here or by peers that follow it."""
+
+    def platform_followed(self, following: bool) -> None:
+        """Following the platform has begun here, or ended."""
 
 
 class PlatformReader:
-    """Reads once, then follows the changes, whatever happens to the platform."""
+    """Reads once, then follows the changes, whatever happens to the platform.
+
+    Args:
+        store: reads the platform's data.
+        keeper: owns the replica.
+        duty: tells whether this sidecar must follow; another that does tells it news.
+        rng: source of the pauses.
+    """
 
     def __init__(
-        self, *, store: PlatformStore, keeper: ReplicaKeeper, rng: random.Random
+        self,
+        *,
+        store: PlatformStore,
+        keeper: ReplicaKeeper,
+        duty: WatchDuty,
+        rng: random.Random,
     ):
         self._store = store
         self._keeper = keeper
+        self._duty = duty
         self._rng = rng
         self._whole = False
         self._away = False
         self._failures = 0
+        self._following = False
 
     async def run(self) -> None:
         """Follow the platform until cancelled."""
         while True:
+            if not self._is_needed:
+                await self._stand_by()
+                continue
             try:
                 await self._step()
             except HistoryGoneError:
@@ -105,27 +134,70 @@
                 self._whole = False
             except PlatformUnavailableError as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._pause_s())
+                await self._pause(self._pause_s())
+
+    @property
+    def _is_needed(self) -> bool:
+        """Whether to call the platform: on duty, or nobody has told anything yet."""
+        return self._duty.is_own or not self._keeper.revision
+
+    async def _stand_by(self) -> None:
+        """Leave the platform to others while they follow it."""
+        self._follow(False)
+        self._failures = 0
+        self._whole = True  # Peers tell all that this sidecar lacks.
+        while not self._is_needed:
+            self._heed_peers()
+            await asyncio.sleep(STANDBY_S)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but no longer than this sidecar is needed."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + seconds
+        while (left_s := ends_s - loop.time()) > 0 and self._is_needed:
+            self._heed_peers()
+            await asyncio.sleep(min(left_s, STANDBY_S))
+
+    def _heed_peers(self) -> None:
+        """Take the platform for reachable while a peer follows it.
+
+        Failure: a sidecar that the platform turns away counts it as away, and holds
+        back each removal of a server that its peers tell, as an expiry of the outage.
+        """
+        if self._duty.is_followed:
+            self._note_return("peers")
 
     async def _step(self) -> None:
         if not self._whole:
             delta = await self._store.read()
             self._whole = True
         else:
-            wait_ms = RETURN_WATCH_MS if self._away else WATCH_MS
+            wait_ms = WATCH_MS if self._following else RETURN_WATCH_MS
             delta = await self._store.watch(self._keeper.revision, wait_ms)
         self._failures = 0
-        if self._away:
-            self._away = False
-            log_event("platform_back", revision=delta.revision)
-        self._keeper.platform_back()
+        self._note_return(PLATFORM_SOURCE)
+        self._follow(True)
         brought_changes = delta.revision > self._keeper.revision
-        self._keeper.take(delta, "platform")
+        self._keeper.take(delta, PLATFORM_SOURCE)
         if brought_changes and not delta.whole:
             await asyncio.sleep(self._rng.uniform(*GATHER_S))
 
+    def _note_return(self, source: str) -> None:
+        if self._away:
+            self._away = False
+            log_event("platform_back", source=source, revision=self._keeper.revision)
+        self._keeper.platform_back()
+
+    def _follow(self, following: bool) -> None:
+        if following != self._following:
+            self._following = following
+            self._keeper.platform_followed(following)
+
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
+        self._follow(False)
+        if self._duty.is_followed:
+            return
         self._keeper.platform_away()
         if not self._away:
             self._away = True
@@ -133,4 +205,4 @@
 
     def _pause_s(self) -> float:
         pause_s = self._rng.uniform(*RETRY_S) * self._failures
-        return min(pause_s, MAX_RETRY_S)
+        return min(pause_s, MAX_RETRY_S) * self._duty.spread
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -1102,6 +1102,7 @@
      - revision
      - load
      - leaving
+     - following: Whether it follows the platform: a watch is under way, or ended just now.
 
     """
 
@@ -1110,14 +1111,16 @@
         'revision',
         'load',
         'leaving',
+        'following',
     )
 
 
-    def __init__(self, sequence=None, revision=None, load=None, leaving=None,):
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=None,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
         self.leaving = leaving
+        self.following = following
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1149,6 +1152,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.following = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1175,6 +1183,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.following is not None:
+            oprot.writeFieldBegin('following', TType.BOOL, 5)
+            oprot.writeBool(self.following)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1187,6 +1199,8 @@
             raise TProtocolException(message='Required field load is unset!')
         if self.leaving is None:
             raise TProtocolException(message='Required field leaving is unset!')
+        if self.following is None:
+            raise TProtocolException(message='Required field following is unset!')
         return
 
     def __repr__(self):
@@ -1724,6 +1738,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.BOOL, 'following', None, None, ),  # 5
 )
 all_structs.append(ReplicaRequest)
 ReplicaRequest.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -37,6 +37,7 @@
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
+from sassafraswinch_sidecar.watch_duty import WatchDuty
 
 TICK_S = 0.1
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
@@ -82,7 +83,10 @@
         self._load_settings = load_settings
         self._loop = asyncio.get_running_loop()
         self._fleet = Fleet(decoder=decoder, report=_report_faults)
-        self._data = PlatformData(fleet=self._fleet, changed=self._follow_fleet)
+        self._data = PlatformData(
+            fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
+        )
+        self._duty = WatchDuty(own_ip=settings.ip)
         self._log = RequestLog(now_ms=self._now_ms)
         backend = settings.address("backend")
         self._executor = Executor(
@@ -147,7 +151,9 @@
             ),
             limits=_default_limits,
         )
-        self._reader = PlatformReader(store=store, keeper=self._data, rng=rng)
+        self._reader = PlatformReader(
+            store=store, keeper=self._data, duty=self._duty, rng=rng
+        )
         self._sequence = 0
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -198,6 +204,7 @@
             if message.sequence:
                 peer.link.replied()
             peer.load.leaving = message.leaving
+            peer.load.following = message.following
             peer.load.report(message.load)
             self._data.ask_if_behind(message.revision, peer.link)
         else:
@@ -257,7 +264,38 @@
             revision=self._data.revision,
             load=self._executor.load(),
             leaving=self._stopping.is_set(),
+            following=self._data.following,
+        )
+
+    def _announce(self) -> None:
+        """Tell the peers that may rely on this sidecar what it knows by now."""
+        reply = self._heartbeat_reply(0)
+        zone_ips = self._zone_ips()
+        for link in self._links.accepted:
+            if link.peer_ip in zone_ips:
+                link.send(reply)
+
+    def _zone_ips(self) -> set[str]:
+        """Return the other hosts of this availability zone."""
+        zone = self._settings.availability_zone
+        return {
+            instance.ip
+            for instance in self._fleet.instances.values()
+            if instance.availability_zone == zone and instance.ip != self._settings.ip
+        }
+
+    def _share_duty(self, now_ms: float) -> None:
+        """Decide who of the zone follows the platform."""
+        loads = {ip: self._links.load_of(ip) for ip in self._zone_ips()}
+        self._duty.decide(
+            {
+                ip: load.following
+                for ip, load in loads.items()
+                if load is not None and not load.leaving
+            },
+            now_ms,
         )
+        self._links.relied_on = self._duty.relied_on
 
     def _follow_fleet(self) -> None:
         """Link to all hosts that the platform or their own greeting told."""
@@ -285,6 +323,7 @@
             self._owner.expire(now_ms)
             self._executor.expire(now_ms)
             self._data.tick(now_ms)
+            self._share_duty(now_ms)
             self._log.tell_left_out()
             if self._admission.due(now_ms):
                 self._admit_anew(now_ms)
@@ -311,8 +350,9 @@
         began_ms = self._now_ms()
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
+        reply = self._heartbeat_reply(0)
         for link in self._links.accepted:
-            link.send(self._heartbeat_reply(0))
+            link.send(reply)
         self._outbound.drain()
         quiet_since_ms = began_ms
         while True:
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -11,6 +11,7 @@
     PlatformUnavailableError,
 )
 from sassafraswinch_sidecar.replica import Delta
+from sassafraswinch_sidecar.watch_duty import WatchDuty
 
 
 class ScriptedStore:
@@ -69,6 +70,7 @@
     def __init__(self):
         self.revision = 0
         self.told = []
+        self.followed = []
 
     def take(self, delta, source):
         self.revision = max(self.revision, delta.revision)
@@ -79,10 +81,17 @@
     def platform_back(self):
         self.told.append("back")
 
+    def platform_followed(self, following):
+        self.followed.append(following)
+
+
+def new_reader(store, keeper, duty):
+    return PlatformReader(store=store, keeper=keeper, duty=duty, rng=random.Random(1))
+
 
 async def follow(*answers):
     store, keeper = ScriptedStore(*answers), Keeper()
-    reader = PlatformReader(store=store, keeper=keeper, rng=random.Random(1))
+    reader = new_reader(store, keeper, WatchDuty(own_ip="10.0.0.1"))
     task = asyncio.create_task(reader.run())
     async with asyncio.timeout(10):
         while store.answers or len(store.calls) <= len(answers):
@@ -101,7 +110,7 @@
     every sidecar calls the platform again after each.
     """
     store = BurstStore(changes=12, gap_s=0.02)
-    reader = PlatformReader(store=store, keeper=Keeper(), rng=random.Random(1))
+    reader = new_reader(store, Keeper(), WatchDuty(own_ip="10.0.0.1"))
     task = asyncio.create_task(reader.run())
     async with asyncio.timeout(10):
         while store.told < 12:
@@ -144,3 +153,59 @@
     assert store.waits_ms[1] == RETURN_WATCH_MS
     assert store.waits_ms[2] == WATCH_MS
     assert keeper.told == ["back", "away", "back"]
+
+
+def duty_of(own_ip, **peers):
+    duty = WatchDuty(own_ip=own_ip)
+    duty.decide({f"10.0.0.{name[1:]}": follows for name, follows in peers.items()}, 0)
+    return duty
+
+
+async def run_until(condition, reader):
+    task = asyncio.create_task(reader.run())
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+    task.cancel()
+
+
+async def test_sidecar_off_duty_reads_once_and_leaves_the_platform_to_others():
+    """A zone of thirty sidecars calls the platform thirty times for each change."""
+    store, keeper = ScriptedStore(4, 5, 6), Keeper()
+    duty = duty_of("10.0.0.3", p1=True, p2=True)
+    await run_until(
+        lambda: keeper.followed[-1:] == [False], new_reader(store, keeper, duty)
+    )
+    assert store.calls == ["read"]
+    assert keeper.followed == [True, False]
+
+
+async def test_sidecar_comes_on_duty_when_the_watchers_are_gone():
+    """Both watchers are cut off. Their zone must hear of the next change in time: the
+    first call tells at once whether the platform can be read, and peers rely on that.
+    """
+    store, keeper = ScriptedStore(4), Keeper()
+    duty = duty_of("10.0.0.3", p1=True, p2=True)
+    reader = new_reader(store, keeper, duty)
+    task = asyncio.create_task(reader.run())
+    async with asyncio.timeout(10):
+        while keeper.followed != [True, False]:
+            await asyncio.sleep(0.01)
+        store.answers = [4]
+        duty.decide({}, 1_000)
+        while keeper.followed != [True, False, True]:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert store.calls[:2] == ["read", ("watch", 4)]
+    assert store.waits_ms[0] == RETURN_WATCH_MS
+
+
+async def test_sidecar_turned_away_doesnt_take_the_platform_for_lost():
+    """The platform turns one sidecar away and serves its peers. A server is removed:
+    held back as the expiry of an outage, it would get work for two seconds more.
+    """
+    down = PlatformUnavailableError(reason="status 429")
+    store, keeper = ScriptedStore(4, down, down, 5), Keeper()
+    duty = duty_of("10.0.0.1", p2=True, p3=True)
+    await run_until(lambda: not store.answers, new_reader(store, keeper, duty))
+    assert "away" not in keeper.told
