--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -17,6 +17,7 @@
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
+from sassafraswinch_sidecar.peer_reports import PeerReports
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
 from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
@@ -29,15 +30,15 @@
     RelayCancel,
     RelayRequest,
     RelayResponse,
-    ServiceDemand,
 )
 from sassafraswinch_sidecar.relay_wire import Message
-from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
 from sassafraswinch_sidecar.watch_duty import WatchDuty
+from sassafraswinch_sidecar.zone_peers import ZonePeers
 
 TICK_S = 0.1
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
@@ -86,7 +87,6 @@
         self._data = PlatformData(
             fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
         )
-        self._duty = WatchDuty(own_ip=settings.ip)
         self._log = RequestLog(now_ms=self._now_ms)
         backend = settings.address("backend")
         self._executor = Executor(
@@ -113,6 +113,21 @@
             most_sidecars=lambda: self._most_sidecars,
             sidecars=lambda: self._known_sidecars,
         )
+        self._reports = PeerReports(
+            data=self._data,
+            executor=self._executor,
+            admission=self._admission,
+            budget=self._budget,
+            is_stopping=lambda: self._stopping.is_set(),
+            now_ms=self._now_ms,
+        )
+        self._duty = WatchDuty(own_ip=settings.ip)
+        self._zone_peers = ZonePeers(
+            own_ip=settings.ip,
+            availability_zone=settings.availability_zone,
+            fleet=self._fleet,
+            links=self._links,
+        )
         self._owner = RelayOwner(
             own_ip=settings.ip,
             intake=RelayIntake(
@@ -154,7 +169,6 @@
         self._reader = PlatformReader(
             store=store, keeper=self._data, duty=self._duty, rng=rng
         )
-        self._sequence = 0
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -227,74 +241,22 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat for all peers (LinkListener)."""
-        self._sequence += 1
-        demand = self._admission.demand()
-        counted = self._budget.counted(self._now_ms())
-        none = Counted(0, 0)
-        demand = [
-            ServiceDemand(
-                service,
-                demand.get(service, []),
-                counted.get(service, none).requests,
-                counted.get(service, none).repeats,
-            )
-            for service in demand.keys() | counted.keys()
-        ]
-        return Heartbeat(
-            sequence=self._sequence, revision=self._data.revision, demand=demand
-        )
+        return self._reports.heartbeat()
 
     def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
-        demand = {told.service_name: told.slots for told in heartbeat.demand}
-        counted = {
-            told.service_name: Counted(told.sent, told.repeated)
-            for told in heartbeat.demand
-        }
-        now_ms = self._now_ms()
-        self._admission.heard(link.peer_ip, demand, now_ms)
-        self._budget.heard(link.peer_ip, counted, now_ms)
-        link.send(self._heartbeat_reply(heartbeat.sequence))
+        self._reports.heard(link.peer_ip, heartbeat)
+        link.send(self._reports.reply(heartbeat.sequence))
         self._data.ask_if_behind(heartbeat.revision, link)
         if link.peer_ip not in self._links.peers:
             self._follow_fleet()
 
-    def _heartbeat_reply(self, sequence: int) -> HeartbeatReply:
-        return HeartbeatReply(
-            sequence=sequence,
-            revision=self._data.revision,
-            load=self._executor.load(),
-            leaving=self._stopping.is_set(),
-            following=self._data.following,
-        )
-
     def _announce(self) -> None:
         """Tell the peers that may rely on this sidecar what it knows by now."""
-        reply = self._heartbeat_reply(0)
-        zone_ips = self._zone_ips()
-        for link in self._links.accepted:
-            if link.peer_ip in zone_ips:
-                link.send(reply)
-
-    def _zone_ips(self) -> set[str]:
-        """Return the other hosts of this availability zone."""
-        zone = self._settings.availability_zone
-        return {
-            instance.ip
-            for instance in self._fleet.instances.values()
-            if instance.availability_zone == zone and instance.ip != self._settings.ip
-        }
+        self._zone_peers.tell(self._reports.reply(0))
 
     def _share_duty(self, now_ms: float) -> None:
         """Decide who of the zone follows the platform."""
-        loads = {ip: self._links.load_of(ip) for ip in self._zone_ips()}
-        self._duty.decide(
-            {
-                ip: load.following
-                for ip, load in loads.items()
-                if load is not None and not load.leaving
-            },
-            now_ms,
-        )
+        self._duty.decide(self._zone_peers.following(), now_ms)
         self._links.relied_on = self._duty.relied_on
 
     def _follow_fleet(self) -> None:
@@ -350,7 +312,7 @@
         began_ms = self._now_ms()
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
-        reply = self._heartbeat_reply(0)
+        reply = self._reports.reply(0)
         for link in self._links.accepted:
             link.send(reply)
         self._outbound.drain()
