Start the further calls of a tree first at a full backend server

Ruled out: longer waits of calls, which run into the routes' timeouts (1.2 s).

Log when a sidecar begins or ends to follow the platform.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -51,6 +51,8 @@
   14: required bool idempotent
   /** Whether it, or a request above it, was sent before. */
   15: required bool repeated
+  /** Calls that its root request and those above it have already finished. */
+  16: required i32 progress
 }
 
 /** Slot time that a request and the calls below it took at one service. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -55,6 +55,7 @@
     offered: bool = False
     ended: bool = False
     actual_instance_id: str | None = None
+    calls_done: int = 0
     slot_ms: dict[str, float] = field(default_factory=dict)
 
 
@@ -132,6 +133,7 @@
             request.inner,
             request.priority,
             now_ms + min(request.max_wait_ms, request.remaining_ms),
+            request.progress,
         )
         if not self.queue.offer(execution.place, now_ms):
             self._end_unrun(execution, "overloaded")
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -84,6 +84,7 @@
     def platform_followed(self, following: bool) -> None:
         """Following has begun or ended here (ReplicaKeeper)."""
         self.following = following
+        log_event("platform_followed", following=following, revision=self.revision)
         self._announce()
 
     def tick(self, now_ms: float) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -244,6 +244,7 @@
             inner=inner,
             idempotent=relay.route.idempotent,
             repeated=relay.repeated,
+            progress=relay.progress,
         )
         self.relays[call_id] = relay
         if relay.repeated or relay.places == 1:
@@ -392,6 +393,7 @@
         self._by_http.pop(relay.http, None)
         parent = relay.parent
         if parent is not None and not parent.ended:
+            parent.calls_done += 1
             for service, taken_ms in relay.slot_ms.items():
                 known_ms = parent.slot_ms.get(service, 0.0)
                 parent.slot_ms[service] = known_ms + taken_ms
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -29,6 +29,8 @@
         level: place of its root request within the priority.
         parent: the execution whose backend server made it; None for a root request.
         repeated: whether it, or a request above it, was sent before.
+        progress: calls that the requests above it have finished, itself included as
+            one: 0 for a root request.
         call_id: number of the call under way.
         ip: host that the call was sent to.
         instance_id: instance that the call was sent to.
@@ -52,6 +54,7 @@
     level: int
     parent: Execution | None
     repeated: bool
+    progress: int
     call_id: int = 0
     ip: str = ""
     instance_id: str = ""
@@ -146,6 +149,7 @@
             level=parent.request.level if parent else self._rng.randrange(LEVELS),
             parent=parent,
             repeated=parent is not None and parent.request.repeated,
+            progress=_progress(parent),
         )
 
     def _read(self, http: HttpRequest) -> tuple[str, str, float | None]:
@@ -162,3 +166,9 @@
 
     def _header_lines(self, http: HttpRequest) -> bytes:
         return serialize_end_to_end(http.fields, self._own_names) + self._caller_line
+
+
+def _progress(parent: Execution | None) -> int:
+    if parent is None:
+        return 0
+    return parent.request.progress + parent.calls_done + 1
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -254,6 +254,7 @@
      - inner: Whether the request is a call made by a running request.
      - idempotent
      - repeated: Whether it, or a request above it, was sent before.
+     - progress: Calls that its root request and those above it have already finished.
 
     """
 
@@ -273,10 +274,11 @@
         'inner',
         'idempotent',
         'repeated',
+        'progress',
     )
 
 
-    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None,):
+    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=None,):
         self.call_id = call_id
         self.instance_id = instance_id
         self.service_name = service_name
@@ -292,6 +294,7 @@
         self.inner = inner
         self.idempotent = idempotent
         self.repeated = repeated
+        self.progress = progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -377,6 +380,11 @@
                     self.repeated = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -447,6 +455,10 @@
             oprot.writeFieldBegin('repeated', TType.BOOL, 15)
             oprot.writeBool(self.repeated)
             oprot.writeFieldEnd()
+        if self.progress is not None:
+            oprot.writeFieldBegin('progress', TType.I32, 16)
+            oprot.writeI32(self.progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -481,6 +493,8 @@
             raise TProtocolException(message='Required field idempotent is unset!')
         if self.repeated is None:
             raise TProtocolException(message='Required field repeated is unset!')
+        if self.progress is None:
+            raise TProtocolException(message='Required field progress is unset!')
         return
 
     def __repr__(self):
@@ -1689,6 +1703,7 @@
     (13, TType.BOOL, 'inner', None, None, ),  # 13
     (14, TType.BOOL, 'idempotent', None, None, ),  # 14
     (15, TType.BOOL, 'repeated', None, None, ),  # 15
+    (16, TType.I32, 'progress', None, None, ),  # 16
 )
 all_structs.append(SlotTime)
 SlotTime.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -34,12 +34,16 @@
             refusing one wastes all that was done for its root request.
         priority: priority of the root request; 0 is the most important.
         give_up_at_ms: when it leaves the queue if it hasn't started.
+        progress: calls that the requests above it have finished. The further ones go
+            first: refused, they waste more, and what a full server runs is then spent
+            on requests that end whole.
     """
 
     item: Any
     inner: bool
     priority: int
     give_up_at_ms: float
+    progress: int = 0
     started_at_ms: float | None = None
     left: bool = False
 
@@ -51,7 +55,9 @@
     limit: int
     running: int = 0
     hold_ms: float = COLD_HOLD_MS
-    _waiting: list[tuple[bool, int, int, QueuedRequest]] = field(default_factory=list)
+    _waiting: list[tuple[bool, int, int, int, QueuedRequest]] = field(
+        default_factory=list
+    )
     _sequence: Any = field(default_factory=itertools.count)
     _queued: int = 0
 
@@ -60,14 +66,16 @@
         """Requests that wait."""
         return self._queued
 
-    def delay_ms(self, *, inner: bool = False, priority: int = 0) -> float:
+    def delay_ms(
+        self, *, inner: bool = False, priority: int = 0, progress: int = 0
+    ) -> float:
         """Return the wait that a new request would meet."""
         if self.running < self.limit and not self._queued:
             return 0.0
         ahead = sum(
             1
             for order in self._waiting
-            if not order[3].left and order[:2] <= (not inner, priority)
+            if not order[-1].left and order[:3] <= (not inner, priority, -progress)
         )
         return (ahead + 1) * self.hold_ms / max(self.limit, 1)
 
@@ -78,12 +86,15 @@
             False if it would wait longer than it may: it is refused at once, so
             that it can go elsewhere or come back.
         """
-        delay_ms = self.delay_ms(inner=request.inner, priority=request.priority)
+        delay_ms = self.delay_ms(
+            inner=request.inner, priority=request.priority, progress=request.progress
+        )
         if delay_ms and now_ms + delay_ms > request.give_up_at_ms:
             return False
         order = (
             not request.inner,
             request.priority,
+            -request.progress,
             next(self._sequence),
             request,
         )
@@ -94,7 +105,7 @@
     def startable(self, now_ms: float) -> Iterable[QueuedRequest]:
         """Yield the requests that start now."""
         while self._waiting and self.running < self.limit:
-            request = heapq.heappop(self._waiting)[3]
+            request = heapq.heappop(self._waiting)[-1]
             if request.left:
                 continue
             self._queued -= 1
@@ -137,7 +148,7 @@
         reach the top; thousands that have left pile up there, and every look at the
         queue walks over them.
         """
-        self._waiting = [order for order in self._waiting if not order[3].left]
+        self._waiting = [order for order in self._waiting if not order[-1].left]
         heapq.heapify(self._waiting)
 
     def drain(self) -> list[QueuedRequest]:
--- a/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
+++ b/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
@@ -35,6 +35,7 @@
     inner=st.booleans(),
     idempotent=st.booleans(),
     repeated=st.booleans(),
+    progress=st.integers(0, 2**31 - 1),
 )
 
 
--- a/packages/sassafraswinch-sidecar/tests/test_server_queue.py
+++ b/packages/sassafraswinch-sidecar/tests/test_server_queue.py
@@ -5,8 +5,8 @@
 from sassafraswinch_sidecar.server_queue import QueuedRequest, ServerQueue
 
 
-def request(name, *, inner=False, priority=0, give_up_at_ms=1_000.0):
-    return QueuedRequest(name, inner, priority, give_up_at_ms)
+def request(name, *, inner=False, priority=0, give_up_at_ms=1_000.0, progress=0):
+    return QueuedRequest(name, inner, priority, give_up_at_ms, progress)
 
 
 def started(queue, now_ms=0.0):
@@ -33,6 +33,26 @@
     assert order == ["call", "high", "low"]
 
 
+def test_further_calls_of_a_priority_start_first():
+    """Lookups make five calls in turn of a service that is full. In order of arrival
+    each of them is refused at some call, and most of what the service runs is wasted.
+    """
+    queue = ServerQueue(limit=1)
+    queue.offer(request("running", inner=True), 0.0)
+    started(queue)
+    for name, priority, progress in [
+        ("first call", 2, 3),
+        ("last call", 2, 6),
+        ("urgent first call", 0, 2),
+    ]:
+        queue.offer(request(name, inner=True, priority=priority, progress=progress), 0)
+    order = []
+    for _ in range(3):
+        queue.running -= 1
+        order += started(queue)
+    assert order == ["urgent first call", "last call", "first call"]
+
+
 def test_request_that_would_wait_too_long_is_refused_at_once():
     queue = ServerQueue(limit=1, hold_ms=100.0)
     queue.offer(request("running"), 0.0)
