Let sidecars of two releases understand each other

The wire's generated code was replaced while it ran, so restarted sidecars sent a field that the others lacked and required one that they didn't send: links closed at once, 168 times, and requests failed till the end. The logs and the file's time show it. A release that replaces sidecars one by one would do the same.

Change: fields added to a message have a default. The test fails without it.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -52,7 +52,7 @@
   /** Whether it, or a request above it, was sent before. */
   15: required bool repeated
   /** Calls that its root request and those above it have already finished. */
-  16: required i32 progress
+  16: i32 progress = 0
 }
 
 /** Slot time that a request and the calls below it took at one service. */
@@ -107,7 +107,7 @@
   3: required ServerLoad load
   4: required bool leaving
   /** Whether it follows the platform: a watch is under way, or ended just now. */
-  5: required bool following
+  5: bool following = false
 }
 
 /** Asks for the platform's data that changed after a revision. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -278,7 +278,7 @@
     )
 
 
-    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=None,):
+    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=0,):
         self.call_id = call_id
         self.instance_id = instance_id
         self.service_name = service_name
@@ -493,8 +493,6 @@
             raise TProtocolException(message='Required field idempotent is unset!')
         if self.repeated is None:
             raise TProtocolException(message='Required field repeated is unset!')
-        if self.progress is None:
-            raise TProtocolException(message='Required field progress is unset!')
         return
 
     def __repr__(self):
@@ -1129,7 +1127,7 @@
     )
 
 
-    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=None,):
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=False,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
@@ -1213,8 +1211,6 @@
             raise TProtocolException(message='Required field load is unset!')
         if self.leaving is None:
             raise TProtocolException(message='Required field leaving is unset!')
-        if self.following is None:
-            raise TProtocolException(message='Required field following is unset!')
         return
 
     def __repr__(self):
@@ -1703,7 +1699,7 @@
     (13, TType.BOOL, 'inner', None, None, ),  # 13
     (14, TType.BOOL, 'idempotent', None, None, ),  # 14
     (15, TType.BOOL, 'repeated', None, None, ),  # 15
-    (16, TType.I32, 'progress', None, None, ),  # 16
+    (16, TType.I32, 'progress', None, 0, ),  # 16
 )
 all_structs.append(SlotTime)
 SlotTime.thrift_spec = (
@@ -1753,7 +1749,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
-    (5, TType.BOOL, 'following', None, None, ),  # 5
+    (5, TType.BOOL, 'following', None, False, ),  # 5
 )
 all_structs.append(ReplicaRequest)
 ReplicaRequest.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
+++ b/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
@@ -7,7 +7,9 @@
 from sassafraswinch_node.wire import WireError
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     Heartbeat,
+    HeartbeatReply,
     RelayRequest,
+    ServerLoad,
     ServiceDemand,
 )
 from sassafraswinch_sidecar.relay_wire import (
@@ -83,3 +85,35 @@
             parse_message(payload[:length])
     with pytest.raises(WireError):
         parse_message(payload + b"\x00")
+
+
+def test_messages_of_an_older_sidecar_are_understood():
+    """A release replaces the sidecars one by one. The older ones lack fields that were
+    added since; links that break on each of their messages would split the fleet until
+    the last one is replaced.
+    """
+    load = ServerLoad(in_flight=1, queued=0, limit=7)
+    reply = HeartbeatReply(
+        sequence=1, revision=2, load=load, leaving=False, following=None
+    )
+    read = parse_message(serialize_message(reply)[LENGTH_BYTES:])
+    assert read.following is False
+    request = RelayRequest(
+        call_id=1,
+        instance_id="i-1",
+        service_name="archiv",
+        request_id="r-1",
+        method="GET",
+        target=b"/",
+        headers=b"",
+        body=b"",
+        remaining_ms=100,
+        max_wait_ms=10,
+        priority=0,
+        level=0,
+        inner=False,
+        idempotent=True,
+        repeated=False,
+        progress=None,
+    )
+    assert parse_message(serialize_message(request)[LENGTH_BYTES:]).progress == 0
