--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -50,7 +50,7 @@
         self.name = f"host-{number}"
         self.ip = f"{prefix}.{number}"
         self.zone = f"zone-{number % 2}"
-        self.service = SERVICES[number - 1]
+        self.service = SERVICES[(number - 1) % len(SERVICES)]
         self.stopped = True
         self.routes = {}
         self._play = play
@@ -177,11 +177,16 @@
 class Play:
     """Everything of one seed.
 
+    Args:
+        seed: seed of all that is drawn.
+        directory: where the processes' settings and logs go.
+        copies: hosts for each entry of ``SERVICES``; 41 at most.
+
     Attributes:
         version: version of the routes in the store.
     """
 
-    def __init__(self, *, seed: int, directory: Path):
+    def __init__(self, *, seed: int, directory: Path, copies: int = 1):
         self.rng = random.Random(seed)
         self.directory = directory
         self.record = Record()
@@ -192,7 +197,7 @@
         prefix = f"127.{20 + os.getpid() % 200}.{seed % 250}"
         self.hosts = [
             Host(number=number, prefix=prefix, play=self)
-            for number in range(1, len(SERVICES) + 1)
+            for number in range(1, copies * len(SERVICES) + 1)
         ]
 
     async def open(self) -> None:
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -35,10 +35,12 @@
     runs: int = 0
 
 
-async def play(seed: int, directory: Path, chaos_s: float = CHAOS_S) -> Outcome:
+async def play(
+    seed: int, directory: Path, *, chaos_s: float = CHAOS_S, copies: int = 1
+) -> Outcome:
     """Play one seed; logs of the processes stay in the directory."""
     outcome = Outcome(seed)
-    game = Play(seed=seed, directory=directory)
+    game = Play(seed=seed, directory=directory, copies=copies)
     chaos = Chaos(play=game, rng=random.Random(seed + 1))
     try:
         await game.open()
@@ -68,19 +70,22 @@
     return outcome
 
 
-def main(*, first: int = 1, seeds: int = 1, chaos_s: float = CHAOS_S) -> None:
+def main(
+    *, first: int = 1, seeds: int = 1, chaos_s: float = CHAOS_S, copies: int = 1
+) -> None:
     """Play seeds in turn; the exit code is 1 if a promise was broken.
 
     Args:
         first: the first seed; the others follow it.
         seeds: how many.
         chaos_s: time in which faults begin, in seconds.
+        copies: six hosts each.
     """
     failed = []
     for seed in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))
         began_s = time.monotonic()
-        outcome = asyncio.run(play(seed, directory, chaos_s))
+        outcome = asyncio.run(play(seed, directory, chaos_s=chaos_s, copies=copies))
         took_s = time.monotonic() - began_s
         statuses = {str(key): n for key, n in outcome.statuses.most_common()}
         print(f"seed {seed}: {took_s:.0f} s, {outcome.runs} runs, {statuses}")
