Repeat nothing whose calls lead to a service with half of its repeats spent

Each level's budget looked at its own service only, and three levels' repeats add up at the deepest.

Change: a request isn't repeated while a service below it has half of the fleet's bound spent, by the counts that heartbeats tell. The test fails without it.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -102,6 +102,7 @@
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
         self._substitutes = Substitutes()
+        self._services_below: dict[str, set[str]] = {}
         self._by_http: dict[HttpRequest, Relay] = {}
 
     @property
@@ -158,6 +159,8 @@
             relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
         if response.offered:
             relay.offers += 1
+        below = self._services_below.setdefault(relay.route.name, set())
+        below.update(relay.slot_ms.keys() - {relay.service})
         self._learn(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
             self._answered(relay, response)
@@ -315,9 +318,7 @@
             self._note_instance(relay, response.actual_instance_id)
         if not response.offered:
             self._place(relay)
-        elif relay.offers < relay.route.max_attempts and self._budget.allows(
-            relay.service, self._now_ms()
-        ):
+        elif relay.offers < relay.route.max_attempts and self._budget_allows(relay):
             self._repeat(relay, response.reason)
         else:
             self._end(relay, response.reason)
@@ -329,14 +330,17 @@
             self._end(relay, reason)
 
     def _may_repeat(self, relay: Relay) -> bool:
-        now_ms = self._now_ms()
         return (
             relay.route.idempotent
             and relay.offers < relay.route.max_attempts
-            and relay.deadline_ms - now_ms >= MIN_RETRY_LEFT_MS
-            and self._budget.allows(relay.service, now_ms)
+            and relay.deadline_ms - self._now_ms() >= MIN_RETRY_LEFT_MS
+            and self._budget_allows(relay)
         )
 
+    def _budget_allows(self, relay: Relay) -> bool:
+        below = self._services_below.get(relay.route.name, ())
+        return self._budget.allows(relay.service, self._now_ms(), below=below)
+
     def _repeat(self, relay: Relay, reason: str) -> None:
         self._log.failed(
             "repeated",
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 SHARE_OF_RATIO = 0.35
@@ -21,6 +21,11 @@
 """Part of the fleet's bound below which its repeats are few. What all sidecars add
 before they hear of each other, a second of a window of ten, stays below the rest."""
 
+STRAINED_SHARE = 0.5
+"""Part of the fleet's bound at a service from which no request above it is repeated
+any more. Their calls count there as well and can't be refused; what sidecars add before
+they hear of each other, and calls repeated for their own sake, stays below the rest."""
+
 TOLD_LIFE_MS = 3_000.0
 """Age at which a peer's counts no longer say anything: several heartbeats."""
 
@@ -121,29 +126,46 @@
         """Take in what another sidecar sent."""
         self._peers[peer] = (now_ms, counted)
 
-    def allows(self, service: str, now_ms: float) -> bool:
-        """Return whether one more request of this service may be repeated."""
+    def allows(self, service: str, now_ms: float, *, below: Iterable[str] = ()) -> bool:
+        """Return whether one more request of this service may be repeated.
+
+        Args:
+            service: name of the service.
+            now_ms: monotonic time.
+            below: services that its requests call, directly or not.
+        """
         slack = self._slack / 2 / max(1, self._most_sidecars())
         window = self._windows.get(service)
         if window is None:
             return slack >= 1.0
         window.current(self._window_ms, now_ms)
-        calm = self._fleet_is_calm(service, window, now_ms)
+        if any(self._used_share(each, now_ms) >= STRAINED_SHARE for each in below):
+            return False
+        calm = self._fleet_is_calm(service, now_ms)
         share = CALM_SHARE_OF_RATIO if calm else SHARE_OF_RATIO
         ratio = self._ratio * share
         return window.repeats + 1 <= ratio * window.requests + slack
 
-    def _fleet_is_calm(self, service: str, window: _Window, now_ms: float) -> bool:
+    def _fleet_is_calm(self, service: str, now_ms: float) -> bool:
         """Return whether all others are heard and the fleet repeats little."""
-        told = [
+        if sum(1 for _ in self._told(now_ms)) + 1 < self._sidecars():
+            return False
+        return self._used_share(service, now_ms) < CALM_SHARE
+
+    def _used_share(self, service: str, now_ms: float) -> float:
+        """Return the part of the fleet's bound at a service that is used, as told."""
+        counts = [told[service] for told in self._told(now_ms) if service in told]
+        window = self._windows.get(service)
+        if window is not None:
+            window.current(self._window_ms, now_ms)
+            counts.append(Counted(window.requests, window.repeats))
+        requests = sum(count.requests for count in counts)
+        repeats = sum(count.repeats for count in counts)
+        return repeats / max(self._ratio * requests + self._slack, 1.0)
+
+    def _told(self, now_ms: float) -> Iterable[Mapping[str, Counted]]:
+        return (
             counted
             for told_ms, counted in self._peers.values()
             if now_ms - told_ms < TOLD_LIFE_MS
-        ]
-        if len(told) + 1 < self._sidecars():
-            return False
-        counts = [counted[service] for counted in told if service in counted]
-        requests = window.requests + sum(count.requests for count in counts)
-        repeats = window.repeats + sum(count.repeats for count in counts)
-        bound = self._ratio * requests + self._slack
-        return repeats < CALM_SHARE * bound
+        )
--- a/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
@@ -112,6 +112,54 @@
     assert max(arrivals.values()) <= RATIO * 2_000 + SLACK
 
 
+CHAIN = (("archiv", 1), ("schvaleni", 1), ("vydej", 1), ("prehled", 4))
+"""Services that a lookup passes through, and how often each calls the next one."""
+
+
+def test_chain_that_fails_at_each_service_keeps_the_bound_of_the_deepest():
+    """Answers are lost at four services at once. Each request that is repeated repeats
+    its calls, by sidecars that know nothing of it, and they add up from all levels: the
+    deepest service gets a tenth more than the platform allows.
+    """
+    rng = random.Random(5)
+    groups = {service: [new_budget(16) for _ in range(4)] for service, _ in CHAIN}
+    arrivals = {False: [], True: []}
+
+    def call(depth, now_ms, *, repeated):
+        if depth == len(CHAIN):
+            return
+        service, times = CHAIN[depth]
+        below = [name for name, _ in CHAIN[depth + 1 :]]
+        for _ in range(times):
+            budget = rng.choice(groups[service])
+            run(budget, depth, now_ms, repeated=repeated)
+            failed = 4_000 < now_ms < 16_000 and rng.random() < 0.3
+            if failed and budget.allows(service, now_ms, below=below):
+                run(budget, depth, now_ms, repeated=True)
+
+    def run(budget, depth, now_ms, *, repeated):
+        service = CHAIN[depth][0]
+        budget.sent(service, repeated=repeated, now_ms=now_ms)
+        if service == "prehled":
+            arrivals[repeated].append(now_ms)
+        call(depth + 1, now_ms, repeated=repeated)
+
+    now_ms = told_ms = 0.0
+    while now_ms < 20_000:
+        now_ms += 2.0
+        if now_ms - told_ms >= 1_000.0:
+            told_ms = now_ms
+            exchange([budget for group in groups.values() for budget in group], now_ms)
+        call(0, now_ms, repeated=False)
+    for end_ms in range(10_000, 20_000, 500):
+        begin_ms = end_ms - WINDOW_MS
+        asked, told = (
+            sum(begin_ms < at_ms <= end_ms for at_ms in arrivals[repeated])
+            for repeated in (False, True)
+        )
+        assert told <= RATIO * asked + SLACK
+
+
 def test_unknown_service_may_use_its_part_of_the_slack():
     assert new_budget(1).allows("archiv", 0.0)
     assert not new_budget(100).allows("archiv", 0.0)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -9,8 +9,12 @@
 """All processes are killed once, others paused and killed; links are cut and silenced,
 servers crash and leave, and the routes change."""
 
-FAILED_SEEDS: tuple[int, ...] = ()
-"""Seeds that ever failed, each with a line on the cause; none so far."""
+FAILED_SEEDS = (
+    28,  # A new instance at an idle server's address was refused on the old one's word.
+    29,  # The same, and SIGHUP ended a process that was starting.
+    220,  # Sidecars of two releases broke their links on each other's messages.
+)
+"""Seeds that ever failed by a fault of the program, each with its cause."""
 
 
 @pytest.mark.parametrize("seed", [SEED, *FAILED_SEEDS])
