--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes.py
@@ -11,6 +11,7 @@
     slopes_links,
     slopes_node,
     slopes_processes,
+    slopes_sidecar,
     slopes_spread,
     slopes_state,
 )
@@ -22,6 +23,7 @@
     "hosts": slopes_hosts.measure,
     "spread": slopes_spread.measure,
     "state": slopes_state.measure,
+    "sidecar": slopes_sidecar.measure,
     "processes": slopes_processes.measure,
 }
 
@@ -39,7 +41,8 @@
     """Measure and print slopes.
 
     Args:
-        parts: links, node, hosts, spread, state or processes; all if none is named.
+        parts: links, node, hosts, spread, state, sidecar or processes; all if none
+            is named.
         json: print one JSON object instead of a table.
     """
     unknown = set(parts or ()) - PARTS.keys()
--- a/packages/sassafraswinch-standins/tests/test_slopes.py
+++ b/packages/sassafraswinch-standins/tests/test_slopes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sassafraswinch.messages import HeartbeatReply
-from sassafraswinch_standins import slopes_links, slopes_timing
+from sassafraswinch_standins import slopes_links, slopes_sidecar, slopes_timing
 
 
 def test_a_line_gives_base_and_slope():
@@ -24,3 +24,10 @@
     beat = slopes_links.frame_bytes(slopes_links.HEARTBEAT)
     reply = slopes_links.frame_bytes(HeartbeatReply(sequence=86_400))
     assert slopes_links.link_bytes_per_s() == 2 * beat + reply
+
+
+def test_the_sidecars_fleet_is_spread_over_zones_and_services():
+    instances = slopes_sidecar.hosts(560)
+    assert len({found.ip for found in instances}) == 560
+    assert len({found.service for found in instances}) == slopes_sidecar.SERVICES
+    assert len({found.availability_zone for found in instances}) == slopes_sidecar.ZONES
