Let told demand and repeats last as long as heartbeats are apart

Cause: by the slopes, above 160 hosts demand (2.5 s) and repeats (3 s) that peers told are forgotten before their next heartbeat (hosts / 64 seconds).

Change: both last for so many pauses between heartbeats. Up to 64 hosts nothing changes; with 71 they last 2.8 and 3.3 s. The tests fail without it (560 hosts).

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -28,8 +28,13 @@
 INTERVAL_MS = 250.0
 """Time between two decisions; heartbeats tell demand a little less often."""
 
-DEMAND_LIFE_MS = 2_500.0
-"""Age at which a peer's demand no longer counts: several heartbeats."""
+HEARTBEAT_MS = 1_000.0
+"""Pause between heartbeats in a fleet of up to 64 hosts."""
+
+DEMAND_LIFE_BEATS = 2.5
+"""Age at which a peer's demand no longer counts, in pauses between its heartbeats: one
+may be lost. A fixed age would be shorter than the pause in a fleet of hundreds, and
+entries would forget each other's demand between two heartbeats."""
 
 MIN_SLOTS = 0.002
 """Slot seconds of a route at a service below which it doesn't need the service."""
@@ -178,13 +183,26 @@
             self._decided_at_ms = now_ms
         return now_ms - self._decided_at_ms >= INTERVAL_MS
 
-    def decide(self, capacities: Mapping[str, Capacity], now_ms: float) -> None:
-        """End an interval: set the place up to which each service admits."""
+    def decide(
+        self,
+        capacities: Mapping[str, Capacity],
+        now_ms: float,
+        *,
+        heartbeat_ms: float = HEARTBEAT_MS,
+    ) -> None:
+        """End an interval: set the place up to which each service admits.
+
+        Args:
+            capacities: slots of each service that can be reached.
+            now_ms: monotonic time.
+            heartbeat_ms: pause between a peer's heartbeats.
+        """
         self._measure(now_ms)
+        life_ms = DEMAND_LIFE_BEATS * heartbeat_ms
         self._peers = {
             peer: told
             for peer, told in self._peers.items()
-            if now_ms - told[0] < DEMAND_LIFE_MS
+            if now_ms - told[0] < life_ms
         }
         wanted = _summed([self.demand(), *(told[1] for told in self._peers.values())])
         self.wanted = wanted
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -114,6 +114,11 @@
         self._beating: asyncio.Task | None = None
         self._opened_ms = 0.0
 
+    @property
+    def heartbeat_s(self) -> float:
+        """Pause between the heartbeats of a link that shows signs of life."""
+        return max(HEARTBEAT_S, len(self.peers) / MAX_HEARTBEATS_PER_S)
+
     async def open(self) -> None:
         """Accept links and begin to send heartbeats."""
         loop = asyncio.get_running_loop()
@@ -256,9 +261,8 @@
             await asyncio.sleep(CHECK_S)
             now_ms = loop.time() * 1000
             stalled = now_ms - due_ms > STALL_MS
-            pause_s = max(HEARTBEAT_S, len(self.peers) / MAX_HEARTBEATS_PER_S)
-            if now_ms - self._opened_ms < YOUNG_MS:
-                pause_s = CHECK_S
+            young = now_ms - self._opened_ms < YOUNG_MS
+            pause_s = CHECK_S if young else self.heartbeat_s
             heartbeat = serialize_message(self._listener.heartbeat())
             for peer in list(self.peers.values()):
                 if peer.link is not None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -26,8 +26,9 @@
 any more. Their calls count there as well and can't be refused; what sidecars add before
 they hear of each other, and calls repeated for their own sake, stays below the rest."""
 
-TOLD_LIFE_MS = 3_000.0
-"""Age at which a peer's counts no longer say anything: several heartbeats."""
+TOLD_LIFE_BEATS = 3.0
+"""Age at which a peer's counts no longer say anything, in pauses between its
+heartbeats."""
 
 BUCKET_MS = 1_000.0
 """Grain of the window: a tenth of it."""
@@ -74,6 +75,7 @@
         window_ms: length of the window.
         most_sidecars: returns how many sidecars there may be at the most.
         sidecars: returns how many are known now.
+        heartbeat_ms: returns the pause between a peer's heartbeats.
     """
 
     def __init__(
@@ -84,12 +86,14 @@
         window_ms: float,
         most_sidecars: Callable[[], int],
         sidecars: Callable[[], int],
+        heartbeat_ms: Callable[[], float],
     ):
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms + BUCKET_MS
         self._most_sidecars = most_sidecars
         self._sidecars = sidecars
+        self._heartbeat_ms = heartbeat_ms
         self._windows: dict[str, _Window] = {}
         self._peers: dict[str, tuple[float, Mapping[str, Counted]]] = {}
 
@@ -164,8 +168,9 @@
         return repeats / max(self._ratio * requests + self._slack, 1.0)
 
     def _told(self, now_ms: float) -> Iterable[Mapping[str, Counted]]:
+        life_ms = TOLD_LIFE_BEATS * self._heartbeat_ms()
         return (
             counted
             for told_ms, counted in self._peers.values()
-            if now_ms - told_ms < TOLD_LIFE_MS
+            if now_ms - told_ms < life_ms
         )
--- a/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
@@ -175,3 +175,17 @@
     for _ in range(100):
         node.learn_at_least(HISTORY, {"prehled": 20.0})
     assert node._routes[HISTORY].slot_s["prehled"] == 0.22
+
+
+def test_demand_of_peers_lasts_from_one_heartbeat_to_the_next_in_a_large_fleet():
+    """With 560 hosts a link has a heartbeat each 8.75 s. Entries that forget each other's
+    demand sooner let in, together, many times what the service carries.
+    """
+    entry = EntryAdmission()
+    for number in range(20):
+        entry.heard(f"peer-{number}", {"prehled": [0.0, 0.0, 40.0]}, 0.0)
+    capacities = {"prehled": Capacity(slots=180.0, used=0.0)}
+    entry.decide(capacities, 8_000.0, heartbeat_ms=8_750.0)
+    assert entry.places["prehled"] < 3.0
+    entry.decide(capacities, 22_000.0, heartbeat_ms=8_750.0)
+    assert not entry.places
--- a/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/tests/test_repeat_budget.py
@@ -9,13 +9,14 @@
 RATIO, SLACK, WINDOW_MS = 0.2, 50.0, 10_000.0
 
 
-def new_budget(sidecars):
+def new_budget(sidecars, heartbeat_ms=1_000.0):
     return RepeatBudget(
         ratio=RATIO,
         slack=SLACK,
         window_ms=WINDOW_MS,
         most_sidecars=lambda: sidecars,
         sidecars=lambda: sidecars,
+        heartbeat_ms=lambda: heartbeat_ms,
     )
 
 
@@ -160,6 +161,18 @@
         assert told <= RATIO * asked + SLACK
 
 
+def test_counts_of_peers_last_from_one_heartbeat_to_the_next_in_a_large_fleet():
+    """With 560 hosts a link has a heartbeat each 8.75 s. Counts that are forgotten
+    after three seconds make each sidecar keep to its safe part for most of the time.
+    """
+    budget = new_budget(2, heartbeat_ms=8_750.0)
+    for number in range(100):
+        budget.sent("archiv", repeated=False, now_ms=number * 10.0)
+    budget.heard("peer", {"archiv": Counted(100, 0)}, 1_000.0)
+    assert budget._fleet_is_calm("archiv", 9_000.0)
+    assert not budget._fleet_is_calm("archiv", 1_000.0 + 3 * 8_750.0)
+
+
 def test_unknown_service_may_use_its_part_of_the_slack():
     assert new_budget(1).allows("archiv", 0.0)
     assert not new_budget(100).allows("archiv", 0.0)
