--- a/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_entry_admission.py
@@ -178,8 +178,8 @@
 
 
 def test_demand_of_peers_lasts_from_one_heartbeat_to_the_next_in_a_large_fleet():
-    """With 560 hosts a link has a heartbeat each 8.75 s. Entries that forget each other's
-    demand sooner let in, together, many times what the service carries.
+    """With 560 hosts a link has a heartbeat each 8.75 s. Entries that forget each
+    other's demand sooner let in, together, many times what the service carries.
     """
     entry = EntryAdmission()
     for number in range(20):
