--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -24,6 +24,10 @@
 """Mean assumed before any request has ended."""
 
 
+Rank = tuple[bool, int, int]
+"""Whether it is a new request, its priority, and how far from its end its tree is."""
+
+
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
     """A request before the backend server.
@@ -47,6 +51,11 @@
     started_at_ms: float | None = None
     left: bool = False
 
+    @property
+    def rank(self) -> Rank:
+        """What decides, before the order of arrival, who starts first: the lowest."""
+        return not self.inner, self.priority, -self.progress
+
 
 @dataclass(slots=True)
 class ServerQueue:
@@ -55,9 +64,7 @@
     limit: int
     running: int = 0
     hold_ms: float = COLD_HOLD_MS
-    _waiting: list[tuple[bool, int, int, int, QueuedRequest]] = field(
-        default_factory=list
-    )
+    _waiting: list[tuple[Rank, int, QueuedRequest]] = field(default_factory=list)
     _sequence: Any = field(default_factory=itertools.count)
     _queued: int = 0
 
@@ -66,16 +73,14 @@
         """Requests that wait."""
         return self._queued
 
-    def delay_ms(
-        self, *, inner: bool = False, priority: int = 0, progress: int = 0
-    ) -> float:
-        """Return the wait that a new request would meet."""
+    def delay_ms(self, rank: Rank) -> float:
+        """Return the wait that a new request of this rank would meet."""
         if self.running < self.limit and not self._queued:
             return 0.0
         ahead = sum(
             1
-            for order in self._waiting
-            if not order[-1].left and order[:3] <= (not inner, priority, -progress)
+            for waiting_rank, _, request in self._waiting
+            if not request.left and waiting_rank <= rank
         )
         return (ahead + 1) * self.hold_ms / max(self.limit, 1)
 
@@ -86,18 +91,11 @@
             False if it would wait longer than it may: it is refused at once, so
             that it can go elsewhere or come back.
         """
-        delay_ms = self.delay_ms(
-            inner=request.inner, priority=request.priority, progress=request.progress
-        )
+        rank = request.rank
+        delay_ms = self.delay_ms(rank)
         if delay_ms and now_ms + delay_ms > request.give_up_at_ms:
             return False
-        order = (
-            not request.inner,
-            request.priority,
-            -request.progress,
-            next(self._sequence),
-            request,
-        )
+        order = (rank, next(self._sequence), request)
         heapq.heappush(self._waiting, order)
         self._queued += 1
         return True
