--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/backend.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/backend.py
@@ -45,6 +45,19 @@
     )
 
 
+def serve_as(instance_id: str) -> "Behaviour":
+    """Return the behaviour of an instance, which refuses requests for others."""
+
+    def behave(connection: "Connection", seen: Seen) -> None:
+        if seen.headers[b"x-expected-instance"] == instance_id.encode():
+            connection.transport.write(answer(seen))
+            return
+        told = b"X-Instance: %b\r\n" % instance_id.encode()
+        connection.transport.write(answer(seen, status=421, fields=told, signed=False))
+
+    return behave
+
+
 class Connection(asyncio.Protocol):
     """One connection of a backend server."""
 
@@ -81,6 +94,10 @@
         self.backend.behaviour(self, self.seen)
 
 
+Behaviour = Callable[[Connection, Seen], None]
+"""Gives a request its answer, or none."""
+
+
 class Backend:
     """Listens at an address; ``behaviour`` says what each request gets."""
 
@@ -88,7 +105,7 @@
         self.seen: list[Seen] = []
         self.connections: list[Connection] = []
         self.closed: list[Connection] = []
-        self.behaviour: Callable[[Connection, Seen], None] = self.serve
+        self.behaviour: Behaviour = self.serve
 
     @staticmethod
     def serve(connection: Connection, seen: Seen) -> None:
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -3,21 +3,8 @@
 import random
 from collections import Counter
 
-from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.placement import AnswerSizes, PaceMeter, PeerLoad, Placement
-
-
-def instance(number, zone="brno-a", cold_ms=0.0):
-    return Instance(
-        id=f"i-{number}",
-        service="prehled",
-        ip=f"10.0.0.{number}",
-        port=8080,
-        availability_zone=zone,
-        slots=64,
-        leaving=False,
-        cold_ms=cold_ms,
-    )
+from sidecar_standins.instances import new_instance
 
 
 def new_placement(loads, own_ip="10.0.0.99"):
@@ -44,7 +31,7 @@
 
 
 def test_unreachable_leaving_and_dead_instances_get_nothing():
-    found = [instance(n) for n in range(1, 5)]
+    found = [new_instance(n) for n in range(1, 5)]
     loads = loads_of(found)
     del loads["10.0.0.1"]
     loads["10.0.0.2"].leaving = True
@@ -54,7 +41,7 @@
 
 
 def test_own_zone_is_used_until_it_is_clearly_fuller():
-    near, far = instance(1), instance(2, zone="brno-b")
+    near, far = new_instance(1), new_instance(2, zone="brno-b")
     loads = loads_of([near, far])
     loads[near.ip].in_flight = 10
     assert choices(loads, [near, far]) == {"i-1": 200}
@@ -67,7 +54,7 @@
     emptier, though the own one has half of its slots free: bytes between zones for no
     gain. A full one still gives way.
     """
-    near, far = instance(1), instance(2, zone="brno-b")
+    near, far = new_instance(1), new_instance(2, zone="brno-b")
     loads = loads_of([near, far])
     placement = new_placement(loads)
     loads[near.ip].in_flight = 24
@@ -91,7 +78,7 @@
     """Reports come a few times a second. A sidecar that sent all requests of the
     meantime to the one that was emptiest would overrun it.
     """
-    found = [instance(n) for n in range(1, 4)]
+    found = [new_instance(n) for n in range(1, 4)]
     loads = loads_of(found)
     placement = new_placement(loads)
     counts = Counter()
@@ -104,7 +91,7 @@
 
 def test_server_that_fails_half_of_its_requests_is_the_last_choice():
     """A server fails part of its requests and answers health checks well."""
-    found = [instance(1), instance(2)]
+    found = [new_instance(1), new_instance(2)]
     loads = loads_of(found)
     for number in range(30):
         loads["10.0.0.1"].ended(failed=number % 2 == 0, now_ms=0.0)
@@ -122,7 +109,7 @@
 
 def test_server_five_times_slower_gets_less():
     """A server turns slow and has as many requests in flight as the others."""
-    found = [instance(1), instance(2)]
+    found = [new_instance(1), new_instance(2)]
     loads = loads_of(found, in_flight=20)
     meter = PaceMeter()
     for _ in range(40):
@@ -134,7 +121,7 @@
 
 
 def test_cold_instance_is_spared_but_not_left_out():
-    warm, cold = instance(1), instance(2, cold_ms=2_000.0)
+    warm, cold = new_instance(1), new_instance(2, cold_ms=2_000.0)
     loads = loads_of([warm, cold])
     assert choices(loads, [warm, cold]) == {"i-1": 200}
     loads[warm.ip].in_flight = 45
--- a/packages/sassafraswinch-sidecar/tests/test_zone_peers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_zone_peers.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.placement import PeerLoad
 from sassafraswinch_sidecar.zone_peers import ZonePeers
+from sidecar_standins.instances import new_instance
 
 OWN_IP = "10.0.0.1"
 
@@ -37,21 +37,10 @@
     """A fleet of four hosts in this zone and one in another."""
 
     def __init__(self):
-        here = [instance(number, "brno-a") for number in (1, 2, 3, 4)]
-        self.instances = {found.id: found for found in [*here, instance(9, "brno-b")]}
-
-
-def instance(number, zone):
-    return Instance(
-        id=f"i-{number}",
-        service="prehled",
-        ip=f"10.0.0.{number}",
-        port=8080,
-        availability_zone=zone,
-        slots=64,
-        leaving=False,
-        cold_ms=0.0,
-    )
+        here = [new_instance(number, "brno-a") for number in (1, 2, 3, 4)]
+        self.instances = {
+            found.id: found for found in [*here, new_instance(9, "brno-b")]
+        }
 
 
 @pytest.fixture
