--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import yaml
 
@@ -39,7 +40,7 @@
 
 
 class Host:
-    """A machine: a sidecar's process, a server beside it, and callers.
+    """A sidecar's process, the server beside it, and callers.
 
     Attributes:
         stopped: whether its process was ended or paused by the play.
@@ -80,21 +81,24 @@
         self._relay = Relay(routes=[link, store, server])
         addresses = await self._relay.start()
         self.routes = self._relay.routes
-        settings = {
+        settings = self._settings(backend=addresses["server"], store=addresses["store"])
+        self._settings_path.write_text(yaml.safe_dump(settings))
+
+    def _settings(self, *, backend: str, store: str) -> dict[str, Any]:
+        return {
             "host": self.name,
             "ip": self.ip,
             "availability_zone": self.zone,
             "service": self.service,
-            "backend": addresses["server"],
+            "backend": backend,
             "outbound": f"{self.ip}:{OUTBOUND_PORT}",
             "ready": f"{self.ip}:{READY_PORT}",
             "link_port": LINK_PORT,
             "dial_port": DIAL_PORT,
             "metrics_port": METRICS_PORT,
-            "platform": addresses["store"],
+            "platform": store,
             "drain_s": GRACE_S,
         }
-        self._settings_path.write_text(yaml.safe_dump(settings))
 
     def close(self) -> None:
         """End the process and everything around it."""
@@ -193,7 +197,6 @@
         self.store = StoreStandIn()
         self.store_address = ""
         self.version = 0
-        self.early_ends: list[str] = []
         prefix = f"127.{20 + os.getpid() % 200}.{seed % 250}"
         self.hosts = [
             Host(number=number, prefix=prefix, play=self)
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -61,8 +61,6 @@
     runs: list[Run] = field(default_factory=list)
     services_of: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     """Services to which any version of the routes sent a path prefix."""
-    faults_until_s: float = 0.0
-    """When the last fault ended, as known so far."""
 
     def broken_promises(self) -> list[str]:
         """Return a line for each promise that was broken."""
