--- a/packages/sassafraswinch-standins/tests/test_relay.py
+++ b/packages/sassafraswinch-standins/tests/test_relay.py
@@ -94,3 +94,22 @@
         await ask(await dial(route), b"c")
     route.set_fault(Fault.NONE)
     assert await ask(await dial(route), b"d") == b"d"
+
+
+async def test_held_connection_delivers_all_in_order_once_the_fault_ends(route, echo):
+    """A middlebox keeps what an open connection carries, and delivers it much later.
+
+    New connections work meanwhile.
+    """
+    connection = await dial(route)
+    assert await ask(connection, b"one") == b"one"
+    route.set_fault(Fault.HELD)
+    connection[1].write(b"two ")
+    assert await ask(await dial(route), b"new") == b"new"
+    while not route.held:
+        await asyncio.sleep(0.01)
+    assert b"two" not in echo.seen
+    connection[1].write(b"three")
+    route.set_fault(Fault.NONE)
+    assert await connection[0].readexactly(9) == b"two three"
+    assert route.held == 0
