Stop the watch's clock in the test that counts requests at a reused address

Cause: since a server's word on its id lasts one second, the test's three calls must end within it for one request to reach the server. Shown by a run: with 0.6 s before each call two reach it, and the test fails; with the clock stopped it passes.

The assertions stay. Two tests share one loop of refused calls now.

--- a/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
@@ -14,6 +14,14 @@
         yield started
 
 
+async def assert_three_refused(fleet):
+    for number in range(3):
+        got = await fleet.call(
+            fleet.nodes[0], target="/approve/1", request_id=f"r-{number}"
+        )
+        assert got.status == 503
+
+
 async def test_restarted_server_is_reached_before_the_platform_knows_its_new_id(fleet):
     """All hosts lose power. The servers are back under new ids, and for seconds the
     platform still tells the old ones: each request would be refused by a server that
@@ -41,14 +49,14 @@
     sent to the new id before the platform tells its service.
     """
     node = fleet.nodes[2]
-    node.sidecar._executor._watch._started_ms -= 60_000.0
+    watch = node.sidecar._executor._watch
+    watch._started_ms -= 60_000.0
+    # Its clock stands still: the server's word lasts however long the calls take.
+    stopped_ms = watch._now_ms()
+    watch._now_ms = lambda: stopped_ms
 
     node.backend.behaviour = serve_as("i-other")
-    for number in range(3):
-        got = await fleet.call(
-            fleet.nodes[0], target="/approve/1", request_id=f"r-{number}"
-        )
-        assert got.status == 503
+    await assert_three_refused(fleet)
     ids = {seen.headers[b"x-expected-instance"] for seen in node.backend.seen}
     assert b"i-other" not in ids
     assert len(node.backend.seen) == 1
@@ -66,11 +74,7 @@
     assert got.status == 200
 
     node.backend.behaviour = serve_as("i-other")
-    for number in range(3):
-        got = await fleet.call(
-            fleet.nodes[0], target="/approve/1", request_id=f"r-{number}"
-        )
-        assert got.status == 503
+    await assert_three_refused(fleet)
     ids = {seen.headers[b"x-expected-instance"] for seen in node.backend.seen}
     assert b"i-other" not in ids
 
