Bound the bytes that a sidecar holds; heed a sidecar's word that its server leaves; notice standstills

- Bodies were held without a bound on all together: slow callers could make the process exceed its memory.
Answers of servers have a longest length.
- An owner went on sending to an instance whose own sidecar refused it as leaving.
- A suspended machine took callers' time limits for longer than they were.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -6,6 +6,7 @@
 
 from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_client import (
     Exchange,
     Fault,
@@ -36,6 +37,7 @@
 stops at the limit by itself, and its answer to that is the truer one."""
 
 OTHER_INSTANCE = "other-instance"
+INSTANCE_LEAVING = "instance-leaving"
 MISDIRECTED_STATUS = 421
 
 UNKNOWN_SLOTS = 16
@@ -55,6 +57,7 @@
     offered: bool = False
     ended: bool = False
     actual_instance_id: str | None = None
+    held_bytes: int = 0
     calls_done: int = 0
     slot_ms: dict[str, float] = field(default_factory=dict)
 
@@ -67,6 +70,7 @@
         client: connections to the server.
         names: header fields of the deployment.
         is_leaving: tells whether an instance must get no new work.
+        held: counts the bytes that this process holds.
         log: lines about single requests.
     """
 
@@ -77,6 +81,7 @@
         client: HttpClient,
         names: HeaderNames,
         is_leaving: Callable[[str], bool],
+        held: HeldBytes,
         log: RequestLog,
     ):
         self.queue = ServerQueue(limit=int(UNKNOWN_SLOTS * SLOT_SHARE))
@@ -86,6 +91,7 @@
         self._client = client
         self._names = names
         self._is_leaving = is_leaving
+        self._held = held
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
@@ -139,6 +145,8 @@
             self._end_unrun(execution, "overloaded")
             return
         self._executions[owner, request.call_id] = execution
+        execution.held_bytes = len(request.body)
+        self._held.hold(execution.held_bytes)
         self._start(now_ms)
         if self.queue.queued and self._ticking is None:
             self._ticking = self._loop.call_later(TICK_S, self._tick)
@@ -187,13 +195,15 @@
         if request.service_name != self._service:
             return "other-service"
         if self._is_leaving(request.instance_id):
-            return "instance-leaving"
+            return INSTANCE_LEAVING
         if self._watch.is_another(request.instance_id):
             return OTHER_INSTANCE
         if not self._watch.up:
             return "server-down"
         if request.remaining_ms <= 0:
             return "deadline"
+        if request.body and not self._held.fits(len(request.body)):
+            return "no-memory"
         return ""
 
     def _start(self, now_ms: float) -> None:
@@ -278,6 +288,12 @@
             body=response.body,
         )
 
+    def stood_still(self, stood_ms: float) -> None:
+        """Take the time that passed, unknown to the clock, off all time limits."""
+        for execution in self._executions.values():
+            execution.deadline_ms -= stood_ms
+            execution.place.give_up_at_ms -= stood_ms
+
     def expire(self, now_ms: float) -> None:
         """End the requests whose server has let their time pass."""
         overdue_ms = now_ms - OVERTIME_MS
@@ -361,6 +377,8 @@
 
     def _forget(self, execution: Execution) -> None:
         execution.ended = True
+        self._held.release(execution.held_bytes)
+        execution.held_bytes = 0
         request = execution.request
         self._executions.pop((execution.owner, request.call_id), None)
         if self.running.get(request.request_id) is execution:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -27,6 +27,9 @@
 that its server dropped meanwhile resets it, and nobody knows whether it ran."""
 
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Longest body of an answer; a faulty server may send without an end."""
+
 _FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -42,6 +45,9 @@
     GARBLED = "garbled"
     """What came isn't a response to this request."""
 
+    TOO_LONG = "too-long"
+    """The response has a longer body than this process may hold."""
+
 
 @dataclass(slots=True)
 class HttpResponse:
@@ -93,6 +99,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._fields: Fields = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._until_close = False
         self._complete: HttpResponse | None = None
 
@@ -127,6 +134,8 @@
         else:
             if self._complete is not None:
                 self._finish(self._complete)
+            elif self._body_bytes > MAX_ANSWER_BYTES:
+                self._fail(Fault.TOO_LONG)
 
     def eof_received(self) -> None:
         """Note an orderly end (asyncio.Protocol)."""
@@ -163,6 +172,7 @@
         """Take a part of the body (httptools)."""
         if self._complete is None:
             self._body.append(body)
+            self._body_bytes += len(body)
 
     def on_message_begin(self) -> None:
         """Note bytes after the end of the response (httptools)."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
 from sassafraswinch_sidecar.routes import RequestLimits
 
@@ -18,6 +19,11 @@
 """Time after which a caller that reads nothing of its answer is cut off: what is
 held for it counts toward this process's memory."""
 
+NO_MEMORY_STATUS = 503
+NO_MEMORY_FIELD = b"Retry-After: 1\r\n"
+"""Time after which callers whose bodies there is no room for are told to come back:
+what is held is read within seconds, or its connection is closed."""
+
 MAX_PIPELINED = 8
 """Requests read ahead on one connection; then it isn't read until one is answered."""
 
@@ -52,10 +58,14 @@
         *,
         handler: RequestHandler,
         limits: Callable[[], RequestLimits],
+        held: HeldBytes,
         connections: set["CallerConnection"],
         closing: Callable[[], bool],
     ):
         self._handler = handler
+        self._held = held
+        self._body_bytes_held = 0
+        self._unread_bytes = 0
         self._limits = limits
         self._connections = connections
         self._closing = closing
@@ -81,6 +91,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Take over the transport (asyncio.Protocol)."""
         self._transport = transport
+        # Told at each change between some unread bytes and none, however few.
+        transport.set_write_buffer_limits(high=0)
         self._connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -88,6 +100,8 @@
         self._connections.discard(self)
         self._ended = True
         self._ready.clear()
+        self._release(self._body_bytes_held)
+        self._note_unread(0)
         current, self._current = self._current, None
         if current is not None:
             self._handler.gone(current)
@@ -113,6 +127,7 @@
     def resume_writing(self) -> None:
         """Note that the caller reads again (asyncio.Protocol)."""
         self._write_blocked_ms = None
+        self._note_unread(self._transport.get_write_buffer_size())
 
     def on_message_begin(self) -> None:
         """Begin a request (httptools)."""
@@ -135,8 +150,8 @@
         size = 0
         for lowered, _, value in self._fields:
             size += len(lowered) + len(value) + 4
-            if lowered == b"content-length" and int(value) > limits.max_body_bytes:
-                self._refuse(413)
+            if lowered == b"content-length":
+                self._check_length(int(value))
             elif lowered == b"expect" and value.lower() == b"100-continue":
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if size > limits.max_header_bytes:
@@ -147,8 +162,12 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._refuse(413)
+        elif not self._held.fits(len(body)):
+            self._refuse(NO_MEMORY_STATUS)
         elif not self._ended:
             self._body.append(body)
+            self._body_bytes_held += len(body)
+            self._held.hold(len(body))
 
     def on_message_complete(self) -> None:
         """Queue a whole request (httptools)."""
@@ -187,6 +206,7 @@
         if request is not self._current:
             return
         self._current = None
+        self._release(len(request.body))
         keep = request.keep_alive and not self._closing()
         if has_body(status, request.method):
             framing = b"Content-Length: %d\r\n" % len(body)
@@ -197,6 +217,7 @@
         self._transport.write(
             b"".join((status_line(status), header_lines, framing, b"\r\n", body))
         )
+        self._note_unread(self._transport.get_write_buffer_size())
         self._idle_since_ms = self._loop.time() * 1000
         if not keep:
             self._end()
@@ -238,12 +259,22 @@
         if self._header_bytes > 2 * self._limits().max_header_bytes:
             self._refuse(431)
 
+    def _check_length(self, length_bytes: int) -> None:
+        """Refuse a body that is too long before any of it is read."""
+        if length_bytes > self._limits().max_body_bytes:
+            self._refuse(413)
+        elif length_bytes and not self._held.fits(length_bytes):
+            self._refuse(NO_MEMORY_STATUS)
+
     def _refuse(self, status: int) -> None:
         if self._ended:
             return
         if self._current is None and not self._ready:
+            fields = NO_MEMORY_FIELD if status == NO_MEMORY_STATUS else b""
             self._transport.write(
-                status_line(status) + b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+                status_line(status)
+                + fields
+                + b"Content-Length: 0\r\nConnection: close\r\n\r\n"
             )
             self._end()
         else:
@@ -253,6 +284,15 @@
                 if request is not None:
                     request.keep_alive = False
 
+    def _release(self, body_bytes: int) -> None:
+        self._body_bytes_held -= body_bytes
+        self._held.release(body_bytes)
+
+    def _note_unread(self, unread_bytes: int) -> None:
+        """Count the part of the answers that the caller hasn't read yet."""
+        self._held.hold(unread_bytes - self._unread_bytes)
+        self._unread_bytes = unread_bytes
+
     def _end(self) -> None:
         self._ended = True
         self._transport.close()
@@ -264,13 +304,21 @@
     Args:
         handler: takes the requests.
         limits: returns the bounds in force.
+        held: counts the bytes that this process holds.
     """
 
-    def __init__(self, *, handler: RequestHandler, limits: Callable[[], RequestLimits]):
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        limits: Callable[[], RequestLimits],
+        held: HeldBytes,
+    ):
         self.connections: set[CallerConnection] = set()
         self.closing = False
         self._handler = handler
         self._limits = limits
+        self._held = held
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task | None = None
 
@@ -299,6 +347,7 @@
         return CallerConnection(
             handler=self._handler,
             limits=self._limits,
+            held=self._held,
             connections=self.connections,
             closing=lambda: self.closing,
         )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -105,6 +105,11 @@
         """Whether messages may be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peer hasn't read yet."""
+        return self._transport.get_write_buffer_size() if self.is_open else 0
+
     def send(self, message: Message) -> bool:
         """Queue a message; False where nothing of it will be written."""
         return self.is_open and self.send_frame(serialize_message(message))
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -174,6 +175,13 @@
         """Return the addresses of peers with an open link."""
         return (ip for ip, peer in self.peers.items() if peer.link is not None)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes that are held for peers until they read them."""
+        dialled = (peer.link for peer in self.peers.values() if peer.link is not None)
+        return sum(
+            link.unsent_bytes for link in itertools.chain(dialled, self.accepted)
+        )
+
     def _new_link(
         self,
         greeted: Callable[[PeerLink], None],
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -4,8 +4,9 @@
 import itertools
 
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
-from sassafraswinch_sidecar.executor import Executor
+from sassafraswinch_sidecar.executor import INSTANCE_LEAVING, Executor
 from sassafraswinch_sidecar.fleet import Fleet, Instance
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import (
@@ -79,6 +80,7 @@
         placement: Placement,
         admission: EntryAdmission,
         budget: RepeatBudget,
+        held: HeldBytes,
         counts: RelayCounts,
         log: RequestLog,
     ):
@@ -94,6 +96,7 @@
         self._placement = placement
         self._admission = admission
         self._budget = budget
+        self._held = held
         self._counts = counts
         self._log = log
         self._paces = PaceMeter()
@@ -146,6 +149,11 @@
         for relay in late:
             self._timed_out(relay)
 
+    def stood_still(self, stood_ms: float) -> None:
+        """Take the time that callers waited, unknown to the clock, off their limits."""
+        for relay in self._by_http.values():
+            relay.deadline_ms -= stood_ms
+
     def response(self, response: RelayResponse, load: PeerLoad | None) -> None:
         """Take the end of a call from the executing sidecar."""
         if load is not None:
@@ -181,6 +189,10 @@
     def _admit(self, relay: Relay) -> bool:
         route = relay.route
         self._admission.offered(route.name, route.priority)
+        if not self._held.fits():
+            # Its answer would be one more that is held for a slow reader.
+            self._fail(relay, "no-memory", NOT_RUN_STATUS)
+            return False
         blocking = self._admission.blocking(route.name, route.priority, relay.level)
         if blocking is None:
             return True
@@ -316,6 +328,8 @@
     def _not_run(self, relay: Relay, response: RelayResponse) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
+        if response.reason == INSTANCE_LEAVING:
+            self._fleet.note_leaving(relay.instance_id)
         if not response.offered:
             self._place(relay)
         elif relay.offers < relay.route.max_attempts and self._budget_allows(relay):
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -12,6 +12,7 @@
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.fleet import Decoder, Fleet
+from sassafraswinch_sidecar.held_bytes import HeldBytes, most_held_bytes
 from sassafraswinch_sidecar.http_client import HttpClient
 from sassafraswinch_sidecar.http_server import HttpListener
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
@@ -37,6 +38,7 @@
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
+from sassafraswinch_sidecar.standstill import Standstill
 from sassafraswinch_sidecar.watch_duty import WatchDuty
 from sassafraswinch_sidecar.zone_peers import ZonePeers
 
@@ -88,12 +90,14 @@
             fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
         )
         self._log = RequestLog(now_ms=self._now_ms)
+        self._held = HeldBytes(most_bytes=most_held_bytes(settings.memory_mb))
         backend = settings.address("backend")
         self._executor = Executor(
             service=settings.service,
             client=HttpClient(ip=backend.ip, port=backend.port),
             names=names,
             is_leaving=self._fleet.is_leaving,
+            held=self._held,
             log=self._log,
         )
         self._links = PeerLinks(
@@ -153,23 +157,29 @@
             ),
             admission=self._admission,
             budget=self._budget,
+            held=self._held,
             counts=self._counts,
             log=self._log,
         )
-        self._outbound = HttpListener(handler=self._owner, limits=self._limits)
+        self._outbound = HttpListener(
+            handler=self._owner, limits=self._limits, held=self._held
+        )
         self._ready = HttpListener(
             handler=ReadyPage(path=ready_path, is_ready=lambda: self.is_ready),
             limits=_default_limits,
+            held=self._held,
         )
         self._metrics = HttpListener(
             handler=MetricsPage(
                 SidecarMetrics(counts=self._counts, gauges=self._gauges)
             ),
             limits=_default_limits,
+            held=self._held,
         )
         self._reader = PlatformReader(
             store=store, keeper=self._data, duty=self._duty, rng=rng
         )
+        self._standstill = Standstill()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -282,15 +292,25 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
+            self._notice_standstill()
             now_ms = self._now_ms()
             self._owner.expire(now_ms)
             self._executor.expire(now_ms)
             self._data.tick(now_ms)
             self._share_duty(now_ms)
+            self._held.unsent_bytes = self._links.unsent_bytes()
             self._log.tell_left_out()
             if self._admission.due(now_ms):
                 self._admit_anew(now_ms)
 
+    def _notice_standstill(self) -> None:
+        stood_ms = self._standstill.look()
+        if not stood_ms:
+            return
+        log_event("stood_still", level="warning", stood_ms=stood_ms)
+        self._owner.stood_still(stood_ms)
+        self._executor.stood_still(stood_ms)
+
     def _admit_anew(self, now_ms: float) -> None:
         capacities = capacities_of(self._fleet.serving(), self._load_of)
         heartbeat_ms = self._links.heartbeat_s * 1000
@@ -370,6 +390,7 @@
             "backend_in_flight": load.in_flight,
             "backend_queued": load.queued,
             "backend_limit": load.limit,
+            "held_bytes": self._held.total_bytes,
             "owned_requests": self._owner.in_flight,
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -27,6 +27,7 @@
             the hosts passes connections on; ``link_port`` if not given.
         metrics_port: port of the metrics page.
         platform: address of the platform's store.
+        memory_mb: memory that the process may take; beyond it it is killed.
         drain_s: time that a stopping process has; then it is killed.
         repeat_ratio: repeats for each request that the fleet may make.
         repeat_slack: repeats in a window that need no request.
@@ -47,6 +48,7 @@
     dial_port: int | None = Field(default=None, ge=1, le=65_535)
     metrics_port: int = Field(ge=1, le=65_535)
     platform: AddressText
+    memory_mb: float = Field(default=200.0, ge=50, le=1e6)
     drain_s: float = Field(default=6.0, gt=0, le=600)
     repeat_ratio: float = Field(default=0.2, ge=0, le=10)
     repeat_slack: float = Field(default=50.0, ge=0, le=1e6)
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import HttpListener
 from sassafraswinch_sidecar.routes import RequestLimits
 from sidecar_standins.fleet import read_answer, request_bytes
 
+MOST_HELD_BYTES = 5_000
+
 
 class Handler:
     """Keeps the requests that arrive, and answers when a test says so."""
@@ -34,7 +37,8 @@
         header_timeout_ms=300.0,
         idle_timeout_ms=800.0,
     )
-    listener = HttpListener(handler=Handler(), limits=lambda: limits)
+    held = HeldBytes(most_bytes=MOST_HELD_BYTES)
+    listener = HttpListener(handler=Handler(), limits=lambda: limits, held=held)
     await listener.open("127.0.0.1", 0)
     listener.port = listener._server.sockets[0].getsockname()[1]
     yield listener
@@ -153,3 +157,47 @@
     assert (await read_answer(reader)).headers["connection"] == "close"
     writer.close()
     idle.close()
+
+
+async def test_bodies_beyond_the_bound_are_refused_until_others_have_left(edge):
+    """Many callers send long bodies that wait for their answers. Held without a bound
+    they exceed the process's memory, and it is killed with all that runs through it.
+    """
+    edge._handler.holds = True
+    raw = request_bytes(method="POST", body=b"x" * 2_000)
+    writers = [(await send(edge, raw))[1] for _ in range(2)]
+    async with asyncio.timeout(20):
+        while len(edge._handler.requests) < 2:
+            await asyncio.sleep(0.01)
+    reader, writer = await send(edge, raw)
+    got = await asyncio.wait_for(read_answer(reader), 20)
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    writer.close()
+    for writer in writers:
+        writer.close()
+    async with asyncio.timeout(20):
+        while edge._held.total_bytes:
+            await asyncio.sleep(0.01)
+    edge._handler.holds = False
+    assert await status_of(edge, raw) == 200
+
+
+async def test_answer_that_its_caller_does_not_read_counts_as_held(edge):
+    """Callers ask for long answers and read them slowly. What the sockets don't take
+    stays here; it must count, and no longer count once the caller has gone.
+    """
+    long_answer = b"y" * 20_000_000
+    edge._handler.holds = True
+    _, writer = await send(edge, request_bytes())
+    async with asyncio.timeout(20):
+        while not edge._handler.requests:
+            await asyncio.sleep(0.01)
+    ((request, connection),) = edge._handler.requests
+    connection.respond(request, status=200, header_lines=b"", body=long_answer)
+    assert edge._held.total_bytes > MOST_HELD_BYTES
+    assert not edge._held.fits()
+    writer.transport.abort()
+    async with asyncio.timeout(20):
+        while edge._held.total_bytes:
+            await asyncio.sleep(0.01)
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -336,3 +336,63 @@
     metrics = type(address)(ip=node.ip, port=node.settings.metrics_port)
     page = (await call(metrics, target="/metrics")).body.decode()
     assert 'sassafraswinch_sidecar_answers_total{route="orders",status="200"} 1' in page
+
+
+async def test_entry_that_holds_too_much_refuses_before_any_server_is_asked(fleet):
+    """Callers read their answers slowly until the process holds all that it may. One
+    more answer could be the one for which it is killed.
+    """
+    entry = fleet.nodes[2]
+    entry.sidecar._held.hold(10**9)
+    got = await fleet.call(entry)
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    assert not [seen for node in fleet.nodes for seen in node.backend.seen]
+
+
+async def test_body_goes_on_to_a_host_that_has_room_for_it(fleet):
+    """A host holds all the bytes that it may. Requests with bodies go to another."""
+    full, other = fleet.of("archiv")
+    full.sidecar._held.hold(10**9)
+    for number in range(3):
+        got = await fleet.call(
+            fleet.nodes[2], method="PUT", body=b"order", request_id=f"r-{number}"
+        )
+        assert got.status == 200
+    assert (len(full.backend.seen), len(other.backend.seen)) == (0, 3)
+
+
+async def test_requests_stop_going_to_an_instance_whose_sidecar_knows_that_it_leaves(
+    fleet,
+):
+    """A server leaves. Its own sidecar has heard of it, the entry hasn't: the entry is
+    told by the first refusal, and asks that sidecar no further time.
+    """
+    first, second = fleet.of("archiv")
+    entry = fleet.nodes[2].sidecar
+    first.sidecar._fleet.note_leaving(f"i-{first.ip}")
+    for number in range(6):
+        got = await fleet.call(fleet.nodes[2], request_id=f"r-{number}")
+        assert got.status == 200
+    assert [found.ip for found in entry._fleet.of_service("archiv")] == [second.ip]
+    assert len(second.backend.seen) == 6
+
+
+async def test_request_under_way_in_a_standstill_ends_when_its_caller_has_left(fleet):
+    """A machine is suspended for five seconds while a server works on an approval.
+    The steady clock says that the caller still waits, and the request would be held
+    for as long again.
+    """
+    node = fleet.nodes[2]
+    slow = route(
+        "approve", "/approve/", "schvaleni", idempotent=False, timeout_ms=60_000.0
+    )
+    await fleet.store.put(ROUTES, {"version": 2, "routes": [slow]})
+    await until(lambda: node.sidecar._fleet.table.version == 2)
+    node.backend.behaviour = lambda connection, seen: None
+    pending = asyncio.create_task(
+        fleet.call(node, target="/approve/1", method="POST", time_left_ms=60_000)
+    )
+    await until(lambda: node.backend.seen)
+    node.sidecar._standstill._apart_ms -= 60_000.0
+    assert (await pending).status == 504
