Let a host's word that its server leaves count for a second; start means from later values

Now the word is kept beside the peer's load and fades within a second.

Beside it: means by kind of request began from their first value and kept it for dozens of requests; whoever was measured next looked fast, and an instance that hadn't been tried was never preferred.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
 from sassafraswinch.errors import InvalidFieldsError
@@ -112,18 +112,6 @@
         instance = self.instances.get(instance_id)
         return instance_id in self._removed if instance is None else instance.leaving
 
-    def note_leaving(self, instance_id: str) -> None:
-        """Take another sidecar's word that an instance must get no new work.
-
-        Failure: the sidecar beside a leaving server knows of it first. Until this copy
-        tells it as well, each request goes there, is refused and goes on elsewhere.
-        """
-        instance = self.instances.get(instance_id)
-        if instance is None or instance.leaving:
-            return
-        self.instances[instance_id] = replace(instance, leaving=True)
-        self._index()
-
     def cold_left_ms(self, instance: Instance, now_ms: float) -> float:
         """Return how much longer an instance is slow after its start."""
         known_ms = now_ms - self._known_at_ms.get(instance.id, now_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -1,6 +1,7 @@
 """Which instance of a service a request is sent to."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Container, Hashable, Iterable
 from dataclasses import dataclass
 
@@ -56,6 +57,12 @@
 """Time in which what was learnt of an instance halves, so that it is tried again."""
 
 
+LEAVING_WORD_MS = 1_000.0
+"""Time in which a host isn't asked again after it refused a request since its server
+leaves. It hears of that first; the platform tells the others within a second, and
+also if the server stays after all."""
+
+
 @dataclass(slots=True)
 class PeerLoad:
     """What is known of the backend server beside a peer.
@@ -68,6 +75,7 @@
         sent_since: requests sent to it since the report.
         outstanding: requests sent to it that have no end yet.
         leaving: whether the peer takes no new requests.
+        refuses_until_ms: until when requests would be refused, by its last word.
         following: whether the peer follows the platform.
         failing: share of recent requests that failed there.
         pace: time that recent requests took, as share of the mean of all instances.
@@ -79,6 +87,7 @@
     sent_since: int = 0
     outstanding: int = 0
     leaving: bool = False
+    refuses_until_ms: float = 0.0
     following: bool = False
     failing: float = 0.0
     failing_at_ms: float = 0.0
@@ -116,35 +125,43 @@
         return 1.0 + (self.pace - 1.0) * _faded(now_ms - self.pace_at_ms)
 
 
-class PaceMeter:
-    """Mean times by kind of request, against which each request is measured."""
-
-    def __init__(self):
-        self._means_ms: dict[Hashable, float] = {}
+class RunningMeans:
+    """Means by kind of request, of the last dozens of values or of all at first.
 
-    def measure(self, kind: Hashable, time_ms: float) -> float:
-        """Return a request's time as share of the mean, and count it."""
-        mean_ms = self._means_ms.setdefault(kind, time_ms)
-        self._means_ms[kind] = mean_ms + MEAN_GAIN * (time_ms - mean_ms)
-        return time_ms / max(mean_ms, 1.0)
-
-
-class AnswerSizes:
-    """Mean lengths of answers by kind of request."""
+    Failure: a mean that starts from its first value alone keeps it for dozens of
+    requests. The first ones after a start are slow, so whoever is measured next looks
+    fast, and an instance that hasn't been tried yet is never preferred to it.
+    """
 
     def __init__(self):
         self._means: dict[Hashable, float] = {}
+        self._counts: Counter[Hashable] = Counter()
 
-    def count(self, kind: Hashable, answer_bytes: int) -> None:
-        """Count one answer."""
-        mean = self._means.setdefault(kind, float(answer_bytes))
-        self._means[kind] = mean + MEAN_GAIN * (answer_bytes - mean)
+    def count(self, kind: Hashable, value: float) -> None:
+        """Take in one value."""
+        self._counts[kind] += 1
+        # The later of the first values weigh more: those after a start are slow.
+        gain = max(MEAN_GAIN, 2 / (self._counts[kind] + 1))
+        mean = self._means.get(kind, 0.0)
+        self._means[kind] = mean + gain * (value - mean)
 
     def mean(self, kind: Hashable) -> float:
-        """Return the mean length in bytes; 0 before the first answer."""
+        """Return the mean; 0 before the first value."""
         return self._means.get(kind, 0.0)
 
 
+class PaceMeter:
+    """Mean times by kind of request, against which each request is measured."""
+
+    def __init__(self):
+        self._times_ms = RunningMeans()
+
+    def measure(self, kind: Hashable, time_ms: float) -> float:
+        """Return a request's time as share of the mean, and count it."""
+        self._times_ms.count(kind, time_ms)
+        return time_ms / max(self._times_ms.mean(kind), 1.0)
+
+
 def _faded(age_ms: float) -> float:
     return 0.5 ** (age_ms / HALF_LIFE_MS)
 
@@ -209,6 +226,8 @@
         load = self._load_of(instance.ip)
         if load is None or load.leaving or load.limit == 0:
             return None
+        if now_ms < load.refuses_until_ms:
+            return None
         limit = load.limit or max(instance.slots, 1)
         cost = (load.in_flight + load.queued + load.sent_since) / limit
         cost += FAILING_COST * load.failing_share(now_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -10,10 +10,11 @@
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import (
-    AnswerSizes,
+    LEAVING_WORD_MS,
     PaceMeter,
     PeerLoad,
     Placement,
+    RunningMeans,
 )
 from sassafraswinch_sidecar.relay_answers import (
     MAY_HAVE_RUN_STATUS,
@@ -100,7 +101,7 @@
         self._counts = counts
         self._log = log
         self._paces = PaceMeter()
-        self._sizes = AnswerSizes()
+        self._answer_bytes = RunningMeans()
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
@@ -173,7 +174,7 @@
         if response.verdict == Verdict.ANSWERED:
             self._answered(relay, response)
         elif response.verdict == Verdict.NOT_RUN:
-            self._not_run(relay, response)
+            self._not_run(relay, response, load)
         else:
             relay.may_have_run = True
             self._may_have_run(relay, response.reason)
@@ -213,7 +214,7 @@
         instances = self._fleet.of_service(relay.service)
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
-            answer_bytes = self._sizes.mean(relay.route.name)
+            answer_bytes = self._answer_bytes.mean(relay.route.name)
             instance = self._placement.choose(
                 instances, relay.tried, now_ms, answer_bytes
             )
@@ -283,7 +284,7 @@
                 relay.tried.discard(instance.id)
 
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
-        self._sizes.count(relay.route.name, len(response.body))
+        self._answer_bytes.count(relay.route.name, len(response.body))
         if relay.parent is None and response.status < 300:
             self._admission.learn(relay.route.name, relay.slot_ms)
         elif relay.parent is None:
@@ -325,11 +326,17 @@
             return
         self._deliver(relay, response)
 
-    def _not_run(self, relay: Relay, response: RelayResponse) -> None:
+    def _note_leaving(self, load: PeerLoad | None) -> None:
+        if load is not None:
+            load.refuses_until_ms = self._now_ms() + LEAVING_WORD_MS
+
+    def _not_run(
+        self, relay: Relay, response: RelayResponse, load: PeerLoad | None
+    ) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
         if response.reason == INSTANCE_LEAVING:
-            self._fleet.note_leaving(relay.instance_id)
+            self._note_leaving(load)
         if not response.offered:
             self._place(relay)
         elif relay.offers < relay.route.max_attempts and self._budget_allows(relay):
