Don't repeat a request for calls that couldn't be repeated

Cause: while the deepest service sheds half of what it gets, each service above repeats the requests that failed for it. All their calls count as repeats where they fail again.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -77,6 +77,8 @@
   9: required ServerLoad load
   /** Instance that the backend server says it is, where it refused another. */
   11: optional string actual_instance_id
+  /** Whether a call below failed that wasn't repeated, as too much is repeated. */
+  12: bool repeats_spent = false
 }
 
 /** Nobody waits for the answer any more. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -58,6 +58,7 @@
     ended: bool = False
     actual_instance_id: str | None = None
     held_bytes: int = 0
+    repeats_spent: bool = False
     calls_done: int = 0
     slot_ms: dict[str, float] = field(default_factory=dict)
 
@@ -364,6 +365,7 @@
                 ],
                 load=self.load(),
                 actual_instance_id=execution.actual_instance_id,
+                repeats_spent=execution.repeats_spent,
             )
         )
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -168,6 +168,7 @@
             relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
         if response.offered:
             relay.offers += 1
+        relay.repeats_spent = relay.repeats_spent or response.repeats_spent
         below = self._services_below.setdefault(relay.route.name, set())
         below.update(relay.slot_ms.keys() - {relay.service})
         self._learn(relay, response, load)
@@ -359,8 +360,19 @@
         )
 
     def _budget_allows(self, relay: Relay) -> bool:
-        below = self._services_below.get(relay.route.name, ())
-        return self._budget.allows(relay.service, self._now_ms(), below=below)
+        """Return whether a request may be repeated for all that is repeated already.
+
+        Failure: a service deep in the chain sheds half of its requests. Each service
+        above repeats the requests that failed for it, all their calls count as repeats
+        where they fail again, and within a second none are left for the calls
+        themselves, which alone can help.
+        """
+        if not relay.repeats_spent:
+            below = self._services_below.get(relay.route.name, ())
+            now_ms = self._now_ms()
+            allowed = self._budget.allows(relay.service, now_ms, below=below)
+            relay.repeats_spent = not allowed
+        return not relay.repeats_spent
 
     def _repeat(self, relay: Relay, reason: str) -> None:
         self._log.failed(
@@ -419,6 +431,7 @@
         parent = relay.parent
         if parent is not None and not parent.ended:
             parent.calls_done += 1
+            parent.repeats_spent = parent.repeats_spent or relay.repeats_spent
             for service, taken_ms in relay.slot_ms.items():
                 known_ms = parent.slot_ms.get(service, 0.0)
                 parent.slot_ms[service] = known_ms + taken_ms
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -38,6 +38,8 @@
         offers: backend servers that it was written to.
         places: sidecars that were asked to run it.
         may_have_run: whether an offer ended without a proof.
+        repeats_spent: whether it, or a call below it, failed and wasn't repeated since
+            too much is repeated.
         last_answer: a failure that a backend server answered, while it is repeated.
         ended: whether the caller has its answer, or left.
         slot_ms: slot time that it and the calls below it took, by service.
@@ -62,6 +64,7 @@
     offers: int = 0
     places: int = 0
     may_have_run: bool = False
+    repeats_spent: bool = False
     last_answer: RelayResponse | None = None
     ended: bool = False
     slot_ms: dict[str, float] = field(default_factory=dict)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -615,6 +615,7 @@
      - slot_times
      - load
      - actual_instance_id: Instance that the backend server says it is, where it refused another.
+     - repeats_spent: Whether a call below failed that wasn't repeated, as too much is repeated.
 
     """
 
@@ -629,10 +630,11 @@
         'slot_times',
         'load',
         'actual_instance_id',
+        'repeats_spent',
     )
 
 
-    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, actual_instance_id=None,):
+    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, actual_instance_id=None, repeats_spent=False,):
         self.call_id = call_id
         self.verdict = verdict
         self.status = status
@@ -643,6 +645,7 @@
         self.slot_times = slot_times
         self.load = load
         self.actual_instance_id = actual_instance_id
+        self.repeats_spent = repeats_spent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -710,6 +713,11 @@
                     self.actual_instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.repeats_spent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -763,6 +771,10 @@
             oprot.writeFieldBegin('actual_instance_id', TType.STRING, 11)
             oprot.writeString(self.actual_instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.actual_instance_id)
             oprot.writeFieldEnd()
+        if self.repeats_spent is not None:
+            oprot.writeFieldBegin('repeats_spent', TType.BOOL, 12)
+            oprot.writeBool(self.repeats_spent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1721,6 +1733,7 @@
     (9, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 9
     None,  # 10
     (11, TType.STRING, 'actual_instance_id', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'repeats_spent', None, False, ),  # 12
 )
 all_structs.append(RelayCancel)
 RelayCancel.thrift_spec = (
