--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -9,13 +9,7 @@
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.placement import (
-    LEAVING_WORD_MS,
-    PaceMeter,
-    PeerLoad,
-    Placement,
-    RunningMeans,
-)
+from sassafraswinch_sidecar.placement import PeerLoad, Placement
 from sassafraswinch_sidecar.relay_answers import (
     MAY_HAVE_RUN_STATUS,
     NOT_RUN_STATUS,
@@ -23,12 +17,14 @@
     RelayAnswers,
 )
 from sassafraswinch_sidecar.relay_intake import Relay, RelayIntake
+from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayCancel,
     RelayRequest,
     RelayResponse,
     Verdict,
 )
+from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
@@ -46,9 +42,6 @@
 """Instances that are asked for one request; refusals by their sidecars before the
 backend server are free, but each takes a way there and back."""
 
-MIN_RETRY_LEFT_MS = 40.0
-"""Time that must be left for one more try: a way across and a short run."""
-
 FINAL_MARGIN_MS = 130.0
 """Time past its limit until which the answer of the executing sidecar is awaited: it
 tells whether the request has run."""
@@ -87,7 +80,7 @@
     ):
         self.relays: dict[int, Relay] = {}
         self.own_load = PeerLoad()
-        self.refuse_new = False
+        self._closed = False
         self._own_ip = own_ip
         self._intake = intake
         self._answers = answers
@@ -96,17 +89,15 @@
         self._executor = executor
         self._placement = placement
         self._admission = admission
-        self._budget = budget
         self._held = held
         self._counts = counts
         self._log = log
-        self._paces = PaceMeter()
-        self._answer_bytes = RunningMeans()
+        self._repeats = RelayRepeats(budget=budget, now_ms=self._now_ms)
+        self._lessons = RelayLessons(admission=admission, now_ms=self._now_ms)
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
         self._substitutes = Substitutes()
-        self._services_below: dict[str, set[str]] = {}
         self._by_http: dict[HttpRequest, Relay] = {}
 
     @property
@@ -116,7 +107,7 @@
 
     def handle(self, http: HttpRequest, connection: CallerConnection) -> None:
         """Take a request (RequestHandler)."""
-        taken = self._intake.take(http, connection, closed=self.refuse_new)
+        taken = self._intake.take(http, connection, closed=self._closed)
         if not isinstance(taken, Relay):
             self._answers.refuse(http, connection, taken)
             return
@@ -126,6 +117,10 @@
             return
         self._place(relay)
 
+    def close(self) -> None:
+        """Take no requests any more; those under way go on."""
+        self._closed = True
+
     def gone(self, http: HttpRequest) -> None:
         """The caller has left: stop what is idempotent (RequestHandler)."""
         relay = self._by_http.get(http)
@@ -169,10 +164,8 @@
         if response.offered:
             relay.offers += 1
         relay.repeats_spent = relay.repeats_spent or response.repeats_spent
-        if len(relay.slot_ms) > 1:
-            below = self._services_below.setdefault(relay.route.name, set())
-            below.update(relay.slot_ms.keys() - {relay.service})
-        self._learn(relay, response, load)
+        self._repeats.learn(relay)
+        self._lessons.execution_ended(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
             self._answered(relay, response)
         elif response.verdict == Verdict.NOT_RUN:
@@ -216,7 +209,7 @@
         instances = self._fleet.of_service(relay.service)
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
-            answer_bytes = self._answer_bytes.mean(relay.route.name)
+            answer_bytes = self._lessons.answer_bytes(relay.route.name)
             instance = self._placement.choose(
                 instances, relay.tried, now_ms, answer_bytes
             )
@@ -265,8 +258,7 @@
             progress=relay.progress,
         )
         self.relays[call_id] = relay
-        if relay.repeated or relay.places == 1:
-            self._budget.sent(relay.service, repeated=relay.repeated, now_ms=now_ms)
+        self._repeats.sent(relay)
         if instance.ip == self._own_ip:
             self.own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
@@ -286,97 +278,46 @@
                 relay.tried.discard(instance.id)
 
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
-        served = response.status < 300
-        if served:
-            self._answer_bytes.count(relay.route.name, len(response.body))
-        if relay.parent is None and served:
-            self._admission.learn(relay.route.name, relay.slot_ms)
-        elif relay.parent is None:
-            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
+        self._lessons.answered(relay, response)
         self._answers.deliver(relay, response)
         self._finish(relay)
 
     def _fail(self, relay: Relay, reason: str, status: int) -> None:
-        if relay.parent is None and relay.slot_ms:
-            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
+        self._lessons.failed(relay)
         self._answers.fail(relay, reason, status)
         self._finish(relay)
 
     def _own_response(self, response: RelayResponse) -> None:
         self._loop.call_soon(self.response, response, self.own_load)
 
-    def _learn(
-        self, relay: Relay, response: RelayResponse, load: PeerLoad | None
-    ) -> None:
-        """Learn from the end of a request how fast and sound its instance is."""
-        if load is None or not response.offered:
-            return
-        now_ms = self._now_ms()
-        failed = response.verdict != Verdict.ANSWERED or response.status >= 500
-        if response.reason != "deadline":
-            load.ended(failed=failed, now_ms=now_ms)
-        for taken in response.slot_times:
-            if not failed and taken.service_name == relay.service:
-                pace = self._paces.measure(
-                    (relay.route.name, relay.service), taken.slot_ms
-                )
-                load.took(pace, now_ms)
-
     def _answered(self, relay: Relay, response: RelayResponse) -> None:
         server_failed = response.status >= 500
-        if server_failed and self._may_repeat(relay):
+        if server_failed and self._repeats.allow_failed(relay):
             relay.last_answer = response
             self._repeat(relay, f"status-{response.status}")
             return
         self._deliver(relay, response)
 
-    def _note_leaving(self, load: PeerLoad | None) -> None:
-        if load is not None:
-            load.refuses_until_ms = self._now_ms() + LEAVING_WORD_MS
-
     def _not_run(
         self, relay: Relay, response: RelayResponse, load: PeerLoad | None
     ) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
         if response.reason == INSTANCE_LEAVING:
-            self._note_leaving(load)
+            self._lessons.refused_as_leaving(load)
         if not response.offered:
             self._place(relay)
-        elif relay.offers < relay.route.max_attempts and self._budget_allows(relay):
+        elif self._repeats.allow_unrun(relay):
             self._repeat(relay, response.reason)
         else:
             self._end(relay, response.reason)
 
     def _may_have_run(self, relay: Relay, reason: str) -> None:
-        if self._may_repeat(relay):
+        if self._repeats.allow_failed(relay):
             self._repeat(relay, reason)
         else:
             self._end(relay, reason)
 
-    def _may_repeat(self, relay: Relay) -> bool:
-        return (
-            relay.route.idempotent
-            and relay.offers < relay.route.max_attempts
-            and relay.deadline_ms - self._now_ms() >= MIN_RETRY_LEFT_MS
-            and self._budget_allows(relay)
-        )
-
-    def _budget_allows(self, relay: Relay) -> bool:
-        """Return whether a request may be repeated for all that is repeated already.
-
-        Failure: a service deep in the chain sheds half of its requests. Each service
-        above repeats the requests that failed for it, all their calls count as repeats
-        where they fail again, and within a second none are left for the calls
-        themselves, which alone can help.
-        """
-        if not relay.repeats_spent:
-            below = self._services_below.get(relay.route.name, ())
-            now_ms = self._now_ms()
-            allowed = self._budget.allows(relay.service, now_ms, below=below)
-            relay.repeats_spent = not allowed
-        return not relay.repeats_spent
-
     def _repeat(self, relay: Relay, reason: str) -> None:
         self._log.failed(
             "repeated",
@@ -394,7 +335,7 @@
             self._deliver(relay, relay.last_answer)
             return
         reason = "no-instance" if not known else "no-room"
-        if relay.deadline_ms - self._now_ms() < MIN_RETRY_LEFT_MS:
+        if not self._repeats.has_time(relay):
             reason = "deadline"
         self._end(relay, reason)
 
@@ -405,8 +346,8 @@
         elif not relay.may_have_run:
             self._fail(relay, reason, NOT_RUN_STATUS)
         else:
-            late = relay.deadline_ms - self._now_ms() < MIN_RETRY_LEFT_MS
-            status = TIMEOUT_STATUS if late else MAY_HAVE_RUN_STATUS
+            in_time = self._repeats.has_time(relay)
+            status = MAY_HAVE_RUN_STATUS if in_time else TIMEOUT_STATUS
             self._fail(relay, reason, status)
 
     def _timed_out(self, relay: Relay) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -20,6 +20,7 @@
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.peer_reports import PeerReports
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
+from sassafraswinch_sidecar.planned_stop import finish_requests
 from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
 from sassafraswinch_sidecar.relay import RelayOwner
@@ -46,16 +47,6 @@
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
 a timer for each request costs a twentieth of its processor time."""
 
-SERVE_ON_SHARE = 0.55
-"""Part of the time to stop in which new requests are still served. The platform sends
-callers elsewhere after two missed questions, a second apart."""
-
-STOP_SHARE = 0.85
-"""Part of that time after which the process ends, whatever is in flight."""
-
-QUIET_MS = 300.0
-"""Time without any request after which a stopping process ends early."""
-
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -331,28 +322,17 @@
 
     async def _drain(self) -> None:
         """Finish what is under way, while callers and peers go elsewhere."""
-        drain_ms = self._settings.drain_s * 1000
-        began_ms = self._now_ms()
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
         reply = self._reports.reply(0)
         for link in self._links.accepted:
             link.send(reply)
         self._outbound.drain()
-        quiet_since_ms = began_ms
-        while True:
-            await asyncio.sleep(0.05)
-            now_ms = self._now_ms()
-            spent_ms = now_ms - began_ms
-            if spent_ms > drain_ms * SERVE_ON_SHARE:
-                self._owner.refuse_new = True
-            if self._in_flight():
-                quiet_since_ms = now_ms
-            served_on = spent_ms > drain_ms * SERVE_ON_SHARE
-            if served_on and now_ms - quiet_since_ms > QUIET_MS:
-                return
-            if spent_ms > drain_ms * STOP_SHARE:
-                return
+        await finish_requests(
+            drain_ms=self._settings.drain_s * 1000,
+            in_flight=self._in_flight,
+            refuse_new=self._owner.close,
+        )
 
     async def _close(self) -> None:
         log_event("stopped", level="warning", in_flight=self._in_flight())
