Learn from lost connections how soon a server forgets idle ones

A request that must not run twice took any connection of up to a second's rest; the reset one may have run, so it fails for good. Change: a loss without any answer after a rest of 100 ms or more halves the rest that is trusted, for 8 s.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -10,6 +10,7 @@
 import httptools
 
 from sassafraswinch_sidecar.http_fields import Fields, has_body
+from sassafraswinch_sidecar.idle_limit import IdleLimit
 
 CONNECT_TIMEOUT_S = 1.0
 """Time for a connection on the same host or in the same area; dropped opening
@@ -22,10 +23,6 @@
 IDLE_MARGIN_MS = 1_500.0
 """Time before the stated timeout at which a connection isn't used again."""
 
-FRESH_MS = 1_000.0
-"""Idle time up to which a request that must not run twice may use a connection. One
-that its server dropped meanwhile resets it, and nobody knows whether it ran."""
-
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Longest body of an answer; a faulty server may send without an end."""
@@ -83,8 +80,15 @@
 class ServerConnection(asyncio.Protocol):
     """One connection, with one request at a time."""
 
-    def __init__(self, *, released: Callable[["ServerConnection"], None]):
+    def __init__(
+        self,
+        *,
+        released: Callable[["ServerConnection"], None],
+        lost_unanswered: Callable[["ServerConnection"], None],
+    ):
         self._released = released
+        self._lost_unanswered = lost_unanswered
+        self._heard = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -92,6 +96,7 @@
         self._foreign = False
         self.usable = True
         self.idle_since_ms = 0.0
+        self.rested_ms = 0.0
         self.idle_limit_ms = IDLE_MS
         self._new_message()
 
@@ -111,6 +116,7 @@
         """Write a request; the connection must be idle."""
         self._exchange = exchange
         exchange.connection = self
+        self._heard = False
         self._new_message()
         self._transport.write(exchange.payload)
 
@@ -127,6 +133,7 @@
             # Bytes without a request: a late second answer, which belongs to nobody.
             self.abort()
             return
+        self._heard = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -149,6 +156,8 @@
         if self._until_close and self._clean_end and exc is None:
             self._finish(self._response())
         else:
+            if not self._heard:
+                self._lost_unanswered(self)
             self._fail(Fault.RESET)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -246,6 +255,7 @@
         self._port = port
         self._loop = asyncio.get_running_loop()
         self._idle: deque[ServerConnection] = deque()
+        self._idle_limit = IdleLimit()
         self._connecting: set[asyncio.Task] = set()
 
     def send(self, exchange: Exchange, *, fresh: bool = False) -> None:
@@ -293,10 +303,11 @@
             idle_ms = now_ms - connection.idle_since_ms
             if not _reusable(connection, now_ms):
                 connection.abort()
-            elif fresh and idle_ms > FRESH_MS:
+            elif fresh and idle_ms > self._idle_limit.limit_ms(now_ms):
                 idle.append(connection)
                 return None
             else:
+                connection.rested_ms = idle_ms
                 return connection
         return None
 
@@ -324,7 +335,13 @@
         return connection
 
     def _connection(self) -> ServerConnection:
-        return ServerConnection(released=self._release)
+        return ServerConnection(
+            released=self._release, lost_unanswered=self._lost_unanswered
+        )
+
+    def _lost_unanswered(self, connection: ServerConnection) -> None:
+        now_ms = self._loop.time() * 1000
+        self._idle_limit.lost(connection.rested_ms, now_ms)
 
     def _release(self, connection: ServerConnection) -> None:
         if connection.usable:
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -7,12 +7,12 @@
 import pytest
 
 from sassafraswinch_sidecar.http_client import (
-    FRESH_MS,
     Exchange,
     Fault,
     HttpClient,
     HttpResponse,
 )
+from sassafraswinch_sidecar.idle_limit import FRESH_MS
 from sidecar_standins.backend import Backend, answer
 from sidecar_standins.fleet import request_bytes, until
 
@@ -85,6 +85,24 @@
     assert len(backend.connections) == 2
 
 
+async def test_lost_idle_connection_shortens_the_rest_that_is_trusted(client, backend):
+    """A server forgets connections that rested for 400 ms. The first request that
+    meets one is lost; the next that must not run twice takes a new connection.
+    """
+    await ask(client)
+    client._idle[0].idle_since_ms -= 400.0
+    backend.behaviour = lambda connection, seen: connection.transport.abort()
+    assert await ask(client, "r-2") is Fault.RESET
+    backend.behaviour = backend.serve
+    await ask(client, "r-3")
+    client._idle[0].idle_since_ms -= 300.0
+    await ask(client, "r-4", fresh=True)
+    assert len(backend.connections) == 3
+    client._idle[-1].idle_since_ms -= 100.0
+    await ask(client, "r-5", fresh=True)
+    assert len(backend.connections) == 3
+
+
 async def test_stated_timeout_of_idle_connections_is_kept(client, backend):
     backend.behaviour = lambda connection, seen: connection.transport.write(
         answer(seen, fields=b"Keep-Alive: timeout=2\r\n")
