--- a/packages/sassafraswinch/sassafraswinch/forwarding.py
+++ b/packages/sassafraswinch/sassafraswinch/forwarding.py
@@ -154,20 +154,8 @@
             reason = lost or Reason.TICKET_OWNER_RESTARTED
             self._tell(forwarded, unproved(reason), now_ms)
             return
-        request = forwarded.request
         left_ms = forwarded.deadline_at_ms - now_ms
-        message = Forward(
-            number=forwarded.number,
-            ticket=request.ticket,
-            caller=request.caller,
-            organisation=request.organisation,
-            service=request.service,
-            method=request.method,
-            target=request.target,
-            headers=request.headers,
-            body=request.body,
-            remaining_ms=max(0, int(left_ms)),
-        )
+        message = forward_of(forwarded.request, forwarded.number, left_ms)
         forwarded.session = self.links.send(forwarded.owner.host, message)
         forwarded.written |= forwarded.session is not None
 
@@ -191,3 +179,41 @@
 def unproved(reason: Reason) -> Outcome:
     """Return the outcome of a request whose fate isn't known here."""
     return Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=reason)
+
+
+def forward_of(request: Request, number: int, left_ms: float) -> Forward:
+    """Return the message that hands a request to the owner of its ticket.
+
+    Args:
+        request: the request.
+        number: names it between the two nodes.
+        left_ms: time in which an answer is of use.
+    """
+    return Forward(
+        number=number,
+        ticket=request.ticket,
+        caller=request.caller,
+        organisation=request.organisation,
+        service=request.service,
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        remaining_ms=max(0, int(left_ms)),
+    )
+
+
+def request_of(forward: Forward) -> Request:
+    """Return the request that a message hands over; no caller of this node sent it."""
+    return Request(
+        handle=0,
+        service=forward.service,
+        method=forward.method,
+        target=forward.target,
+        headers=forward.headers,
+        body=forward.body,
+        caller=forward.caller,
+        organisation=forward.organisation,
+        ticket=forward.ticket,
+        deadline_ms=forward.remaining_ms,
+    )
--- a/packages/sassafraswinch/sassafraswinch/node.py
+++ b/packages/sassafraswinch/sassafraswinch/node.py
@@ -15,7 +15,7 @@
 from sassafraswinch.entry_limits import EntryLimits
 from sassafraswinch.execution import ExecutionLedger
 from sassafraswinch.executor import Executor
-from sassafraswinch.forwarding import Forwarder
+from sassafraswinch.forwarding import Forwarder, request_of
 from sassafraswinch.gate import Gate
 from sassafraswinch.host_exchange import HostExchange
 from sassafraswinch.levels import EntryShedder
@@ -350,20 +350,8 @@
             self.owner.answered(node, answer, now_ms)
 
     def _take_forward(self, node: NodeId, forward: Forward, now_ms: float) -> None:
-        request = Request(
-            handle=0,
-            service=forward.service,
-            method=forward.method,
-            target=forward.target,
-            headers=forward.headers,
-            body=forward.body,
-            caller=forward.caller,
-            organisation=forward.organisation,
-            ticket=forward.ticket,
-            deadline_ms=forward.remaining_ms,
-        )
         waiter = RemoteWaiter(node=node, number=forward.number)
-        self.entry.submit(request, waiter, now_ms)
+        self.entry.submit(request_of(forward), waiter, now_ms)
 
     def _settle(self, now_ms: float) -> None:
         """Carry on until nothing is left to do at this moment."""
--- a/packages/sassafraswinch/tests/test_spreading.py
+++ b/packages/sassafraswinch/tests/test_spreading.py
@@ -15,7 +15,7 @@
 from sassafraswinch.read_budget import DOCUMENT_WATCHES
 from sassafraswinch.versions import ConfigKeeper
 
-from .test_versions import body_of, digest, parse
+from .utils.config_keepers import body_of, digest, parse
 
 NODES, SERVICES, ZONES, SERVICES_CALLED = 560, 50, 6, 4
 IN_FORCE_MS = 9_000
