--- a/packages/sassafraswinch-sidecar/tests/test_standstill.py
+++ b/packages/sassafraswinch-sidecar/tests/test_standstill.py
@@ -17,12 +17,15 @@
     def suspend(self, for_ms):
         self.boot_ms += for_ms
 
+    def standstill(self):
+        return Standstill(
+            boot_ms=lambda: self.boot_ms, steady_ms=lambda: self.steady_ms
+        )
+
 
 def test_only_time_that_the_steady_clock_missed_is_a_standstill():
     clocks = Clocks()
-    standstill = Standstill(
-        boot_ms=lambda: clocks.boot_ms, steady_ms=lambda: clocks.steady_ms
-    )
+    standstill = clocks.standstill()
     clocks.run(5_000.0)
     assert standstill.look() == 0.0
     clocks.suspend(3_000.0)
@@ -33,8 +36,6 @@
 
 def test_clocks_that_are_read_a_moment_apart_are_no_standstill():
     clocks = Clocks()
-    standstill = Standstill(
-        boot_ms=lambda: clocks.boot_ms, steady_ms=lambda: clocks.steady_ms
-    )
+    standstill = clocks.standstill()
     clocks.suspend(20.0)
     assert standstill.look() == 0.0
