Take entries of other writers for no server, and a restart under an id for a new lifetime

A server that starts again under its id kept what was learnt of its former lifetime.

Identity is id and incarnation in placement, tried servers, substitutes, cold time and the order at an address.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -17,12 +17,17 @@
 """Shortest outage in which entries expire: they live for several heartbeats."""
 
 
+InstanceIdentity = tuple[str, int]
+"""Id and incarnation, which together name one lifetime of a backend server."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Instance:
     """One lifetime of a backend server.
 
     Attributes:
-        id: names this lifetime and no other.
+        id: names the server to itself and the platform; a server that starts again
+            may have the id that it had.
         service: name of the service.
         ip: IP number of its host, where a sidecar accepts links.
         port: port of the server, which with the IP number has one server at a time.
@@ -30,6 +35,8 @@
         slots: requests that it runs at once.
         leaving: whether it must get no new work.
         cold_ms: how much longer it was slow when this was written.
+        incarnation: tells lifetimes of one id apart, later ones by a greater number;
+            0 where the platform doesn't tell it.
     """
 
     id: str
@@ -40,6 +47,12 @@
     slots: int
     leaving: bool
     cold_ms: float
+    incarnation: int = 0
+
+    @property
+    def identity(self) -> InstanceIdentity:
+        """What names this lifetime and no other."""
+        return self.id, self.incarnation
 
 
 class Decoder(Protocol):
@@ -69,8 +82,10 @@
 class Fleet:
     """What the platform's data means: instances by service, and the route table.
 
-    An item that can't be read changes nothing: what was in force stays, and the
-    fault is reported. The table's version never falls in the lifetime of a process.
+    Routes that can't be read change nothing: what was in force stays. An instance that
+    can't be read gets no new work until it can: another writer may have replaced its
+    entry. Both faults are reported. The table's version never falls in the lifetime of
+    a process.
     """
 
     def __init__(
@@ -87,7 +102,7 @@
         self._known_at_ms: dict[str, float] = {}
         self._held: dict[str, float] = {}
         self._removed: dict[str, None] = {}
-        self._born: dict[str, int] = {}
+        self._first_revisions: dict[str, int] = {}
         self._away_since_ms: float | None = None
         self._hold_until_ms = 0.0
 
@@ -161,13 +176,19 @@
             instance = self._decoder.parse_instance(instance_id, entry.value)
         except InvalidFieldsError as error:
             self._report(error)
+            self.instances.pop(instance_id, None)
+            self._held.pop(instance_id, None)
             return
         self._held.pop(instance_id, None)
         self._removed.pop(instance_id, None)
-        if self.instances.get(instance_id) != instance:
+        known = self.instances.get(instance_id)
+        if known != instance:
             self._known_at_ms[instance_id] = now_ms
+        if known is not None and known.incarnation != instance.incarnation:
+            # It started anew: at its address it is the later one from now on.
+            self._first_revisions.pop(instance_id, None)
         self.instances[instance_id] = instance
-        self._born.setdefault(instance_id, entry.revision)
+        self._first_revisions.setdefault(instance_id, entry.revision)
 
     def _was_away_long(self, now_ms: float) -> bool:
         since_ms = self._away_since_ms
@@ -188,7 +209,7 @@
     def _remove(self, instance_id: str) -> None:
         self.instances.pop(instance_id, None)
         self._known_at_ms.pop(instance_id, None)
-        self._born.pop(instance_id, None)
+        self._first_revisions.pop(instance_id, None)
         self._removed[instance_id] = None
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -210,12 +231,27 @@
         gone. An address has one server at a time, the one that was written last.
         """
         at_address: dict[tuple[str, int], Instance] = {}
-        for instance in self.instances.values():
+        first_revisions = self._first_revisions
+        for instance in self._of_known_services():
             address = (instance.ip, instance.port)
             known = at_address.get(address)
-            if known is None or self._born[instance.id] > self._born[known.id]:
+            if (
+                known is None
+                or first_revisions[instance.id] > first_revisions[known.id]
+            ):
                 at_address[address] = instance
         self._by_service = {}
         for instance in at_address.values():
             if not instance.leaving:
                 self._by_service.setdefault(instance.service, []).append(instance)
+
+    def _of_known_services(self) -> Iterable[Instance]:
+        """Return the instances without those of services that nobody configured.
+
+        Failure: an entry of another writer names a service that doesn't exist, and the
+        address of a server that does; that server gets no more work.
+        """
+        services = self.table.server_services if self.table else frozenset()
+        if not services:
+            return self.instances.values()
+        return (i for i in self.instances.values() if i.service in services)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, Capacity
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.fleet import Instance, InstanceIdentity
 from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
 
 OTHER_ZONE_COST = 0.25
@@ -79,6 +79,7 @@
         following: whether the peer follows the platform.
         failing: share of recent requests that failed there.
         pace: time that recent requests took, as share of the mean of all instances.
+        identity: lifetime of the server that the last two were learnt of.
     """
 
     in_flight: int = 0
@@ -93,6 +94,20 @@
     failing_at_ms: float = 0.0
     pace: float = 1.0
     pace_at_ms: float = 0.0
+    identity: InstanceIdentity | None = None
+
+    def is_of(self, identity: InstanceIdentity) -> None:
+        """Note which lifetime of the server requests go to from now on.
+
+        Failure: a server that failed half of its requests is started anew, perhaps
+        under the id that it had, and is avoided for what the former one did.
+        """
+        if identity == self.identity:
+            return
+        if self.identity is not None:
+            self.failing = 0.0
+            self.pace = 1.0
+        self.identity = identity
 
     def report(self, told: ServerLoad) -> None:
         """Take in what the peer says of its backend server."""
@@ -196,7 +211,7 @@
     def choose(
         self,
         instances: Iterable[Instance],
-        tried: Container[str],
+        tried: Container[InstanceIdentity],
         now_ms: float,
         answer_bytes: float = 0.0,
     ) -> Instance | None:
@@ -204,13 +219,13 @@
 
         Args:
             instances: the instances of the service.
-            tried: ids of those that were asked before.
+            tried: lifetimes that were asked before.
             now_ms: monotonic time.
             answer_bytes: mean length of the answers of such requests.
         """
         bytes_cost = min(answer_bytes / 1000 * ZONE_COST_PER_KB, MAX_BYTES_COST)
         other_zone_cost = OTHER_ZONE_COST + bytes_cost
-        candidates = [found for found in instances if found.id not in tried]
+        candidates = [found for found in instances if found.identity not in tried]
         if len(candidates) > SAMPLE:
             candidates = self._rng.sample(candidates, SAMPLE)
         best, best_cost = None, float("inf")
@@ -228,6 +243,7 @@
             return None
         if now_ms < load.refuses_until_ms:
             return None
+        load.is_of(instance.identity)
         limit = load.limit or max(instance.slots, 1)
         cost = (load.in_flight + load.queued + load.sent_since) / limit
         cost += FAILING_COST * load.failing_share(now_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -220,7 +220,7 @@
             self._no_place(relay, len(instances))
             return
         relay.places += 1
-        relay.tried.add(instance.id)
+        relay.tried.add(instance.identity)
         self._send(relay, instance, left_ms)
 
     def _place_again(self, relay: Relay) -> None:
@@ -236,7 +236,7 @@
         now_ms = self._now_ms()
         call_id = relay.call_id = next(self._call_ids)
         relay.ip = instance.ip
-        relay.instance_id = self._substitutes.actual_id(instance.id, now_ms)
+        relay.instance_id = self._substitutes.actual_id(instance, now_ms)
         share = INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE
         span_ms = left_ms if inner else relay.route.target_latency_ms
         request = RelayRequest(
@@ -274,8 +274,8 @@
     def _note_instance(self, relay: Relay, actual_id: str) -> None:
         for instance in self._fleet.of_service(relay.service):
             if instance.ip == relay.ip and instance.id != actual_id:
-                self._substitutes.note(instance.id, actual_id, self._now_ms())
-                relay.tried.discard(instance.id)
+                self._substitutes.note(instance, actual_id, self._now_ms())
+                relay.tried.discard(instance.identity)
 
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
         self._lessons.answered(relay, response)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -6,7 +6,7 @@
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import LEVELS
 from sassafraswinch_sidecar.executor import Execution, Executor
-from sassafraswinch_sidecar.fleet import Fleet
+from sassafraswinch_sidecar.fleet import Fleet, InstanceIdentity
 from sassafraswinch_sidecar.http_fields import DROPPED, serialize_end_to_end
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
@@ -34,7 +34,7 @@
         call_id: number of the call under way.
         ip: host that the call was sent to.
         instance_id: instance that the call was sent to.
-        tried: instances that were asked.
+        tried: lifetimes of servers that were asked.
         offers: backend servers that it was written to.
         places: sidecars that were asked to run it.
         may_have_run: whether an offer ended without a proof.
@@ -60,7 +60,7 @@
     call_id: int = 0
     ip: str = ""
     instance_id: str = ""
-    tried: set[str] = field(default_factory=set)
+    tried: set[InstanceIdentity] = field(default_factory=set)
     offers: int = 0
     places: int = 0
     may_have_run: bool = False
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
@@ -51,11 +51,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RouteTable:
-    """One version of all routes."""
+    """One version of all routes.
+
+    Attributes:
+        version: never falls.
+        routes: all routes.
+        limits: bounds on what callers may send.
+        known_services: services that servers may belong to, besides those that a
+            route leads to; empty where the platform doesn't list them.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits = RequestLimits()
+    known_services: frozenset[str] = frozenset()
     _by_host: dict[str, dict[str, Route]] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
@@ -82,6 +91,11 @@
                 return route
         return None
 
+    @property
+    def server_services(self) -> frozenset[str]:
+        """Names of all services that servers may belong to; empty if not listed."""
+        return self.known_services and self.known_services | self.services
+
     @property
     def services(self) -> frozenset[str]:
         """Names of all services that a route leads to."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/substitutes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/substitutes.py
@@ -1,5 +1,7 @@
 """Instance ids that servers tell themselves, before the platform knows them."""
 
+from sassafraswinch_sidecar.fleet import Instance, InstanceIdentity
+
 SUBSTITUTE_MS = 6_000.0
 """Time in which an instance id that a server told stands in for the one that the
 platform names at its address: entries of ended servers expire within it."""
@@ -13,19 +15,19 @@
     """
 
     def __init__(self):
-        self._actual_ids: dict[str, tuple[str, float]] = {}
+        self._actual_ids: dict[InstanceIdentity, tuple[str, float]] = {}
 
-    def note(self, instance_id: str, actual_id: str, now_ms: float) -> None:
+    def note(self, instance: Instance, actual_id: str, now_ms: float) -> None:
         """Take in the id of the server at an instance's address."""
-        self._actual_ids[instance_id] = (actual_id, now_ms)
+        self._actual_ids[instance.identity] = (actual_id, now_ms)
 
-    def actual_id(self, instance_id: str, now_ms: float) -> str:
+    def actual_id(self, instance: Instance, now_ms: float) -> str:
         """Return the id by which the server at an instance's address answers."""
-        told = self._actual_ids.get(instance_id)
+        told = self._actual_ids.get(instance.identity)
         if told is None:
-            return instance_id
+            return instance.id
         actual_id, told_ms = told
         if now_ms - told_ms <= SUBSTITUTE_MS:
             return actual_id
-        del self._actual_ids[instance_id]
-        return instance_id
+        del self._actual_ids[instance.identity]
+        return instance.id
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -118,3 +118,54 @@
     world.write(ROUTES, b'{"fault": true}', 0.0)
     assert world.fleet.table.version == 5
     assert len(world.faults) == 1
+
+
+def test_entry_that_cant_be_read_names_no_server_until_it_can():
+    """Another writer replaces a server's entry by something odd. The server may be
+    anything by now, so it gets no new work; its next report is used at once.
+    """
+    world = World()
+    world.put("a", 0.0)
+    world.put("b", 0.0, ip="10.0.0.2")
+    world.write(INSTANCE + "a", b'{"fault": true}', 10.0)
+    assert world.ids() == ["b"]
+    assert len(world.faults) == 1
+    world.put("a", 20.0)
+    assert sorted(world.ids()) == ["a", "b"]
+
+
+def test_server_that_starts_again_under_its_id_is_cold_anew_and_the_later_one():
+    """A server crashes and starts again under the id that it had. Taken for the former
+    lifetime, it would count as warm, and an entry that another server left at the
+    address meanwhile would count as the later one.
+    """
+    world = World()
+    world.put("a", 0.0, cold_ms=3_000.0, incarnation=1)
+    world.put("between", 5_000.0)
+    assert world.ids() == ["between"]
+    world.put("a", 9_000.0, cold_ms=3_000.0, incarnation=2)
+    assert world.ids() == ["a"]
+    (found,) = world.fleet.of_service("archiv")
+    assert world.fleet.cold_left_ms(found, 10_000.0) == 2_000.0
+
+
+def test_server_that_left_and_starts_again_under_its_id_gets_work():
+    world = World()
+    world.put("a", 0.0, leaving=True, incarnation=1)
+    world.remove("a", 10.0)
+    assert world.fleet.is_leaving("a")
+    world.put("a", 20.0, incarnation=2)
+    assert world.ids() == ["a"]
+    assert not world.fleet.is_leaving("a")
+
+
+def test_entry_of_a_service_that_nobody_configured_replaces_no_server():
+    """Another writer names a service that doesn't exist at the address of a server
+    that does: that server keeps its work.
+    """
+    world = World()
+    table = {"version": 1, "routes": [], "known_services": ["archiv"]}
+    world.write(ROUTES, json.dumps(table).encode(), 0.0)
+    world.put("a", 0.0)
+    world.put("odd", 10.0, service="nothing")
+    assert world.ids() == ["a"]
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 from sassafraswinch_sidecar.placement import (
     PaceMeter,
@@ -144,3 +145,20 @@
     assert choices(loads, [warm, cold]) == {"i-1": 200}
     loads[warm.ip].in_flight = 45
     assert choices(loads, [warm, cold]) == {"i-2": 200}
+
+
+def test_server_that_starts_again_under_its_id_isnt_avoided_for_what_it_was():
+    """A server that failed every request is started anew under the id that it had. It
+    would get no work for seconds, while the others run at their limit.
+    """
+    first, other = new_instance(1), new_instance(2)
+    loads = loads_of([first, other])
+    placement = new_placement(loads)
+    loads[other.ip].in_flight = 20
+    placement.choose([first, other], (), 0.0)
+    for _ in range(50):
+        loads[first.ip].ended(failed=True, now_ms=0.0)
+        loads[first.ip].took(4.0, 0.0)
+    assert placement.choose([first, other], (), 0.0) is other
+    again = replace(first, incarnation=2)
+    assert placement.choose([again, other], (first.identity,), 0.0) is again
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,8 +1,10 @@
 """The platform's values, read once into the product's types."""
 
+import contextlib
 import json
 
 import pytest
+from hypothesis import given, strategies as st
 
 from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch_platform.decoding import PlatformDecoder, parse_json
@@ -106,3 +108,94 @@
 def test_list_is_no_object():
     with pytest.raises(ValueError, match="object"):
         parse_json(b"[]")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "unknown"},
+        {"service": 7},
+        {"slots": "108"},
+        {"slots": float("inf")},
+        {"slots": 10**400},
+        {"cold_left_s": -5},
+        {"cold_left_s": float("nan")},
+        {"born": 1.5},
+        {"born": "1790000000000"},
+        {"address": "999.1.1.1:8080"},
+        {"address": "10.128.0.9:99999999"},
+        {"address": "10.128.0.9:0"},
+    ],
+    ids=lambda changes: str(changes)[:40],
+)
+def test_value_of_another_writer_names_no_server(changes):
+    """Something else writes an entry whose fields look like a server's. Taken at its
+    word, it would send requests to an address that doesn't exist, or end the process.
+    """
+    with pytest.raises(InvalidFieldsError):
+        PlatformDecoder().parse_instance("i-7", coded(SERVER, **changes))
+
+
+def test_start_of_a_server_tells_its_lifetimes_apart():
+    decoder = PlatformDecoder()
+    first = decoder.parse_instance("i-7", coded(SERVER, born=1_790_000_000_000))
+    again = decoder.parse_instance("i-7", coded(SERVER, born=1_790_000_009_000))
+    assert first.id == again.id
+    assert first.identity != again.identity
+    assert decoder.parse_instance("i-7", coded(SERVER)).incarnation == 0
+
+
+@pytest.mark.parametrize("version", [31, None, "", "0x1f", "1_0", "-1", "123456789"])
+def test_version_of_another_form_is_an_error_with_a_name(version):
+    with pytest.raises(InvalidFieldsError) as caught:
+        PlatformDecoder().parse_route_table(coded(CONFIG, version=version))
+    assert [error.field for error in caught.value.exceptions] == ["version"]
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=12), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@given(
+    value=st.one_of(
+        st.binary(max_size=200),
+        JSON.map(lambda read: json.dumps(read).encode()),
+        st.dictionaries(st.sampled_from([*SERVER, "born"]), JSON).map(
+            lambda changes: coded(SERVER, **changes)
+        ),
+        st.dictionaries(st.sampled_from([*CONFIG]), JSON).map(
+            lambda changes: coded(CONFIG, **changes)
+        ),
+        st.dictionaries(st.sampled_from([*PATH]), JSON).map(
+            lambda changes: coded(
+                CONFIG, hosts=[{"host": "a", "paths": [PATH | changes]}]
+            )
+        ),
+    )
+)
+def test_only_the_declared_error_leaves_the_decoder(value):
+    """One value that nobody foresaw would end the task that follows the platform, and
+    with it the sidecar, which starts again and reads the same value.
+    """
+    decoder = PlatformDecoder()
+    for parse in (
+        decoder.parse_route_table,
+        lambda value: decoder.parse_instance("i-7", value),
+        parse_json,
+    ):
+        with contextlib.suppress(InvalidFieldsError, ValueError):
+            parse(value)
+
+
+def test_json_that_is_nested_too_deeply_is_unreadable():
+    deep = b"[" * 200_000
+    with pytest.raises(ValueError, match="deep"):
+        parse_json(deep)
+    with pytest.raises(InvalidFieldsError):
+        PlatformDecoder().parse_instance("i-7", deep)
