Admit by all services together: what one blocks no longer presses another

Hypothesis: admission worked each service out by itself, so the demand of requests that one full service blocks still counted against the next. While all servers of fieldwork were out of use, subsidy forms, which need paperwork alone, were refused beside an idle paperwork.

Ruled out: the correction of the estimates (trim); it can't tell blocked demand.

Change: entries tell demand by route, not by service, and one pure decision (library, fitting_shares) fills all services together: by priority, equals alike until a service that they need is full, the others go on. Older sidecars' heartbeats are still understood.

Property tests: nothing over full, no usable room left, no share taken from a more important kind.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -86,12 +86,20 @@
   1: required i64 call_id
 }
 
-/** Slots that the requests arriving at one entry would take at a service. */
-struct ServiceDemand {
+/** Requests of one route that arrive at one entry, and what they need. */
+struct RouteDemand {
+  1: required string route_name
+  2: required i32 priority
+  3: required double rate_per_s
+  /** Slot time of one request and its calls, in microseconds, by service. */
+  4: required map<string, i32> slot_us
+}
+
+/** Requests and repeats that the sender sent to a service in the window. */
+struct SentCount {
   1: required string service_name
-  /** By priority, the most important first. */
-  2: required list<double> slots
-  /** Requests and repeats that the sender sent to the service in the window. */
+  /** Always empty; older sidecars told their demand here, and require the field. */
+  2: required list<double> former_demand
   3: required i32 sent
   4: required i32 repeated
 }
@@ -100,7 +108,9 @@
   1: required i64 sequence
   /** Revision of the platform's data up to which the sender knows all changes. */
   2: required i64 revision
-  3: required list<ServiceDemand> demand
+  3: required list<SentCount> counts
+  /** Missing from older sidecars. */
+  4: optional list<RouteDemand> demand
 }
 
 struct HeartbeatReply {
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -2,17 +2,21 @@
 
 A root request leads to a tree of calls, and a refusal deep in it wastes the tree. So
 the entry works out what the tree takes at each service, and admits as many root
-requests, the most important first, as the fullest service can carry to the end. All
-entries see the same demand and capacity and so refuse the same part of the requests.
+requests, the most important first, as all services can carry to the end. All entries
+see the same demand and capacity and so refuse the same part of the requests.
 """
 
+import itertools
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from sassafraswinch.fitting_shares import Claim, Fit, fitting_shares
 from sassafraswinch_sidecar.heartbeats import HEARTBEAT_MS
 
 LEVELS = 1_000
-"""Places within one priority; a request draws one at random."""
+"""A request draws one at random and keeps it down its tree: it is admitted if the
+share of its route is greater."""
 
 TARGET_SHARE = 0.97
 """Part of a service's slots that admitted requests may take before the correction.
@@ -61,6 +65,9 @@
 by waiting requests, and what is left at least. It comes and goes with the queue, while
 the correction is for lasting errors of the estimates."""
 
+MIN_RATE_PER_S = 1e-4
+"""Arrivals below which a route is forgotten: none for half a minute."""
+
 ABSENT_INTERVALS = 1
 """Intervals after which a service without reachable slots refuses all that needs it;
 a link that is dialled anew is back within one."""
@@ -89,29 +96,28 @@
     rate_per_s: float | None = None
     slot_s: dict[str, float] = field(default_factory=dict)
 
+    def needs(self) -> dict[str, float]:
+        """Return the slot seconds of one request at the services that it needs."""
+        return {s: slot_s for s, slot_s in self.slot_s.items() if slot_s > MIN_SLOTS}
+
 
 class EntryAdmission:
     """Learns what routes need, and refuses what can't be carried to the end.
 
     Attributes:
-        wanted: slots that all entries' arrivals need, by service and priority, as of
-            the last decision.
+        fits: the routes that aren't admitted in full, as of the last decision.
+        wanted: slots that all entries' arrivals need, by service, as of then.
     """
 
     def __init__(self):
+        self.fits: Mapping[str, Fit] = {}
+        self.wanted: Mapping[str, float] = {}
         self._routes: dict[str, _RouteDemand] = {}
-        self._peers: dict[str, tuple[float, Mapping[str, list[float]]]] = {}
-        self._places: dict[str, float] = {}
+        self._peers: dict[str, tuple[float, list[Claim]]] = {}
         self._trims: dict[str, float] = {}
         self._without: dict[str, int] = {}
-        self.wanted: Mapping[str, list[float]] = {}
         self._decided_at_ms: float | None = None
 
-    @property
-    def places(self) -> Mapping[str, float]:
-        """For each service under pressure, the place up to which it admits."""
-        return self._places
-
     def trim_of(self, service: str) -> float:
         """Return the correction to a service's slots that is in force."""
         return self._trims.get(service, 1.0)
@@ -157,34 +163,26 @@
                 gain = LEARN_GAIN if demand.answers else FIRST_GAIN
                 known[service] = before_s + gain * (taken_ms / 1000 - before_s)
 
-    def blocking(self, route: str, priority: int, level: int) -> str | None:
+    def blocking(self, route: str, level: int) -> str | None:
         """Return a service that can't carry the request, None if it may go on."""
-        if not self._places:
-            return None
-        demand = self._routes.get(route)
-        if demand is None:
+        fit = self.fits.get(route)
+        if fit is None or level < fit.share * LEVELS:
             return None
-        place = priority + level / LEVELS
-        for service, open_place in self._places.items():
-            if place >= open_place and demand.slot_s.get(service, 0.0) > MIN_SLOTS:
-                return service
-        return None
-
-    def demand(self) -> dict[str, list[float]]:
-        """Return the slots that this entry's arrivals need, by service, priority."""
-        total: dict[str, list[float]] = {}
-        for route in self._routes.values():
-            for service, slot_s in route.slot_s.items():
-                if slot_s < MIN_SLOTS or not route.rate_per_s:
-                    continue
-                slots = total.setdefault(service, [])
-                slots += [0.0] * (route.priority + 1 - len(slots))
-                slots[route.priority] += slot_s * route.rate_per_s
-        return total
-
-    def heard(
-        self, peer: str, demand: Mapping[str, list[float]], now_ms: float
-    ) -> None:
+        return fit.lacks
+
+    def demand(self) -> list[Claim]:
+        """Return what this entry's arrivals need, by route."""
+        return [
+            Claim(
+                kind=name,
+                priority=route.priority,
+                rate_per_s=route.rate_per_s or 0.0,
+                needs=route.needs(),
+            )
+            for name, route in self._routes.items()
+        ]
+
+    def heard(self, peer: str, demand: list[Claim], now_ms: float) -> None:
         """Take in what another entry's arrivals need."""
         self._peers[peer] = (now_ms, demand)
 
@@ -215,25 +213,27 @@
             for peer, told in self._peers.items()
             if now_ms - told[0] < life_ms
         }
-        wanted = _summed([self.demand(), *(told[1] for told in self._peers.values())])
-        self.wanted = wanted
-        places = {}
-        for service, by_priority in wanted.items():
-            capacity = capacities.get(service)
-            if capacity is None or not capacity.slots:
-                # Failure: a zone is cut off from all servers of a service deep in the
-                # tree. Requests run, their calls find no server, and all is wasted.
-                if self._without.get(service, 0) >= ABSENT_INTERVALS:
-                    places[service] = 0.0
-                self._without[service] = self._without.get(service, 0) + 1
-                continue
-            self._without.pop(service, None)
-            trim = self._trim(service, capacity) * _backlog_factor(capacity)
-            room = capacity.slots * TARGET_SHARE * trim
-            place = _fitting(by_priority, room)
-            if place is not None:
-                places[service] = place
-        self._places = places
+        told = [told[1] for told in self._peers.values()]
+        claims = merge_claims([self.demand(), *told])
+        self.wanted = _wanted(claims)
+        rooms = {
+            service: self._room(service, capacities.get(service, NO_CAPACITY))
+            for service in self.wanted
+        }
+        self.fits = fitting_shares(
+            claims, {s: room for s, room in rooms.items() if room is not None}
+        )
+
+    def _room(self, service: str, capacity: Capacity) -> float | None:
+        """Return the slots that admitted requests may take; None for no bound."""
+        if not capacity.slots:
+            # Failure: a zone is cut off from all servers of a service deep in the
+            # tree. Requests run, their calls find no server, and all is wasted.
+            intervals = self._without[service] = self._without.get(service, 0) + 1
+            return 0.0 if intervals > ABSENT_INTERVALS else None
+        self._without.pop(service, None)
+        trim = self._trim(service, capacity) * _backlog_factor(capacity)
+        return capacity.slots * TARGET_SHARE * trim
 
     def _measure(self, now_ms: float) -> None:
         seconds = max(now_ms - (self._decided_at_ms or 0.0), 1.0) / 1000
@@ -244,13 +244,14 @@
             if route.rate_per_s is None:
                 route.rate_per_s = rate_per_s
             route.rate_per_s += RATE_GAIN * (rate_per_s - route.rate_per_s)
-            if route.rate_per_s < 1e-4:
+            if route.rate_per_s < MIN_RATE_PER_S:
                 del self._routes[name]
 
     def _trim(self, service: str, capacity: Capacity) -> float:
         trim = self._trims.get(service, 1.0)
         use = capacity.used / capacity.slots
-        if service in self._places or use > AIM_SHARE:
+        is_full = any(fit.lacks == service for fit in self.fits.values())
+        if is_full or use > AIM_SHARE:
             step = TRIM_GAIN * (AIM_SHARE - use)
         else:
             step = 1.0 - trim
@@ -265,21 +266,38 @@
     return max(MIN_BACKLOG_FACTOR, 1.0 - BACKLOG_GAIN * waiting_share)
 
 
-def _summed(demands: Iterable[Mapping[str, list[float]]]) -> dict[str, list[float]]:
-    total: dict[str, list[float]] = {}
-    for demand in demands:
-        for service, slots in demand.items():
-            known = total.setdefault(service, [])
-            known += [0.0] * (len(slots) - len(known))
-            for priority, amount in enumerate(slots):
-                known[priority] += amount
-    return total
-
-
-def _fitting(by_priority: list[float], room: float) -> float | None:
-    """Return the place up to which the demand fits; None if all of it does."""
-    for priority, slots in enumerate(by_priority):
-        if slots > room:
-            return priority + room / slots
-        room -= slots
-    return None
+def merge_claims(demands: Iterable[Iterable[Claim]]) -> list[Claim]:
+    """Return one claim for each kind from those of all entries.
+
+    Entries learn what a kind needs each for itself; the estimate of one where more
+    arrive counts for more.
+    """
+    by_kind: dict[str, list[Claim]] = defaultdict(list)
+    for claim in itertools.chain.from_iterable(demands):
+        by_kind[claim.kind].append(claim)
+    return [_merged(claims) for claims in by_kind.values()]
+
+
+def _merged(claims: list[Claim]) -> Claim:
+    if len(claims) == 1:
+        return claims[0]
+    rate_per_s = sum(claim.rate_per_s for claim in claims)
+    services = {service for claim in claims for service in claim.needs}
+    return Claim(
+        kind=claims[0].kind,
+        priority=min(claim.priority for claim in claims),
+        rate_per_s=rate_per_s,
+        needs={
+            service: sum(claim.wanted(service) for claim in claims)
+            / max(rate_per_s, MIN_RATE_PER_S)
+            for service in services
+        },
+    )
+
+
+def _wanted(claims: Iterable[Claim]) -> dict[str, float]:
+    wanted: dict[str, float] = defaultdict(float)
+    for claim in claims:
+        for service in claim.needs:
+            wanted[service] += claim.wanted(service)
+    return wanted
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_reports.py
@@ -2,18 +2,18 @@
 
 from collections.abc import Callable
 
+from sassafraswinch.fitting_shares import Claim
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     Heartbeat,
     HeartbeatReply,
-    ServiceDemand,
+    RouteDemand,
+    SentCount,
 )
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 
-NOTHING_COUNTED = Counted(0, 0)
-
 
 class PeerReports:
     """Demand and repeats of this entry, load of this backend server, and revisions.
@@ -48,19 +48,15 @@
     def heartbeat(self) -> Heartbeat:
         """Return the next heartbeat, the same for all peers."""
         self._sequence += 1
-        slots = self._admission.demand()
         counted = self._budget.counted(self._now_ms())
-        demand = [
-            ServiceDemand(
-                service,
-                slots.get(service, []),
-                counted.get(service, NOTHING_COUNTED).requests,
-                counted.get(service, NOTHING_COUNTED).repeats,
-            )
-            for service in slots.keys() | counted.keys()
-        ]
         return Heartbeat(
-            sequence=self._sequence, revision=self._data.revision, demand=demand
+            sequence=self._sequence,
+            revision=self._data.revision,
+            demand=[serialize_claim(claim) for claim in self._admission.demand()],
+            counts=[
+                SentCount(service, [], count.requests, count.repeats)
+                for service, count in counted.items()
+            ],
         )
 
     def reply(self, sequence: int) -> HeartbeatReply:
@@ -80,12 +76,26 @@
     def heard(self, peer_ip: str, heartbeat: Heartbeat) -> None:
         """Take in a peer's demand and repeats."""
         now_ms = self._now_ms()
-        told = heartbeat.demand
-        self._admission.heard(
-            peer_ip, {each.service_name: each.slots for each in told}, now_ms
-        )
-        self._budget.heard(
-            peer_ip,
-            {each.service_name: Counted(each.sent, each.repeated) for each in told},
-            now_ms,
-        )
+        demand = [parse_claim(told) for told in heartbeat.demand or ()]
+        self._admission.heard(peer_ip, demand, now_ms)
+        counts = {
+            told.service_name: Counted(told.sent, told.repeated)
+            for told in heartbeat.counts
+        }
+        self._budget.heard(peer_ip, counts, now_ms)
+
+
+def serialize_claim(claim: Claim) -> RouteDemand:
+    """Write what one route's requests need."""
+    slot_us = {service: round(slot_s * 1e6) for service, slot_s in claim.needs.items()}
+    return RouteDemand(claim.kind, claim.priority, claim.rate_per_s, slot_us)
+
+
+def parse_claim(told: RouteDemand) -> Claim:
+    """Read what one route's requests need."""
+    return Claim(
+        kind=told.route_name,
+        priority=told.priority,
+        rate_per_s=told.rate_per_s,
+        needs={service: slot_us / 1e6 for service, slot_us in told.slot_us.items()},
+    )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -189,7 +189,7 @@
             # Its answer would be one more that is held for a slow reader.
             self._fail(relay, "no-memory", NOT_RUN_STATUS)
             return False
-        blocking = self._admission.blocking(route.name, route.priority, relay.level)
+        blocking = self._admission.blocking(route.name, relay.level)
         if blocking is None:
             return True
         self._log.failed(
@@ -197,7 +197,7 @@
             relay.request_id,
             route=route.name,
             blocked_by=blocking,
-            place=self._admission.places[blocking],
+            share=self._admission.fits[route.name].share,
             level_of_request=relay.level,
         )
         self._fail(relay, "overloaded", NOT_RUN_STATUS)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -890,29 +890,153 @@
         return not (self == other)
 
 
-class ServiceDemand(object):
+class RouteDemand(object):
     """
-    Slots that the requests arriving at one entry would take at a service.
+    Requests of one route that arrive at one entry, and what they need.
+
+    Attributes:
+     - route_name
+     - priority
+     - rate_per_s
+     - slot_us: Slot time of one request and its calls, in microseconds, by service.
+
+    """
+
+    __slots__ = (
+        'route_name',
+        'priority',
+        'rate_per_s',
+        'slot_us',
+    )
+
+
+    def __init__(self, route_name=None, priority=None, rate_per_s=None, slot_us=None,):
+        self.route_name = route_name
+        self.priority = priority
+        self.rate_per_s = rate_per_s
+        self.slot_us = slot_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.slot_us = {}
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI32()
+                        self.slot_us[_key12] = _val13
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteDemand')
+        if self.route_name is not None:
+            oprot.writeFieldBegin('route_name', TType.STRING, 1)
+            oprot.writeString(self.route_name.encode('utf-8') if sys.version_info[0] == 2 else self.route_name)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 2)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.slot_us is not None:
+            oprot.writeFieldBegin('slot_us', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.slot_us))
+            for kiter14, viter15 in self.slot_us.items():
+                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
+                oprot.writeI32(viter15)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.route_name is None:
+            raise TProtocolException(message='Required field route_name is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.rate_per_s is None:
+            raise TProtocolException(message='Required field rate_per_s is unset!')
+        if self.slot_us is None:
+            raise TProtocolException(message='Required field slot_us is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SentCount(object):
+    """
+    Requests and repeats that the sender sent to a service in the window.
 
     Attributes:
      - service_name
-     - slots: By priority, the most important first.
-     - sent: Requests and repeats that the sender sent to the service in the window.
+     - former_demand: Always empty; older sidecars told their demand here, and require the field.
+     - sent
      - repeated
 
     """
 
     __slots__ = (
         'service_name',
-        'slots',
+        'former_demand',
         'sent',
         'repeated',
     )
 
 
-    def __init__(self, service_name=None, slots=None, sent=None, repeated=None,):
+    def __init__(self, service_name=None, former_demand=None, sent=None, repeated=None,):
         self.service_name = service_name
-        self.slots = slots
+        self.former_demand = former_demand
         self.sent = sent
         self.repeated = repeated
 
@@ -932,11 +1056,11 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.slots = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readDouble()
-                        self.slots.append(_elem12)
+                    self.former_demand = []
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = iprot.readDouble()
+                        self.former_demand.append(_elem21)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -959,16 +1083,16 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ServiceDemand')
+        oprot.writeStructBegin('SentCount')
         if self.service_name is not None:
             oprot.writeFieldBegin('service_name', TType.STRING, 1)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.slots is not None:
-            oprot.writeFieldBegin('slots', TType.LIST, 2)
-            oprot.writeListBegin(TType.DOUBLE, len(self.slots))
-            for iter13 in self.slots:
-                oprot.writeDouble(iter13)
+        if self.former_demand is not None:
+            oprot.writeFieldBegin('former_demand', TType.LIST, 2)
+            oprot.writeListBegin(TType.DOUBLE, len(self.former_demand))
+            for iter22 in self.former_demand:
+                oprot.writeDouble(iter22)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sent is not None:
@@ -985,8 +1109,8 @@
     def validate(self):
         if self.service_name is None:
             raise TProtocolException(message='Required field service_name is unset!')
-        if self.slots is None:
-            raise TProtocolException(message='Required field slots is unset!')
+        if self.former_demand is None:
+            raise TProtocolException(message='Required field former_demand is unset!')
         if self.sent is None:
             raise TProtocolException(message='Required field sent is unset!')
         if self.repeated is None:
@@ -1017,20 +1141,23 @@
     Attributes:
      - sequence
      - revision: Revision of the platform's data up to which the sender knows all changes.
-     - demand
+     - counts
+     - demand: Missing from older sidecars.
 
     """
 
     __slots__ = (
         'sequence',
         'revision',
+        'counts',
         'demand',
     )
 
 
-    def __init__(self, sequence=None, revision=None, demand=None,):
+    def __init__(self, sequence=None, revision=None, counts=None, demand=None,):
         self.sequence = sequence
         self.revision = revision
+        self.counts = counts
         self.demand = demand
 
     def read(self, iprot):
@@ -1053,13 +1180,24 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = SentCount()
+                        _elem28.read(iprot)
+                        self.counts.append(_elem28)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = ServiceDemand()
-                        _elem19.read(iprot)
-                        self.demand.append(_elem19)
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = RouteDemand()
+                        _elem34.read(iprot)
+                        self.demand.append(_elem34)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1081,11 +1219,18 @@
             oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter35 in self.counts:
+                iter35.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         if self.demand is not None:
-            oprot.writeFieldBegin('demand', TType.LIST, 3)
+            oprot.writeFieldBegin('demand', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter20 in self.demand:
-                iter20.write(oprot)
+            for iter36 in self.demand:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1096,8 +1241,8 @@
             raise TProtocolException(message='Required field sequence is unset!')
         if self.revision is None:
             raise TProtocolException(message='Required field revision is unset!')
-        if self.demand is None:
-            raise TProtocolException(message='Required field demand is unset!')
+        if self.counts is None:
+            raise TProtocolException(message='Required field counts is unset!')
         return
 
     def __repr__(self):
@@ -1455,11 +1600,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ReplicaEntry()
-                        _elem26.read(iprot)
-                        self.entries.append(_elem26)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = ReplicaEntry()
+                        _elem42.read(iprot)
+                        self.entries.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1484,8 +1629,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter27 in self.entries:
-                iter27.write(oprot)
+            for iter43 in self.entries:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1740,11 +1885,19 @@
     None,  # 0
     (1, TType.I64, 'call_id', None, None, ),  # 1
 )
-all_structs.append(ServiceDemand)
-ServiceDemand.thrift_spec = (
+all_structs.append(RouteDemand)
+RouteDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'priority', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
+    (4, TType.MAP, 'slot_us', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 4
+)
+all_structs.append(SentCount)
+SentCount.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'slots', (TType.DOUBLE, None, False), None, ),  # 2
+    (2, TType.LIST, 'former_demand', (TType.DOUBLE, None, False), None, ),  # 2
     (3, TType.I32, 'sent', None, None, ),  # 3
     (4, TType.I32, 'repeated', None, None, ),  # 4
 )
@@ -1753,7 +1906,8 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.LIST, 'demand', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 3
+    (3, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 3
+    (4, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 4
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -307,17 +307,18 @@
         self._admission.decide(
             capacities, now_ms, heartbeat_ms=self._links.heartbeat_ms
         )
-        for service, place in self._admission.places.items():
+        for route, fit in self._admission.fits.items():
+            service = fit.lacks
             capacity = capacities.get(service, NO_CAPACITY)
-            wanted = self._admission.wanted.get(service, ())
             log_event(
                 "admission",
+                route=route,
+                share=fit.share,
                 service=service,
-                place=place,
                 slots=capacity.slots,
                 used=capacity.used,
                 trim=self._admission.trim_of(service),
-                wanted=",".join(f"{slots:.0f}" for slots in wanted),
+                wanted=self._admission.wanted[service],
             )
 
     async def _drain(self) -> None:
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_fitting_shares.py
@@ -0,0 +1,105 @@
+"""Shares of several kinds of request that several services carry together."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from sassafraswinch.fitting_shares import Claim, fitting_shares
+
+QUOTE = Claim(
+    kind="quote",
+    priority=2,
+    rate_per_s=422.0,
+    needs={"quotes": 0.3, "fieldwork": 0.3, "paperwork": 0.24},
+)
+FORM = Claim(kind="form", priority=2, rate_per_s=61.0, needs={"paperwork": 0.096})
+DELIVERY = Claim(
+    kind="delivery",
+    priority=0,
+    rate_per_s=196.0,
+    needs={"logistics": 0.4, "fieldwork": 0.3, "paperwork": 0.24},
+)
+ROOMS = {"quotes": 600.0, "logistics": 600.0, "fieldwork": 600.0, "paperwork": 111.0}
+
+
+def test_all_that_fits_is_carried():
+    small = Claim(kind="quote", priority=2, rate_per_s=10.0, needs=QUOTE.needs)
+    assert fitting_shares([small, FORM], ROOMS) == {}
+
+
+def test_what_one_service_blocks_does_not_press_another():
+    """All servers of fieldwork are out of reach. Quotes and deliveries can't be served,
+    and forms need the paperwork office alone, which stands idle. Worked out service by
+    service, the office looked full by the quotes that never come to it.
+    """
+    fits = fitting_shares([QUOTE, FORM, DELIVERY], ROOMS | {"fieldwork": 0.0})
+    assert fits["quote"].share == fits["delivery"].share == 0.0
+    assert fits["quote"].lacks == "fieldwork"
+    assert "form" not in fits
+
+
+def test_important_ones_first_and_equals_alike():
+    fits = fitting_shares([QUOTE, FORM, DELIVERY], ROOMS)
+    assert "delivery" not in fits
+    assert fits["quote"].share == pytest.approx(fits["form"].share)
+    left = ROOMS["paperwork"] - DELIVERY.wanted("paperwork")
+    used = sum(
+        fits[claim.kind].share * claim.wanted("paperwork") for claim in (QUOTE, FORM)
+    )
+    assert used == pytest.approx(left)
+
+
+RESOURCES = ("a", "b", "c")
+claims_of_kinds = st.lists(
+    st.builds(
+        Claim,
+        kind=st.sampled_from("klmnop"),
+        priority=st.integers(0, 2),
+        rate_per_s=st.floats(0.0, 500.0),
+        needs=st.dictionaries(
+            st.sampled_from(RESOURCES), st.floats(0.01, 1.0), min_size=1
+        ),
+    ),
+    unique_by=lambda claim: claim.kind,
+)
+rooms_of_all = st.fixed_dictionaries(
+    {resource: st.floats(0.0, 300.0) for resource in RESOURCES}
+)
+
+
+@given(claims=claims_of_kinds, rooms=rooms_of_all)
+def test_nothing_is_over_full_and_no_usable_room_is_left(claims, rooms):
+    fits = fitting_shares(claims, rooms)
+    shares = {c.kind: fits[c.kind].share if c.kind in fits else 1.0 for c in claims}
+    used = {
+        resource: sum(shares[c.kind] * c.wanted(resource) for c in claims)
+        for resource in rooms
+    }
+    for resource, room in rooms.items():
+        assert used[resource] <= room + 1e-6
+    for kind, fit in fits.items():
+        assert 0.0 <= fit.share <= 1.0
+        assert used[fit.lacks] >= rooms[fit.lacks] - 1e-6, kind
+
+
+@given(claims=claims_of_kinds, rooms=rooms_of_all)
+def test_less_important_kinds_take_nothing_from_more_important_ones(claims, rooms):
+    fits = fitting_shares(claims, rooms)
+    for priority in (0, 1):
+        upper = [claim for claim in claims if claim.priority <= priority]
+        alone = fitting_shares(upper, rooms)
+        for claim in upper:
+            share = fits[claim.kind].share if claim.kind in fits else 1.0
+            before = alone[claim.kind].share if claim.kind in alone else 1.0
+            assert share == pytest.approx(before, abs=1e-6)
+
+
+@given(claims=claims_of_kinds, rooms=rooms_of_all)
+def test_an_equal_gets_less_only_for_what_it_lacks_itself(claims, rooms):
+    """A kind with a greater share than an equal doesn't need what the equal lacks."""
+    fits = fitting_shares(claims, rooms)
+    for claim in claims:
+        fit = fits.get(claim.kind)
+        for other in claims if fit else ():
+            share = fits[other.kind].share if other.kind in fits else 1.0
+            if other.priority == claim.priority and share > fit.share + 1e-6:
+                assert not other.needs.get(fit.lacks)
