Use servers whose hosts are cut off from the platform

Ruled out: holding every removed entry for a while, which would send work to servers that leave without a word.

Change: a sidecar whose own server's entry lapses asks the platform for it. Only if no answer comes at all does it say so in its heartbeats, and all use the server on; any answer, a refusal too, means that it is gone. The host itself is the last to send, and is bound by what it hears.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -120,6 +120,8 @@
   4: required bool leaving
   /** Whether it follows the platform: a watch is under way, or ended just now. */
   5: bool following = false
+  /** Whether its server isn't listed since its host can't reach the platform. */
+  6: bool isolated = false
 }
 
 /** Asks for the platform's data that changed after a revision. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -1,7 +1,7 @@
 """The backend servers and routes in force, as a replica tells them."""
 
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -13,6 +13,11 @@
 """Time after an outage of the platform in which entries that expired meanwhile come
 back; the platform promises about 2 s."""
 
+LAPSED_MEMORY_MS = 60_000.0
+"""Time in which a removed instance is remembered in case that its host says that it
+can't reach the platform. It finds that out within two seconds; the rest is for links
+that come up later."""
+
 EXPIRY_MS = 2_500.0
 """Shortest outage in which entries expire: they live for several heartbeats."""
 
@@ -55,6 +60,17 @@
         return self.id, self.incarnation
 
 
+@dataclass(slots=True, kw_only=True)
+class _Lapsed:
+    """An instance whose entry was removed though it didn't say that it leaves."""
+
+    instance: Instance
+    first_revision: int
+    since_ms: float
+    used_until_ms: float = 0.0
+    in_use: bool = False
+
+
 class Decoder(Protocol):
     """Reads the platform's items; the adapter of a platform brings it."""
 
@@ -86,6 +102,12 @@
     can't be read gets no new work until it can: another writer may have replaced its
     entry. Both faults are reported. The table's version never falls in the lifetime of
     a process.
+
+    Args:
+        decoder: reads the platform's items.
+        report: is told of each that can't be read.
+        is_isolated: tells whether the host at an address says that it can't reach the
+            platform, so that the missing entry of its server says nothing.
     """
 
     def __init__(
@@ -93,11 +115,14 @@
         *,
         decoder: Decoder,
         report: Callable[[InvalidFieldsError], None],
+        is_isolated: Callable[[str], bool] = lambda ip: False,
     ):
         self.table: RouteTable | None = None
         self.instances: dict[str, Instance] = {}
         self._decoder = decoder
         self._report = report
+        self._is_isolated = is_isolated
+        self._lapsed: dict[str, _Lapsed] = {}
         self._by_service: dict[str, list[Instance]] = {}
         self._known_at_ms: dict[str, float] = {}
         self._held: dict[str, float] = {}
@@ -125,7 +150,21 @@
         backend server checks the id itself.
         """
         instance = self.instances.get(instance_id)
-        return instance_id in self._removed if instance is None else instance.leaving
+        if instance is not None:
+            return instance.leaving
+        lapsed = self._lapsed.get(instance_id)
+        return instance_id in self._removed and not (lapsed and lapsed.in_use)
+
+    def lapsed_at(self, ip: str) -> Instance | None:
+        """Return the latest instance at an address whose entry lapsed, if it has none.
+
+        One that is listed there, or that said that it leaves, is no such instance.
+        """
+        if self.at(ip):
+            return None
+        found = [each for each in self._lapsed.values() if each.instance.ip == ip]
+        latest = max(found, key=lambda each: each.first_revision, default=None)
+        return latest.instance if latest else None
 
     def cold_left_ms(self, instance: Instance, now_ms: float) -> float:
         """Return how much longer an instance is slow after its start."""
@@ -154,7 +193,8 @@
         self._index()
 
     def tick(self, replica: Replica, now_ms: float) -> None:
-        """Drop held instances whose entries didn't come back."""
+        """Drop held instances whose entries didn't come back, use isolated ones."""
+        self._heed_isolation(now_ms)
         over = [found for found, until in self._held.items() if now_ms >= until]
         if not over:
             return
@@ -162,15 +202,35 @@
         for instance_id in over:
             del self._held[instance_id]
             if instance_id not in live:
-                self._remove(instance_id)
+                self._remove(instance_id, now_ms)
         self._index()
 
+    def _heed_isolation(self, now_ms: float) -> None:
+        """Use instances whose entries lapsed while their hosts are cut off.
+
+        Failure: a third of the hosts is cut off from the platform for some seconds,
+        their entries expire, and a service whose other server leaves has none left,
+        though two can be reached. All requests that need it were refused for 8 s. The
+        host itself refuses them once it hears of the platform that its server is gone.
+        """
+        changed = False
+        for instance_id, lapsed in list(self._lapsed.items()):
+            if self._is_isolated(lapsed.instance.ip):
+                lapsed.used_until_ms = now_ms + RETURN_MS
+            in_use = now_ms < lapsed.used_until_ms
+            changed = changed or in_use != lapsed.in_use
+            lapsed.in_use = in_use
+            if not in_use and now_ms - lapsed.since_ms >= LAPSED_MEMORY_MS:
+                del self._lapsed[instance_id]
+        if changed:
+            self._index()
+
     def _apply_instance(self, instance_id: str, entry: Entry, now_ms: float) -> None:
         if entry.value is None:
             if self._may_return(instance_id, now_ms):
                 self._held.setdefault(instance_id, now_ms + RETURN_MS)
             else:
-                self._remove(instance_id)
+                self._remove(instance_id, now_ms)
             return
         try:
             instance = self._decoder.parse_instance(instance_id, entry.value)
@@ -181,6 +241,7 @@
             return
         self._held.pop(instance_id, None)
         self._removed.pop(instance_id, None)
+        self._lapsed.pop(instance_id, None)
         known = self.instances.get(instance_id)
         if known != instance:
             self._known_at_ms[instance_id] = now_ms
@@ -206,10 +267,14 @@
             return False
         return now_ms < self._hold_until_ms or self._was_away_long(now_ms)
 
-    def _remove(self, instance_id: str) -> None:
-        self.instances.pop(instance_id, None)
+    def _remove(self, instance_id: str, now_ms: float) -> None:
+        instance = self.instances.pop(instance_id, None)
         self._known_at_ms.pop(instance_id, None)
-        self._first_revisions.pop(instance_id, None)
+        first_revision = self._first_revisions.pop(instance_id, 0)
+        if instance is not None and not instance.leaving:
+            self._lapsed[instance_id] = _Lapsed(
+                instance=instance, first_revision=first_revision, since_ms=now_ms
+            )
         self._removed[instance_id] = None
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -230,28 +295,27 @@
         seconds beside the new ones, and half of the requests go to instances that are
         gone. An address has one server at a time, the one that was written last.
         """
-        at_address: dict[tuple[str, int], Instance] = {}
-        first_revisions = self._first_revisions
-        for instance in self._of_known_services():
+        at_address: dict[tuple[str, int], tuple[int, Instance]] = {}
+        for first_revision, instance in self._usable():
             address = (instance.ip, instance.port)
             known = at_address.get(address)
-            if (
-                known is None
-                or first_revisions[instance.id] > first_revisions[known.id]
-            ):
-                at_address[address] = instance
+            if known is None or first_revision > known[0]:
+                at_address[address] = (first_revision, instance)
         self._by_service = {}
-        for instance in at_address.values():
+        for _, instance in at_address.values():
             if not instance.leaving:
                 self._by_service.setdefault(instance.service, []).append(instance)
 
-    def _of_known_services(self) -> Iterable[Instance]:
-        """Return the instances without those of services that nobody configured.
+    def _usable(self) -> Iterator[tuple[int, Instance]]:
+        """Yield instances of configured services, each with its first revision.
 
         Failure: an entry of another writer names a service that doesn't exist, and the
         address of a server that does; that server gets no more work.
         """
         services = self.table.server_services if self.table else frozenset()
-        if not services:
-            return self.instances.values()
-        return (i for i in self.instances.values() if i.service in services)
+        for instance_id, instance in self.instances.items():
+            if not services or instance.service in services:
+                yield self._first_revisions[instance_id], instance
+        for lapsed in self._lapsed.values():
+            if lapsed.in_use:
+                yield lapsed.first_revision, lapsed.instance
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_reports.py
@@ -24,6 +24,8 @@
         admission: knows what all entries' arrivals need.
         budget: knows how much all sidecars repeat.
         is_stopping: whether this sidecar takes no new work.
+        is_isolated: whether this host can't reach the platform, which therefore
+            doesn't list the server.
         now_ms: monotonic clock.
     """
 
@@ -35,6 +37,7 @@
         admission: EntryAdmission,
         budget: RepeatBudget,
         is_stopping: Callable[[], bool],
+        is_isolated: Callable[[], bool],
         now_ms: Callable[[], float],
     ):
         self._data = data
@@ -42,6 +45,7 @@
         self._admission = admission
         self._budget = budget
         self._is_stopping = is_stopping
+        self._is_isolated = is_isolated
         self._now_ms = now_ms
         self._sequence = 0
 
@@ -71,6 +75,7 @@
             load=self._executor.load(),
             leaving=self._is_stopping(),
             following=self._data.following,
+            isolated=self._is_isolated(),
         )
 
     def heard(self, peer_ip: str, heartbeat: Heartbeat) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -77,6 +77,8 @@
         leaving: whether the peer takes no new requests.
         refuses_until_ms: until when requests would be refused, by its last word.
         following: whether the peer follows the platform.
+        isolated: whether the peer's host can't reach the platform, which therefore
+            doesn't list its server.
         failing: share of recent requests that failed there.
         pace: time that recent requests took, as share of the mean of all instances.
         identity: lifetime of the server that the last two were learnt of.
@@ -90,6 +92,7 @@
     leaving: bool = False
     refuses_until_ms: float = 0.0
     following: bool = False
+    isolated: bool = False
     failing: float = 0.0
     failing_at_ms: float = 0.0
     pace: float = 1.0
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -44,11 +44,13 @@
 
     Attributes:
         reason: what happened, in words for a log line.
+        answered: whether it gave any answer, so that the way to it is open.
     """
 
-    def __init__(self, *, reason: str):
+    def __init__(self, *, reason: str, answered: bool = False):
         super().__init__(reason)
         self.reason = reason
+        self.answered = answered
 
 
 class HistoryGoneError(SassafraswinchError):
@@ -65,6 +67,13 @@
             PlatformUnavailableError: there is no answer.
         """
 
+    async def lists(self, instance_id: str) -> bool:
+        """Return whether the platform lists an instance now.
+
+        Raises:
+            PlatformUnavailableError: there is no answer.
+        """
+
     async def watch(self, after_revision: int, wait_ms: int) -> Delta:
         """Return the changes after a revision as soon as there is one.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -1272,6 +1272,7 @@
      - load
      - leaving
      - following: Whether it follows the platform: a watch is under way, or ended just now.
+     - isolated: Whether its server isn't listed since its host can't reach the platform.
 
     """
 
@@ -1281,15 +1282,17 @@
         'load',
         'leaving',
         'following',
+        'isolated',
     )
 
 
-    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=False,):
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=False, isolated=False,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
         self.leaving = leaving
         self.following = following
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1326,6 +1329,11 @@
                     self.following = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1356,6 +1364,10 @@
             oprot.writeFieldBegin('following', TType.BOOL, 5)
             oprot.writeBool(self.following)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 6)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1917,6 +1929,7 @@
     (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.BOOL, 'following', None, False, ),  # 5
+    (6, TType.BOOL, 'isolated', None, False, ),  # 6
 )
 all_structs.append(ReplicaRequest)
 ReplicaRequest.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -15,6 +15,7 @@
 from sassafraswinch_sidecar.held_bytes import HeldBytes, most_held_bytes
 from sassafraswinch_sidecar.http_client import HttpClient
 from sassafraswinch_sidecar.http_server import HttpListener
+from sassafraswinch_sidecar.own_entry import OwnEntry
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
@@ -76,7 +77,9 @@
         self._settings = settings
         self._load_settings = load_settings
         self._loop = asyncio.get_running_loop()
-        self._fleet = Fleet(decoder=decoder, report=_report_faults)
+        self._fleet = Fleet(
+            decoder=decoder, report=_report_faults, is_isolated=self._is_isolated
+        )
         self._data = PlatformData(
             fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
         )
@@ -91,6 +94,11 @@
             held=self._held,
             log=self._log,
         )
+        self._own_entry = OwnEntry(
+            missing=lambda: self._fleet.lapsed_at(settings.ip),
+            store=store,
+            changed=self._tell_all,
+        )
         self._links = PeerLinks(
             own_ip=settings.ip,
             port=settings.link_port,
@@ -115,6 +123,7 @@
             admission=self._admission,
             budget=self._budget,
             is_stopping=lambda: self._stopping.is_set(),
+            is_isolated=lambda: self._own_entry.is_isolated,
             now_ms=self._now_ms,
         )
         self._duty = WatchDuty(own_ip=settings.ip)
@@ -192,6 +201,7 @@
         await self._metrics.open(settings.ip, settings.metrics_port)
         self._tasks = [
             self._loop.create_task(self._reader.run()),
+            self._loop.create_task(self._own_entry.run()),
             self._loop.create_task(self._tick_forever()),
         ]
         for task in self._tasks:
@@ -221,6 +231,7 @@
                 peer.link.replied()
             peer.load.leaving = message.leaving
             peer.load.following = message.following
+            peer.load.isolated = message.isolated
             peer.load.report(message.load)
             self._data.ask_if_behind(message.revision, peer.link)
         else:
@@ -256,6 +267,19 @@
         """Tell the peers that may rely on this sidecar what it knows by now."""
         self._zone_peers.tell(self._reports.reply(0))
 
+    def _tell_all(self) -> None:
+        """Tell all peers at once what else the next heartbeats would tell them."""
+        reply = self._reports.reply(0)
+        for link in self._links.accepted:
+            link.send(reply)
+
+    def _is_isolated(self, ip: str) -> bool:
+        """Return whether a host says that it can't reach the platform."""
+        if ip == self._settings.ip:
+            return self._own_entry.is_isolated
+        load = self._links.load_of(ip)
+        return load is not None and load.isolated
+
     def _share_duty(self, now_ms: float) -> None:
         """Decide who of the zone follows the platform."""
         self._duty.decide(self._zone_peers.following(), now_ms)
@@ -325,9 +349,7 @@
         """Finish what is under way, while callers and peers go elsewhere."""
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
-        reply = self._reports.reply(0)
-        for link in self._links.accepted:
-            link.send(reply)
+        self._tell_all()
         self._outbound.drain()
         await finish_requests(
             drain_ms=self._settings.drain_s * 1000,
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -61,6 +61,7 @@
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.down = False
+        self.cut_off: set[str] = set()
         self.changed = asyncio.Condition()
 
     async def put(self, key: str, value: dict | None) -> None:
@@ -75,6 +76,11 @@
         live = (e for e in self.entries.values() if e.value is not None)
         return Delta(revision=self.revision, whole=True, entries=tuple(live))
 
+    async def lists(self, instance_id: str) -> bool:
+        self._check()
+        entry = self.entries.get(INSTANCE + instance_id)
+        return entry is not None and entry.value is not None
+
     async def watch(self, after_revision: int, wait_ms: int) -> Delta:
         self._check()
         async with self.changed:
@@ -95,6 +101,32 @@
             raise PlatformUnavailableError(reason="is down")
 
 
+class HostStore:
+    """The store as one host sees it, which may be cut off from it."""
+
+    def __init__(self, *, store: MemoryStore, ip: str):
+        self._store = store
+        self._ip = ip
+
+    async def read(self) -> Delta:
+        self._check()
+        return await self._store.read()
+
+    async def lists(self, instance_id: str) -> bool:
+        self._check()
+        return await self._store.lists(instance_id)
+
+    async def watch(self, after_revision: int, wait_ms: int) -> Delta:
+        self._check()
+        delta = await self._store.watch(after_revision, wait_ms)
+        self._check()
+        return delta
+
+    def _check(self):
+        if self._ip in self._store.cut_off:
+            raise PlatformUnavailableError(reason="is cut off")
+
+
 @dataclass
 class Node:
     """A sidecar with its backend server and its view of the platform."""
@@ -112,7 +144,7 @@
         self.sidecar = Sidecar(
             settings=self.settings,
             names=HeaderNames(),
-            store=self.store,
+            store=HostStore(store=self.store, ip=self.ip),
             decoder=MemoryDecoder(),
             ready_path=b"/ready",
             load_settings=lambda: self.settings,
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -13,7 +13,12 @@
     def __init__(self):
         self.faults = []
         self.replica = Replica()
-        self.fleet = Fleet(decoder=MemoryDecoder(), report=self.faults.append)
+        self.isolated = set()
+        self.fleet = Fleet(
+            decoder=MemoryDecoder(),
+            report=self.faults.append,
+            is_isolated=self.isolated.__contains__,
+        )
         self.revision = 0
 
     def put(self, name, now_ms, **fields):
@@ -169,3 +174,61 @@
     world.put("a", 0.0)
     world.put("odd", 10.0, service="nothing")
     assert world.ids() == ["a"]
+
+
+def test_server_whose_host_is_cut_off_from_the_platform_stays_in_use():
+    """A third of the hosts can't reach the platform, their entries expire, and the one
+    server of the service that is still listed leaves. For seconds every request that
+    needed the service was refused, though its other servers lived and were linked.
+    """
+    world = World()
+    world.put("cut", 0.0)
+    world.put("leaves", 0.0, ip="10.0.0.2")
+    world.put("leaves", 10.0, ip="10.0.0.2", leaving=True)
+    world.remove("leaves", 20.0)
+    world.remove("cut", 5_000.0)
+    assert world.ids() == []
+    assert world.fleet.is_leaving("cut")
+    assert world.fleet.lapsed_at("10.0.0.1").id == "cut"
+    assert world.fleet.lapsed_at("10.0.0.2") is None
+
+    world.isolated.add("10.0.0.1")
+    world.isolated.add("10.0.0.2")
+    world.fleet.tick(world.replica, 5_700.0)
+    assert world.ids() == ["cut"]
+    assert not world.fleet.is_leaving("cut")
+
+    world.isolated.clear()
+    world.fleet.tick(world.replica, 13_000.0)
+    world.put("cut", 14_000.0)
+    world.fleet.tick(world.replica, 20_000.0)
+    assert world.ids() == ["cut"]
+    assert world.fleet.lapsed_at("10.0.0.1") is None
+
+
+def test_server_that_is_not_listed_again_after_the_cut_gets_no_more_work():
+    """While its host was cut off the server left for good. The platform can be reached
+    again, and lists it no more: its work must end within the drain time.
+    """
+    world = World()
+    world.put("cut", 0.0)
+    world.remove("cut", 5_000.0)
+    world.isolated.add("10.0.0.1")
+    world.fleet.tick(world.replica, 5_700.0)
+    world.isolated.clear()
+    world.fleet.tick(world.replica, 5_700.0 + RETURN_MS - 1)
+    assert world.ids() == ["cut"]
+    world.fleet.tick(world.replica, 5_700.0 + RETURN_MS)
+    assert world.ids() == []
+    assert world.fleet.is_leaving("cut")
+
+
+def test_server_that_took_the_address_goes_before_an_isolated_one():
+    world = World()
+    world.put("cut", 0.0)
+    world.remove("cut", 5_000.0)
+    world.put("new", 6_000.0)
+    world.isolated.add("10.0.0.1")
+    world.fleet.tick(world.replica, 6_100.0)
+    assert world.ids() == ["new"]
+    assert world.fleet.lapsed_at("10.0.0.1") is None
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
@@ -5,7 +5,7 @@
 from sassafraswinch_sidecar.backend_watch import INSTANCE_WORD_MS
 from sassafraswinch_sidecar.placement import capacities_of
 from sidecar_standins.backend import serve_as
-from sidecar_standins.fleet import running_fleet, until
+from sidecar_standins.fleet import INSTANCE, running_fleet, until
 
 
 @pytest.fixture
@@ -107,3 +107,30 @@
     # Counted twice, the same slots would let in twice what the server can run.
     slots = capacities_of(found.serving(), node.sidecar._load_of)["schvaleni"].slots
     assert slots == node.sidecar._executor.load().limit
+
+
+async def test_server_of_a_host_that_is_cut_off_from_the_platform_is_used(fleet):
+    """One host can't reach the platform. The entry of its server expires, all sidecars
+    hear of that, and the service has no other server. Its sidecar is linked to all and
+    asks the platform in vain, so the others may go on using the server.
+    """
+    node = fleet.nodes[2]
+    fleet.store.cut_off.add(node.ip)
+    await fleet.store.put(f"{INSTANCE}i-{node.ip}", None)
+    await until(lambda: all(isolated(other, node) for other in fleet.nodes))
+    got = await fleet.call(fleet.nodes[0], target="/approve/1", method="POST")
+    assert got.status == 200
+    fleet.store.cut_off.clear()
+    await until(lambda: not fleet.nodes[0].sidecar._fleet.of_service("schvaleni"))
+    got = await fleet.call(
+        fleet.nodes[0], target="/approve/1", method="POST", request_id="r-2"
+    )
+    assert got.status == 503
+
+
+def isolated(node, lapsed):
+    """Return whether a node uses a server that the platform doesn't list."""
+    found = node.sidecar._fleet.of_service(lapsed.service)
+    return [each.ip for each in found] == [lapsed.ip] and not node.sidecar._fleet.at(
+        lapsed.ip
+    )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -175,3 +175,21 @@
     standin.answers["/v1/kv-key"] = lambda query: (404, {})
     delta = await store.read()
     assert [entry.key for entry in delta.entries] == ["servers/a", "servers/b"]
+
+
+async def test_store_tells_whether_it_lists_a_server(standin, store):
+    standin.answers["/v1/kv-key"] = lambda query: (
+        (200, item("servers/a", 3)) if query["key"] == "servers/a" else (404, {})
+    )
+    assert await store.lists("a")
+    assert not await store.lists("b")
+
+
+@pytest.mark.parametrize(
+    ("status", "answered"), [(503, True), (429, True), (None, False)]
+)
+async def test_refusal_of_the_store_is_an_answer(standin, store, status, answered):
+    standin.answers["/v1/kv-key"] = lambda query: (status, {})
+    with pytest.raises(PlatformUnavailableError) as caught:
+        await store.lists("a")
+    assert caught.value.answered is answered
