Screen: load patterns over the sidecars' own decisions on a simulated clock

The screen plays admission, placement, queue, repeats and Retry-After over a call graph of four services in about ten seconds: surge with repeats at once, part shed, service out of reach, service several times slower, two services full, start from nothing.

--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -0,0 +1,472 @@
+"""Sidecars' decisions over a call graph on a simulated clock.
+
+The decisions are those that run: admission, placement, queue, repeats and what ends
+teach. Sockets, frames and the platform aren't played; a message takes a fixed time.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sassafraswinch_sidecar.entry_admission import LEVELS, EntryAdmission
+from sassafraswinch_sidecar.executor import Execution
+from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
+from sassafraswinch_sidecar.relay import INNER_WAIT_SHARE, MAX_PLACES, ROOT_WAIT_SHARE
+from sassafraswinch_sidecar.relay_answers import (
+    MIN_RETRY_AFTER_MS,
+    RETRY_AFTER_SHARES,
+)
+from sassafraswinch_sidecar.relay_intake import Relay
+from sassafraswinch_sidecar.relay_lessons import RelayLessons
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    RelayRequest,
+    RelayResponse,
+    ServerLoad,
+    SlotTime,
+    Verdict,
+)
+from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget
+from sassafraswinch_sidecar.routes import Route, Share
+from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
+from sassafraswinch_standins.screen_load import Kind, Pattern
+
+ZONES = 3
+NEAR_MS, FAR_MS = 0.5, 1.4
+"""Time of a message within an availability zone and between two."""
+
+SHED_MS = 0.5
+"""Time in which a server refuses."""
+
+WORK_SPREAD = 0.5
+"""Sigma of the work's lognormal distribution."""
+
+TICK_MS = 20.0
+HEARTBEAT_MS = 1_000.0
+REPEAT_RATIO, REPEAT_SLACK, REPEAT_WINDOW_MS = 0.2, 50.0, 10_000.0
+
+Done = Callable[[int], None]
+"""Takes the status of a request's end."""
+
+
+class Clock:
+    """Simulated time and what is to happen."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self._coming: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def after(self, wait_ms: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        at_ms = self.now_ms + wait_ms
+        heapq.heappush(self._coming, (at_ms, next(self._order), action))
+
+    def run(self, until_ms: float) -> None:
+        """Let time pass."""
+        while self._coming and self._coming[0][0] <= until_ms:
+            self.now_ms, _, action = heapq.heappop(self._coming)
+            action()
+
+
+@dataclass(slots=True)
+class Tally:
+    """What callers of one kind got, by the second of their first request."""
+
+    owed: dict[int, float] = field(default_factory=dict)
+    earned: dict[int, float] = field(default_factory=dict)
+    refused_again: float = 0.0
+
+
+class Host:
+    """A sidecar's decisions and the server beside it."""
+
+    def __init__(self, *, screen: "Screen", instance: Instance, speed: float):
+        now_ms = screen.now_ms
+        self.instance = instance
+        self.speed = speed
+        self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
+        self.loads = {ip: PeerLoad() for ip in screen.ips}
+        self.admission = EntryAdmission()
+        self.budget = RepeatBudget(
+            ratio=REPEAT_RATIO,
+            slack=REPEAT_SLACK,
+            window_ms=REPEAT_WINDOW_MS,
+            most_sidecars=lambda: len(screen.ips),
+            sidecars=lambda: len(screen.ips),
+            heartbeat_ms=lambda: HEARTBEAT_MS,
+        )
+        self.repeats = RelayRepeats(budget=self.budget, now_ms=now_ms)
+        self.lessons = RelayLessons(admission=self.admission, now_ms=now_ms)
+        self.placement = Placement(
+            own_ip=instance.ip,
+            availability_zone=instance.availability_zone,
+            load_of=self.loads.get,
+            cold_left_ms=lambda found, now: 0.0,
+            rng=screen.rng,
+        )
+
+    def load(self) -> ServerLoad:
+        """Return what peers are told."""
+        queue = self.queue
+        return ServerLoad(queue.running, queue.queued, queue.limit)
+
+
+class Screen:
+    """One run of a pattern.
+
+    Args:
+        pattern: graph and load.
+        seed: seeds all chance.
+    """
+
+    def __init__(self, *, pattern: Pattern, seed: int):
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.pattern = pattern
+        self.tallies = {
+            name: Tally() for name, kind in pattern.kinds.items() if kind.worth
+        }
+        self.routes = {name: _route(name, k) for name, k in pattern.kinds.items()}
+        instances = [
+            (service, number)
+            for service, group in pattern.services.items()
+            for number in range(group.servers)
+        ]
+        self.ips = [f"10.0.0.{number}" for number in range(len(instances))]
+        self.hosts = {
+            ip: self._host(ip, service, number)
+            for ip, (service, number) in zip(self.ips, instances, strict=True)
+        }
+
+    def now_ms(self) -> float:
+        """Return the simulated time."""
+        return self.clock.now_ms
+
+    def run(self, seconds: float) -> None:
+        """Play the pattern."""
+        for name in self.tallies:
+            self._arrive(name)
+        for host in self.hosts.values():
+            self._tick(host)
+            self.clock.after(
+                self.rng.uniform(0, 200), lambda host=host: _beat(self, host)
+            )
+        self.clock.run(seconds * 1000)
+
+    def instances_of(self, service: str) -> list[Instance]:
+        """Return the instances of a service that can be reached."""
+        spells = self.pattern.of_service(service, self.now_ms())
+        if any(spell.out_of_reach for spell in spells):
+            return []
+        found = (host.instance for host in self.hosts.values())
+        return [instance for instance in found if instance.service == service]
+
+    def _host(self, ip: str, service: str, number: int) -> Host:
+        group = self.pattern.services[service]
+        instance = Instance(
+            id=f"i-{ip}",
+            service=service,
+            ip=ip,
+            port=1,
+            availability_zone=f"zone-{number % ZONES}",
+            slots=group.slots,
+            leaving=False,
+            cold_ms=0.0,
+        )
+        speed = group.speeds[number % len(group.speeds)]
+        return Host(screen=self, instance=instance, speed=speed)
+
+    def _arrive(self, name: str) -> None:
+        kind = self.pattern.kinds[name]
+        rate_per_s = kind.rate_per_s * self.pattern.load_at(self.now_ms())
+        wait_ms = self.rng.expovariate(rate_per_s) * 1000
+        self.clock.after(wait_ms, lambda: self._arrive(name))
+        second = int(self.now_ms() / 1000)
+        tally = self.tallies[name]
+        tally.owed[second] = tally.owed.get(second, 0.0) + kind.worth
+        abusive = self.rng.random() < self.pattern.abuse_share(self.now_ms())
+        Caller(screen=self, name=name, retries=4 if abusive else 1, waits=not abusive)
+
+    def _tick(self, host: Host) -> None:
+        now_ms = self.now_ms()
+        for queued in host.queue.expired(now_ms):
+            self.end(host, queued.item, Verdict.NOT_RUN, "queue-timeout")
+        if host.admission.due(now_ms):
+            services = self.pattern.services
+            reached = itertools.chain.from_iterable(map(self.instances_of, services))
+            capacities = capacities_of(reached, host.loads.get)
+            host.admission.decide(capacities, now_ms)
+        self.clock.after(TICK_MS, lambda: self._tick(host))
+
+    def enter(
+        self, host: Host, name: str, parent: Execution | None, done: Done
+    ) -> None:
+        """Take a request at a host; ``done`` gets its status once."""
+        kind, route = self.pattern.kinds[name], self.routes[name]
+        deadline_ms = self.now_ms() + kind.timeout_ms
+        relay = Relay(
+            http=done,
+            connection=host,
+            route=route,
+            service=kind.service,
+            request_id="",
+            header_lines=b"",
+            deadline_ms=min(deadline_ms, parent.deadline_ms) if parent else deadline_ms,
+            priority=parent.request.priority if parent else kind.priority,
+            level=parent.request.level if parent else self.rng.randrange(LEVELS),
+            parent=parent,
+            repeated=parent is not None and parent.request.repeated,
+            progress=parent.request.progress + parent.calls_done + 1 if parent else 0,
+        )
+        if parent is None:
+            host.admission.offered(name, kind.priority)
+            if host.admission.blocking(name, relay.level) is not None:
+                done(503)
+                return
+        self._place(host, relay)
+
+    def _place(self, host: Host, relay: Relay) -> None:
+        now_ms = self.now_ms()
+        left_ms = relay.deadline_ms - now_ms
+        instance = None
+        if left_ms >= MIN_RETRY_LEFT_MS and relay.places < MAX_PLACES:
+            instances = self.instances_of(relay.service)
+            instance = host.placement.choose(instances, relay.tried, now_ms)
+        if instance is None:
+            self._fail(host, relay)
+            return
+        relay.places += 1
+        relay.tried.add(instance.identity)
+        inner = relay.parent is not None
+        span_ms = left_ms if inner else relay.route.target_latency_ms
+        wait_ms = span_ms * (INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE)
+        host.repeats.sent(relay)
+        host.loads[instance.ip].sent_since += 1
+        request = RelayRequest(
+            remaining_ms=int(left_ms),
+            max_wait_ms=int(wait_ms),
+            priority=relay.priority,
+            level=relay.level,
+            inner=inner,
+            repeated=relay.repeated,
+            progress=relay.progress,
+            last=not inner
+            and host.admission.needs_only(relay.route.name, relay.service),
+        )
+        execution = Execution(
+            request=request,
+            reply=lambda response: self._response(host, relay, instance, response),
+            owner=relay.route.name,
+            deadline_ms=relay.deadline_ms,
+        )
+        target = self.hosts[instance.ip]
+        self.clock.after(_way(host, target), lambda: self._submit(target, execution))
+
+    def _submit(self, host: Host, execution: Execution) -> None:
+        now_ms = self.now_ms()
+        request = execution.request
+        execution.place = QueuedRequest(
+            execution,
+            request.inner,
+            request.priority,
+            now_ms + min(request.max_wait_ms, request.remaining_ms),
+            request.progress,
+            request.last,
+        )
+        if not host.queue.offer(execution.place, now_ms):
+            self.end(host, execution, Verdict.NOT_RUN, "overloaded")
+            return
+        self._start(host)
+
+    def _start(self, host: Host) -> None:
+        for queued in host.queue.startable(self.now_ms()):
+            self._run(host, queued.item)
+
+    def _run(self, host: Host, execution: Execution) -> None:
+        execution.offered = True
+        spells = self.pattern.of_service(host.instance.service, self.now_ms())
+        if self.rng.random() < max((s.shed_share for s in spells), default=0.0):
+            shed = lambda: self.end(host, execution, Verdict.NOT_RUN, "server-shed")  # noqa: E731
+            self.clock.after(SHED_MS, shed)
+            return
+        kind = self.pattern.kinds[execution.owner]
+        mean_ms = kind.work_ms * host.speed * max((s.slower for s in spells), default=1)
+        work_ms = mean_ms * self.rng.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
+        calls = [call for call in kind.calls for _ in range(call.times)]
+        together = any(call.together for call in kind.calls)
+        names = [call.kind for call in calls]
+
+        def call_on() -> None:
+            batch = names[:] if together else names[:1]
+            del names[: len(batch)]
+            if not batch or self.now_ms() > execution.deadline_ms:
+                self._finished(host, execution, 200)
+                return
+            waiting = len(batch)
+            worst = 200
+
+            def called(status: int) -> None:
+                nonlocal waiting, worst
+                waiting -= 1
+                worst = max(worst, status)
+                if waiting:
+                    return
+                if worst == 200:
+                    call_on()
+                else:
+                    self._finished(host, execution, 500)
+
+            for name in batch:
+                self.enter(host, name, execution, called)
+
+        self.clock.after(work_ms, call_on)
+
+    def _finished(self, host: Host, execution: Execution, status: int) -> None:
+        late = self.now_ms() > execution.deadline_ms
+        self.end(host, execution, Verdict.ANSWERED, "", 504 if late else status)
+
+    def end(
+        self, host: Host, execution: Execution, verdict: int, reason: str, status=0
+    ) -> None:
+        """End an execution and tell its owner."""
+        place, now_ms = execution.place, self.now_ms()
+        if place.started_at_ms is not None and not execution.ended:
+            service = host.instance.service
+            held_ms = host.queue.finished(place, now_ms)
+            execution.slot_ms[service] = execution.slot_ms.get(service, 0.0) + held_ms
+        execution.ended = True
+        self._start(host)
+        response = RelayResponse(
+            verdict=verdict,
+            status=status,
+            body=b"",
+            reason=reason,
+            offered=execution.offered,
+            slot_times=[SlotTime(s, ms) for s, ms in execution.slot_ms.items()],
+            load=host.load(),
+            repeats_spent=execution.repeats_spent,
+        )
+        self.clock.after(NEAR_MS, lambda: execution.reply(response))
+
+    def _response(
+        self, host: Host, relay: Relay, instance: Instance, response: RelayResponse
+    ) -> None:
+        load = host.loads[instance.ip]
+        load.report(response.load)
+        for taken in response.slot_times:
+            known_ms = relay.slot_ms.get(taken.service_name, 0.0)
+            relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
+        relay.offers += response.offered
+        relay.repeats_spent = relay.repeats_spent or response.repeats_spent
+        host.repeats.learn(relay)
+        host.lessons.execution_ended(relay, response, load)
+        if response.verdict == Verdict.ANSWERED:
+            failed = response.status >= 500
+            if failed and host.repeats.allow_failed(relay):
+                self._repeat(host, relay)
+                return
+            host.lessons.answered(relay, response)
+            self._done(relay, response.status)
+        elif not response.offered:
+            self._place(host, relay)
+        elif host.repeats.allow_unrun(relay):
+            self._repeat(host, relay)
+        else:
+            self._fail(host, relay)
+
+    def _repeat(self, host: Host, relay: Relay) -> None:
+        relay.repeated = True
+        self._place(host, relay)
+
+    def _fail(self, host: Host, relay: Relay) -> None:
+        host.lessons.failed(relay)
+        self._done(relay, 503)
+
+    def _done(self, relay: Relay, status: int) -> None:
+        relay.ended = True
+        parent = relay.parent
+        if parent is not None and not parent.ended:
+            parent.calls_done += 1
+            parent.repeats_spent = parent.repeats_spent or relay.repeats_spent
+            for service, taken_ms in relay.slot_ms.items():
+                known_ms = parent.slot_ms.get(service, 0.0)
+                parent.slot_ms[service] = known_ms + taken_ms
+        relay.http(status)
+
+
+class Caller:
+    """Sends a request, and comes back as callers of the platform do."""
+
+    def __init__(self, *, screen: Screen, name: str, retries: int, waits: bool):
+        self._screen = screen
+        self._name = name
+        self._kind = screen.pattern.kinds[name]
+        self._retries = retries
+        self._waits = waits
+        self._refusals = 0
+        self._first_ms = screen.now_ms()
+        self._send()
+
+    def _send(self) -> None:
+        screen = self._screen
+        host = screen.hosts[screen.rng.choice(screen.ips)]
+        screen.enter(host, self._name, None, self._answered)
+
+    def _answered(self, status: int) -> None:
+        screen, kind = self._screen, self._kind
+        held_ms = screen.now_ms() - self._first_ms
+        tally = screen.tallies[self._name]
+        if status == 200:
+            second = int(self._first_ms / 1000)
+            credit = kind.worth if held_ms <= kind.target_ms else kind.late_worth
+            tally.earned[second] = tally.earned.get(second, 0.0) + credit
+            return
+        unrun = status == 503
+        self._refusals += unrun
+        left_ms = kind.patience_ms - held_ms
+        if not self._retries or left_ms <= 0 or not (unrun or kind.idempotent):
+            if self._refusals > 1:
+                tally.refused_again += kind.worth
+            return
+        self._retries -= 1
+        wait_ms = self._wait_ms() if unrun and self._waits else 0.0
+        screen.clock.after(min(wait_ms, left_ms / 3), self._send)
+
+    def _wait_ms(self) -> float:
+        share = self._screen.rng.uniform(*RETRY_AFTER_SHARES)
+        return max(self._kind.target_ms * share, MIN_RETRY_AFTER_MS)
+
+
+def _beat(screen: Screen, host: Host) -> None:
+    now_ms = screen.now_ms()
+    demand, counted = host.admission.demand(), host.budget.counted(now_ms)
+    for ip, peer in screen.hosts.items():
+        peer.loads[host.instance.ip].report(host.load())
+        if peer is not host:
+            peer.admission.heard(host.instance.ip, demand, now_ms)
+            peer.budget.heard(host.instance.ip, counted, now_ms)
+            host.loads[ip].report(peer.load())
+    screen.clock.after(HEARTBEAT_MS, lambda: _beat(screen, host))
+
+
+def _way(one: Host, other: Host) -> float:
+    near = one.instance.availability_zone == other.instance.availability_zone
+    return NEAR_MS if near else FAR_MS
+
+
+def _route(name: str, kind: Kind) -> Route:
+    return Route(
+        name=name,
+        host="",
+        prefix="/",
+        shares=(Share(service=kind.service, weight=1.0),),
+        idempotent=kind.idempotent,
+        max_attempts=2,
+        timeout_ms=kind.timeout_ms,
+        target_latency_ms=kind.target_ms,
+        priority=kind.priority,
+    )
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
@@ -0,0 +1,236 @@
+"""Load patterns of the screen: call graphs, rates, and what happens to servers."""
+
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
+
+NOBODY: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Calls:
+    """Calls that a running request makes."""
+
+    kind: str
+    times: int
+    together: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """A kind of request; calls of servers have no rate and no worth.
+
+    Attributes:
+        service: runs it.
+        priority: 0 is the most important.
+        rate_per_s: requests of callers, all hosts together.
+        work_ms: mean time at a server of mean speed, without its calls.
+        target_ms: time within which an answer has its full worth.
+        timeout_ms: longest time that its route keeps a caller waiting.
+        patience_ms: time that its callers have, returns included.
+        idempotent: whether it may run more than once.
+        worth: credit of an answer in time.
+        late_worth: credit of a later one.
+        calls: what it calls, in turn.
+    """
+
+    service: str
+    priority: int
+    rate_per_s: float = 0.0
+    work_ms: float
+    target_ms: float
+    timeout_ms: float
+    patience_ms: float
+    idempotent: bool = True
+    worth: float = 0.0
+    late_worth: float = 0.0
+    calls: tuple[Calls, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerGroup:
+    """The servers of one service.
+
+    Attributes:
+        speeds: times of their work, as share of the mean, in turn.
+    """
+
+    servers: int
+    slots: int
+    speeds: tuple[float, ...] = (1.0,)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Spell:
+    """Something that holds for a while.
+
+    Attributes:
+        from_s, until_s: when it holds.
+        load: times the usual rate.
+        shed_share: share of its requests that a service refuses unrun.
+        slower: times the usual work of a service.
+        service: the service; empty with ``load`` alone.
+        out_of_reach: whether no server of the service can be reached.
+        abuse_share: callers that ignore Retry-After and ask three times more at once.
+    """
+
+    from_s: float
+    until_s: float
+    load: float = 1.0
+    service: str = ""
+    shed_share: float = 0.0
+    slower: float = 1.0
+    out_of_reach: bool = False
+    abuse_share: float = 0.0
+
+    def holds(self, now_ms: float) -> bool:
+        """Return whether it holds now."""
+        return self.from_s * 1000 <= now_ms < self.until_s * 1000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pattern:
+    """A graph under a load."""
+
+    services: MappingProxyType[str, ServerGroup]
+    kinds: MappingProxyType[str, Kind]
+    load: float = 1.0
+    spells: tuple[Spell, ...] = field(default=())
+
+    def load_at(self, now_ms: float) -> float:
+        """Return the times of the usual rate now."""
+        factor = self.load
+        for spell in self.spells:
+            factor *= spell.load if spell.holds(now_ms) else 1.0
+        return factor
+
+    def of_service(self, service: str, now_ms: float) -> list[Spell]:
+        """Return what holds for a service now."""
+        return [s for s in self.spells if s.service == service and s.holds(now_ms)]
+
+    def abuse_share(self, now_ms: float) -> float:
+        """Return the share of callers that ignore Retry-After now."""
+        return max((s.abuse_share for s in self.spells if s.holds(now_ms)), default=0.0)
+
+
+WIDE = Pattern(
+    services=MappingProxyType(
+        {
+            "front": ServerGroup(servers=5, slots=120, speeds=(0.5, 1.0, 1.0, 1.5)),
+            "plan": ServerGroup(servers=4, slots=150, speeds=(0.6, 1.0, 1.4)),
+            "field": ServerGroup(servers=3, slots=200, speeds=(0.5, 1.0, 1.5)),
+            "office": ServerGroup(servers=3, slots=37, speeds=(0.6, 1.0, 1.4)),
+        }
+    ),
+    kinds=MappingProxyType(
+        {
+            "view": Kind(
+                service="front",
+                priority=2,
+                rate_per_s=256.0,
+                work_ms=120.0,
+                target_ms=1_500.0,
+                timeout_ms=800.0,
+                patience_ms=5_000.0,
+                worth=1.0,
+                late_worth=0.1,
+                calls=(Calls(kind="stock", times=2, together=True),),
+            ),
+            "book": Kind(
+                service="plan",
+                priority=0,
+                rate_per_s=119.0,
+                work_ms=160.0,
+                target_ms=1_500.0,
+                timeout_ms=1_000.0,
+                patience_ms=5_000.0,
+                idempotent=False,
+                worth=3.0,
+                late_worth=0.2,
+                calls=(Calls(kind="survey", times=2),),
+            ),
+            "confirm": Kind(
+                service="field",
+                priority=0,
+                rate_per_s=100.0,
+                work_ms=84.0,
+                target_ms=250.0,
+                timeout_ms=1_000.0,
+                patience_ms=1_000.0,
+                idempotent=False,
+                worth=3.0,
+                late_worth=0.3,
+            ),
+            "file": Kind(
+                service="office",
+                priority=2,
+                rate_per_s=36.9,
+                work_ms=96.0,
+                target_ms=300.0,
+                timeout_ms=1_200.0,
+                patience_ms=1_200.0,
+                idempotent=False,
+                worth=1.0,
+                late_worth=0.1,
+            ),
+            "stock": Kind(
+                service="plan",
+                priority=0,
+                work_ms=15.0,
+                target_ms=1_000.0,
+                timeout_ms=2_500.0,
+                patience_ms=2_500.0,
+                calls=(Calls(kind="survey", times=1),),
+            ),
+            "survey": Kind(
+                service="field",
+                priority=0,
+                work_ms=15.0,
+                target_ms=800.0,
+                timeout_ms=2_000.0,
+                patience_ms=2_000.0,
+                calls=(Calls(kind="permit", times=4),),
+            ),
+            "permit": Kind(
+                service="office",
+                priority=0,
+                work_ms=30.0,
+                target_ms=300.0,
+                timeout_ms=700.0,
+                patience_ms=700.0,
+            ),
+        }
+    ),
+)
+"""Two kinds of tree fill one small service at the bottom; one kind needs it alone."""
+
+PATTERNS: dict[str, Pattern] = {
+    "surge": replace(
+        WIDE,
+        load=1.35,
+        spells=(
+            Spell(from_s=3, until_s=13, load=1.6),
+            Spell(from_s=5, until_s=9, abuse_share=0.4),
+        ),
+    ),
+    "part-shed": replace(
+        WIDE,
+        load=1.35,
+        spells=(Spell(from_s=8, until_s=16, service="office", shed_share=0.55),),
+    ),
+    "out-of-reach": replace(
+        WIDE,
+        load=1.35,
+        spells=(Spell(from_s=5, until_s=11, service="field", out_of_reach=True),),
+    ),
+    "slower": replace(
+        WIDE,
+        spells=(Spell(from_s=5, until_s=11, service="office", slower=4.0),),
+    ),
+    "two-full": replace(
+        WIDE,
+        load=1.35,
+        spells=(Spell(from_s=4, until_s=14, service="plan", slower=3.0),),
+    ),
+    "from-nothing": replace(WIDE, load=1.8),
+}
+"""Load patterns by name."""
