One place for slot times, one for the choice of a server; sidecar, relay and screen split

Slot times were added up at three places (relay twice, executor), and a fourth time in the screen; relay and screen chose servers alike. No behaviour changes.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -21,11 +21,11 @@
     RelayRequest,
     RelayResponse,
     ServerLoad,
-    SlotTime,
     Verdict,
 )
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
+from sassafraswinch_sidecar.slot_times import add_slot_times, serialize_slot_times
 
 Reply = Callable[[RelayResponse], None]
 
@@ -360,10 +360,7 @@
                 body=body,
                 reason=reason,
                 offered=execution.offered,
-                slot_times=[
-                    SlotTime(service, taken_ms)
-                    for service, taken_ms in execution.slot_ms.items()
-                ],
+                slot_times=serialize_slot_times(execution.slot_ms),
                 load=self.load(),
                 actual_instance_id=execution.actual_instance_id,
                 repeats_spent=execution.repeats_spent,
@@ -375,8 +372,7 @@
         if place is None or place.started_at_ms is None or execution.ended:
             return
         held_ms = self.queue.finished(place, self._loop.time() * 1000)
-        taken_ms = execution.slot_ms
-        taken_ms[self._service] = taken_ms.get(self._service, 0.0) + held_ms
+        add_slot_times(execution.slot_ms, {self._service: held_ms})
 
     def _forget(self, execution: Execution) -> None:
         execution.ended = True
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -27,7 +27,9 @@
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
+from sassafraswinch_sidecar.server_choice import choose_server
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
+from sassafraswinch_sidecar.slot_times import add_slot_times, parse_slot_times
 from sassafraswinch_sidecar.substitutes import Substitutes
 
 ROOT_WAIT_SHARE = 0.12
@@ -158,9 +160,7 @@
         relay = self.relays.pop(response.call_id, None)
         if relay is None or relay.ended:
             return
-        for taken in response.slot_times:
-            known_ms = relay.slot_ms.get(taken.service_name, 0.0)
-            relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
+        add_slot_times(relay.slot_ms, parse_slot_times(response.slot_times))
         if response.offered:
             relay.offers += 1
             relay.offered_to.add(relay.identity)
@@ -212,7 +212,13 @@
         instance = None
         refusals = relay.places - relay.offers
         if left_ms >= MIN_RETRY_LEFT_MS and refusals < MAX_PLACES:
-            instance = self._choose(relay, instances, now_ms)
+            instance = choose_server(
+                self._placement,
+                relay,
+                instances,
+                now_ms,
+                self._lessons.answer_bytes(relay.route.name),
+            )
         if instance is None and not relay.tried and self._settling(left_ms):
             self._loop.call_later(SETTLE_PAUSE_S, self._place_again, relay)
             return
@@ -223,23 +229,6 @@
         relay.tried.add(instance.identity)
         self._send(relay, instance, left_ms)
 
-    def _choose(
-        self, relay: Relay, instances: list[Instance], now_ms: float
-    ) -> Instance | None:
-        """Return an instance that wasn't asked yet, or else one to be asked again.
-
-        No more servers than the route allows get the request; those that proved that
-        they didn't run it may get it again.
-        """
-        answer_bytes = self._lessons.answer_bytes(relay.route.name)
-        choose = self._placement.choose
-        offered_to = [i for i in instances if i.identity in relay.offered_to]
-        if len(relay.offered_to) < relay.route.max_attempts:
-            chosen = choose(instances, relay.tried, now_ms, answer_bytes)
-            if chosen is not None or not relay.offered_to:
-                return chosen
-        return choose(offered_to, (), now_ms, answer_bytes)
-
     def _place_again(self, relay: Relay) -> None:
         if not relay.ended:
             self._place(relay)
@@ -396,9 +385,7 @@
         if parent is not None and not parent.ended:
             parent.calls_done += 1
             parent.repeats_spent = parent.repeats_spent or relay.repeats_spent
-            for service, taken_ms in relay.slot_ms.items():
-                known_ms = parent.slot_ms.get(service, 0.0)
-                parent.slot_ms[service] = known_ms + taken_ms
+            add_slot_times(parent.slot_ms, relay.slot_ms)
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable
 
-from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
@@ -38,6 +37,10 @@
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
+from sassafraswinch_sidecar.sidecar_faults import (
+    log_platform_faults,
+    log_settings_changes,
+)
 from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
 from sassafraswinch_sidecar.standstill import Standstill
@@ -78,7 +81,7 @@
         self._load_settings = load_settings
         self._loop = asyncio.get_running_loop()
         self._fleet = Fleet(
-            decoder=decoder, report=_report_faults, is_isolated=self._is_isolated
+            decoder=decoder, report=log_platform_faults, is_isolated=self._is_isolated
         )
         self._data = PlatformData(
             fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
@@ -166,14 +169,14 @@
         )
         self._ready = HttpListener(
             handler=ReadyPage(path=ready_path, is_ready=lambda: self.is_ready),
-            limits=_default_limits,
+            limits=lambda: DEFAULT_LIMITS,
             held=self._held,
         )
         self._metrics = HttpListener(
             handler=MetricsPage(
                 SidecarMetrics(counts=self._counts, gauges=self._gauges)
             ),
-            limits=_default_limits,
+            limits=lambda: DEFAULT_LIMITS,
             held=self._held,
         )
         self._reader = PlatformReader(
@@ -370,18 +373,7 @@
         return self._owner.in_flight + self._executor.in_flight
 
     def _reload(self) -> None:
-        """Say what changed in the settings; a sidecar takes them at its start only."""
-        try:
-            settings = self._load_settings()
-        except (OSError, InvalidFieldsError) as error:
-            log_event("settings_unreadable", level="error", reason=str(error))
-            return
-        changed = [
-            field
-            for field in SidecarSettings.model_fields
-            if getattr(settings, field) != getattr(self._settings, field)
-        ]
-        log_event("settings_read", level="warning", changed=",".join(changed) or "none")
+        log_settings_changes(self._settings, self._load_settings)
 
     def _limits(self) -> RequestLimits:
         table = self._fleet.table
@@ -403,18 +395,3 @@
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000
-
-
-def _default_limits() -> RequestLimits:
-    return DEFAULT_LIMITS
-
-
-def _report_faults(group: InvalidFieldsError) -> None:
-    for error in group.exceptions:
-        log_event(
-            "platform_data_invalid",
-            level="error",
-            source=error.source,
-            field=error.field,
-            reason=error.reason,
-        )
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen.py
@@ -8,7 +8,8 @@
 import defopt
 import orjson
 
-from sassafraswinch_standins.screen_fleet import Screen, Tally
+from sassafraswinch_standins.screen_callers import Tally
+from sassafraswinch_standins.screen_fleet import Screen
 from sassafraswinch_standins.screen_load import PATTERNS
 
 COUNTED_SECONDS = 16
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -4,35 +4,36 @@
 teach. Sockets, frames and the platform aren't played; a message takes a fixed time.
 """
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from functools import partial
 
 from sassafraswinch_sidecar.entry_admission import LEVELS, EntryAdmission
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
 from sassafraswinch_sidecar.relay import INNER_WAIT_SHARE, MAX_PLACES, ROOT_WAIT_SHARE
-from sassafraswinch_sidecar.relay_answers import (
-    MIN_RETRY_AFTER_MS,
-    RETRY_AFTER_SHARES,
-)
 from sassafraswinch_sidecar.relay_intake import Relay
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayRequest,
     RelayResponse,
     ServerLoad,
-    SlotTime,
     Verdict,
 )
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
-from sassafraswinch_sidecar.routes import Route, Share
+from sassafraswinch_sidecar.server_choice import choose_server
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
-from sassafraswinch_standins.screen_load import Kind, Pattern
+from sassafraswinch_sidecar.slot_times import (
+    add_slot_times,
+    parse_slot_times,
+    serialize_slot_times,
+)
+from sassafraswinch_standins.screen_callers import Caller, Tally
+from sassafraswinch_standins.screen_clock import Clock
+from sassafraswinch_standins.screen_load import Pattern, route_of
 
 ZONES = 3
 NEAR_MS, FAR_MS = 0.5, 1.4
@@ -52,35 +53,6 @@
 """Takes the status of a request's end."""
 
 
-class Clock:
-    """Simulated time and what is to happen."""
-
-    def __init__(self):
-        self.now_ms = 0.0
-        self._coming: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
-
-    def after(self, wait_ms: float, action: Callable[[], None]) -> None:
-        """Do something later."""
-        at_ms = self.now_ms + wait_ms
-        heapq.heappush(self._coming, (at_ms, next(self._order), action))
-
-    def run(self, until_ms: float) -> None:
-        """Let time pass."""
-        while self._coming and self._coming[0][0] <= until_ms:
-            self.now_ms, _, action = heapq.heappop(self._coming)
-            action()
-
-
-@dataclass(slots=True)
-class Tally:
-    """What callers of one kind got, by the second of their first request."""
-
-    owed: dict[int, float] = field(default_factory=dict)
-    earned: dict[int, float] = field(default_factory=dict)
-    refused_again: float = 0.0
-
-
 class Host:
     """A sidecar's decisions and the server beside it."""
 
@@ -130,7 +102,7 @@
         self.tallies = {
             name: Tally() for name, kind in pattern.kinds.items() if kind.worth
         }
-        self.routes = {name: _route(name, k) for name, k in pattern.kinds.items()}
+        self.routes = {name: route_of(name, k) for name, k in pattern.kinds.items()}
         instances = [
             (service, number)
             for service, group in pattern.services.items()
@@ -184,11 +156,19 @@
         rate_per_s = kind.rate_per_s * self.pattern.load_at(self.now_ms())
         wait_ms = self.rng.expovariate(rate_per_s) * 1000
         self.clock.after(wait_ms, lambda: self._arrive(name))
-        second = int(self.now_ms() / 1000)
-        tally = self.tallies[name]
-        tally.owed[second] = tally.owed.get(second, 0.0) + kind.worth
         abusive = self.rng.random() < self.pattern.abuse_share(self.now_ms())
-        Caller(screen=self, name=name, retries=4 if abusive else 1, waits=not abusive)
+        Caller(
+            kind=kind,
+            send=partial(self._send, name),
+            tally=self.tallies[name],
+            clock=self.clock,
+            rng=self.rng,
+            is_abusive=abusive,
+        )
+
+    def _send(self, name: str, done: Done) -> None:
+        host = self.hosts[self.rng.choice(self.ips)]
+        self.enter(host, name, None, done)
 
     def _tick(self, host: Host) -> None:
         now_ms = self.now_ms()
@@ -233,7 +213,8 @@
         left_ms = relay.deadline_ms - now_ms
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places - relay.offers < MAX_PLACES:
-            instance = self._choose(host, relay)
+            instances = self.instances_of(relay.service)
+            instance = choose_server(host.placement, relay, instances, now_ms)
         if instance is None:
             self._fail(host, relay)
             return
@@ -264,16 +245,6 @@
         target = self.hosts[instance.ip]
         self.clock.after(_way(host, target), lambda: self._submit(target, execution))
 
-    def _choose(self, host: Host, relay: Relay) -> Instance | None:
-        instances = self.instances_of(relay.service)
-        choose, now_ms = host.placement.choose, self.now_ms()
-        if len(relay.offered_to) < relay.route.max_attempts:
-            chosen = choose(instances, relay.tried, now_ms)
-            if chosen is not None or not relay.offered_to:
-                return chosen
-        again = [i for i in instances if i.identity in relay.offered_to]
-        return choose(again, (), now_ms)
-
     def _submit(self, host: Host, execution: Execution) -> None:
         now_ms = self.now_ms()
         request = execution.request
@@ -345,7 +316,7 @@
         if place.started_at_ms is not None and not execution.ended:
             service = host.instance.service
             held_ms = host.queue.finished(place, now_ms)
-            execution.slot_ms[service] = execution.slot_ms.get(service, 0.0) + held_ms
+            add_slot_times(execution.slot_ms, {service: held_ms})
         execution.ended = True
         self._start(host)
         response = RelayResponse(
@@ -354,7 +325,7 @@
             body=b"",
             reason=reason,
             offered=execution.offered,
-            slot_times=[SlotTime(s, ms) for s, ms in execution.slot_ms.items()],
+            slot_times=serialize_slot_times(execution.slot_ms),
             load=host.load(),
             repeats_spent=execution.repeats_spent,
         )
@@ -365,9 +336,7 @@
     ) -> None:
         load = host.loads[instance.ip]
         load.report(response.load)
-        for taken in response.slot_times:
-            known_ms = relay.slot_ms.get(taken.service_name, 0.0)
-            relay.slot_ms[taken.service_name] = known_ms + taken.slot_ms
+        add_slot_times(relay.slot_ms, parse_slot_times(response.slot_times))
         if response.offered:
             relay.offers += 1
             relay.offered_to.add(instance.identity)
@@ -402,55 +371,10 @@
         if parent is not None and not parent.ended:
             parent.calls_done += 1
             parent.repeats_spent = parent.repeats_spent or relay.repeats_spent
-            for service, taken_ms in relay.slot_ms.items():
-                known_ms = parent.slot_ms.get(service, 0.0)
-                parent.slot_ms[service] = known_ms + taken_ms
+            add_slot_times(parent.slot_ms, relay.slot_ms)
         relay.http(status)
 
 
-class Caller:
-    """Sends a request, and comes back as callers of the platform do."""
-
-    def __init__(self, *, screen: Screen, name: str, retries: int, waits: bool):
-        self._screen = screen
-        self._name = name
-        self._kind = screen.pattern.kinds[name]
-        self._retries = retries
-        self._waits = waits
-        self._refusals = 0
-        self._first_ms = screen.now_ms()
-        self._send()
-
-    def _send(self) -> None:
-        screen = self._screen
-        host = screen.hosts[screen.rng.choice(screen.ips)]
-        screen.enter(host, self._name, None, self._answered)
-
-    def _answered(self, status: int) -> None:
-        screen, kind = self._screen, self._kind
-        held_ms = screen.now_ms() - self._first_ms
-        tally = screen.tallies[self._name]
-        if status == 200:
-            second = int(self._first_ms / 1000)
-            credit = kind.worth if held_ms <= kind.target_ms else kind.late_worth
-            tally.earned[second] = tally.earned.get(second, 0.0) + credit
-            return
-        unrun = status == 503
-        self._refusals += unrun
-        left_ms = kind.patience_ms - held_ms
-        if not self._retries or left_ms <= 0 or not (unrun or kind.idempotent):
-            if self._refusals > 1:
-                tally.refused_again += kind.worth
-            return
-        self._retries -= 1
-        wait_ms = self._wait_ms() if unrun and self._waits else 0.0
-        screen.clock.after(min(wait_ms, left_ms / 3), self._send)
-
-    def _wait_ms(self) -> float:
-        share = self._screen.rng.uniform(*RETRY_AFTER_SHARES)
-        return max(self._kind.target_ms * share, MIN_RETRY_AFTER_MS)
-
-
 def _beat(screen: Screen, host: Host) -> None:
     now_ms = screen.now_ms()
     demand, counted = host.admission.demand(), host.budget.counted(now_ms)
@@ -466,17 +390,3 @@
 def _way(one: Host, other: Host) -> float:
     near = one.instance.availability_zone == other.instance.availability_zone
     return NEAR_MS if near else FAR_MS
-
-
-def _route(name: str, kind: Kind) -> Route:
-    return Route(
-        name=name,
-        host="",
-        prefix="/",
-        shares=(Share(service=kind.service, weight=1.0),),
-        idempotent=kind.idempotent,
-        max_attempts=2,
-        timeout_ms=kind.timeout_ms,
-        target_latency_ms=kind.target_ms,
-        priority=kind.priority,
-    )
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 
+from sassafraswinch_sidecar.routes import Route, Share
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Calls:
@@ -44,6 +46,21 @@
     calls: tuple[Calls, ...] = ()
 
 
+def route_of(name: str, kind: Kind) -> Route:
+    """Return the route that requests of a kind take."""
+    return Route(
+        name=name,
+        host="",
+        prefix="/",
+        shares=(Share(service=kind.service, weight=1.0),),
+        idempotent=kind.idempotent,
+        max_attempts=2,
+        timeout_ms=kind.timeout_ms,
+        target_latency_ms=kind.target_ms,
+        priority=kind.priority,
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServerGroup:
     """The servers of one service.
