--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 5
 MINUTES ?= 1
 
-.PHONY: setup test lint demo bench slopes soak fault-soak generate clean
+.PHONY: setup test lint demo bench screen slopes soak fault-soak generate clean
 
 setup: $(VENV)/.done
 
@@ -33,6 +33,9 @@
 	$(BIN)/python -m sassafraswinch_standins.bench latency
 	$(BIN)/python -m sassafraswinch_standins.bench overload --seeds $(SEEDS)
 
+screen: setup
+	$(BIN)/python -m sassafraswinch_standins.screen --seeds $(SEEDS)
+
 slopes: setup
 	$(BIN)/python -m sassafraswinch_standins.slopes
 
