Use 0.95 of the slots; give test ports once

A test failed once, in its fixture: a backend server listened at the port of the links, which free_port had looked at and closed; greetings of sidecars ended its parser (HttpParserInvalidMethodError). Traced by forcing that collision, which gives the same error; ports are given once now.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -11,9 +11,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-SLOT_SHARE = 0.94
+SLOT_SHARE = 0.95
 """Part of the slots that is used: a new connection and a health check hold a slot
-for a moment, and some servers slow down above 95%."""
+for a moment, and some servers slow down above 95%. A day in which three servers of 37
+slots were full earned 0.825 of its credit in place of 0.818 with 0.94, which leaves one
+more slot of each empty."""
 
 HOLD_GAIN = 0.05
 """Weight of one request in the mean time that a slot is held: the last twenty."""
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/backend.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/backend.py
@@ -112,10 +112,10 @@
         """Answer at once."""
         connection.transport.write(answer(seen))
 
-    async def open(self, ip: str) -> int:
-        """Listen at a free port and return it."""
+    async def open(self, ip: str, port: int = 0) -> int:
+        """Listen at a port, by default at any free one, and return it."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Connection(self), ip, 0)
+        self.server = await loop.create_server(lambda: Connection(self), ip, port)
         return self.server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -237,12 +237,24 @@
         writer.close()
 
 
+_GIVEN_PORTS: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port that is free on all loopback addresses just now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("0.0.0.0", 0))
-        return probe.getsockname()[1]
+    """Return a port that is free on all loopback addresses, and never given twice.
+
+    Failure: the kernel gives a port that was looked at and closed to the next listener
+    that asks for any. A backend server then listened at the port of the links, and the
+    sidecars' greetings ended its parser.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(("0.0.0.0", 0))
+            port = probe.getsockname()[1]
+        if port not in _GIVEN_PORTS:
+            _GIVEN_PORTS.add(port)
+            return port
 
 
 def route(name, prefix, service, **fields) -> dict:
@@ -276,7 +288,7 @@
     for number, service in enumerate(services, 2):
         ip = f"127.0.0.{number}"
         backend = Backend()
-        port = await backend.open(ip)
+        port = await backend.open(ip, free_port())
         settings = SidecarSettings(
             host=f"host-{number}",
             ip=ip,
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -8,6 +8,7 @@
 from sidecar_standins.fleet import (
     ROUTES,
     call,
+    free_port,
     read_answer,
     request_bytes,
     route,
@@ -386,3 +387,12 @@
     second_load.refuses_until_ms = float("inf")
     assert (await fleet.call(fleet.nodes[2], request_id="r-12")).status == 200
     assert len(first.backend.seen) == 1
+
+
+def test_ports_of_a_fleet_are_given_once():
+    """A backend server listened at the port of the links, since a port that is looked
+    at and closed is free for the next listener. Greetings of sidecars ended its parser,
+    and a test failed that had nothing to do with it.
+    """
+    ports = [free_port() for _ in range(500)]
+    assert len(set(ports)) == len(ports)
