Stop kinds of which nothing arrives where there is no room; derandomise the new property tests

Finding: a property test failed once (claims k: priority 0, rate 0, needs a; l: priority 1, rate 1, needs a; room 0): what fits was decided by 'wanted <= room', which holds for nothing wanted of no room, so the next request of such a route was let in towards a service that can't be reached, unless another kind wanted it too. Cause found by its minimal example, which stays as a test; it fails without the change.

--- a/packages/sassafraswinch-sidecar/tests/test_slot_times.py
+++ b/packages/sassafraswinch-sidecar/tests/test_slot_times.py
@@ -1,6 +1,6 @@
 """Slot times of a tree, added up and told."""
 
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from sassafraswinch_sidecar.slot_times import (
     add_slot_times,
@@ -11,11 +11,13 @@
 times = st.dictionaries(st.text(max_size=5), st.floats(0.0, 1e6), max_size=5)
 
 
+@settings(derandomize=True, deadline=None)
 @given(times)
 def test_what_is_written_is_read(taken_ms):
     assert parse_slot_times(serialize_slot_times(taken_ms)) == taken_ms
 
 
+@settings(derandomize=True, deadline=None)
 @given(times, times)
 def test_parts_add_up_by_service(first_ms, second_ms):
     total_ms = {}
--- a/packages/sassafraswinch/sassafraswinch/fitting_shares.py
+++ b/packages/sassafraswinch/sassafraswinch/fitting_shares.py
@@ -55,7 +55,7 @@
         claims: all kinds of request, one for each kind.
         rooms: what the resources carry; one that isn't named has no bound.
     """
-    if all(_wanted(claims, each) <= room for each, room in rooms.items()):
+    if all(_wanted(claims, each) < room for each, room in rooms.items()):
         return {}
     left = dict(rooms)
     fits: dict[str, Fit] = {}
--- a/packages/sassafraswinch/tests/test_fitting_shares.py
+++ b/packages/sassafraswinch/tests/test_fitting_shares.py
@@ -1,7 +1,7 @@
 """Shares of several kinds of request that several services carry together."""
 
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from sassafraswinch.fitting_shares import Claim, fitting_shares
 
@@ -52,6 +52,16 @@
     assert used == pytest.approx(left)
 
 
+def test_kind_of_which_nothing_arrives_is_stopped_where_there_is_no_room():
+    """No server of a service can be reached, and for a moment no request that needs it
+    has come. The next one must be refused, whether other kinds want the service or not.
+    """
+    idle = Claim(kind="k", priority=0, rate_per_s=0.0, needs={"a": 1.0})
+    busy = Claim(kind="l", priority=1, rate_per_s=1.0, needs={"a": 1.0})
+    for claims in ([idle], [idle, busy]):
+        assert fitting_shares(claims, {"a": 0.0})["k"].share == 0.0
+
+
 RESOURCES = ("a", "b", "c")
 
 
@@ -74,6 +84,7 @@
 )
 
 
+@settings(derandomize=True, deadline=None)
 @given(claims=claims_of_kinds, rooms=rooms_of_all)
 def test_nothing_is_over_full_and_no_usable_room_is_left(claims, rooms):
     fits = fitting_shares(claims, rooms)
@@ -89,6 +100,7 @@
         assert used[fit.lacks] >= rooms[fit.lacks] - 1e-6, kind
 
 
+@settings(derandomize=True, deadline=None)
 @given(claims=claims_of_kinds, rooms=rooms_of_all)
 def test_less_important_kinds_take_nothing_from_more_important_ones(claims, rooms):
     fits = fitting_shares(claims, rooms)
@@ -101,6 +113,7 @@
             assert share == pytest.approx(before, abs=1e-6)
 
 
+@settings(derandomize=True, deadline=None)
 @given(claims=claims_that_need(st.floats(0.01, 1.0), ("a",)), room=st.floats(0, 300))
 def test_each_arriving_equal_is_given_the_same_room(claims, room):
     fits = fitting_shares(claims, {"a": room})
@@ -116,6 +129,7 @@
         assert all(c.needs["a"] <= got + 1e-6 for c in whole for got in rooms)
 
 
+@settings(derandomize=True, deadline=None)
 @given(
     claims=claims_that_need(st.just(0.5), priorities=(0,)), room=st.floats(0.0, 300.0)
 )
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch_platform.decoding import PlatformDecoder, parse_json
@@ -162,6 +162,7 @@
 )
 
 
+@settings(derandomize=True, deadline=None)
 @given(
     value=st.one_of(
         st.binary(max_size=200),
