Make the screen the same in each process: no order of sets in needs and merged claims

Cause: needs were gone over in the order of a set, which differs between processes (hash of text); with it the service that a full route is said to lack, and so which correction rises.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -149,7 +149,7 @@
         demand.learnt_ms = now_ms
         gain = max(LEARN_GAIN, 1 / demand.answers, age_ms / (age_ms + LEARN_MS))
         known = demand.slot_s
-        for service in known.keys() | slot_ms.keys():
+        for service in dict.fromkeys([*known, *slot_ms]):
             taken_s = slot_ms.get(service, 0.0) / 1000
             before_s = known.get(service)
             if before_s is None:
@@ -300,7 +300,7 @@
     if len(claims) == 1:
         return claims[0]
     rate_per_s = sum(claim.rate_per_s for claim in claims)
-    services = {service for claim in claims for service in claim.needs}
+    services = dict.fromkeys(service for claim in claims for service in claim.needs)
     return Claim(
         kind=claims[0].kind,
         priority=min(claim.priority for claim in claims),
