Fleet in memory: start anew what was leaving as a whole when all was repaired

Its minimal example leaves every host and then repairs the fleet: hosts that still have a leaving process aren't started anew, and a moment later there is no process. Alone the test passes: Hypothesis draws constants from the modules that are imported, so the whole run plays other examples.

Cause: in the stand-in fleet, not in the node. Change: a stop of the whole fleet comes to its end before hosts are started. The checks are unchanged; a test of this case fails without the change.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/memory_fleet.py
@@ -24,6 +24,9 @@
 }
 """Availability zones of the hosts of each service."""
 
+STOP_LOOK_MS = 100.0
+"""Pause between looks whether a planned stop is over."""
+
 CONVERGE_MS = 9_000.0
 """Time in which a change is in force everywhere."""
 LOOK_EVERY_MS = 100.0
@@ -226,10 +229,22 @@
         for process in list(self.processes.values()):
             if process.paused:
                 process.wake()
+        self._end_stop_of_all()
         for host in self.records:
             self.restart(host)
         self.checks.calm = True
 
+    def _end_stop_of_all(self) -> None:
+        """Let a planned stop of the whole fleet come to its end.
+
+        Failure: every host is leaving when all is repaired. None is started anew, since
+        each still has its process, and a moment later there is no process at all.
+        """
+        while self.processes and all(
+            process.left_at_ms is not None for process in self.processes.values()
+        ):
+            self.run_for(STOP_LOOK_MS)
+
     def check_converged(self) -> None:
         """Check that all nodes hold one document, and the newest that they can see."""
         stamps = {
--- a/packages/sassafraswinch-standins/tests/test_memory_faults.py
+++ b/packages/sassafraswinch-standins/tests/test_memory_faults.py
@@ -3,7 +3,7 @@
 from sassafraswinch.membership import HostState
 from sassafraswinch.verdict import Reason, Verdict
 from sassafraswinch_standins.memory_desk import SETTLED_MS, Desk
-from sassafraswinch_standins.memory_fleet import Fleet
+from sassafraswinch_standins.memory_fleet import CONVERGE_MS, Fleet
 
 
 def test_child_of_an_ended_parent_ends_by_its_deadline():
@@ -215,3 +215,19 @@
     fleet.platform.host_is("vydej-a", HostState.LEAVING)
     fleet.run_for(40_000)
     assert "vydej-a" not in fleet.processes
+
+
+def test_fleet_that_leaves_as_a_whole_is_started_anew():
+    """Every host begins its planned stop while the platform is down, and then all is
+    repaired. Each host still had its process, so none was started anew, and a moment
+    later there was no node left that could hold a document.
+    """
+    fleet = Fleet(seed=0, sparse=True)
+    fleet.run_for(CONVERGE_MS)
+    fleet.platform_down()
+    for host in fleet.records:
+        fleet.leave(host)
+    fleet.repair(stale_ms=5_000)
+    fleet.run_for(CONVERGE_MS)
+    assert fleet.processes.keys() == fleet.records.keys()
+    fleet.check_converged()
