--- a/packages/sassafraswinch-node/sassafraswinch_node/frames.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/frames.py
@@ -1,6 +1,11 @@
 """Frames on a byte stream: a 4-byte length, then that many bytes."""
 
-from sassafraswinch_node.wire import MAX_FRAME_BYTES, WireError
+from thrift.transport.TTransport import TMemoryBuffer
+
+from sassafraswinch.errors import SassafraswinchError
+
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+"""Longest frame, without its length: a body of 1 MB with its header fields."""
 
 LENGTH_BYTES = 4
 """Size of the length before each payload; most significant byte first."""
@@ -9,6 +14,18 @@
 """Longest first frame: a stranger on the port can't make a node buffer more."""
 
 
+class WireError(SassafraswinchError):
+    """Bytes aren't a message, or a message can't be coded.
+
+    Attributes:
+        reason: what is wrong, in words for a log line.
+    """
+
+    def __init__(self, *, reason: str):
+        super().__init__(reason)
+        self.reason = reason
+
+
 class FrameTooLargeError(WireError):
     """A frame is longer than the bound.
 
@@ -73,3 +90,23 @@
         payload = bytes(memoryview(pending)[LENGTH_BYTES:end])
         del pending[:end]
         return payload
+
+
+class FrameReader:
+    """What thrift's accelerated reader asks of a protocol object.
+
+    A whole ``TCompactProtocolAccelerated`` for each message costs 2 us more.
+    """
+
+    __slots__ = ("trans",)
+
+    string_length_limit = MAX_FRAME_BYTES
+    container_length_limit = MAX_FRAME_BYTES
+
+    def __init__(self, payload: bytes):
+        self.trans = TMemoryBuffer(payload)
+
+    def check_end(self, payload: bytes) -> None:
+        """Raise ``ValueError`` if the message didn't take the whole payload."""
+        if self.trans.cstringio_buf.tell() != len(payload):
+            raise ValueError("bytes after the message")
--- a/packages/sassafraswinch-node/sassafraswinch_node/http_status.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_status.py
@@ -4,6 +4,7 @@
 
 from sassafraswinch.requests import Outcome
 from sassafraswinch.verdict import Reason, Verdict
+from sassafraswinch_node.hop_by_hop import HOP_BY_HOP
 
 VERDICT_HEADER = b"sassafraswinch-verdict"
 REASON_HEADER = b"sassafraswinch-reason"
@@ -13,21 +14,6 @@
 SYSTEM_PREFIX = b"sassafraswinch-"
 """Header fields with this prefix are the system's; callers' own are stripped."""
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Header fields of one connection (RFC 9110, 7.6.1); never passed on."""
-
 NOT_RUN_STATUS = 503
 MAY_HAVE_RUN_STATUS = 502
 STATUS_BY_REASON = {
--- a/packages/sassafraswinch-node/sassafraswinch_node/wire.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/wire.py
@@ -2,9 +2,7 @@
 
 from thrift.protocol import fastbinary
 from thrift.Thrift import TException
-from thrift.transport.TTransport import TMemoryBuffer
 
-from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch.messages import (
     Acknowledge,
     Answer,
@@ -23,22 +21,10 @@
     Message,
 )
 from sassafraswinch_node import host_structs, structs
+from sassafraswinch_node.frames import MAX_FRAME_BYTES, FrameReader, WireError
 from sassafraswinch_node.link_protocol import ttypes
 
-MAX_FRAME_BYTES = 2 * 1024 * 1024
-"""Longest frame, without its length: a body of 1 MB with its header fields."""
-
-
-class WireError(SassafraswinchError):
-    """Bytes aren't a message, or a message can't be coded.
-
-    Attributes:
-        reason: what is wrong, in words for a log line.
-    """
-
-    def __init__(self, *, reason: str):
-        super().__init__(reason)
-        self.reason = reason
+__all__ = ["MAX_FRAME_BYTES", "WireError", "decode", "decode_frame", "encode"]
 
 
 def encode(message: Message, *, sent_ms: int = 0) -> bytes:
@@ -107,26 +93,6 @@
 _FRAME_SPEC = [ttypes.Frame, ttypes.Frame.thrift_spec]
 
 
-class FrameReader:
-    """What thrift's accelerated reader asks of a protocol object.
-
-    A whole ``TCompactProtocolAccelerated`` for each message costs 2 us more.
-    """
-
-    __slots__ = ("trans",)
-
-    string_length_limit = MAX_FRAME_BYTES
-    container_length_limit = MAX_FRAME_BYTES
-
-    def __init__(self, payload: bytes):
-        self.trans = TMemoryBuffer(payload)
-
-    def check_end(self, payload: bytes) -> None:
-        """Raise ``ValueError`` if the message didn't take the whole payload."""
-        if self.trans.cstringio_buf.tell() != len(payload):
-            raise ValueError("bytes after the message")
-
-
 _SERIALIZERS = {
     Hello: ("hello", structs.serialize_hello),
     Call: ("call", structs.serialize_call),
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_fields.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from sassafraswinch_node.http_status import HOP_BY_HOP
+from sassafraswinch_node.hop_by_hop import HOP_BY_HOP
 
 Fields = list[tuple[bytes, bytes, bytes]]
 """Header fields in order: name in lower case, name as received, value. Names are
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/pages.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/pages.py
@@ -1,9 +1,14 @@
 """Pages of a sidecar for the platform: readiness and metrics."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import cached_property
+from typing import TYPE_CHECKING
 
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
-from sassafraswinch_sidecar.sidecar_metrics import SidecarMetrics
+from sassafraswinch_sidecar.relay_counts import RelayCounts
+
+if TYPE_CHECKING:
+    from sassafraswinch_sidecar.sidecar_metrics import SidecarMetrics
 
 
 class ReadyPage:
@@ -30,10 +35,28 @@
 
 
 class MetricsPage:
-    """Serves the metrics."""
+    """Serves the metrics.
+
+    Args:
+        counts: ends of requests.
+        gauges: returns the figures of the moment by name.
+    """
+
+    def __init__(
+        self, *, counts: RelayCounts, gauges: Callable[[], Mapping[str, float]]
+    ):
+        self._counts = counts
+        self._gauges = gauges
+
+    @cached_property
+    def _metrics(self) -> "SidecarMetrics":
+        """What renders the page, imported for the first question.
+
+        Its libraries take a tenth of a start, for which callers wait.
+        """
+        from sassafraswinch_sidecar.sidecar_metrics import SidecarMetrics
 
-    def __init__(self, metrics: SidecarMetrics):
-        self._metrics = metrics
+        return SidecarMetrics(counts=self._counts, gauges=self._gauges)
 
     def handle(self, request: HttpRequest, connection: CallerConnection) -> None:
         """Render the page (RequestHandler)."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -5,8 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from sassafraswinch_node.frames import FrameSplitter
-from sassafraswinch_node.wire import WireError
+from sassafraswinch_node.frames import FrameSplitter, WireError
 from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
 from sassafraswinch_sidecar.relay_wire import (
     MAX_FRAME_BYTES,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -16,6 +16,7 @@
     TIMEOUT_STATUS,
     RelayAnswers,
 )
+from sassafraswinch_sidecar.relay_counts import RelayCounts
 from sassafraswinch_sidecar.relay_intake import Relay, RelayIntake
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
@@ -28,7 +29,6 @@
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.server_choice import choose_server
-from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
 from sassafraswinch_sidecar.slot_times import add_slot_times, parse_slot_times
 from sassafraswinch_sidecar.substitutes import Substitutes
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -5,10 +5,10 @@
 
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.relay_counts import RelayCounts
 from sassafraswinch_sidecar.relay_intake import Relay, Unroutable
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
 from sassafraswinch_sidecar.request_log import RequestLog
-from sassafraswinch_sidecar.sidecar_metrics import RelayCounts
 
 RETRY_AFTER_SHARES = (0.15, 0.5)
 """Parts of the target latency between which refused callers are told to come back:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -3,8 +3,7 @@
 from thrift.protocol import fastbinary
 from thrift.Thrift import TException
 
-from sassafraswinch_node.frames import LENGTH_BYTES
-from sassafraswinch_node.wire import FrameReader, WireError
+from sassafraswinch_node.frames import LENGTH_BYTES, FrameReader, WireError
 from sassafraswinch_sidecar.relay_protocol import ttypes
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     Heartbeat,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -25,6 +25,7 @@
 from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
 from sassafraswinch_sidecar.relay import RelayOwner
 from sassafraswinch_sidecar.relay_answers import RelayAnswers
+from sassafraswinch_sidecar.relay_counts import RelayCounts
 from sassafraswinch_sidecar.relay_intake import RelayIntake
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     Heartbeat,
@@ -41,7 +42,6 @@
     log_platform_faults,
     log_settings_changes,
 )
-from sassafraswinch_sidecar.sidecar_metrics import RelayCounts, SidecarMetrics
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
 from sassafraswinch_sidecar.standstill import Standstill
 from sassafraswinch_sidecar.watch_duty import WatchDuty
@@ -173,9 +173,7 @@
             held=self._held,
         )
         self._metrics = HttpListener(
-            handler=MetricsPage(
-                SidecarMetrics(counts=self._counts, gauges=self._gauges)
-            ),
+            handler=MetricsPage(counts=self._counts, gauges=self._gauges),
             limits=lambda: DEFAULT_LIMITS,
             held=self._held,
         )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_faults.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_faults.py
@@ -23,7 +23,7 @@
         return
     changed = [
         field
-        for field in SidecarSettings.model_fields
+        for field in SidecarSettings.__struct_fields__
         if getattr(read, field) != getattr(settings, field)
     ]
     log_event("settings_read", level="warning", changed=",".join(changed) or "none")
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_metrics.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_metrics.py
@@ -1,6 +1,5 @@
 """Counters and latencies of a sidecar, in the text format of Prometheus."""
 
-from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, generate_latest
@@ -11,40 +10,13 @@
 )
 from prometheus_client.registry import Collector
 
-from sassafraswinch.latencies import (
-    LatencyCounts,
-    count_latency,
-    histogram_of,
-    quantiles_ms as latency_quantiles_ms,
-)
+from sassafraswinch.latencies import histogram_of, quantiles_ms as latency_quantiles_ms
+from sassafraswinch_sidecar.relay_counts import RelayCounts
 
 PREFIX = "sassafraswinch_sidecar"
 PERCENTS = (50.0, 90.0, 99.0, 100.0)
 
 
-class RelayCounts:
-    """Counts the ends of requests at their entry."""
-
-    def __init__(self):
-        self.answers: Counter[tuple[str, int]] = Counter()
-        self.ends: Counter[str] = Counter()
-        self.repeats: Counter[str] = Counter()
-        self.latencies: dict[str, LatencyCounts] = {}
-
-    def answered(self, route: str, latency_ms: float, status: int) -> None:
-        """Count an answer of a backend server."""
-        self.answers[route, status] += 1
-        count_latency(self.latencies.setdefault(route, {}), latency_ms)
-
-    def ended(self, reason: str) -> None:
-        """Count a request that got no answer of a backend server."""
-        self.ends[reason] += 1
-
-    def repeated(self, service: str) -> None:
-        """Count a request that is sent once more."""
-        self.repeats[service] += 1
-
-
 class SidecarMetrics(Collector):
     """Renders the metrics page.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -1,17 +1,25 @@
 """Settings of a sidecar: what it can't learn from the platform."""
 
-import yaml
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-
-from sassafraswinch_node.settings import (
-    Address,
-    AddressText,
-    parse_address,
-    settings_faults,
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from sassafraswinch_node.addresses import Address, parse_address
+from sassafraswinch_sidecar.checked_structs import (
+    WHOLE_TEXT,
+    convert_struct,
+    struct_faults,
 )
 
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+AddressText = Annotated[str, Meta(min_length=1, max_length=64)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+ADDRESS_FIELDS = ("backend", "outbound", "ready", "platform")
+
 
-class SidecarSettings(BaseModel):
+class SidecarSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The settings file as it must be written; times are in the unit of their name.
 
     Attributes:
@@ -35,25 +43,23 @@
         log_level: debug, info, warning or error.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    host: str = Field(min_length=1, max_length=200)
-    ip: str = Field(min_length=1, max_length=64)
-    availability_zone: str = Field(min_length=1, max_length=200)
-    service: str = Field(min_length=1, max_length=200)
+    host: Name
+    ip: AddressText
+    availability_zone: Name
+    service: Name
     backend: AddressText
     outbound: AddressText
     ready: AddressText
-    link_port: int = Field(ge=1, le=65_535)
-    dial_port: int | None = Field(default=None, ge=1, le=65_535)
-    metrics_port: int = Field(ge=1, le=65_535)
+    link_port: Port
+    dial_port: Port | None = None
+    metrics_port: Port
     platform: AddressText
-    memory_mb: float = Field(default=200.0, ge=50, le=1e6)
-    drain_s: float = Field(default=6.0, gt=0, le=600)
-    repeat_ratio: float = Field(default=0.2, ge=0, le=10)
-    repeat_slack: float = Field(default=50.0, ge=0, le=1e6)
-    repeat_window_s: float = Field(default=10.0, gt=0, le=600)
-    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+    memory_mb: Annotated[float, Meta(ge=50, le=1e6)] = 200.0
+    drain_s: Annotated[float, Meta(gt=0, le=600)] = 6.0
+    repeat_ratio: Annotated[float, Meta(ge=0, le=10)] = 0.2
+    repeat_slack: Annotated[float, Meta(ge=0, le=1e6)] = 50.0
+    repeat_window_s: Annotated[float, Meta(gt=0, le=600)] = 10.0
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     def address(self, field: str) -> Address:
         """Return one of the addresses, parsed."""
@@ -66,17 +72,31 @@
     Raises:
         InvalidFieldsError: with one InvalidFieldError for each fault.
     """
+    settings = convert_struct(SidecarSettings, _parse_yaml(text, source), source=source)
+    faults = list(_address_faults(settings))
+    if faults:
+        raise struct_faults(source, faults)
+    return settings
+
+
+def _parse_yaml(text: str, source: str) -> Any:
+    """Read YAML, or JSON, which is YAML in its flow form.
+
+    The YAML library takes a fortieth of a second to import, at each start.
+    """
     try:
-        raw = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise settings_faults(source, [("(file)", f"not YAML: {error}")]) from None
-    if not isinstance(raw, dict):
-        raise settings_faults(source, [("(file)", "expected a mapping of fields")])
+        return msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError):
+        import yaml
     try:
-        return SidecarSettings.model_validate(raw)
-    except ValidationError as error:
-        found = [
-            (".".join(map(str, item["loc"])) or "(file)", item["msg"])
-            for item in error.errors()
-        ]
-        raise settings_faults(source, found) from None
+        return yaml.safe_load(text)
+    except (yaml.YAMLError, RecursionError) as error:
+        raise struct_faults(source, [(WHOLE_TEXT, f"not YAML: {error}")]) from None
+
+
+def _address_faults(settings: SidecarSettings) -> Iterator[tuple[str, str]]:
+    for field in ADDRESS_FIELDS:
+        try:
+            settings.address(field)
+        except ValueError as error:
+            yield field, str(error)
--- a/packages/sassafraswinch/sassafraswinch/latencies.py
+++ b/packages/sassafraswinch/sassafraswinch/latencies.py
@@ -4,8 +4,10 @@
 from bisect import bisect_left
 from collections.abc import Iterable
 from itertools import accumulate
+from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 UNITS_PER_MS = 10
 """Latencies are counted in tenths of a millisecond."""
@@ -28,14 +30,18 @@
 _LONGEST_UNITS = LONGEST_LATENCY_MS * UNITS_PER_MS
 
 
-def new_histogram() -> HdrHistogram:
+def new_histogram() -> "HdrHistogram":
     """Return an empty histogram of the one shape that all nodes use."""
+    # Imported for the first report: it takes a fiftieth of a second, and processes
+    # that only count start without it.
+    from hdrh.histogram import HdrHistogram
+
     return _without_cycle(
         HdrHistogram(1, _LONGEST_UNITS, SIGNIFICANT_FIGURES, word_size=COUNTER_BYTES)
     )
 
 
-def _without_cycle(histogram: HdrHistogram) -> HdrHistogram:
+def _without_cycle(histogram: "HdrHistogram") -> "HdrHistogram":
     # Failure: histogram and encoder of the library hold each other, so a dropped one
     # stays until a full garbage collection; shows as memory that grows by megabytes
     # with every report. A weak reference holds, for the encoder isn't used without
@@ -57,7 +63,7 @@
     counts[units] = counts.get(units, 0) + 1
 
 
-def histogram_of(counts: LatencyCounts) -> HdrHistogram:
+def histogram_of(counts: LatencyCounts) -> "HdrHistogram":
     """Return a new histogram of counted latencies."""
     histogram = new_histogram()
     for units, count in counts.items():
@@ -65,7 +71,7 @@
     return histogram
 
 
-def add_histograms(histograms: Iterable[HdrHistogram]) -> HdrHistogram:
+def add_histograms(histograms: "Iterable[HdrHistogram]") -> "HdrHistogram":
     """Return a new histogram that holds the counts of all given ones."""
     total = new_histogram()
     for histogram in histograms:
@@ -74,7 +80,7 @@
 
 
 def quantiles_ms(
-    histogram: HdrHistogram, percents: tuple[float, ...]
+    histogram: "HdrHistogram", percents: tuple[float, ...]
 ) -> tuple[float, ...]:
     """Return the latencies that the given percents of calls didn't exceed.
 
@@ -101,17 +107,19 @@
     )
 
 
-def _latency_ms_at(histogram: HdrHistogram, index: int) -> float:
+def _latency_ms_at(histogram: "HdrHistogram", index: int) -> float:
     lowest = histogram.get_value_from_index(index)
     return histogram.get_highest_equivalent_value(lowest) / UNITS_PER_MS
 
 
-def parse_histogram(text: str) -> HdrHistogram:
+def parse_histogram(text: str) -> "HdrHistogram":
     """Decode the compressed text form that other hdrhistogram tools write too.
 
     Raises:
         ValueError: the text isn't a histogram of the shape that nodes use.
     """
+    from hdrh.histogram import HdrHistogram
+
     try:
         histogram = HdrHistogram.decode(text)
     except Exception as error:
@@ -123,6 +131,6 @@
     return _without_cycle(histogram)
 
 
-def serialize_histogram(histogram: HdrHistogram) -> str:
+def serialize_histogram(histogram: "HdrHistogram") -> str:
     """Encode a histogram as base64 text of the compressed V2 form."""
     return histogram.encode().decode("ascii")
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -26,9 +26,34 @@
     """The settings change right after a restart, and the platform says so by SIGHUP
     while the libraries are still imported: the process dies without a line.
     """
+    ended = run_python(HANG_UP_AT_START)
+    assert ended.returncode != -signal.SIGHUP
+    assert ended.returncode == 2
+    assert "/nowhere/sidecar.yaml" in ended.stderr
+
+
+def test_start_imports_what_it_needs_and_no_more():
+    """All hosts lose power at once, and callers wait for their sidecars. Most of a
+    start was the import of libraries that only reports and other programs use.
+    """
+    ended = run_python(
+        "import sys, sassafraswinch_platform.program\n"
+        "print(*(sys.modules.keys() & set(sys.argv[1:])))",
+        "pydantic",
+        "prometheus_client",
+        "hdrh.histogram",
+        "yaml",
+        "sassafraswinch.messages",
+        "sassafraswinch_node.link_protocol.ttypes",
+    )
+    assert (ended.returncode, ended.stdout.split()) == (0, [])
+
+
+def run_python(script, *arguments):
+    """Run a script with the product's packages on the path."""
     paths = ["platform", *(f"packages/{name.name}" for name in _packages())]
-    ended = subprocess.run(
-        [sys.executable, "-c", HANG_UP_AT_START],
+    return subprocess.run(
+        [sys.executable, "-c", script, *arguments],
         env={
             "PATH": os.environ["PATH"],
             "PYTHONPATH": os.pathsep.join(str(ROOT / path) for path in paths),
@@ -38,9 +63,6 @@
         text=True,
         check=False,
     )
-    assert ended.returncode != -signal.SIGHUP
-    assert ended.returncode == 2
-    assert "/nowhere/sidecar.yaml" in ended.stderr
 
 
 def _packages():
