--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -25,6 +25,7 @@
   /** Address at which the sender's sidecar accepts links: IP number. */
   2: required string ip
   3: required i64 incarnation
+  4: required string availability_zone
 }
 
 /** Run this request once on the backend server beside you. */
@@ -88,7 +89,7 @@
   1: required i64 call_id
 }
 
-/** Requests of one route that arrive at one entry, and what they need. */
+/** Requests of one route, and what they need. */
 struct RouteDemand {
   1: required string route_name
   2: required i32 priority
@@ -97,33 +98,88 @@
   4: required map<string, i32> slot_us
 }
 
-/** Requests and repeats that the sender sent to a service in the window. */
+/** Requests and repeats that were sent to a service in the window. */
 struct SentCount {
   1: required string service_name
-  /** Always empty; older sidecars told their demand here, and require the field. */
-  2: required list<double> former_demand
-  3: required i32 sent
-  4: required i32 repeated
+  2: required i32 sent
+  3: required i32 repeated
 }
 
+/** Asks for a sign of life on a link that is quiet. */
 struct Heartbeat {
   1: required i64 sequence
-  /** Revision of the platform's data up to which the sender knows all changes. */
-  2: required i64 revision
-  3: required list<SentCount> counts
-  /** Missing from older sidecars. */
-  4: optional list<RouteDemand> demand
 }
 
+/** Answers a heartbeat; sequence 0 where it tells news unasked. */
 struct HeartbeatReply {
   1: required i64 sequence
   2: required i64 revision
   3: required ServerLoad load
   4: required bool leaving
-  /** Whether it follows the platform: a watch is under way, or ended just now. */
-  5: bool following = false
   /** Whether its server isn't listed since its host can't reach the platform. */
-  6: bool isolated = false
+  5: bool isolated = false
+}
+
+/** Hosts of one availability zone and their servers, a column for each fact. */
+struct HostLoads {
+  1: required list<string> ips
+  2: required list<i32> in_flight
+  3: required list<i32> queued
+  4: required list<i32> limits
+  /** Bits: 1 leaving, 2 follows the platform, 4 isolated from the platform. */
+  5: required list<i32> flags
+}
+
+/** What one sidecar tells the gatherers of its zone; answers a FleetDigest. */
+struct HostReport {
+  1: required i64 revision
+  2: required ServerLoad load
+  3: required bool leaving
+  4: required bool following
+  5: required bool isolated
+  6: required list<RouteDemand> demand
+  7: required list<SentCount> counts
+  /** Whether the sender takes its view of the fleet from the receiver. */
+  8: required bool relies
+}
+
+/** Loads of one zone. */
+struct ZoneLoads {
+  1: required string availability_zone
+  /** Time since the gatherer that tells them heard them. */
+  2: required i32 age_ms
+  3: required HostLoads hosts
+}
+
+/** What a gatherer knows of its zone: the sum of the reports of its hosts. */
+struct ZoneSummary {
+  1: required ZoneLoads loads
+  2: required list<RouteDemand> demand
+  3: required list<SentCount> counts
+}
+
+/** What a gatherer tells a host of its zone. */
+struct FleetDigest {
+  1: required i64 revision
+  /** Whether the rest is told; a host takes it from one gatherer only. */
+  2: required bool whole
+  3: required list<ZoneLoads> zones
+  /** Sums over all zones. */
+  4: required list<RouteDemand> demand
+  5: required list<SentCount> counts
+}
+
+/** Asks a sidecar of another zone for that zone's sum. */
+struct SummaryRequest {
+  1: required i64 revision
+}
+
+struct SummaryReply {
+  1: required i64 revision
+  /** Addresses of the gatherers that the asked sidecar hears; itself if it is one. */
+  2: required list<string> gatherers
+  /** Missing where the asked sidecar doesn't gather. */
+  3: optional ZoneSummary summary
 }
 
 /** Asks for the platform's data that changed after a revision. */
@@ -156,4 +212,8 @@
   6: optional ReplicaRequest replica_request
   7: optional ReplicaReply replica_reply
   8: optional Hello hello
+  9: optional HostReport host_report
+  10: optional FleetDigest fleet_digest
+  11: optional SummaryRequest summary_request
+  12: optional SummaryReply summary_reply
 }
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -8,11 +8,10 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from sassafraswinch.fitting_shares import Claim, Fit, fitting_shares
-from sassafraswinch_sidecar.heartbeats import HEARTBEAT_MS
 
 LEVELS = 1_000
 """A request draws one at random and keeps it down its tree: it is admitted if the
@@ -39,12 +38,7 @@
 """Weight of one interval in the arrival rates: with 250 ms, about a second."""
 
 INTERVAL_MS = 250.0
-"""Time between two decisions; heartbeats tell demand a little less often."""
-
-DEMAND_LIFE_BEATS = 2.5
-"""Age at which a peer's demand no longer counts, in pauses between its heartbeats: one
-may be lost. A fixed age would be shorter than the pause in a fleet of hundreds, and
-entries would forget each other's demand between two heartbeats."""
+"""Time between two decisions; demand is told about as often."""
 
 MIN_SLOTS = 0.002
 """Slot seconds of a route at a service below which it doesn't need the service."""
@@ -122,7 +116,6 @@
         self.fits: Mapping[str, Fit] = {}
         self.wanted: Mapping[str, float] = {}
         self._routes: dict[str, _RouteDemand] = {}
-        self._peers: dict[str, tuple[float, list[Claim]]] = {}
         self._trims: dict[str, float] = {}
         self._without: dict[str, int] = {}
         self._decided_at_ms: float | None = None
@@ -200,10 +193,6 @@
             for name, route in self._routes.items()
         ]
 
-    def heard(self, peer: str, demand: list[Claim], now_ms: float) -> None:
-        """Take in what another entry's arrivals need."""
-        self._peers[peer] = (now_ms, demand)
-
     def due(self, now_ms: float) -> bool:
         """Return whether an interval has ended."""
         if self._decided_at_ms is None:
@@ -214,25 +203,18 @@
         self,
         capacities: Mapping[str, Capacity],
         now_ms: float,
-        *,
-        heartbeat_ms: float = HEARTBEAT_MS,
+        told: Collection[Claim] = (),
     ) -> None:
         """End an interval: set the place up to which each service admits.
 
         Args:
             capacities: slots of each service that can be reached.
             now_ms: monotonic time.
-            heartbeat_ms: pause between a peer's heartbeats.
+            told: what all entries' arrivals need, this one's included; without it
+                those of this entry count alone.
         """
         self._measure(now_ms)
-        life_ms = DEMAND_LIFE_BEATS * heartbeat_ms
-        self._peers = {
-            peer: told
-            for peer, told in self._peers.items()
-            if now_ms - told[0] < life_ms
-        }
-        told = [told[1] for told in self._peers.values()]
-        claims = merge_claims([self.demand(), *told])
+        claims = told or self.demand()
         self.wanted = _wanted(claims)
         rooms = {
             service: self._room(service, capacities.get(service, NO_CAPACITY))
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -1,7 +1,7 @@
 """The backend servers and routes in force, as a replica tells them."""
 
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -124,6 +124,7 @@
         self._is_isolated = is_isolated
         self._lapsed: dict[str, _Lapsed] = {}
         self._by_service: dict[str, list[Instance]] = {}
+        self._by_zone: dict[str, list[str]] = {}
         self._known_at_ms: dict[str, float] = {}
         self._held: dict[str, float] = {}
         self._removed: dict[str, None] = {}
@@ -139,6 +140,14 @@
         """Return the instances of all services that may get work."""
         return itertools.chain.from_iterable(self._by_service.values())
 
+    def zones(self) -> Mapping[str, list[str]]:
+        """Return the addresses of the hosts of each availability zone, in order."""
+        return self._by_zone
+
+    def hosts_of(self, availability_zone: str) -> list[str]:
+        """Return the addresses of the hosts of a zone, in order."""
+        return self._by_zone.get(availability_zone, [])
+
     def at(self, ip: str) -> list[Instance]:
         """Return the instances at an address, leaving ones included."""
         return [found for found in self.instances.values() if found.ip == ip]
@@ -301,6 +310,7 @@
             known = at_address.get(address)
             if known is None or first_revision > known[0]:
                 at_address[address] = (first_revision, instance)
+        self._by_zone = _hosts_by_zone(instance for _, instance in at_address.values())
         self._by_service = {}
         for _, instance in at_address.values():
             if not instance.leaving:
@@ -319,3 +329,10 @@
         for lapsed in self._lapsed.values():
             if lapsed.in_use:
                 yield lapsed.first_revision, lapsed.instance
+
+
+def _hosts_by_zone(instances: Iterable[Instance]) -> dict[str, list[str]]:
+    hosts: dict[str, set[str]] = {}
+    for instance in instances:
+        hosts.setdefault(instance.availability_zone, set()).add(instance.ip)
+    return {zone: sorted(ips) for zone, ips in hosts.items()}
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
@@ -0,0 +1,209 @@
+"""Gathers for the zone when on duty, and takes part in the rounds of those that do."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.fleet import Fleet
+from sassafraswinch_sidecar.fleet_view import FleetView
+from sassafraswinch_sidecar.host_reports import HostReports
+from sassafraswinch_sidecar.peer_link import PeerLink
+from sassafraswinch_sidecar.peer_links import PeerLinks
+from sassafraswinch_sidecar.platform_data import PlatformData
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    FleetDigest,
+    HostReport,
+    SummaryReply,
+    SummaryRequest,
+    ZoneSummary,
+)
+from sassafraswinch_sidecar.relay_wire import Message, serialize_message
+from sassafraswinch_sidecar.zone_duty import ZoneDuty
+from sassafraswinch_sidecar.zone_gatherer import (
+    GATHER_STEP_MS,
+    GATHERERS,
+    ZoneContacts,
+    ZoneGatherer,
+    bare_digest,
+    pause_ms,
+)
+
+MIN_PAUSE_S = 0.05
+"""Shortest pause between two rounds, when there is news of the platform: it comes in
+bursts."""
+
+ExchangeMessage = FleetDigest | HostReport | SummaryReply | SummaryRequest
+
+
+class FleetExchange:
+    """One sidecar's part in what sidecars tell each other.
+
+    A gatherer sends each host of its zone a digest, and gets its report in answer. It
+    asks a gatherer of each other zone for that zone's sum. So the messages of a host
+    stay the same in a fleet of any size, and those of a gatherer grow with its zone.
+
+    Args:
+        own_ip: address of this host.
+        availability_zone: where it is.
+        fleet: tells the hosts of each zone.
+        links: lead to the other sidecars.
+        view: takes what is told here.
+        reports: tells of this sidecar.
+        data: the platform's data, which is handed on by the way.
+        now_ms: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_ip: str,
+        availability_zone: str,
+        fleet: Fleet,
+        links: PeerLinks,
+        view: FleetView,
+        reports: HostReports,
+        data: PlatformData,
+        now_ms: Callable[[], float],
+    ):
+        self._own_ip = own_ip
+        self._zone = availability_zone
+        self._fleet = fleet
+        self._links = links
+        self._view = view
+        self._reports = reports
+        self._data = data
+        self._now_ms = now_ms
+        self._duty = ZoneDuty(own_ip=own_ip, holders=GATHERERS, step_ms=GATHER_STEP_MS)
+        self._gatherer = ZoneGatherer(availability_zone=availability_zone)
+        self._contacts = ZoneContacts()
+        self._summary: ZoneSummary | None = None
+        self._gathers = False
+        self._news = asyncio.Event()
+
+    @property
+    def gathers(self) -> bool:
+        """Whether this sidecar gathers for its zone."""
+        return self._gathers
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        while True:
+            round_ms = self._step()
+            await asyncio.sleep(MIN_PAUSE_S)
+            try:
+                async with asyncio.timeout(round_ms / 1000 - MIN_PAUSE_S):
+                    await self._news.wait()
+            except TimeoutError:
+                pass
+            self._news.clear()
+
+    def has_news(self) -> None:
+        """Tell of a change of the platform's data, or of this sidecar, at once."""
+        if self._gathers:
+            self._news.set()
+            return
+        gatherers = self._view.gatherers(self._now_ms())
+        for link in self._links.accepted:
+            if link.peer_ip in gatherers:
+                link.send(self._report_for(link.peer_ip))
+
+    def greet(self) -> None:
+        """Let those that gather, if all is well, hear that this host is up."""
+        for ip in self._fleet.hosts_of(self._zone)[:GATHERERS]:
+            self._links.greet(ip)
+
+    def dialled_message(self, ip: str, message: Message) -> None:
+        """Take an answer from a sidecar that this one asked."""
+        now_ms = self._now_ms()
+        link = self._links.peers[ip].link
+        link.replied()
+        self._data.ask_if_behind(message.revision, link)
+        if isinstance(message, HostReport):
+            self._gatherer.heard(ip, message, now_ms)
+            return
+        zone = self._contacts.zone_of(ip)
+        if zone is not None:
+            self._contacts.answered(zone, ip, message.gatherers, now_ms)
+        if message.summary is not None:
+            self._gatherer.heard_zone(message.summary, now_ms)
+
+    def accepted_message(self, link: PeerLink, message: Message) -> None:
+        """Answer a gatherer of this zone or of another one."""
+        if isinstance(message, FleetDigest):
+            self._told(link, message)
+        else:
+            link.send(self._summary_reply())
+        self._data.ask_if_behind(message.revision, link)
+
+    def _told(self, link: PeerLink, digest: FleetDigest) -> None:
+        now_ms = self._now_ms()
+        self._view.heard_gatherer(link.peer_ip, now_ms)
+        if digest.whole and self._view.source(now_ms) == link.peer_ip:
+            self._view.take(digest, now_ms)
+        link.send(self._report_for(link.peer_ip))
+
+    def _report_for(self, ip: str) -> HostReport:
+        return self._reports.report(relies=self._view.source(self._now_ms()) == ip)
+
+    def _summary_reply(self) -> SummaryReply:
+        return SummaryReply(
+            revision=self._data.revision,
+            gatherers=self._view.gatherers(self._now_ms()),
+            summary=self._summary if self._gathers else None,
+        )
+
+    def _step(self) -> float:
+        """Do a round if on duty; return the pause until the next one."""
+        now_ms = self._now_ms()
+        members = self._members()
+        round_ms = pause_ms(len(members))
+        gatherers = self._view.gatherers(now_ms)
+        listed = self._fleet.hosts_of(self._zone)
+        peers = {ip: ip in gatherers for ip in {*listed, *gatherers} - {self._own_ip}}
+        self._duty.decide(peers, now_ms)
+        self._note_duty(self._duty.is_own and bool(listed))
+        if self._gathers:
+            self._gather(members, now_ms, round_ms)
+        return round_ms
+
+    def _note_duty(self, gathers: bool) -> None:
+        if gathers == self._gathers:
+            return
+        self._gathers = gathers
+        log_event("gathering", level="warning", gathers=gathers, zone=self._zone)
+        if not gathers:
+            self._links.keep(())
+            self._view.forget_gatherer(self._own_ip)
+
+    def _members(self) -> set[str]:
+        """Return the other hosts of this zone: listed, or known by their own word."""
+        greeted = {
+            link.peer_ip
+            for link in self._links.accepted
+            if link.availability_zone == self._zone
+        }
+        members = greeted.union(
+            self._fleet.hosts_of(self._zone), self._gatherer.answering()
+        )
+        return members - {self._own_ip}
+
+    def _gather(self, members: set[str], now_ms: float, round_ms: float) -> None:
+        zones = self._fleet.zones()
+        others = {zone: ips for zone, ips in zones.items() if zone != self._zone}
+        contacts = self._contacts.choose(others, now_ms, round_ms)
+        self._links.keep(itertools.chain(members, contacts))
+        self._gatherer.forget(now_ms, round_ms)
+        self._gatherer.heard(self._own_ip, self._reports.report(relies=True), now_ms)
+        self._summary = self._gatherer.summary()
+        revision = self._data.revision
+        digest = self._gatherer.digest(self._summary, revision, now_ms)
+        self._view.heard_gatherer(self._own_ip, now_ms)
+        self._view.take(digest, now_ms)
+        whole = serialize_message(digest)
+        bare = serialize_message(bare_digest(revision))
+        for ip in members:
+            self._links.poll(ip, whole if self._gatherer.relies(ip) else bare)
+        request = serialize_message(SummaryRequest(revision))
+        for ip in contacts:
+            self._links.poll(ip, request)
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -0,0 +1,120 @@
+"""What one sidecar tells of itself, and the coding of demand and counts."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from sassafraswinch.fitting_shares import Claim
+from sassafraswinch_sidecar.entry_admission import EntryAdmission
+from sassafraswinch_sidecar.executor import Executor
+from sassafraswinch_sidecar.platform_data import PlatformData
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    HeartbeatReply,
+    HostReport,
+    RouteDemand,
+    SentCount,
+)
+from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
+
+
+class HostReports:
+    """Demand and repeats of this entry, load of its backend server, and its state.
+
+    Args:
+        data: what is known of the platform.
+        executor: runs requests at the backend server.
+        admission: knows what this entry's arrivals need.
+        budget: knows how much this sidecar repeats.
+        is_stopping: whether this sidecar takes no new work.
+        is_isolated: whether this host can't reach the platform, which therefore
+            doesn't list the server.
+        now_ms: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        data: PlatformData,
+        executor: Executor,
+        admission: EntryAdmission,
+        budget: RepeatBudget,
+        is_stopping: Callable[[], bool],
+        is_isolated: Callable[[], bool],
+        now_ms: Callable[[], float],
+    ):
+        self._data = data
+        self._executor = executor
+        self._admission = admission
+        self._budget = budget
+        self._is_stopping = is_stopping
+        self._is_isolated = is_isolated
+        self._now_ms = now_ms
+
+    def report(self, *, relies: bool) -> HostReport:
+        """Return the report of the moment.
+
+        Args:
+            relies: whether this sidecar takes its view of the fleet from the receiver.
+        """
+        return HostReport(
+            revision=self._data.revision,
+            load=self._executor.load(),
+            leaving=self._is_stopping(),
+            following=self._data.following,
+            isolated=self._is_isolated(),
+            demand=serialize_demand(self._admission.demand()),
+            counts=serialize_counts(self._budget.counted(self._now_ms())),
+            relies=relies,
+        )
+
+    def reply(self, sequence: int) -> HeartbeatReply:
+        """Return the reply to a heartbeat; 0 where it answers none, as an announcement.
+
+        Args:
+            sequence: number of the heartbeat.
+        """
+        return HeartbeatReply(
+            sequence=sequence,
+            revision=self._data.revision,
+            load=self._executor.load(),
+            leaving=self._is_stopping(),
+            isolated=self._is_isolated(),
+        )
+
+
+def serialize_demand(demand: Iterable[Claim]) -> list[RouteDemand]:
+    """Write what requests need, by route; routes without known needs tell nothing."""
+    return [
+        RouteDemand(
+            claim.kind,
+            claim.priority,
+            claim.rate_per_s,
+            {service: round(slot_s * 1e6) for service, slot_s in claim.needs.items()},
+        )
+        for claim in demand
+        if claim.needs
+    ]
+
+
+def parse_demand(told: Iterable[RouteDemand]) -> list[Claim]:
+    """Read what requests need, by route."""
+    return [
+        Claim(
+            kind=each.route_name,
+            priority=each.priority,
+            rate_per_s=each.rate_per_s,
+            needs={service: us / 1e6 for service, us in each.slot_us.items()},
+        )
+        for each in told
+    ]
+
+
+def serialize_counts(counts: Mapping[str, Counted]) -> list[SentCount]:
+    """Write requests and repeats by service."""
+    return [
+        SentCount(service, count.requests, count.repeats)
+        for service, count in counts.items()
+    ]
+
+
+def parse_counts(told: Iterable[SentCount]) -> dict[str, Counted]:
+    """Read requests and repeats by service."""
+    return {each.service_name: Counted(each.sent, each.repeated) for each in told}
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -14,7 +14,7 @@
     serialize_message,
 )
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 SUSPECT_MS = 450.0
 """Silence after an unanswered heartbeat from which a peer gets no new requests: well
@@ -72,6 +72,7 @@
 
     Attributes:
         peer_ip: address that the peer names in its greeting; empty until then.
+        availability_zone: where the peer says it is.
         heard_since_check: whether anything was read since its owner looked last.
     """
 
@@ -85,6 +86,7 @@
         batch: WriteBatch,
     ):
         self.peer_ip = ""
+        self.availability_zone = ""
         self.incarnation = 0
         self.fault = ""
         self.heard_since_check = False
@@ -98,6 +100,7 @@
         self._splitter = FrameSplitter()
         self._unsent: list[bytes] = []
         self._owed_since_ms: float | None = None
+        self._heard_ms = self._now_ms()
 
     @property
     def is_open(self) -> bool:
@@ -143,6 +146,10 @@
             return 0.0
         return self._now_ms() - self._owed_since_ms
 
+    def quiet_ms(self) -> float:
+        """Return how long nothing has come from the peer."""
+        return self._now_ms() - self._heard_ms
+
     def replied(self) -> None:
         """Note the reply to a heartbeat: the peer reads what is sent."""
         self._owed_since_ms = None
@@ -175,6 +182,7 @@
         """Decode and hand over whole messages (asyncio.Protocol)."""
         self._splitter.feed(data)
         self.heard_since_check = True
+        self._heard_ms = self._now_ms()
         try:
             with self._batch:
                 self._handle_messages()
@@ -207,6 +215,7 @@
             )
         self.peer_ip = message.ip
         self.incarnation = message.incarnation
+        self.availability_zone = message.availability_zone
         self._splitter.accept_long(MAX_FRAME_BYTES)
         self._greeted(self)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -1,13 +1,12 @@
-"""Links to all other sidecars: dialled to those that may run requests."""
+"""Links to other sidecars: dialled when a request goes there, or kept for a duty."""
 
 import asyncio
-import contextlib
 import itertools
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from sassafraswinch_node.logs import log_event
-from sassafraswinch_sidecar.heartbeats import heartbeat_pause_ms
 from sassafraswinch_sidecar.peer_link import (
     DEAD_MS,
     PROTOCOL_VERSION,
@@ -15,27 +14,47 @@
     PeerLink,
     WriteBatch,
 )
-from sassafraswinch_sidecar.placement import PeerLoad
-from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
-from sassafraswinch_sidecar.relay_wire import Message, serialize_message
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    RelayCancel,
+    RelayRequest,
+    RelayResponse,
+)
+from sassafraswinch_sidecar.relay_wire import Message
 
 CHECK_S = 0.25
-"""Pause between checks of all links. One with requests under way from which nothing
+"""Pause between checks of the links. One with requests under way from which nothing
 came since the last check gets a heartbeat."""
 
-YOUNG_MS = 3_000.0
-"""Time after the start in which all links get a heartbeat at each check: after a loss
-of power the entries know nothing of each other's demand, and servers are cold."""
+QUIET_MS = 2_000.0
+"""Time without any sign of life after which a link is asked for one before a request
+is written to it. Connections fall silent for good now and then, and a request that must
+not run twice can't be sent again once it was written; the question takes one way there
+and back. Links on which requests go never get that old."""
+
+OWED_MS = 100.0
+"""Time for which a peer may owe a sign of life and still get requests at once: busy
+hosts answer within tens of milliseconds."""
+
+WAIT_MS = 300.0
+"""Longest wait of a request for its link. Dialling, or asking for a sign of life, takes
+milliseconds, and tens of them at a host that starts; another host serves it sooner."""
+
+AVOID_MS = 1_000.0
+"""Time in which nothing is sent to a host whose link didn't come up: its server's
+entry, and what gatherers tell, follow within seconds."""
 
 DIAL_TIMEOUT_S = 0.8
 """Time for a connection: ways take milliseconds, and a host that is cut off never
 answers."""
 
 REDIAL_S = 0.3
-"""Pause before a lost link is dialled again: restarted processes are back soon."""
+"""Pause before a kept link is dialled again: restarted processes are back soon."""
 
 STALL_MS = 300.0
-"""Delay of the heartbeats from which this process itself stood still."""
+"""Delay of the checks from which this process itself stood still."""
 
 
 class LinkListener(Protocol):
@@ -44,6 +63,12 @@
     def link_lost(self, ip: str) -> None:
         """A dialled link is gone; what was written may still arrive."""
 
+    def unsent(self, requests: Collection[RelayRequest]) -> None:
+        """Requests that waited for a link weren't written, and never will be."""
+
+    def is_wanted(self, call_id: int) -> bool:
+        """Return whether a request that waited for its link still has to go."""
+
     def dialled_message(self, ip: str, message: Message) -> None:
         """A peer answered on a dialled link."""
 
@@ -53,43 +78,56 @@
     def accepted_lost(self, link: PeerLink) -> None:
         """A link that a peer dialled is gone."""
 
-    def heartbeat(self) -> Message:
-        """Return the heartbeat for all peers."""
-
 
 class Peer:
-    """A host to which a link is kept.
+    """A host to which a link is, was or will be dialled.
 
     Attributes:
         link: the link, once the peer has greeted.
-        load: what the peer told on it.
+        kept: whether a lost link is dialled again.
         dialling: makes the link.
         connected: whether ``dialling`` has a connection and waits for the greeting.
-        beat_ms: when the last heartbeat was sent.
+        outstanding: requests written to the link that have no end yet.
+        waiting: requests that wait for the link, with the time of their arrival.
+        timer: ends that wait.
+        avoided_until_ms: until when nothing is sent, since the link didn't come up.
     """
 
     def __init__(self):
         self.link: PeerLink | None = None
-        self.load = PeerLoad()
+        self.kept = False
         self.dialling: asyncio.Task | None = None
         self.connected = False
-        self.beat_ms = 0.0
+        self.outstanding = 0
+        self.waiting: deque[tuple[float, RelayRequest]] = deque()
+        self.timer: asyncio.TimerHandle | None = None
+        self.avoided_until_ms = 0.0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the peer owes a sign of life for too long."""
+        return self.link is not None and self.link.silent_ms() > SUSPECT_MS
 
 
 class PeerLinks:
     """Dials, accepts and watches the links of one sidecar.
 
+    A request goes to a link that has just shown signs of life, or waits a moment for
+    one. Failure: most links of a large fleet are idle, and one that fell silent is
+    found out by the first request on it, which is then lost or runs for nobody. Asking
+    first costs a message each way; heartbeats on all links would be ten times as many
+    messages as requests in a fleet of two hundred.
+
     Args:
         own_ip: address of this host.
+        availability_zone: where it is.
         port: port at which this sidecar accepts links.
         dial_port: port at which the others are dialled.
         incarnation: number of this process, which no other process has.
         listener: is told what happens.
 
     Attributes:
-        peers: the hosts to which links are kept, by address.
-        relied_on: peers that get a heartbeat at each check, since this sidecar must
-            notice their loss within a second.
+        peers: the hosts to which links were dialled, by address.
         accepted: links that peers dialled.
     """
 
@@ -97,33 +135,31 @@
         self,
         *,
         own_ip: str,
+        availability_zone: str,
         port: int,
         dial_port: int,
         incarnation: int,
         listener: LinkListener,
     ):
         self.peers: dict[str, Peer] = {}
-        self.relied_on: frozenset[str] = frozenset()
         self.accepted: set[PeerLink] = set()
         self._own_ip = own_ip
         self._port = port
         self._dial_port = dial_port
         self._greeting = Hello(
-            protocol_version=PROTOCOL_VERSION, ip=own_ip, incarnation=incarnation
+            protocol_version=PROTOCOL_VERSION,
+            ip=own_ip,
+            incarnation=incarnation,
+            availability_zone=availability_zone,
         )
         self._listener = listener
         self._batch = WriteBatch()
+        self._sequence = itertools.count(1)
         self._server: asyncio.Server | None = None
-        self._beating: asyncio.Task | None = None
-        self._opened_ms = 0.0
-
-    @property
-    def heartbeat_ms(self) -> float:
-        """Pause between the heartbeats of a link that shows signs of life."""
-        return heartbeat_pause_ms(len(self.peers))
+        self._checking: asyncio.Task | None = None
 
     async def open(self) -> None:
-        """Accept links and begin to send heartbeats."""
+        """Accept links and begin to watch them."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: self._new_link(self._accepted_greeted, self._accepted_lost),
@@ -131,16 +167,16 @@
             self._port,
             reuse_address=True,
         )
-        self._beating = loop.create_task(self._beat())
-        self._opened_ms = loop.time() * 1000
+        self._checking = loop.create_task(self._check_forever())
 
     async def close(self) -> None:
         """Close all links."""
-        if self._beating is not None:
-            self._beating.cancel()
+        if self._checking is not None:
+            self._checking.cancel()
         if self._server is not None:
             self._server.close()
         for peer in self.peers.values():
+            self._stop_waiting(peer)
             if peer.dialling is not None:
                 peer.dialling.cancel()
             if peer.link is not None:
@@ -149,30 +185,75 @@
             link.close()
 
     def keep(self, ips: Iterable[str]) -> None:
-        """Keep links to these hosts, and give up those to others."""
+        """Keep links to these hosts; those to others stay until they are lost."""
         wanted = set(ips) - {self._own_ip}
-        for ip in self.peers.keys() - wanted:
-            peer = self.peers.pop(ip)
-            if peer.dialling is not None:
-                peer.dialling.cancel()
-            if peer.link is not None:
-                peer.link.close()
-        for ip in wanted - self.peers.keys():
-            self.peers[ip] = Peer()
+        for ip, peer in self.peers.items():
+            peer.kept = ip in wanted
+        for ip in wanted:
+            peer = self._peer(ip)
+            peer.kept = True
+            if peer.link is None:
+                self._dial(ip, 0.0)
+
+    def greet(self, ip: str) -> None:
+        """Dial a host once, so that it hears of this one."""
+        if ip != self._own_ip and self._peer(ip).link is None:
+            self._dial(ip, 0.0)
+
+    def can_reach(self, ip: str) -> bool:
+        """Return whether a request may be sent to a host, as far as its link tells."""
+        peer = self.peers.get(ip)
+        if peer is None:
+            return True
+        return not peer.is_suspect and self._now_ms() >= peer.avoided_until_ms
+
+    def is_live(self, ip: str) -> bool:
+        """Return whether the link to a host has just shown signs of life."""
+        peer = self.peers.get(ip)
+        return peer is not None and peer.link is not None and _is_live(peer.link)
+
+    def request(self, ip: str, request: RelayRequest) -> bool:
+        """Send a request, or let it wait for its link.
+
+        Returns:
+            False where it will never be written.
+        """
+        if not self.can_reach(ip):
+            return False
+        peer = self._peer(ip)
+        if peer.link is not None and not peer.waiting and _is_live(peer.link):
+            return self._write(peer, request)
+        peer.waiting.append((self._now_ms(), request))
+        if peer.link is None:
             self._dial(ip, 0.0)
+        else:
+            self._ask(peer.link)
+        if peer.timer is None:
+            loop = asyncio.get_running_loop()
+            peer.timer = loop.call_later(WAIT_MS / 1000, self._waited, peer)
+        return True
 
-    def load_of(self, ip: str) -> PeerLoad | None:
-        """Return the load of a peer that can be reached; None otherwise."""
+    def cancel(self, ip: str, call_id: int) -> None:
+        """Withdraw a request, whether it has been written or still waits."""
         peer = self.peers.get(ip)
-        if peer is None or peer.link is None or peer.link.silent_ms() > SUSPECT_MS:
-            return None
-        return peer.load
+        if peer is None:
+            return
+        if any(request.call_id == call_id for _, request in peer.waiting):
+            return  # Nobody wants it any more, so it isn't written.
+        if peer.link is not None and peer.link.send(RelayCancel(call_id=call_id)):
+            peer.outstanding = max(0, peer.outstanding - 1)
 
     def send(self, ip: str, message: Message) -> bool:
         """Write to a peer; False where nothing was written."""
         peer = self.peers.get(ip)
         return peer is not None and peer.link is not None and peer.link.send(message)
 
+    def poll(self, ip: str, frame: bytes) -> None:
+        """Write a frame to a peer, which owes an answer to it."""
+        peer = self.peers.get(ip)
+        if peer is not None and peer.link is not None and peer.link.send_frame(frame):
+            peer.link.expect_reply()
+
     def linked(self) -> Iterable[str]:
         """Return the addresses of peers with an open link."""
         return (ip for ip, peer in self.peers.items() if peer.link is not None)
@@ -184,6 +265,59 @@
             link.unsent_bytes for link in itertools.chain(dialled, self.accepted)
         )
 
+    def _peer(self, ip: str) -> Peer:
+        peer = self.peers.get(ip)
+        if peer is None:
+            peer = self.peers[ip] = Peer()
+        return peer
+
+    def _write(self, peer: Peer, request: RelayRequest) -> bool:
+        if not peer.link.send(request):
+            return False
+        peer.outstanding += 1
+        return True
+
+    def _ask(self, link: PeerLink) -> None:
+        """Ask a peer for a sign of life, unless it owes one already."""
+        if not link.silent_ms() and link.send(Heartbeat(next(self._sequence))):
+            link.expect_reply()
+
+    def _waited(self, peer: Peer) -> None:
+        """End the wait for a link that didn't come up in time."""
+        peer.timer = None
+        peer.avoided_until_ms = self._now_ms() + AVOID_MS
+        self._return_waiting(peer)
+
+    def _flush(self, peer: Peer) -> None:
+        """Write the requests that waited for the link."""
+        self._stop_waiting(peer)
+        waiting, peer.waiting = peer.waiting, deque()
+        now_ms = self._now_ms()
+        unsent = []
+        for since_ms, request in waiting:
+            if not self._listener.is_wanted(request.call_id):
+                continue
+            # Both count from its arrival there; the server must not get more time
+            # than its caller waits.
+            waited_ms = int(now_ms - since_ms)
+            request.remaining_ms = max(0, request.remaining_ms - waited_ms)
+            request.max_wait_ms = max(0, request.max_wait_ms - waited_ms)
+            if not self._write(peer, request):
+                unsent.append(request)
+        if unsent:
+            self._listener.unsent(unsent)
+
+    def _return_waiting(self, peer: Peer) -> None:
+        self._stop_waiting(peer)
+        waiting, peer.waiting = peer.waiting, deque()
+        if waiting:
+            self._listener.unsent([request for _, request in waiting])
+
+    def _stop_waiting(self, peer: Peer) -> None:
+        if peer.timer is not None:
+            peer.timer.cancel()
+            peer.timer = None
+
     def _new_link(
         self,
         greeted: Callable[[PeerLink], None],
@@ -199,83 +333,100 @@
         )
 
     def _dial(self, ip: str, delay_s: float) -> None:
-        peer = self.peers.get(ip)
-        if peer is not None and peer.dialling is None:
+        peer = self.peers[ip]
+        if peer.dialling is None:
             loop = asyncio.get_running_loop()
             peer.dialling = loop.create_task(self._keep_dialling(ip, peer, delay_s))
 
     async def _keep_dialling(self, ip: str, peer: Peer, delay_s: float) -> None:
-        loop = asyncio.get_running_loop()
         await asyncio.sleep(delay_s)
-        while True:
-            peer.connected = False
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(DIAL_TIMEOUT_S):
-                    await loop.create_connection(
-                        lambda: self._new_link(
-                            self._dialled_greeted, self._dialled_lost
-                        ),
-                        ip,
-                        self._dial_port,
-                    )
-                peer.connected = True
-                # The peer's greeting completes the link; without one it is dropped.
-                await asyncio.sleep(DIAL_TIMEOUT_S)
-                if peer.link is not None:
-                    break
+        while not await self._dial_once(ip, peer):
+            if not peer.kept:
+                peer.avoided_until_ms = self._now_ms() + AVOID_MS
+                break
             await asyncio.sleep(REDIAL_S)
         peer.dialling = None
+        if peer.link is None:
+            self._return_waiting(peer)
+
+    async def _dial_once(self, ip: str, peer: Peer) -> bool:
+        loop = asyncio.get_running_loop()
+        peer.connected = False
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: self._new_link(self._dialled_greeted, self._dialled_lost),
+                    ip,
+                    self._dial_port,
+                )
+        except (OSError, TimeoutError):
+            return False
+        peer.connected = True
+        # The peer's greeting completes the link; without one it is dropped.
+        await asyncio.sleep(DIAL_TIMEOUT_S)
+        return peer.link is not None
 
     def _dialled_greeted(self, link: PeerLink) -> None:
-        peer = self.peers.get(link.peer_ip)
-        if peer is None:
-            link.abort("not wanted any more")
-            return
+        peer = self.peers[link.peer_ip]
         old, peer.link = peer.link, link
         if old is not None:
             old.abort("replaced")
-        peer.load = PeerLoad()
+        peer.outstanding = 0
+        peer.avoided_until_ms = 0.0
         if peer.dialling is not None:
             peer.dialling.cancel()
             peer.dialling = None
         log_event("link_up", peer=link.peer_ip, incarnation=link.incarnation)
-        link.send(self._listener.heartbeat())
-        link.expect_reply()
+        self._flush(peer)
 
     def _dialled_lost(self, link: PeerLink) -> None:
         peer = self.peers.get(link.peer_ip)
         if peer is None or peer.link is not link:
             return
         peer.link = None
+        peer.outstanding = 0
         log_event("link_lost", peer=link.peer_ip, reason=link.fault)
         self._listener.link_lost(link.peer_ip)
-        self._dial(link.peer_ip, REDIAL_S)
+        if peer.kept:
+            self._dial(link.peer_ip, REDIAL_S)
+        elif peer.waiting:
+            self._dial(link.peer_ip, 0.0)
 
     def _dialled_message(self, link: PeerLink, message: Message) -> None:
         peer = self.peers.get(link.peer_ip)
-        if peer is not None and peer.link is link:
-            self._listener.dialled_message(link.peer_ip, message)
+        if peer is None or peer.link is not link:
+            return
+        if isinstance(message, RelayResponse):
+            peer.outstanding = max(0, peer.outstanding - 1)
+        elif isinstance(message, HeartbeatReply) and message.sequence:
+            link.replied()
+        self._listener.dialled_message(link.peer_ip, message)
+        if peer.waiting and _is_live(link):
+            self._flush(peer)
 
     def _accepted_greeted(self, link: PeerLink) -> None:
         self.accepted.add(link)
         peer = self.peers.get(link.peer_ip)
         if peer is not None:
-            self._dial_at_once(peer, link)
+            self._heed_greeting(peer, link)
 
-    def _dial_at_once(self, peer: Peer, greeted: PeerLink) -> None:
-        """Dial a peer that has just shown that it is up.
+    def _heed_greeting(self, peer: Peer, greeted: PeerLink) -> None:
+        """Take up a link to a peer that has just shown that it is up.
 
         Failure: all hosts lose power and are back within 0.3 s of each other. Whoever
         is up first dials the others before they are, its opening packets are lost, and
         it waits a second for links that would be up at once; meanwhile requests find
         no server, and half of the credit of the first two seconds was lost.
         """
+        peer.avoided_until_ms = 0.0
         former = peer.link
         if former is not None and former.incarnation != greeted.incarnation:
             former.abort("restarted")
             self._dialled_lost(former)
         if peer.link is not None or peer.connected:
             return
+        if not peer.kept and peer.dialling is None:
+            return
         if peer.dialling is not None:
             peer.dialling.cancel()
             peer.dialling = None
@@ -288,41 +439,29 @@
         self.accepted.discard(link)
         self._listener.accepted_lost(link)
 
-    async def _beat(self) -> None:
-        loop = asyncio.get_running_loop()
+    async def _check_forever(self) -> None:
         while True:
-            due_ms = (loop.time() + CHECK_S) * 1000
+            due_ms = self._now_ms() + CHECK_S * 1000
             await asyncio.sleep(CHECK_S)
-            now_ms = loop.time() * 1000
-            stalled = now_ms - due_ms > STALL_MS
-            young = now_ms - self._opened_ms < YOUNG_MS
-            pause_ms = CHECK_S * 1000 if young else self.heartbeat_ms
-            heartbeat = serialize_message(self._listener.heartbeat())
+            stalled = self._now_ms() - due_ms > STALL_MS
             for peer in list(self.peers.values()):
-                if peer.link is None:
-                    continue
-                relied_on = peer.link.peer_ip in self.relied_on
-                beat_ms = CHECK_S * 1000 if relied_on else pause_ms
-                self._check(peer, heartbeat, now_ms, beat_ms, stalled)
+                if peer.link is not None:
+                    self._check(peer, peer.link, stalled)
 
-    def _check(
-        self,
-        peer: Peer,
-        heartbeat: bytes,
-        now_ms: float,
-        pause_ms: float,
-        stalled: bool,
-    ) -> None:
-        link = peer.link
+    def _check(self, peer: Peer, link: PeerLink, stalled: bool) -> None:
         if stalled:
             link.forgive_silence()
         if link.silent_ms() > DEAD_MS:
             link.abort("silent")
             return
-        quiet = not link.heard_since_check and peer.load.outstanding > 0
+        quiet = not link.heard_since_check and peer.outstanding > 0
         link.heard_since_check = False
-        if not quiet and now_ms - peer.beat_ms < pause_ms - CHECK_S * 1000 / 2:
-            return
-        if link.send_frame(heartbeat):
-            peer.beat_ms = now_ms
-            link.expect_reply()
+        if quiet:
+            self._ask(link)
+
+    def _now_ms(self) -> float:
+        return asyncio.get_running_loop().time() * 1000
+
+
+def _is_live(link: PeerLink) -> bool:
+    return link.quiet_ms() <= QUIET_MS and link.silent_ms() <= OWED_MS
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -1,5 +1,6 @@
 """Which instance of a service a request is sent to."""
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Container, Hashable, Iterable
@@ -47,8 +48,11 @@
 MEAN_GAIN = 0.02
 """Weight of one request in the mean of its kind: the last fifty."""
 
-SAMPLE = 10
-"""Instances that are compared; the cost of a choice stays flat in large services."""
+SAMPLE_NEAR = 5
+SAMPLE_FAR = 5
+"""Instances of the own zone and of others that are compared. The cost of a choice stays
+flat in large services, and sidecars that were told the same don't all choose the same:
+each compares others."""
 
 FAILURE_GAIN = 0.08
 """Weight of one end of a request in the failing share: the last dozen."""
@@ -73,9 +77,9 @@
         limit: requests that are let onto it at once; None before the first report,
             0 while it is down.
         sent_since: requests sent to it since the report.
-        outstanding: requests sent to it that have no end yet.
         leaving: whether the peer takes no new requests.
         refuses_until_ms: until when requests would be refused, by its last word.
+        told_ms: when it was told, by the clock of this sidecar.
         following: whether the peer follows the platform.
         isolated: whether the peer's host can't reach the platform, which therefore
             doesn't list its server.
@@ -88,9 +92,9 @@
     queued: int = 0
     limit: int | None = None
     sent_since: int = 0
-    outstanding: int = 0
     leaving: bool = False
     refuses_until_ms: float = 0.0
+    told_ms: float = -math.inf
     following: bool = False
     isolated: bool = False
     failing: float = 0.0
@@ -112,8 +116,9 @@
             self.pace = 1.0
         self.identity = identity
 
-    def report(self, told: ServerLoad) -> None:
+    def report(self, told: ServerLoad, now_ms: float) -> None:
         """Take in what the peer says of its backend server."""
+        self.told_ms = now_ms
         self.in_flight = told.in_flight
         self.queued = told.queued
         self.limit = told.limit
@@ -229,8 +234,8 @@
         bytes_cost = min(answer_bytes / 1000 * ZONE_COST_PER_KB, MAX_BYTES_COST)
         other_zone_cost = OTHER_ZONE_COST + bytes_cost
         candidates = [found for found in instances if found.identity not in tried]
-        if len(candidates) > SAMPLE:
-            candidates = self._rng.sample(candidates, SAMPLE)
+        if len(candidates) > SAMPLE_NEAR + SAMPLE_FAR:
+            candidates = self._sample(candidates)
         best, best_cost = None, float("inf")
         for instance in candidates:
             cost = self._cost(instance, now_ms, other_zone_cost)
@@ -238,6 +243,19 @@
                 best, best_cost = instance, cost
         return best
 
+    def _sample(self, candidates: list[Instance]) -> list[Instance]:
+        """Return some of each sort: by chance alone hardly any is of the own zone."""
+        near = [c for c in candidates if c.availability_zone == self._zone]
+        far = [c for c in candidates if c.availability_zone != self._zone]
+        near_count = min(
+            len(near), max(SAMPLE_NEAR, SAMPLE_NEAR + SAMPLE_FAR - len(far))
+        )
+        far_count = SAMPLE_NEAR + SAMPLE_FAR - near_count
+        return [
+            *self._rng.sample(near, near_count),
+            *self._rng.sample(far, min(far_count, len(far))),
+        ]
+
     def _cost(
         self, instance: Instance, now_ms: float, other_zone_cost: float
     ) -> float | None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -7,7 +7,7 @@
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.replica import Delta
-from sassafraswinch_sidecar.watch_duty import WatchDuty
+from sassafraswinch_sidecar.zone_duty import ZoneDuty
 
 PLATFORM_SOURCE = "platform"
 """Names the platform itself as the source of changes, in logs too."""
@@ -35,6 +35,14 @@
 """Longest pause of a sidecar alone: changes must be in force within two seconds of the
 return. Where more share a zone, one of them calls as often, and tells the others."""
 
+WATCHERS = 2
+"""Sidecars of a zone that follow the platform while they can. Each call is paid for;
+with one, its loss would leave the zone without news until that is noticed."""
+
+WATCH_STEP_MS = 50.0
+"""Time that each further sidecar leaves to those before it, when watchers are missing:
+one call to the platform and its news take a few milliseconds."""
+
 STANDBY_S = 0.05
 """Pause between looks at whether this sidecar has come on duty."""
 
@@ -118,7 +126,7 @@
         *,
         store: PlatformStore,
         keeper: ReplicaKeeper,
-        duty: WatchDuty,
+        duty: ZoneDuty,
         rng: random.Random,
     ):
         self._store = store
@@ -173,7 +181,7 @@
         Failure: a sidecar that the platform turns away counts it as away, and holds
         back each removal of a server that its peers tell, as an expiry of the outage.
         """
-        if self._duty.is_followed:
+        if self._duty.is_held:
             self._note_return("peers")
 
     async def _step(self) -> None:
@@ -205,7 +213,7 @@
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
         self._follow(False)
-        if self._duty.is_followed:
+        if self._duty.is_held:
             return
         self._keeper.platform_away()
         if not self._away:
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/recent_maximum.py
@@ -0,0 +1,32 @@
+"""The greatest of the values of the last while."""
+
+from collections import deque
+
+
+class RecentMaximum:
+    """Keeps the greatest value that was noted in a sliding window.
+
+    Args:
+        window_ms: age at which a value no longer counts.
+    """
+
+    def __init__(self, *, window_ms: float):
+        self._window_ms = window_ms
+        self._falling: deque[tuple[float, int]] = deque()
+
+    def note(self, value: int, now_ms: float) -> None:
+        """Take in the value that holds from now on."""
+        falling = self._falling
+        while falling and falling[-1][1] <= value:
+            falling.pop()
+        falling.append((now_ms, value))
+
+    def value(self, now_ms: float) -> int:
+        """Return the greatest value of the window; 0 if none was ever noted.
+
+        A value holds until the next one, and counts for a window from then on.
+        """
+        falling = self._falling
+        while len(falling) > 1 and now_ms - falling[1][0] >= self._window_ms:
+            falling.popleft()
+        return falling[0][1] if falling else 0
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterable
 
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import INSTANCE_LEAVING, Executor
 from sassafraswinch_sidecar.fleet import Fleet, Instance
+from sassafraswinch_sidecar.fleet_view import FleetView
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.peer_links import PeerLinks
@@ -20,7 +22,6 @@
 from sassafraswinch_sidecar.relay_intake import Relay, RelayIntake
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
-    RelayCancel,
     RelayRequest,
     RelayResponse,
     Verdict,
@@ -72,6 +73,7 @@
         answers: RelayAnswers,
         fleet: Fleet,
         links: PeerLinks,
+        view: FleetView,
         executor: Executor,
         placement: Placement,
         admission: EntryAdmission,
@@ -88,6 +90,7 @@
         self._answers = answers
         self._fleet = fleet
         self._links = links
+        self._view = view
         self._executor = executor
         self._placement = placement
         self._admission = admission
@@ -155,8 +158,7 @@
     def response(self, response: RelayResponse, load: PeerLoad | None) -> None:
         """Take the end of a call from the executing sidecar."""
         if load is not None:
-            load.outstanding = max(0, load.outstanding - 1)
-            load.report(response.load)
+            load.report(response.load, self._now_ms())
         relay = self.relays.pop(response.call_id, None)
         if relay is None or relay.ended:
             return
@@ -184,6 +186,13 @@
             relay.offered_to.add(relay.identity)
             self._may_have_run(relay, "link-lost")
 
+    def unsent(self, requests: Iterable[RelayRequest]) -> None:
+        """Place requests anew that waited for a link and weren't written to it."""
+        for request in requests:
+            relay = self.relays.pop(request.call_id, None)
+            if relay is not None and not relay.ended:
+                self._place(relay)
+
     def _admit(self, relay: Relay) -> bool:
         route = relay.route
         self._admission.offered(route.name, route.priority)
@@ -272,13 +281,13 @@
             self.own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
             return
-        load = self._links.load_of(instance.ip)
-        if not self._links.send(instance.ip, request):
+        if not self._links.request(instance.ip, request):
             del self.relays[call_id]
             self._place(relay)
-        elif load is not None:
+            return
+        load = self._view.load(instance.ip)
+        if load is not None:
             load.sent_since += 1
-            load.outstanding += 1
 
     def _note_instance(self, relay: Relay, actual_id: str) -> None:
         for instance in self._fleet.of_service(relay.service):
@@ -373,10 +382,7 @@
         if relay.ip == self._own_ip:
             self._executor.cancel(self, relay.call_id)
             return
-        self._links.send(relay.ip, RelayCancel(call_id=relay.call_id))
-        load = self._links.load_of(relay.ip)
-        if load is not None:
-            load.outstanding = max(0, load.outstanding - 1)
+        self._links.cancel(relay.ip, relay.call_id)
 
     def _finish(self, relay: Relay) -> None:
         relay.ended = True
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -142,6 +142,7 @@
      - protocol_version
      - ip: Address at which the sender's sidecar accepts links: IP number.
      - incarnation
+     - availability_zone
 
     """
 
@@ -149,13 +150,15 @@
         'protocol_version',
         'ip',
         'incarnation',
+        'availability_zone',
     )
 
 
-    def __init__(self, protocol_version=None, ip=None, incarnation=None,):
+    def __init__(self, protocol_version=None, ip=None, incarnation=None, availability_zone=None,):
         self.protocol_version = protocol_version
         self.ip = ip
         self.incarnation = incarnation
+        self.availability_zone = availability_zone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -181,6 +184,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -203,6 +211,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 4)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -213,6 +225,8 @@
             raise TProtocolException(message='Required field ip is unset!')
         if self.incarnation is None:
             raise TProtocolException(message='Required field incarnation is unset!')
+        if self.availability_zone is None:
+            raise TProtocolException(message='Required field availability_zone is unset!')
         return
 
     def __repr__(self):
@@ -904,7 +918,7 @@
 
 class RouteDemand(object):
     """
-    Requests of one route that arrive at one entry, and what they need.
+    Requests of one route, and what they need.
 
     Attributes:
      - route_name
@@ -1028,11 +1042,10 @@
 
 class SentCount(object):
     """
-    Requests and repeats that the sender sent to a service in the window.
+    Requests and repeats that were sent to a service in the window.
 
     Attributes:
      - service_name
-     - former_demand: Always empty; older sidecars told their demand here, and require the field.
      - sent
      - repeated
 
@@ -1040,15 +1053,13 @@
 
     __slots__ = (
         'service_name',
-        'former_demand',
         'sent',
         'repeated',
     )
 
 
-    def __init__(self, service_name=None, former_demand=None, sent=None, repeated=None,):
+    def __init__(self, service_name=None, sent=None, repeated=None,):
         self.service_name = service_name
-        self.former_demand = former_demand
         self.sent = sent
         self.repeated = repeated
 
@@ -1067,21 +1078,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.former_demand = []
-                    (_etype19, _size16) = iprot.readListBegin()
-                    for _i20 in range(_size16):
-                        _elem21 = iprot.readDouble()
-                        self.former_demand.append(_elem21)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
                 if ftype == TType.I32:
                     self.sent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.repeated = iprot.readI32()
                 else:
@@ -1100,19 +1101,12 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 1)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.former_demand is not None:
-            oprot.writeFieldBegin('former_demand', TType.LIST, 2)
-            oprot.writeListBegin(TType.DOUBLE, len(self.former_demand))
-            for iter22 in self.former_demand:
-                oprot.writeDouble(iter22)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.sent is not None:
-            oprot.writeFieldBegin('sent', TType.I32, 3)
+            oprot.writeFieldBegin('sent', TType.I32, 2)
             oprot.writeI32(self.sent)
             oprot.writeFieldEnd()
         if self.repeated is not None:
-            oprot.writeFieldBegin('repeated', TType.I32, 4)
+            oprot.writeFieldBegin('repeated', TType.I32, 3)
             oprot.writeI32(self.repeated)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1121,8 +1115,6 @@
     def validate(self):
         if self.service_name is None:
             raise TProtocolException(message='Required field service_name is unset!')
-        if self.former_demand is None:
-            raise TProtocolException(message='Required field former_demand is unset!')
         if self.sent is None:
             raise TProtocolException(message='Required field sent is unset!')
         if self.repeated is None:
@@ -1150,27 +1142,20 @@
 
 class Heartbeat(object):
     """
+    Asks for a sign of life on a link that is quiet.
+
     Attributes:
      - sequence
-     - revision: Revision of the platform's data up to which the sender knows all changes.
-     - counts
-     - demand: Missing from older sidecars.
 
     """
 
     __slots__ = (
         'sequence',
-        'revision',
-        'counts',
-        'demand',
     )
 
 
-    def __init__(self, sequence=None, revision=None, counts=None, demand=None,):
+    def __init__(self, sequence=None,):
         self.sequence = sequence
-        self.revision = revision
-        self.counts = counts
-        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1186,33 +1171,6 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.counts = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = SentCount()
-                        _elem28.read(iprot)
-                        self.counts.append(_elem28)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.demand = []
-                    (_etype32, _size29) = iprot.readListBegin()
-                    for _i33 in range(_size29):
-                        _elem34 = RouteDemand()
-                        _elem34.read(iprot)
-                        self.demand.append(_elem34)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1227,34 +1185,12 @@
             oprot.writeFieldBegin('sequence', TType.I64, 1)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.counts is not None:
-            oprot.writeFieldBegin('counts', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter35 in self.counts:
-                iter35.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.demand is not None:
-            oprot.writeFieldBegin('demand', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter36 in self.demand:
-                iter36.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.sequence is None:
             raise TProtocolException(message='Required field sequence is unset!')
-        if self.revision is None:
-            raise TProtocolException(message='Required field revision is unset!')
-        if self.counts is None:
-            raise TProtocolException(message='Required field counts is unset!')
         return
 
     def __repr__(self):
@@ -1278,12 +1214,13 @@
 
 class HeartbeatReply(object):
     """
+    Answers a heartbeat; sequence 0 where it tells news unasked.
+
     Attributes:
      - sequence
      - revision
      - load
      - leaving
-     - following: Whether it follows the platform: a watch is under way, or ended just now.
      - isolated: Whether its server isn't listed since its host can't reach the platform.
 
     """
@@ -1293,17 +1230,15 @@
         'revision',
         'load',
         'leaving',
-        'following',
         'isolated',
     )
 
 
-    def __init__(self, sequence=None, revision=None, load=None, leaving=None, following=False, isolated=False,):
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None, isolated=False,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
         self.leaving = leaving
-        self.following = following
         self.isolated = isolated
 
     def read(self, iprot):
@@ -1337,11 +1272,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.following = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
                 if ftype == TType.BOOL:
                     self.isolated = iprot.readBool()
                 else:
@@ -1372,12 +1302,8 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
-        if self.following is not None:
-            oprot.writeFieldBegin('following', TType.BOOL, 5)
-            oprot.writeBool(self.following)
-            oprot.writeFieldEnd()
         if self.isolated is not None:
-            oprot.writeFieldBegin('isolated', TType.BOOL, 6)
+            oprot.writeFieldBegin('isolated', TType.BOOL, 5)
             oprot.writeBool(self.isolated)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1413,22 +1339,34 @@
         return not (self == other)
 
 
-class ReplicaRequest(object):
+class HostLoads(object):
     """
-    Asks for the platform's data that changed after a revision.
+    Hosts of one availability zone and their servers, a column for each fact.
 
     Attributes:
-     - after_revision
+     - ips
+     - in_flight
+     - queued
+     - limits
+     - flags: Bits: 1 leaving, 2 follows the platform, 4 isolated from the platform.
 
     """
 
     __slots__ = (
-        'after_revision',
+        'ips',
+        'in_flight',
+        'queued',
+        'limits',
+        'flags',
     )
 
 
-    def __init__(self, after_revision=None,):
-        self.after_revision = after_revision
+    def __init__(self, ips=None, in_flight=None, queued=None, limits=None, flags=None,):
+        self.ips = ips
+        self.in_flight = in_flight
+        self.queued = queued
+        self.limits = limits
+        self.flags = flags
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1440,8 +1378,53 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.after_revision = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.ips = []
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ips.append(_elem21)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.in_flight = []
+                    (_etype25, _size22) = iprot.readListBegin()
+                    for _i26 in range(_size22):
+                        _elem27 = iprot.readI32()
+                        self.in_flight.append(_elem27)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.queued = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI32()
+                        self.queued.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readI32()
+                        self.limits.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.flags = []
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = iprot.readI32()
+                        self.flags.append(_elem45)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1453,17 +1436,56 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReplicaRequest')
-        if self.after_revision is not None:
-            oprot.writeFieldBegin('after_revision', TType.I64, 1)
-            oprot.writeI64(self.after_revision)
+        oprot.writeStructBegin('HostLoads')
+        if self.ips is not None:
+            oprot.writeFieldBegin('ips', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.ips))
+            for iter46 in self.ips:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.in_flight))
+            for iter47 in self.in_flight:
+                oprot.writeI32(iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.queued is not None:
+            oprot.writeFieldBegin('queued', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.queued))
+            for iter48 in self.queued:
+                oprot.writeI32(iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.limits))
+            for iter49 in self.limits:
+                oprot.writeI32(iter49)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.flags is not None:
+            oprot.writeFieldBegin('flags', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.flags))
+            for iter50 in self.flags:
+                oprot.writeI32(iter50)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.after_revision is None:
-            raise TProtocolException(message='Required field after_revision is unset!')
+        if self.ips is None:
+            raise TProtocolException(message='Required field ips is unset!')
+        if self.in_flight is None:
+            raise TProtocolException(message='Required field in_flight is unset!')
+        if self.queued is None:
+            raise TProtocolException(message='Required field queued is unset!')
+        if self.limits is None:
+            raise TProtocolException(message='Required field limits is unset!')
+        if self.flags is None:
+            raise TProtocolException(message='Required field flags is unset!')
         return
 
     def __repr__(self):
@@ -1485,26 +1507,43 @@
         return not (self == other)
 
 
-class ReplicaEntry(object):
+class HostReport(object):
     """
+    What one sidecar tells the gatherers of its zone; answers a FleetDigest.
+
     Attributes:
-     - key
      - revision
-     - value: Missing where the key was removed.
+     - load
+     - leaving
+     - following
+     - isolated
+     - demand
+     - counts
+     - relies: Whether the sender takes its view of the fleet from the receiver.
 
     """
 
     __slots__ = (
-        'key',
         'revision',
-        'value',
+        'load',
+        'leaving',
+        'following',
+        'isolated',
+        'demand',
+        'counts',
+        'relies',
     )
 
 
-    def __init__(self, key=None, revision=None, value=None,):
-        self.key = key
+    def __init__(self, revision=None, load=None, leaving=None, following=None, isolated=None, demand=None, counts=None, relies=None,):
         self.revision = revision
-        self.value = value
+        self.load = load
+        self.leaving = leaving
+        self.following = following
+        self.isolated = isolated
+        self.demand = demand
+        self.counts = counts
+        self.relies = relies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1516,18 +1555,56 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                if ftype == TType.STRUCT:
+                    self.load = ServerLoad()
+                    self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.value = iprot.readBinary()
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.following = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = RouteDemand()
+                        _elem56.read(iprot)
+                        self.demand.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = SentCount()
+                        _elem62.read(iprot)
+                        self.counts.append(_elem62)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.relies = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1539,27 +1616,65 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReplicaEntry')
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 1)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('HostReport')
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 1)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.STRING, 3)
-            oprot.writeBinary(self.value)
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 2)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.following is not None:
+            oprot.writeFieldBegin('following', TType.BOOL, 4)
+            oprot.writeBool(self.following)
+            oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 5)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter63 in self.demand:
+                iter63.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter64 in self.counts:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.relies is not None:
+            oprot.writeFieldBegin('relies', TType.BOOL, 8)
+            oprot.writeBool(self.relies)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.key is None:
-            raise TProtocolException(message='Required field key is unset!')
         if self.revision is None:
             raise TProtocolException(message='Required field revision is unset!')
+        if self.load is None:
+            raise TProtocolException(message='Required field load is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        if self.following is None:
+            raise TProtocolException(message='Required field following is unset!')
+        if self.isolated is None:
+            raise TProtocolException(message='Required field isolated is unset!')
+        if self.demand is None:
+            raise TProtocolException(message='Required field demand is unset!')
+        if self.counts is None:
+            raise TProtocolException(message='Required field counts is unset!')
+        if self.relies is None:
+            raise TProtocolException(message='Required field relies is unset!')
         return
 
     def __repr__(self):
@@ -1581,26 +1696,28 @@
         return not (self == other)
 
 
-class ReplicaReply(object):
+class ZoneLoads(object):
     """
+    Loads of one zone.
+
     Attributes:
-     - revision: All changes up to this revision are in the entries or known to the asker.
-     - whole: Whether keys that the entries don't name are gone.
-     - entries
+     - availability_zone
+     - age_ms: Time since the gatherer that tells them heard them.
+     - hosts
 
     """
 
     __slots__ = (
-        'revision',
-        'whole',
-        'entries',
+        'availability_zone',
+        'age_ms',
+        'hosts',
     )
 
 
-    def __init__(self, revision=None, whole=None, entries=None,):
-        self.revision = revision
-        self.whole = whole
-        self.entries = entries
+    def __init__(self, availability_zone=None, age_ms=None, hosts=None,):
+        self.availability_zone = availability_zone
+        self.age_ms = age_ms
+        self.hosts = hosts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1612,24 +1729,19 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.whole = iprot.readBool()
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.entries = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = ReplicaEntry()
-                        _elem42.read(iprot)
-                        self.entries.append(_elem42)
-                    iprot.readListEnd()
+                if ftype == TType.STRUCT:
+                    self.hosts = HostLoads()
+                    self.hosts.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -1641,10 +1753,733 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReplicaReply')
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 1)
-            oprot.writeI64(self.revision)
+        oprot.writeStructBegin('ZoneLoads')
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 1)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.STRUCT, 3)
+            self.hosts.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.availability_zone is None:
+            raise TProtocolException(message='Required field availability_zone is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.hosts is None:
+            raise TProtocolException(message='Required field hosts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ZoneSummary(object):
+    """
+    What a gatherer knows of its zone: the sum of the reports of its hosts.
+
+    Attributes:
+     - loads
+     - demand
+     - counts
+
+    """
+
+    __slots__ = (
+        'loads',
+        'demand',
+        'counts',
+    )
+
+
+    def __init__(self, loads=None, demand=None, counts=None,):
+        self.loads = loads
+        self.demand = demand
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.loads = ZoneLoads()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = RouteDemand()
+                        _elem70.read(iprot)
+                        self.demand.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = SentCount()
+                        _elem76.read(iprot)
+                        self.counts.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneSummary')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.STRUCT, 1)
+            self.loads.write(oprot)
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter77 in self.demand:
+                iter77.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter78 in self.counts:
+                iter78.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        if self.demand is None:
+            raise TProtocolException(message='Required field demand is unset!')
+        if self.counts is None:
+            raise TProtocolException(message='Required field counts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetDigest(object):
+    """
+    What a gatherer tells a host of its zone.
+
+    Attributes:
+     - revision
+     - whole: Whether the rest is told; a host takes it from one gatherer only.
+     - zones
+     - demand: Sums over all zones.
+     - counts
+
+    """
+
+    __slots__ = (
+        'revision',
+        'whole',
+        'zones',
+        'demand',
+        'counts',
+    )
+
+
+    def __init__(self, revision=None, whole=None, zones=None, demand=None, counts=None,):
+        self.revision = revision
+        self.whole = whole
+        self.zones = zones
+        self.demand = demand
+        self.counts = counts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.zones = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = ZoneLoads()
+                        _elem84.read(iprot)
+                        self.zones.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.demand = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = RouteDemand()
+                        _elem90.read(iprot)
+                        self.demand.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.counts = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = SentCount()
+                        _elem96.read(iprot)
+                        self.counts.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetDigest')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 2)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.zones is not None:
+            oprot.writeFieldBegin('zones', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.zones))
+            for iter97 in self.zones:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand))
+            for iter98 in self.demand:
+                iter98.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.counts))
+            for iter99 in self.counts:
+                iter99.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.whole is None:
+            raise TProtocolException(message='Required field whole is unset!')
+        if self.zones is None:
+            raise TProtocolException(message='Required field zones is unset!')
+        if self.demand is None:
+            raise TProtocolException(message='Required field demand is unset!')
+        if self.counts is None:
+            raise TProtocolException(message='Required field counts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SummaryRequest(object):
+    """
+    Asks a sidecar of another zone for that zone's sum.
+
+    Attributes:
+     - revision
+
+    """
+
+    __slots__ = (
+        'revision',
+    )
+
+
+    def __init__(self, revision=None,):
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SummaryRequest')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SummaryReply(object):
+    """
+    Attributes:
+     - revision
+     - gatherers: Addresses of the gatherers that the asked sidecar hears; itself if it is one.
+     - summary: Missing where the asked sidecar doesn't gather.
+
+    """
+
+    __slots__ = (
+        'revision',
+        'gatherers',
+        'summary',
+    )
+
+
+    def __init__(self, revision=None, gatherers=None, summary=None,):
+        self.revision = revision
+        self.gatherers = gatherers
+        self.summary = summary
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.gatherers = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gatherers.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.summary = ZoneSummary()
+                    self.summary.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SummaryReply')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.gatherers is not None:
+            oprot.writeFieldBegin('gatherers', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.gatherers))
+            for iter106 in self.gatherers:
+                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.summary is not None:
+            oprot.writeFieldBegin('summary', TType.STRUCT, 3)
+            self.summary.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.gatherers is None:
+            raise TProtocolException(message='Required field gatherers is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaRequest(object):
+    """
+    Asks for the platform's data that changed after a revision.
+
+    Attributes:
+     - after_revision
+
+    """
+
+    __slots__ = (
+        'after_revision',
+    )
+
+
+    def __init__(self, after_revision=None,):
+        self.after_revision = after_revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaRequest')
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 1)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.after_revision is None:
+            raise TProtocolException(message='Required field after_revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaEntry(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - value: Missing where the key was removed.
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'value',
+    )
+
+
+    def __init__(self, key=None, revision=None, value=None,):
+        self.key = key
+        self.revision = revision
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaEntry')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReplicaReply(object):
+    """
+    Attributes:
+     - revision: All changes up to this revision are in the entries or known to the asker.
+     - whole: Whether keys that the entries don't name are gone.
+     - entries
+
+    """
+
+    __slots__ = (
+        'revision',
+        'whole',
+        'entries',
+    )
+
+
+    def __init__(self, revision=None, whole=None, entries=None,):
+        self.revision = revision
+        self.whole = whole
+        self.entries = entries
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = ReplicaEntry()
+                        _elem112.read(iprot)
+                        self.entries.append(_elem112)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReplicaReply')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.whole is not None:
             oprot.writeFieldBegin('whole', TType.BOOL, 2)
@@ -1653,8 +2488,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter43 in self.entries:
-                iter43.write(oprot)
+            for iter113 in self.entries:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1701,6 +2536,10 @@
      - replica_request
      - replica_reply
      - hello
+     - host_report
+     - fleet_digest
+     - summary_request
+     - summary_reply
 
     """
 
@@ -1713,10 +2552,14 @@
         'replica_request',
         'replica_reply',
         'hello',
+        'host_report',
+        'fleet_digest',
+        'summary_request',
+        'summary_reply',
     )
 
 
-    def __init__(self, request=None, response=None, cancel=None, heartbeat=None, heartbeat_reply=None, replica_request=None, replica_reply=None, hello=None,):
+    def __init__(self, request=None, response=None, cancel=None, heartbeat=None, heartbeat_reply=None, replica_request=None, replica_reply=None, hello=None, host_report=None, fleet_digest=None, summary_request=None, summary_reply=None,):
         self.request = request
         self.response = response
         self.cancel = cancel
@@ -1725,6 +2568,10 @@
         self.replica_request = replica_request
         self.replica_reply = replica_reply
         self.hello = hello
+        self.host_report = host_report
+        self.fleet_digest = fleet_digest
+        self.summary_request = summary_request
+        self.summary_reply = summary_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1783,6 +2630,30 @@
                     self.hello.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.host_report = HostReport()
+                    self.host_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.fleet_digest = FleetDigest()
+                    self.fleet_digest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.summary_request = SummaryRequest()
+                    self.summary_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.summary_reply = SummaryReply()
+                    self.summary_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1825,6 +2696,22 @@
             oprot.writeFieldBegin('hello', TType.STRUCT, 8)
             self.hello.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_report is not None:
+            oprot.writeFieldBegin('host_report', TType.STRUCT, 9)
+            self.host_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.fleet_digest is not None:
+            oprot.writeFieldBegin('fleet_digest', TType.STRUCT, 10)
+            self.fleet_digest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.summary_request is not None:
+            oprot.writeFieldBegin('summary_request', TType.STRUCT, 11)
+            self.summary_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.summary_reply is not None:
+            oprot.writeFieldBegin('summary_reply', TType.STRUCT, 12)
+            self.summary_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1861,6 +2748,7 @@
     (1, TType.I32, 'protocol_version', None, None, ),  # 1
     (2, TType.STRING, 'ip', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
@@ -1922,17 +2810,13 @@
 SentCount.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'former_demand', (TType.DOUBLE, None, False), None, ),  # 2
-    (3, TType.I32, 'sent', None, None, ),  # 3
-    (4, TType.I32, 'repeated', None, None, ),  # 4
+    (2, TType.I32, 'sent', None, None, ),  # 2
+    (3, TType.I32, 'repeated', None, None, ),  # 3
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 3
-    (4, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 4
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1941,8 +2825,63 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
-    (5, TType.BOOL, 'following', None, False, ),  # 5
-    (6, TType.BOOL, 'isolated', None, False, ),  # 6
+    (5, TType.BOOL, 'isolated', None, False, ),  # 5
+)
+all_structs.append(HostLoads)
+HostLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ips', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'in_flight', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'queued', (TType.I32, None, False), None, ),  # 3
+    (4, TType.LIST, 'limits', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'flags', (TType.I32, None, False), None, ),  # 5
+)
+all_structs.append(HostReport)
+HostReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.BOOL, 'following', None, None, ),  # 4
+    (5, TType.BOOL, 'isolated', None, None, ),  # 5
+    (6, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 6
+    (7, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 7
+    (8, TType.BOOL, 'relies', None, None, ),  # 8
+)
+all_structs.append(ZoneLoads)
+ZoneLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.STRUCT, 'hosts', [HostLoads, None], None, ),  # 3
+)
+all_structs.append(ZoneSummary)
+ZoneSummary.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'loads', [ZoneLoads, None], None, ),  # 1
+    (2, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 2
+    (3, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 3
+)
+all_structs.append(FleetDigest)
+FleetDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.BOOL, 'whole', None, None, ),  # 2
+    (3, TType.LIST, 'zones', (TType.STRUCT, [ZoneLoads, None], False), None, ),  # 3
+    (4, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 4
+    (5, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 5
+)
+all_structs.append(SummaryRequest)
+SummaryRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+)
+all_structs.append(SummaryReply)
+SummaryReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'gatherers', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRUCT, 'summary', [ZoneSummary, None], None, ),  # 3
 )
 all_structs.append(ReplicaRequest)
 ReplicaRequest.thrift_spec = (
@@ -1974,6 +2913,10 @@
     (6, TType.STRUCT, 'replica_request', [ReplicaRequest, None], None, ),  # 6
     (7, TType.STRUCT, 'replica_reply', [ReplicaReply, None], None, ),  # 7
     (8, TType.STRUCT, 'hello', [Hello, None], None, ),  # 8
+    (9, TType.STRUCT, 'host_report', [HostReport, None], None, ),  # 9
+    (10, TType.STRUCT, 'fleet_digest', [FleetDigest, None], None, ),  # 10
+    (11, TType.STRUCT, 'summary_request', [SummaryRequest, None], None, ),  # 11
+    (12, TType.STRUCT, 'summary_reply', [SummaryReply, None], None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -6,27 +6,35 @@
 from sassafraswinch_node.frames import LENGTH_BYTES, FrameReader, WireError
 from sassafraswinch_sidecar.relay_protocol import ttypes
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    FleetDigest,
     Heartbeat,
     HeartbeatReply,
     Hello,
+    HostReport,
     RelayCancel,
     RelayRequest,
     RelayResponse,
     ReplicaEntry,
     ReplicaReply,
     ReplicaRequest,
+    SummaryReply,
+    SummaryRequest,
 )
 from sassafraswinch_sidecar.replica import Delta, Entry
 
 Message = (
-    Heartbeat
+    FleetDigest
+    | Heartbeat
     | HeartbeatReply
     | Hello
+    | HostReport
     | RelayCancel
     | RelayRequest
     | RelayResponse
     | ReplicaReply
     | ReplicaRequest
+    | SummaryReply
+    | SummaryRequest
 )
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -42,6 +50,10 @@
     ReplicaRequest: "replica_request",
     ReplicaReply: "replica_reply",
     Hello: "hello",
+    HostReport: "host_report",
+    FleetDigest: "fleet_digest",
+    SummaryRequest: "summary_request",
+    SummaryReply: "summary_reply",
 }
 
 _DECODING_ERRORS = (TException, EOFError, TypeError, ValueError, OverflowError)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 SHARE_OF_RATIO = 0.35
@@ -41,9 +41,10 @@
 any more. Their calls count there as well and can't be refused; what sidecars add before
 they hear of each other, and calls repeated for their own sake, stays below the rest."""
 
-TOLD_LIFE_BEATS = 3.0
-"""Age at which a peer's counts no longer say anything, in pauses between its
-heartbeats."""
+HEARD_SHARE = 0.9
+"""Part of the sidecars that must have told their counts for the sum to say how much the
+fleet repeats. One silent host in hundreds is usual. What the others may repeat in vain
+stays bounded by their own requests, which are missing in the sum as well."""
 
 BUCKET_MS = 1_000.0
 """Grain of the window: a tenth of it."""
@@ -90,6 +91,12 @@
     repeats: int
 
 
+NOTHING_COUNTED = Counted(0, 0)
+
+Totals = tuple[Mapping[str, Counted], int]
+"""Requests and repeats of all sidecars by service, and how many sidecars told them."""
+
+
 class RepeatBudget:
     """Counts requests and repeats by service over a sliding window.
 
@@ -99,7 +106,7 @@
         window_ms: length of the window.
         most_sidecars: returns how many sidecars there may be at the most.
         sidecars: returns how many are known now.
-        heartbeat_ms: returns the pause between a peer's heartbeats.
+        totals: returns what all sidecars sent, as last told.
     """
 
     def __init__(
@@ -110,16 +117,15 @@
         window_ms: float,
         most_sidecars: Callable[[], int],
         sidecars: Callable[[], int],
-        heartbeat_ms: Callable[[], float],
+        totals: Callable[[float], Totals],
     ):
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms + BUCKET_MS
         self._most_sidecars = most_sidecars
         self._sidecars = sidecars
-        self._heartbeat_ms = heartbeat_ms
+        self._totals = totals
         self._windows: dict[str, _Window] = {}
-        self._peers: dict[str, tuple[float, Mapping[str, Counted]]] = {}
 
     def sent(
         self, service: str, *, repeated: bool, now_ms: float, priority: int = 0
@@ -154,10 +160,6 @@
             if window.requests or window.repeats
         }
 
-    def heard(self, peer: str, counted: Mapping[str, Counted], now_ms: float) -> None:
-        """Take in what another sidecar sent."""
-        self._peers[peer] = (now_ms, counted)
-
     def allows(
         self,
         service: str,
@@ -179,44 +181,35 @@
         if window is None:
             return slack >= 1.0
         window.current(self._window_ms, now_ms)
-        if any(self._used_share(each, now_ms) >= STRAINED_SHARE for each in below):
+        counts, tellers = self._totals(now_ms)
+        if any(
+            self._used_share(each, counts, now_ms) >= STRAINED_SHARE for each in below
+        ):
             return False
+        hears_all = max(1, tellers) >= HEARD_SHARE * self._sidecars()
         share = SHARE_OF_RATIO
-        deepest = not below and self._hears_all(now_ms)
+        deepest = not below and hears_all
         if deepest and window.presses_for(priority):
             share = DEEPEST_SHARES[min(priority, len(DEEPEST_SHARES) - 1)]
-        elif self._fleet_is_calm(service, now_ms):
+        elif hears_all and self._used_share(service, counts, now_ms) < CALM_SHARE:
             share = CALM_SHARE_OF_RATIO
         elif deepest:
             share = DEEPEST_SHARES[0]
         ratio = self._ratio * share
         return window.repeats + 1 <= ratio * window.requests + slack
 
-    def _fleet_is_calm(self, service: str, now_ms: float) -> bool:
-        """Return whether all others are heard and the fleet repeats little."""
-        if not self._hears_all(now_ms):
-            return False
-        return self._used_share(service, now_ms) < CALM_SHARE
+    def _used_share(
+        self, service: str, counts: Mapping[str, Counted], now_ms: float
+    ) -> float:
+        """Return the part of the fleet's bound at a service that is used, as told.
 
-    def _hears_all(self, now_ms: float) -> bool:
-        """Return whether all other sidecars have told what they sent."""
-        return sum(1 for _ in self._told(now_ms)) + 1 >= self._sidecars()
-
-    def _used_share(self, service: str, now_ms: float) -> float:
-        """Return the part of the fleet's bound at a service that is used, as told."""
-        counts = [told[service] for told in self._told(now_ms) if service in told]
+        What this sidecar sent is in the sums, but for that of the last moment.
+        """
+        told = counts.get(service, NOTHING_COUNTED)
+        requests, repeats = told.requests, told.repeats
         window = self._windows.get(service)
         if window is not None:
             window.current(self._window_ms, now_ms)
-            counts.append(Counted(window.requests, window.repeats))
-        requests = sum(count.requests for count in counts)
-        repeats = sum(count.repeats for count in counts)
+            requests = max(requests, window.requests)
+            repeats = max(repeats, window.repeats)
         return repeats / max(self._ratio * requests + self._slack, 1.0)
-
-    def _told(self, now_ms: float) -> Iterable[Mapping[str, Counted]]:
-        life_ms = TOLD_LIFE_BEATS * self._heartbeat_ms()
-        return (
-            counted
-            for told_ms, counted in self._peers.values()
-            if now_ms - told_ms < life_ms
-        )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -1,28 +1,37 @@
 """One sidecar: its listeners, links, decisions and their life from start to stop."""
 
 import asyncio
+import itertools
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.fleet import Decoder, Fleet
+from sassafraswinch_sidecar.fleet_exchange import ExchangeMessage, FleetExchange
+from sassafraswinch_sidecar.fleet_view import FleetView
 from sassafraswinch_sidecar.held_bytes import HeldBytes, most_held_bytes
+from sassafraswinch_sidecar.host_reports import HostReports
 from sassafraswinch_sidecar.http_client import HttpClient
 from sassafraswinch_sidecar.http_server import HttpListener
 from sassafraswinch_sidecar.own_entry import OwnEntry
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.peer_reports import PeerReports
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
 from sassafraswinch_sidecar.planned_stop import finish_requests
 from sassafraswinch_sidecar.platform_data import PlatformData
-from sassafraswinch_sidecar.platform_reader import PlatformReader, PlatformStore
+from sassafraswinch_sidecar.platform_reader import (
+    WATCH_STEP_MS,
+    WATCHERS,
+    PlatformReader,
+    PlatformStore,
+)
+from sassafraswinch_sidecar.recent_maximum import RecentMaximum
 from sassafraswinch_sidecar.relay import RelayOwner
 from sassafraswinch_sidecar.relay_answers import RelayAnswers
 from sassafraswinch_sidecar.relay_counts import RelayCounts
@@ -44,13 +53,16 @@
 )
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
 from sassafraswinch_sidecar.standstill import Standstill
-from sassafraswinch_sidecar.watch_duty import WatchDuty
+from sassafraswinch_sidecar.zone_duty import ZoneDuty
 from sassafraswinch_sidecar.zone_peers import ZonePeers
 
 TICK_S = 0.1
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
 a timer for each request costs a twentieth of its processor time."""
 
+NO_VIEW_MS = 1e9
+"""Age that the metrics show while nobody has told anything of the fleet."""
+
 DEFAULT_LIMITS = RequestLimits()
 
 
@@ -86,6 +98,7 @@
         self._data = PlatformData(
             fleet=self._fleet, changed=self._follow_fleet, announce=self._announce
         )
+        self._view = FleetView(own_ip=settings.ip)
         self._log = RequestLog(now_ms=self._now_ms)
         self._held = HeldBytes(most_bytes=most_held_bytes(settings.memory_mb))
         backend = settings.address("backend")
@@ -104,6 +117,7 @@
         )
         self._links = PeerLinks(
             own_ip=settings.ip,
+            availability_zone=settings.availability_zone,
             port=settings.link_port,
             dial_port=settings.dial_port or settings.link_port,
             incarnation=time.time_ns(),
@@ -111,16 +125,18 @@
         )
         self._admission = EntryAdmission()
         self._counts = RelayCounts()
-        self._known_sidecars = self._most_sidecars = 1
+        window_ms = settings.repeat_window_s * 1000
+        self._known_hosts: set[str] = set()
+        self._most_sidecars = RecentMaximum(window_ms=2 * window_ms)
         self._budget = RepeatBudget(
             ratio=settings.repeat_ratio,
             slack=settings.repeat_slack,
-            window_ms=settings.repeat_window_s * 1000,
-            most_sidecars=lambda: self._most_sidecars,
-            sidecars=lambda: self._known_sidecars,
-            heartbeat_ms=lambda: self._links.heartbeat_ms,
+            window_ms=window_ms,
+            most_sidecars=lambda: self._most_sidecars.value(self._now_ms()),
+            sidecars=lambda: len(self._known_hosts),
+            totals=self._view.totals,
         )
-        self._reports = PeerReports(
+        self._reports = HostReports(
             data=self._data,
             executor=self._executor,
             admission=self._admission,
@@ -129,12 +145,25 @@
             is_isolated=lambda: self._own_entry.is_isolated,
             now_ms=self._now_ms,
         )
-        self._duty = WatchDuty(own_ip=settings.ip)
-        self._zone_peers = ZonePeers(
+        self._exchange = FleetExchange(
             own_ip=settings.ip,
             availability_zone=settings.availability_zone,
             fleet=self._fleet,
             links=self._links,
+            view=self._view,
+            reports=self._reports,
+            data=self._data,
+            now_ms=self._now_ms,
+        )
+        self._duty = ZoneDuty(
+            own_ip=settings.ip, holders=WATCHERS, step_ms=WATCH_STEP_MS
+        )
+        self._zone_peers = ZonePeers(
+            own_ip=settings.ip,
+            availability_zone=settings.availability_zone,
+            fleet=self._fleet,
+            view=self._view,
+            load_of=self._load_of,
         )
         self._owner = RelayOwner(
             own_ip=settings.ip,
@@ -150,6 +179,7 @@
             ),
             fleet=self._fleet,
             links=self._links,
+            view=self._view,
             executor=self._executor,
             placement=Placement(
                 own_ip=settings.ip,
@@ -203,6 +233,7 @@
         self._tasks = [
             self._loop.create_task(self._reader.run()),
             self._loop.create_task(self._own_entry.run()),
+            self._loop.create_task(self._exchange.run()),
             self._loop.create_task(self._tick_forever()),
         ]
         for task in self._tasks:
@@ -222,21 +253,27 @@
         """Decide anew on the calls of a lost link (LinkListener)."""
         self._owner.link_lost(ip)
 
+    def unsent(self, requests: Collection[RelayRequest]) -> None:
+        """Place requests anew that were never written (LinkListener)."""
+        self._owner.unsent(requests)
+
+    def is_wanted(self, call_id: int) -> bool:
+        """Return whether a request that waits still has to go (LinkListener)."""
+        return call_id in self._owner.relays
+
     def dialled_message(self, ip: str, message: Message) -> None:
         """Take a message from a peer that this sidecar dialled (LinkListener)."""
-        peer = self._links.peers[ip]
         if isinstance(message, RelayResponse):
-            self._owner.response(message, peer.load)
+            self._owner.response(message, self._view.load(ip))
+        elif isinstance(message, ExchangeMessage):
+            self._exchange.dialled_message(ip, message)
         elif isinstance(message, HeartbeatReply):
-            if message.sequence:
-                peer.link.replied()
-            peer.load.leaving = message.leaving
-            peer.load.following = message.following
-            peer.load.isolated = message.isolated
-            peer.load.report(message.load)
-            self._data.ask_if_behind(message.revision, peer.link)
+            load = self._view.told(ip, message.load, self._now_ms())
+            load.leaving = message.leaving
+            load.isolated = message.isolated
+            self._data.ask_if_behind(message.revision, self._links.peers[ip].link)
         else:
-            self._data.exchange(peer.link, message)
+            self._data.exchange(self._links.peers[ip].link, message)
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Take a message from a peer that dialled this sidecar (LinkListener)."""
@@ -244,8 +281,10 @@
             self._executor.submit(message, link.send, link)
         elif isinstance(message, RelayCancel):
             self._executor.cancel(link, message.call_id)
+        elif isinstance(message, ExchangeMessage):
+            self._exchange.accepted_message(link, message)
         elif isinstance(message, Heartbeat):
-            self._heard(link, message)
+            link.send(self._reports.reply(message.sequence))
         else:
             self._data.exchange(link, message)
 
@@ -253,57 +292,54 @@
         """Cancel what the peer can't be told the end of (LinkListener)."""
         self._executor.owner_lost(link)
 
-    def heartbeat(self) -> Heartbeat:
-        """Return the heartbeat for all peers (LinkListener)."""
-        return self._reports.heartbeat()
-
-    def _heard(self, link: PeerLink, heartbeat: Heartbeat) -> None:
-        self._reports.heard(link.peer_ip, heartbeat)
-        link.send(self._reports.reply(heartbeat.sequence))
-        self._data.ask_if_behind(heartbeat.revision, link)
-        if link.peer_ip not in self._links.peers:
-            self._follow_fleet()
-
     def _announce(self) -> None:
-        """Tell the peers that may rely on this sidecar what it knows by now."""
-        self._zone_peers.tell(self._reports.reply(0))
+        """Tell the zone what this sidecar knows of the platform by now."""
+        self._exchange.has_news()
 
     def _tell_all(self) -> None:
-        """Tell all peers at once what else the next heartbeats would tell them."""
+        """Tell all that send requests here, and the zone, of a change at once."""
         reply = self._reports.reply(0)
         for link in self._links.accepted:
             link.send(reply)
+        self._exchange.has_news()
 
     def _is_isolated(self, ip: str) -> bool:
         """Return whether a host says that it can't reach the platform."""
         if ip == self._settings.ip:
             return self._own_entry.is_isolated
-        load = self._links.load_of(ip)
+        load = self._view.recent_load(ip, self._now_ms())
         return load is not None and load.isolated
 
     def _share_duty(self, now_ms: float) -> None:
         """Decide who of the zone follows the platform."""
         self._duty.decide(self._zone_peers.following(), now_ms)
-        self._links.relied_on = self._duty.relied_on
 
     def _follow_fleet(self) -> None:
-        """Link to all hosts that the platform or their own greeting told."""
-        greeted = {link.peer_ip for link in self._links.accepted}
-        known = {instance.ip for instance in self._fleet.instances.values()}
-        self._links.keep(known | greeted)
-        self._known_sidecars = len(known | greeted | {self._settings.ip})
-        self._most_sidecars = max(self._most_sidecars, self._known_sidecars)
+        """Take over what the platform's data say of the hosts."""
+        now_ms = self._now_ms()
+        listed = itertools.chain.from_iterable(self._fleet.zones().values())
+        first = not self._known_hosts
+        self._known_hosts = {*listed, self._settings.ip}
+        self._most_sidecars.note(len(self._known_hosts), now_ms)
         for instance in self._fleet.at(self._settings.ip):
             if not instance.leaving:
                 self._executor.set_slots(instance.slots)
+        self._share_duty(now_ms)
+        if first:
+            self._exchange.greet()
 
     def _load_of(self, ip: str) -> PeerLoad | None:
-        if ip != self._settings.ip:
-            return self._links.load_of(ip)
-        load = self._owner.own_load
-        load.report(self._executor.load())
-        load.leaving = self._executor.leaving
-        return load
+        """Return what is known of the server at an address that can be reached."""
+        if ip == self._settings.ip:
+            load = self._owner.own_load
+            load.report(self._executor.load(), self._now_ms())
+            load.leaving = self._executor.leaving
+            return load
+        if not self._links.can_reach(ip):
+            return None
+        if self._links.is_live(ip):
+            return self._view.load(ip)
+        return self._view.recent_load(ip, self._now_ms())
 
     async def _tick_forever(self) -> None:
         while True:
@@ -326,12 +362,11 @@
         log_event("stood_still", level="warning", stood_ms=stood_ms)
         self._owner.stood_still(stood_ms)
         self._executor.stood_still(stood_ms)
+        self._view.stood_still(stood_ms)
 
     def _admit_anew(self, now_ms: float) -> None:
         capacities = capacities_of(self._fleet.serving(), self._load_of)
-        self._admission.decide(
-            capacities, now_ms, heartbeat_ms=self._links.heartbeat_ms
-        )
+        self._admission.decide(capacities, now_ms, self._view.demand(now_ms))
         for route, fit in self._admission.fits.items():
             service = fit.lacks
             capacity = capacities.get(service, NO_CAPACITY)
@@ -386,6 +421,8 @@
             "backend_limit": load.limit,
             "held_bytes": self._held.total_bytes,
             "owned_requests": self._owner.in_flight,
+            "gathers": self._exchange.gathers,
+            "view_age_ms": min(self._view.age_ms(self._now_ms()), NO_VIEW_MS),
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
             "platform_revision": self._data.revision,
