--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/recent_maximum.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/recent_maximum.py
@@ -17,9 +17,11 @@
     def note(self, value: int, now_ms: float) -> None:
         """Take in the value that holds from now on."""
         falling = self._falling
+        since_ms = now_ms
         while falling and falling[-1][1] <= value:
-            falling.pop()
-        falling.append((now_ms, value))
+            # It outlasts the smaller one, so that one's time may count as its own.
+            since_ms, _ = falling.pop()
+        falling.append((since_ms, value))
 
     def value(self, now_ms: float) -> int:
         """Return the greatest value of the window; 0 if none was ever noted.
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -201,6 +201,7 @@
     assert not links.request(PEER, new_request(2))
     await asyncio.sleep(DIAL_TIMEOUT_S + AVOID_MS / 1000)
     assert links.request(PEER, new_request(3))
+    await asyncio.sleep(0.01)
     assert len(network.dialled_at_s) == 2
     await links.close()
 
