--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
@@ -1,4 +1,4 @@
-"""Slopes of a sidecar's control: heartbeats, and decisions that grow with the fleet."""
+"""Slopes of a sidecar's control: what is told, and decisions by size of the fleet."""
 
 import random
 from collections.abc import Callable, Iterator
@@ -8,20 +8,22 @@
 from sassafraswinch_node.frames import LENGTH_BYTES
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.fleet import Instance
-from sassafraswinch_sidecar.peer_reports import serialize_claim
+from sassafraswinch_sidecar.fleet_view import FleetView
+from sassafraswinch_sidecar.host_reports import serialize_demand
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
-    Heartbeat,
-    HeartbeatReply,
+    HostReport,
     SentCount,
     ServerLoad,
+    SummaryReply,
 )
 from sassafraswinch_sidecar.relay_wire import (
     Message,
     parse_message,
     serialize_message,
 )
-from sassafraswinch_sidecar.watch_duty import WatchDuty
+from sassafraswinch_sidecar.zone_duty import ZoneDuty
+from sassafraswinch_sidecar.zone_gatherer import ZoneGatherer
 from sassafraswinch_standins.slopes_timing import Figure, best_cpu_us
 
 FLEETS = (17, 140, 560)
@@ -39,14 +41,6 @@
 COUNT = 200
 """Calls in a round."""
 
-REPLY = HeartbeatReply(
-    sequence=86_400,
-    revision=120_000,
-    load=ServerLoad(in_flight=60, queued=9, limit=110),
-    leaving=False,
-    following=True,
-)
-
 
 def demand_of(services: int) -> list[Claim]:
     """Return the demand of an entry whose routes lead to so many services."""
@@ -62,11 +56,18 @@
     ]
 
 
-def heartbeat(services: int) -> Heartbeat:
-    """Return the heartbeat of an entry whose requests lead to so many services."""
-    counts = [SentCount(f"service-{n}", [], 3_750, 12) for n in range(services)]
-    demand = [serialize_claim(claim) for claim in demand_of(services)]
-    return Heartbeat(sequence=86_400, revision=120_000, counts=counts, demand=demand)
+def report(services: int) -> HostReport:
+    """Return the report of a host whose requests lead to so many services."""
+    return HostReport(
+        revision=120_000,
+        load=ServerLoad(in_flight=60, queued=9, limit=110),
+        leaving=False,
+        following=False,
+        isolated=False,
+        demand=serialize_demand(demand_of(services)),
+        counts=[SentCount(f"service-{n}", 3_750, 12) for n in range(services)],
+        relies=True,
+    )
 
 
 def hosts(count: int) -> list[Instance]:
@@ -94,23 +95,44 @@
 
 
 def _messages() -> Iterator[Figure]:
-    named: dict[str, Message] = {
-        f"heartbeat, {services} services": heartbeat(services)
-        for services in SERVICES_CALLED
-    }
-    named["heartbeat reply"] = REPLY
-    for name, message in named.items():
-        frame = serialize_message(message)
-        payload = frame[LENGTH_BYTES:]
-        yield Figure(name=f"{name}, frame", value=len(frame), unit="B")
-        yield _cost(f"{name}, written", partial(serialize_message, message))
-        yield _cost(f"{name}, read", partial(parse_message, payload))
+    for services in SERVICES_CALLED:
+        yield from _message(f"report, {services} services", report(services))
+    for count in FLEETS:
+        yield from _gathering(count)
+
+
+def _message(name: str, message: Message) -> Iterator[Figure]:
+    frame = serialize_message(message)
+    payload = frame[LENGTH_BYTES:]
+    yield Figure(name=f"{name}, frame", value=len(frame), unit="B")
+    yield _cost(f"{name}, written", partial(serialize_message, message))
+    yield _cost(f"{name}, read", partial(parse_message, payload))
+
+
+def _gathering(count: int) -> Iterator[Figure]:
+    """Measure what the sums of a fleet cost a gatherer, and a host of its zone."""
+    gatherers = [ZoneGatherer(availability_zone=f"zone-{n}") for n in range(ZONES)]
+    for number, found in enumerate(hosts(count)):
+        gatherers[number % ZONES].heard(found.ip, report(SERVICES_CALLED[0]), 0.0)
+    first, *others = gatherers
+    for other in others:
+        first.heard_zone(other.summary(), 0.0)
+    own = first.summary()
+    digest = first.digest(own, 120_000, 0.0)
+    view = FleetView(own_ip="10.9.0.1")
+    yield from _message(f"digest of {count} hosts", digest)
+    answer = SummaryReply(120_000, ["10.0.0.0", "10.0.0.6"], own)
+    yield from _message(f"zone's sum of {count} hosts", answer)
+    yield _cost(f"zone added up, {count} hosts", first.summary)
+    yield _cost(f"digest made, {count} hosts", lambda: first.digest(own, 120_000, 0.0))
+    yield _cost(f"digest taken, {count} hosts", lambda: view.take(digest, 0.0))
 
 
 def _decisions(count: int) -> Iterator[Figure]:
     instances = hosts(count)
     loads = {found.ip: PeerLoad(in_flight=60, limit=103) for found in instances}
-    admission = _admission(count)
+    admission = EntryAdmission()
+    demand = demand_of(SERVICES_CALLED[0])
     capacities = capacities_of(instances, loads.get)
     placement = Placement(
         own_ip="10.9.0.1",
@@ -121,10 +143,10 @@
     )
     of_service = [found for found in instances if found.service == "service-0"]
     zone = {f"10.1.0.{n}": n < 2 for n in range(count // ZONES)}
-    duty = WatchDuty(own_ip="10.2.0.0")
+    duty = ZoneDuty(own_ip="10.2.0.0", holders=2, step_ms=50.0)
     measured = {
         "slots that can be reached": lambda: capacities_of(instances, loads.get),
-        "admission decided": lambda: admission.decide(capacities, 1_000.0),
+        "admission decided": lambda: admission.decide(capacities, 1_000.0, demand),
         "watch duty decided": lambda: duty.decide(zone, 1_000.0),
         "instance chosen": lambda: placement.choose(of_service, (), 0.0),
     }
@@ -135,11 +157,3 @@
 def _cost(name: str, action: Callable[[], object]) -> Figure:
     cost_us = best_cpu_us(action, count=COUNT)
     return Figure(name=name, value=cost_us, unit="us")
-
-
-def _admission(peers: int) -> EntryAdmission:
-    admission = EntryAdmission()
-    demand = demand_of(SERVICES_CALLED[0])
-    for number in range(peers):
-        admission.heard(f"10.3.{number // 250}.{number % 250}", demand, 1_000.0)
-    return admission
