--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -118,7 +118,9 @@
         exchange.connection = self
         self._heard = False
         self._new_message()
-        self._transport.write(exchange.payload)
+        # On one that is closing, ``connection_lost`` is due and ends the exchange.
+        if not self._transport.is_closing():
+            self._transport.write(exchange.payload)
 
     def abort(self) -> None:
         """Close at once, which tells the server to drop the request."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -127,7 +127,7 @@
     def resume_writing(self) -> None:
         """Note that the caller reads again (asyncio.Protocol)."""
         self._write_blocked_ms = None
-        self._note_unread(self._transport.get_write_buffer_size())
+        self._note_unread(self._unread_bytes_now())
 
     def on_message_begin(self) -> None:
         """Begin a request (httptools)."""
@@ -153,7 +153,7 @@
             if lowered == b"content-length":
                 self._check_length(int(value))
             elif lowered == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if size > limits.max_header_bytes:
             self._refuse(431)
 
@@ -184,7 +184,7 @@
         )
         self._reset_message()
         self._ready.append(request)
-        if len(self._ready) > MAX_PIPELINED:
+        if len(self._ready) > MAX_PIPELINED and not self._transport.is_closing():
             self._transport.pause_reading()
 
     def respond(
@@ -214,10 +214,10 @@
             framing, body = b"", b""
         if not keep:
             framing += b"Connection: close\r\n"
-        self._transport.write(
+        self._write(
             b"".join((status_line(status), header_lines, framing, b"\r\n", body))
         )
-        self._note_unread(self._transport.get_write_buffer_size())
+        self._note_unread(self._unread_bytes_now())
         self._idle_since_ms = self._loop.time() * 1000
         if not keep:
             self._end()
@@ -246,7 +246,7 @@
     def _next(self) -> None:
         if self._current is not None or self._ended or not self._ready:
             return
-        if len(self._ready) > MAX_PIPELINED:
+        if len(self._ready) > MAX_PIPELINED and not self._transport.is_closing():
             self._transport.resume_reading()
         self._current = self._ready.popleft()
         self._handler.handle(self._current, self)
@@ -271,7 +271,7 @@
             return
         if self._current is None and not self._ready:
             fields = NO_MEMORY_FIELD if status == NO_MEMORY_STATUS else b""
-            self._transport.write(
+            self._write(
                 status_line(status)
                 + fields
                 + b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -279,11 +279,25 @@
             self._end()
         else:
             # The requests before the broken one still get their answers.
-            self._transport.pause_reading()
+            if not self._transport.is_closing():
+                self._transport.pause_reading()
             for request in (self._current, *self._ready):
                 if request is not None:
                     request.keep_alive = False
 
+    def _write(self, data: bytes) -> None:
+        """Write, unless the connection is closing and ``connection_lost`` is due.
+
+        The event loop raises an error for a handle that is closed already.
+        """
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
+    def _unread_bytes_now(self) -> int:
+        if self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def _release(self, body_bytes: int) -> None:
         self._body_bytes_held -= body_bytes
         self._held.release(body_bytes)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -1,6 +1,7 @@
 """Links to other sidecars: dialled when a request goes there, or kept for a duty."""
 
 import asyncio
+import contextlib
 import itertools
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
@@ -87,6 +88,7 @@
         kept: whether a lost link is dialled again.
         dialling: makes the link.
         connected: whether ``dialling`` has a connection and waits for the greeting.
+        greeted: set by the greeting.
         outstanding: requests written to the link that have no end yet.
         waiting: requests that wait for the link, with the time of their arrival.
         timer: ends that wait.
@@ -98,6 +100,7 @@
         self.kept = False
         self.dialling: asyncio.Task | None = None
         self.connected = False
+        self.greeted = asyncio.Event()
         self.outstanding = 0
         self.waiting: deque[tuple[float, RelayRequest]] = deque()
         self.timer: asyncio.TimerHandle | None = None
@@ -352,6 +355,7 @@
     async def _dial_once(self, ip: str, peer: Peer) -> bool:
         loop = asyncio.get_running_loop()
         peer.connected = False
+        peer.greeted.clear()
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 await loop.create_connection(
@@ -363,7 +367,9 @@
             return False
         peer.connected = True
         # The peer's greeting completes the link; without one it is dropped.
-        await asyncio.sleep(DIAL_TIMEOUT_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                await peer.greeted.wait()
         return peer.link is not None
 
     def _dialled_greeted(self, link: PeerLink) -> None:
@@ -373,9 +379,10 @@
             old.abort("replaced")
         peer.outstanding = 0
         peer.avoided_until_ms = 0.0
-        if peer.dialling is not None:
-            peer.dialling.cancel()
-            peer.dialling = None
+        # The task that dials ends by itself. Failure: the greeting is read before the
+        # dialling has returned; cancelled then, it closes the connection, and the link
+        # stays as one that looks open.
+        peer.greeted.set()
         log_event("link_up", peer=link.peer_ip, incarnation=link.incarnation)
         self._flush(peer)
 
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -237,3 +237,22 @@
     await asyncio.sleep(1.0)
     assert links._listener.returned == []
     await links.close()
+
+
+async def test_greeting_that_outruns_the_dialling_leaves_its_connection_open(
+    monkeypatch,
+):
+    """A peer's greeting is read before the dialling has returned. Cancelled then, the
+    dialling closed the connection; the link looked open, each write on it was an error,
+    and the process ended.
+    """
+    network = Dialler(monkeypatch)
+    links = new_links()
+    links.greet(PEER)
+    await asyncio.sleep(0.01)
+    links._dialled_greeted(Link())
+    dialling = links.peers[PEER].dialling
+    await asyncio.sleep(0.01)
+    assert len(network.dialled_at_s) == 1
+    assert not dialling.cancelled()
+    await links.close()
