Follow the platform with one sidecar a zone

It was there since a zone whose only watcher is lost hears nothing until that is noticed; now the sums of other zones tell of changes within a second.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -35,9 +35,10 @@
 """Longest pause of a sidecar alone: changes must be in force within two seconds of the
 return. Where more share a zone, one of them calls as often, and tells the others."""
 
-WATCHERS = 2
-"""Sidecars of a zone that follow the platform while they can. Each call is paid for;
-with one, its loss would leave the zone without news until that is noticed."""
+WATCHERS = 1
+"""Sidecars of a zone that follow the platform while they can. Each call is paid for. If
+the one is lost, its zone hears of changes from the gatherers of the other zones, within
+a second, until the next has stepped in."""
 
 WATCH_STEP_MS = 50.0
 """Time that each further sidecar leaves to those before it, when watchers are missing:
