--- a/packages/sassafraswinch-node/sassafraswinch_node/key_values.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/key_values.py
@@ -1,6 +1,7 @@
 """Events as one line of key=value pairs."""
 
 import enum
+import functools
 import json
 import re
 from collections.abc import Iterable, Mapping
@@ -9,6 +10,9 @@
 MAX_VALUE_CHARACTERS = 1_000
 """Longer values are cut; an answer's body in a reason would fill the log."""
 
+MAX_NAMES = 512
+"""Names of fields whose keys are remembered; a program has some dozens."""
+
 HIDDEN = "(hidden)"
 
 SECRET_WORDS = frozenset(
@@ -55,7 +59,8 @@
     yield "event", format_value(event)
     for key, value in message.items():
         if key not in _ELIOT_FIELDS:
-            yield format_key(key), HIDDEN if is_secret(key) else format_value(value)
+            shown = HIDDEN if _is_secret_name(str(key)) else format_value(value)
+            yield _key_of_name(str(key)), shown
 
 
 def format_moment(seconds: object) -> str:
@@ -79,6 +84,16 @@
     return not SECRET_WORDS.isdisjoint(words)
 
 
+@functools.lru_cache(maxsize=MAX_NAMES)
+def _key_of_name(name: str) -> str:
+    return format_key(name)
+
+
+@functools.lru_cache(maxsize=MAX_NAMES)
+def _is_secret_name(name: str) -> bool:
+    return is_secret(name)
+
+
 def format_value(value: object) -> str:
     """Return a value without spaces, quoted as in JSON where it isn't plain.
 
--- a/packages/sassafraswinch-node/sassafraswinch_node/logs.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/logs.py
@@ -29,6 +29,9 @@
     ERROR = 40
 
 
+_ELIOT = eliot.Logger()
+_NO_TASK = [1]
+
 _LEVELS = {level.name.lower(): level for level in Level}
 
 
@@ -109,12 +112,30 @@
         now_ms = self._now_ms()
         self.tell_suppressed(now_ms)
         if self._limiter.admits(event, level, now_ms):
-            eliot.log_message(event, level=level, **fields)
+            write_event(event, level, fields)
 
     def tell_suppressed(self, now_ms: float) -> None:
         """Log how many events got no line in the windows that are over."""
         for event, level, count in self._limiter.ended(now_ms):
-            eliot.log_message("repeats", level=level, of=event, count=count)
+            write_event("repeats", level, {"of": event, "count": count})
+
+
+def write_event(event: str, level: str, fields: Mapping[str, object]) -> None:
+    """Hand one event to eliot, whatever its level and repeats.
+
+    The library's own ``log_message`` opens a task with a random id for each message,
+    which no line shows; without it an event costs 32 us in place of 67.
+    """
+    _ELIOT.write(
+        {
+            "message_type": event,
+            "level": level,
+            "timestamp": time.time(),
+            "task_uuid": "",
+            "task_level": _NO_TASK,
+            **fields,
+        }
+    )
 
 
 class LibraryHandler(logging.Handler):
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -44,8 +44,9 @@
 """Time that each further sidecar leaves to those before it, when watchers are missing:
 one call to the platform and its news take a few milliseconds."""
 
-STANDBY_S = 0.05
-"""Pause between looks at whether this sidecar has come on duty."""
+STANDBY_S = 0.1
+"""Pause between looks at whether this sidecar has come on duty: the grain of the other
+periodic decisions."""
 
 
 class PlatformUnavailableError(SassafraswinchError):
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -203,15 +203,10 @@
         blocking = self._admission.blocking(route.name, relay.level)
         if blocking is None:
             return True
-        self._log.failed(
-            "refused_at_entry",
-            relay.request_id,
-            route=route.name,
-            blocked_by=blocking,
-            share=self._admission.fits[route.name].share,
-            level_of_request=relay.level,
+        self._answers.refuse_overloaded(
+            relay, blocking, self._admission.fits[route.name].share
         )
-        self._fail(relay, "overloaded", NOT_RUN_STATUS)
+        self._finish(relay)
         return False
 
     def _place(self, relay: Relay) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -20,6 +20,9 @@
 UNREADY_RETRY_MS = 500.0
 """Wait told while no routes are known: reading them takes less than a second."""
 
+OVERLOADED = "overloaded"
+"""Word of logs and counters for requests that the services below can't carry."""
+
 NO_ROUTE_STATUS = 404
 NOT_RUN_STATUS = 503
 """Promises that the request hasn't run and never will."""
@@ -66,6 +69,28 @@
             body=response.body,
         )
 
+    def refuse_overloaded(self, relay: Relay, service: str, share: float) -> None:
+        """Refuse a root request that the services below can't carry.
+
+        Under overload these are most of the answers, so each has one line.
+
+        Args:
+            relay: the request.
+            service: the service that is full.
+            share: part of the route's requests that is admitted.
+        """
+        self._counts.ended(OVERLOADED)
+        self._log.failed(
+            "refused_at_entry",
+            relay.request_id,
+            route=relay.route.name,
+            status=NOT_RUN_STATUS,
+            blocked_by=service,
+            share=share,
+            level_of_request=relay.level,
+        )
+        self._respond_unserved(relay, NOT_RUN_STATUS)
+
     def fail(self, relay: Relay, reason: str, status: int) -> None:
         """Answer a request that has no answer of a backend server.
 
@@ -87,6 +112,9 @@
             held_ms=self._held_ms(relay.http),
             inner=relay.parent is not None,
         )
+        self._respond_unserved(relay, status)
+
+    def _respond_unserved(self, relay: Relay, status: int) -> None:
         lines = b"%b: %b\r\n" % (self._id_name, relay.request_id.encode("latin-1"))
         if status == NOT_RUN_STATUS:
             lines += _retry_after(self._wait_ms(relay))
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/request_log.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/request_log.py
@@ -3,12 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import eliot
-
-from sassafraswinch_node.logs import log_event
+from sassafraswinch_node.logs import log_event, write_event
 
 FAILURE_LINES_PER_S = 100.0
-"""Lines a second for refusals, repeats and failures: about 4 ms of processor time."""
+"""Lines a second for refusals, repeats and failures: about 3 ms of processor time."""
 
 SERVED_LINES_PER_S = 15.0
 """Lines a second for requests that were served; the rest is only counted."""
@@ -54,12 +52,12 @@
     def failed(self, event: str, request_id: str, **fields: object) -> None:
         """Tell of a request that is refused, repeated, cancelled or fails."""
         if self._failures.take(self._now_ms()):
-            eliot.log_message(event, level="warning", request_id=request_id, **fields)
+            write_event(event, "warning", {"request_id": request_id, **fields})
 
     def served(self, event: str, request_id: str, **fields: object) -> None:
         """Tell of a request that goes its way."""
         if self._served.take(self._now_ms()):
-            eliot.log_message(event, level="info", request_id=request_id, **fields)
+            write_event(event, "info", {"request_id": request_id, **fields})
 
     def tell_left_out(self) -> None:
         """Say now and then how many lines there were none for."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -349,10 +349,10 @@
             self._owner.expire(now_ms)
             self._executor.expire(now_ms)
             self._data.tick(now_ms)
-            self._share_duty(now_ms)
             self._held.unsent_bytes = self._links.unsent_bytes()
             self._log.tell_left_out()
             if self._admission.due(now_ms):
+                self._share_duty(now_ms)
                 self._admit_anew(now_ms)
 
     def _notice_standstill(self) -> None:
