--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -3,15 +3,14 @@
 import asyncio
 import contextlib
 import itertools
-from collections import deque
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.peer import Peer
 from sassafraswinch_sidecar.peer_link import (
     DEAD_MS,
     PROTOCOL_VERSION,
-    SUSPECT_MS,
     PeerLink,
     WriteBatch,
 )
@@ -29,16 +28,6 @@
 """Pause between checks of the links. One with requests under way from which nothing
 came since the last check gets a heartbeat."""
 
-QUIET_MS = 2_000.0
-"""Time without any sign of life after which a link is asked for one before a request
-is written to it. Connections fall silent for good now and then, and a request that must
-not run twice can't be sent again once it was written; the question takes one way there
-and back. Links on which requests go never get that old."""
-
-OWED_MS = 100.0
-"""Time for which a peer may owe a sign of life and still get requests at once: busy
-hosts answer within tens of milliseconds."""
-
 WAIT_MS = 300.0
 """Longest wait of a request for its link. Dialling, or asking for a sign of life, takes
 milliseconds, and tens of them at a host that starts; another host serves it sooner."""
@@ -80,38 +69,6 @@
         """A link that a peer dialled is gone."""
 
 
-class Peer:
-    """A host to which a link is, was or will be dialled.
-
-    Attributes:
-        link: the link, once the peer has greeted.
-        kept: whether a lost link is dialled again.
-        dialling: makes the link.
-        connected: whether ``dialling`` has a connection and waits for the greeting.
-        greeted: set by the greeting.
-        outstanding: requests written to the link that have no end yet.
-        waiting: requests that wait for the link, with the time of their arrival.
-        timer: ends that wait.
-        avoided_until_ms: until when nothing is sent, since the link didn't come up.
-    """
-
-    def __init__(self):
-        self.link: PeerLink | None = None
-        self.kept = False
-        self.dialling: asyncio.Task | None = None
-        self.connected = False
-        self.greeted = asyncio.Event()
-        self.outstanding = 0
-        self.waiting: deque[tuple[float, RelayRequest]] = deque()
-        self.timer: asyncio.TimerHandle | None = None
-        self.avoided_until_ms = 0.0
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the peer owes a sign of life for too long."""
-        return self.link is not None and self.link.silent_ms() > SUSPECT_MS
-
-
 class PeerLinks:
     """Dials, accepts and watches the links of one sidecar.
 
@@ -179,7 +136,7 @@
         if self._server is not None:
             self._server.close()
         for peer in self.peers.values():
-            self._stop_waiting(peer)
+            peer.take_waiting(self._now_ms())
             if peer.dialling is not None:
                 peer.dialling.cancel()
             if peer.link is not None:
@@ -213,7 +170,7 @@
     def is_live(self, ip: str) -> bool:
         """Return whether the link to a host has just shown signs of life."""
         peer = self.peers.get(ip)
-        return peer is not None and peer.link is not None and _is_live(peer.link)
+        return peer is not None and peer.is_live
 
     def request(self, ip: str, request: RelayRequest) -> bool:
         """Send a request, or let it wait for its link.
@@ -224,7 +181,7 @@
         if not self.can_reach(ip):
             return False
         peer = self._peer(ip)
-        if peer.link is not None and not peer.waiting and _is_live(peer.link):
+        if peer.link is not None and not peer.waiting and peer.is_live:
             return self._write(peer, request)
         peer.waiting.append((self._now_ms(), request))
         if peer.link is None:
@@ -293,33 +250,19 @@
 
     def _flush(self, peer: Peer) -> None:
         """Write the requests that waited for the link."""
-        self._stop_waiting(peer)
-        waiting, peer.waiting = peer.waiting, deque()
-        now_ms = self._now_ms()
-        unsent = []
-        for since_ms, request in waiting:
-            if not self._listener.is_wanted(request.call_id):
-                continue
-            # Both count from its arrival there; the server must not get more time
-            # than its caller waits.
-            waited_ms = int(now_ms - since_ms)
-            request.remaining_ms = max(0, request.remaining_ms - waited_ms)
-            request.max_wait_ms = max(0, request.max_wait_ms - waited_ms)
-            if not self._write(peer, request):
-                unsent.append(request)
+        wanted = (
+            request
+            for request in peer.take_waiting(self._now_ms())
+            if self._listener.is_wanted(request.call_id)
+        )
+        unsent = [request for request in wanted if not self._write(peer, request)]
         if unsent:
             self._listener.unsent(unsent)
 
     def _return_waiting(self, peer: Peer) -> None:
-        self._stop_waiting(peer)
-        waiting, peer.waiting = peer.waiting, deque()
+        waiting = peer.take_waiting(self._now_ms())
         if waiting:
-            self._listener.unsent([request for _, request in waiting])
-
-    def _stop_waiting(self, peer: Peer) -> None:
-        if peer.timer is not None:
-            peer.timer.cancel()
-            peer.timer = None
+            self._listener.unsent(waiting)
 
     def _new_link(
         self,
@@ -408,7 +351,7 @@
         elif isinstance(message, HeartbeatReply) and message.sequence:
             link.replied()
         self._listener.dialled_message(link.peer_ip, message)
-        if peer.waiting and _is_live(link):
+        if peer.waiting and peer.is_live:
             self._flush(peer)
 
     def _accepted_greeted(self, link: PeerLink) -> None:
@@ -468,7 +411,3 @@
 
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * 1000
-
-
-def _is_live(link: PeerLink) -> bool:
-    return link.quiet_ms() <= QUIET_MS and link.silent_ms() <= OWED_MS
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from sassafraswinch_sidecar.peer import QUIET_MS
 from sassafraswinch_sidecar.peer_links import (
     AVOID_MS,
     DIAL_TIMEOUT_S,
-    QUIET_MS,
     REDIAL_S,
     WAIT_MS,
     PeerLinks,
