Take no reset for an orderly end: libuv hides one that arrives with the last bytes

A test on real sockets shows it with uvloop and not with asyncio's own loop; reading once more at the end finds the reset.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -148,7 +149,7 @@
 
     def eof_received(self) -> None:
         """Note an orderly end (asyncio.Protocol)."""
-        self._clean_end = True
+        self._clean_end = not _was_reset(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request that was under way (asyncio.Protocol)."""
@@ -246,6 +247,21 @@
                     self.idle_limit_ms = max(limit_ms, 0.0)
 
 
+def _was_reset(transport: asyncio.Transport) -> bool:
+    """Return whether a connection that seems to have ended was reset.
+
+    Failure: a server crashes while it writes an answer without a length. libuv reads
+    the last bytes, sees that the other side is gone, and tells an orderly end without
+    reading on, where it would find the reset. The caller would get a part of the body
+    as if it were whole. The error stays with the socket until it is read.
+    """
+    try:
+        os.read(transport.get_extra_info("socket").fileno(), 1)
+    except OSError:
+        return True
+    return False
+
+
 class HttpClient:
     """A pool of connections to one address.
 
