--- a/packages/sassafraswinch-sidecar/tests/test_fleet_exchange.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet_exchange.py
@@ -1,16 +1,29 @@
 """What sidecars tell each other, over loopback."""
 
+import asyncio
+
 import pytest
 
+from sidecar_standins.backend import answer
 from sidecar_standins.fleet import running_fleet, sees_all, until
 
+WORK_S = 0.02
+"""Time that a server works on a request; hardly any is no demand."""
+
 
 @pytest.fixture
 async def fleet():
     async with running_fleet("archiv", "archiv", "schvaleni", "schvaleni") as started:
+        for node in started.nodes:
+            node.backend.behaviour = work
         yield started
 
 
+def work(connection, seen):
+    respond = connection.transport.write
+    asyncio.get_running_loop().call_later(WORK_S, respond, answer(seen))
+
+
 def gatherers(fleet):
     return [node for node in fleet.nodes if node.sidecar._exchange.gathers]
 
