Know hosts sooner after a start, and drop those that the digest no longer names

Cause: the first rounds of a gatherer came 250 ms apart, so that after a loss of power the hosts of other zones were known after three of them; and a host that lost power stayed in use for two seconds after the gatherer had given it up, where each request waited 300 ms for its link.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
@@ -30,8 +30,13 @@
 )
 
 MIN_PAUSE_S = 0.05
-"""Shortest pause between two rounds, when there is news of the platform: it comes in
-bursts."""
+"""Shortest pause between two rounds, when there is news: of the platform, which comes
+in bursts, or of hosts and zones that weren't heard before.
+
+Failure: all hosts lose power and are back at once, with their callers. A round makes
+the hosts of a zone known to the gatherer, a second one makes them known to each other,
+and a third one those of the other zones; at the usual pause callers of a zone wait for
+most of a second for servers that are up."""
 
 ExchangeMessage = FleetDigest | HostReport | SummaryReply | SummaryRequest
 
@@ -110,6 +115,7 @@
 
     def greet(self) -> None:
         """Let those that gather, if all is well, hear that this host is up."""
+        self._news.set()
         for ip in self._fleet.hosts_of(self._zone)[:GATHERERS]:
             self._links.greet(ip)
 
@@ -120,13 +126,16 @@
         link.replied()
         self._data.ask_if_behind(message.revision, link)
         if isinstance(message, HostReport):
-            self._gatherer.heard(ip, message, now_ms)
+            if self._gatherer.heard(ip, message, now_ms):
+                self._news.set()
             return
         zone = self._contacts.zone_of(ip)
         if zone is not None:
             self._contacts.answered(zone, ip, message.gatherers, now_ms)
-        if message.summary is not None:
-            self._gatherer.heard_zone(message.summary, now_ms)
+        if message.summary is not None and self._gatherer.heard_zone(
+            message.summary, now_ms
+        ):
+            self._news.set()
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Answer a gatherer of this zone or of another one."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_view.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_view.py
@@ -18,6 +18,11 @@
 """Age at which what was told of a host, or of demand, says nothing any more. Gatherers
 tell several times a second; one that is lost is replaced within a second."""
 
+MISSING_LIFE_MS = 500.0
+"""The same for a host that the gatherer no longer names: it lost power, or is cut off,
+and gatherers have already waited for it. A gatherer that has just stepped in names few
+hosts in its first rounds, which are over by then."""
+
 GATHERER_LIFE_MS = 900.0
 """Time without a word after which a gatherer counts as lost: three of its rounds, and
 more than a busy host stands still."""
@@ -36,6 +41,7 @@
     def __init__(self, *, own_ip: str):
         self._own_ip = own_ip
         self._loads: dict[str, PeerLoad] = {}
+        self._named: set[str] = set()
         self._gatherers: dict[str, float] = {}
         self._demand: list[Claim] = []
         self._totals: Totals = ({}, 0)
@@ -65,6 +71,12 @@
         """Take in the whole digest of the source."""
         for zone in digest.zones:
             self._take_loads(zone, now_ms - zone.age_ms)
+        named = {ip for zone in digest.zones for ip in zone.hosts.ips}
+        for ip in self._named - named:
+            load = self._loads[ip]
+            missing_ms = now_ms - VIEW_LIFE_MS + MISSING_LIFE_MS
+            load.told_ms = min(load.told_ms, missing_ms)
+        self._named = named
         self._demand = parse_demand(digest.demand)
         hosts = sum(len(zone.hosts.ips) for zone in digest.zones)
         self._totals = parse_counts(digest.counts), hosts
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
@@ -84,13 +84,27 @@
         self._reports: dict[str, _Told[HostReport]] = {}
         self._zones: dict[str, _Told[ZoneSummary]] = {}
 
-    def heard(self, ip: str, report: HostReport, now_ms: float) -> None:
-        """Take in the report of a host of this zone, in place of its former one."""
+    def heard(self, ip: str, report: HostReport, now_ms: float) -> bool:
+        """Take in the report of a host of this zone, in place of its former one.
+
+        Returns:
+            Whether the host wasn't known before.
+        """
+        is_new = ip not in self._reports
         self._reports[ip] = _Told(now_ms, report)
+        return is_new
 
-    def heard_zone(self, summary: ZoneSummary, now_ms: float) -> None:
-        """Take in the sum of another zone, in place of its former one."""
-        self._zones[summary.loads.availability_zone] = _Told(now_ms, summary)
+    def heard_zone(self, summary: ZoneSummary, now_ms: float) -> bool:
+        """Take in the sum of another zone, in place of its former one.
+
+        Returns:
+            Whether it tells of more hosts than the former one.
+        """
+        zone = summary.loads.availability_zone
+        known = self._zones.get(zone)
+        self._zones[zone] = _Told(now_ms, summary)
+        hosts = len(summary.loads.hosts.ips)
+        return known is None or hosts > len(known.content.loads.hosts.ips)
 
     def relies(self, ip: str) -> bool:
         """Return whether a host wants the whole digest; one that is unknown does."""
--- a/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
@@ -5,7 +5,12 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from sassafraswinch_sidecar.fleet_view import GATHERER_LIFE_MS, VIEW_LIFE_MS, FleetView
+from sassafraswinch_sidecar.fleet_view import (
+    GATHERER_LIFE_MS,
+    MISSING_LIFE_MS,
+    VIEW_LIFE_MS,
+    FleetView,
+)
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     HostReport,
     RouteDemand,
@@ -70,6 +75,21 @@
     assert view.load("10.0.0.1").leaving
 
 
+def test_host_that_is_no_longer_named_is_soon_out_of_use():
+    """A host loses power. Whoever goes on sending there lets each request wait for a
+    link that doesn't come up.
+    """
+    gatherer = ZoneGatherer(availability_zone="brno-a")
+    view = FleetView(own_ip="10.0.0.9")
+    gatherer.heard("10.0.0.1", new_report(), 0.0)
+    view.take(gatherer.digest(gatherer.summary(), 1, 0.0), 0.0)
+    lost_ms = LIFE_ROUNDS * PAUSE_MS
+    gatherer.forget(lost_ms, PAUSE_MS)
+    view.take(gatherer.digest(gatherer.summary(), 1, lost_ms), lost_ms)
+    assert view.recent_load("10.0.0.1", lost_ms) is not None
+    assert view.recent_load("10.0.0.1", lost_ms + MISSING_LIFE_MS) is None
+
+
 def test_view_is_taken_from_one_gatherer_until_it_is_lost():
     view = FleetView(own_ip="10.0.0.9")
     view.heard_gatherer("10.0.0.2", 0.0)
