--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
@@ -38,22 +38,28 @@
 """Time that each further sidecar leaves to those before it, when gatherers are missing:
 dialling a zone and telling it who gathers takes tens of milliseconds."""
 
-PAUSE_MS = 250.0
-"""Pause between two rounds of a gatherer; news takes three of them at most to cross the
-fleet: a surge is known everywhere within a second."""
+PAUSE_MS = 125.0
+"""Pause between two rounds of a gatherer. News takes three of them at most to cross the
+fleet, and entries admit too much until they hear of each other's demand."""
 
 MAX_POLLS_PER_S = 128.0
 """Hosts that a gatherer asks in a second. In large zones the pause grows, so that it
 stays near a hundredth of a core."""
 
 LIFE_ROUNDS = 3.5
-"""Rounds without an answer after which a host, or a zone, no longer counts: one answer
-may be lost, and another be late."""
+MIN_LIFE_MS = 800.0
+"""Rounds, and time at least, without an answer after which a host, or a zone, no longer
+counts: one answer may be lost, and a busy host stand still for a moment."""
 
 LEAVING, FOLLOWING, ISOLATED = 1, 2, 4
 """Bits of a host's state on the wire."""
 
 
+def life_ms(round_ms: float) -> float:
+    """Return the time without an answer after which a host or a zone is forgotten."""
+    return max(LIFE_ROUNDS * round_ms, MIN_LIFE_MS)
+
+
 def pause_ms(hosts: int) -> float:
     """Return the pause between two rounds, for a zone of so many hosts."""
     return max(PAUSE_MS, hosts / MAX_POLLS_PER_S * 1000)
@@ -117,9 +123,8 @@
 
     def forget(self, now_ms: float, round_ms: float) -> None:
         """Drop the hosts and zones that no longer answer."""
-        life_ms = LIFE_ROUNDS * round_ms
-        self._reports = _young(self._reports, now_ms, life_ms)
-        self._zones = _young(self._zones, now_ms, life_ms)
+        self._reports = _young(self._reports, now_ms, life_ms(round_ms))
+        self._zones = _young(self._zones, now_ms, life_ms(round_ms))
 
     def summary(self) -> ZoneSummary:
         """Return the sum of this zone."""
@@ -190,7 +195,7 @@
             answered_ms = self._answered_ms.setdefault(zone, now_ms)
             if asked not in ips:
                 self._ask(zone, ips[0], now_ms)
-            elif now_ms - answered_ms > LIFE_ROUNDS * round_ms:
+            elif now_ms - answered_ms > life_ms(round_ms):
                 self._ask(zone, ips[(ips.index(asked) + 1) % len(ips)], now_ms)
         return [self._asked[zone] for zone in zones]
 
@@ -215,9 +220,9 @@
 
 
 def _young(
-    told: Mapping[Key, _Told[Content]], now_ms: float, life_ms: float
+    told: Mapping[Key, _Told[Content]], now_ms: float, longest_ms: float
 ) -> dict[Key, _Told[Content]]:
-    return {key: each for key, each in told.items() if each.age_ms(now_ms) < life_ms}
+    return {key: each for key, each in told.items() if each.age_ms(now_ms) < longest_ms}
 
 
 def _host_loads(reports: Mapping[str, HostReport]) -> HostLoads:
--- a/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
@@ -18,12 +18,12 @@
     ServerLoad,
 )
 from sassafraswinch_sidecar.zone_gatherer import (
-    LIFE_ROUNDS,
     MAX_POLLS_PER_S,
     PAUSE_MS,
     ZoneContacts,
     ZoneGatherer,
     bare_digest,
+    life_ms,
     pause_ms,
 )
 
@@ -83,7 +83,7 @@
     view = FleetView(own_ip="10.0.0.9")
     gatherer.heard("10.0.0.1", new_report(), 0.0)
     view.take(gatherer.digest(gatherer.summary(), 1, 0.0), 0.0)
-    lost_ms = LIFE_ROUNDS * PAUSE_MS
+    lost_ms = life_ms(PAUSE_MS)
     gatherer.forget(lost_ms, PAUSE_MS)
     view.take(gatherer.digest(gatherer.summary(), 1, lost_ms), lost_ms)
     assert view.recent_load("10.0.0.1", lost_ms) is not None
@@ -140,7 +140,7 @@
     """
     contacts = ZoneContacts()
     zones = {"brno-b": ["10.1.0.0", "10.1.0.1", "10.1.0.2"]}
-    step_ms = LIFE_ROUNDS * 250.0 + 1
+    step_ms = life_ms(250.0) + 1
     asked = [contacts.choose(zones, number * step_ms, 250.0)[0] for number in range(4)]
     assert asked == ["10.1.0.0", "10.1.0.1", "10.1.0.2", "10.1.0.0"]
 
@@ -200,7 +200,7 @@
 
     @property
     def life_ms(self):
-        return LIFE_ROUNDS * PAUSE_MS
+        return life_ms(PAUSE_MS)
 
     def young(self, ips, now_ms):
         told = [self.told[ip] for ip in ips if ip in self.told]
