--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/own_entry.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/own_entry.py
@@ -15,8 +15,12 @@
 platform is slow."""
 
 ASK_PAUSE_S = 0.4
-"""Pause between questions while the entry is missing: the return of the platform must
-be known well before the time is over in which the entry may come back."""
+"""Pause between questions while the platform doesn't answer: its return must be known
+well before the time is over in which the entry may come back."""
+
+ANSWERED_PAUSE_S = 3.0
+"""The same after an answer: the entry is gone, most likely for good, and each question
+is paid for. A server that left for good costs a call each three seconds, not seven."""
 
 LOOK_S = 0.1
 """Pause between looks for a missing entry: the grain of the other periodic looks."""
@@ -61,8 +65,16 @@
                 self._note(False, "")
                 await asyncio.sleep(LOOK_S)
                 continue
-            self._note(not await self._answers(instance), instance.id)
-            await asyncio.sleep(ASK_PAUSE_S)
+            answers = await self._answers(instance)
+            self._note(not answers, instance.id)
+            await self._pause(ANSWERED_PAUSE_S if answers else ASK_PAUSE_S)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but no longer than the entry is missing."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + seconds
+        while loop.time() < ends_s and self._missing() is not None:
+            await asyncio.sleep(LOOK_S)
 
     async def _answers(self, instance: Instance) -> bool:
         try:
--- a/packages/sassafraswinch-sidecar/tests/test_own_entry.py
+++ b/packages/sassafraswinch-sidecar/tests/test_own_entry.py
@@ -89,6 +89,17 @@
         assert world.told == []
 
 
+async def test_entry_that_is_gone_for_good_is_asked_for_now_and_then():
+    """Five servers leave, and the sidecars beside them live on with their callers. They
+    asked for the entries seven times in three seconds each, for the rest of the day.
+    """
+    with asking() as world:
+        world.platform.answer = False
+        world.lapsed = new_instance(1)
+        await asyncio.sleep(30.0)
+        assert 8 <= world.platform.asked <= 11
+
+
 async def test_entry_that_is_back_ends_the_isolation():
     with asking() as world:
         world.platform.answer = None
