--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -69,6 +69,7 @@
         self,
         *,
         own_ip: str,
+        own_load: PeerLoad,
         intake: RelayIntake,
         answers: RelayAnswers,
         fleet: Fleet,
@@ -83,7 +84,7 @@
         log: RequestLog,
     ):
         self.relays: dict[int, Relay] = {}
-        self.own_load = PeerLoad()
+        self._own_load = own_load
         self._closed = False
         self._own_ip = own_ip
         self._intake = intake
@@ -273,7 +274,7 @@
         self.relays[call_id] = relay
         self._repeats.sent(relay)
         if instance.ip == self._own_ip:
-            self.own_load.sent_since += 1
+            self._own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
             return
         if not self._links.request(instance.ip, request):
@@ -301,7 +302,7 @@
         self._finish(relay)
 
     def _own_response(self, response: RelayResponse) -> None:
-        self._loop.call_soon(self.response, response, self.own_load)
+        self._loop.call_soon(self.response, response, self._own_load)
 
     def _answered(self, relay: Relay, response: RelayResponse) -> None:
         server_failed = response.status >= 500
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -22,7 +22,7 @@
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.peer_links import PeerLinks
-from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
+from sassafraswinch_sidecar.placement import Placement, capacities_of
 from sassafraswinch_sidecar.planned_stop import finish_requests
 from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.platform_reader import (
@@ -31,6 +31,7 @@
     PlatformReader,
     PlatformStore,
 )
+from sassafraswinch_sidecar.reachable_loads import ReachableLoads
 from sassafraswinch_sidecar.recent_maximum import RecentMaximum
 from sassafraswinch_sidecar.relay import RelayOwner
 from sassafraswinch_sidecar.relay_answers import RelayAnswers
@@ -123,6 +124,13 @@
             incarnation=time.time_ns(),
             listener=self,
         )
+        self._loads = ReachableLoads(
+            own_ip=settings.ip,
+            executor=self._executor,
+            links=self._links,
+            view=self._view,
+            now_ms=self._now_ms,
+        )
         self._admission = EntryAdmission()
         self._counts = RelayCounts()
         window_ms = settings.repeat_window_s * 1000
@@ -163,10 +171,11 @@
             availability_zone=settings.availability_zone,
             fleet=self._fleet,
             view=self._view,
-            load_of=self._load_of,
+            load_of=self._loads.of,
         )
         self._owner = RelayOwner(
             own_ip=settings.ip,
+            own_load=self._loads.own,
             intake=RelayIntake(
                 service=settings.service,
                 names=names,
@@ -184,7 +193,7 @@
             placement=Placement(
                 own_ip=settings.ip,
                 availability_zone=settings.availability_zone,
-                load_of=self._load_of,
+                load_of=self._loads.of,
                 cold_left_ms=self._fleet.cold_left_ms,
                 rng=rng,
             ),
@@ -328,19 +337,6 @@
         if first:
             self._exchange.greet()
 
-    def _load_of(self, ip: str) -> PeerLoad | None:
-        """Return what is known of the server at an address that can be reached."""
-        if ip == self._settings.ip:
-            load = self._owner.own_load
-            load.report(self._executor.load(), self._now_ms())
-            load.leaving = self._executor.leaving
-            return load
-        if not self._links.can_reach(ip):
-            return None
-        if self._links.is_live(ip):
-            return self._view.load(ip)
-        return self._view.recent_load(ip, self._now_ms())
-
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -365,7 +361,7 @@
         self._view.stood_still(stood_ms)
 
     def _admit_anew(self, now_ms: float) -> None:
-        capacities = capacities_of(self._fleet.serving(), self._load_of)
+        capacities = capacities_of(self._fleet.serving(), self._loads.of)
         self._admission.decide(capacities, now_ms, self._view.demand(now_ms))
         for route, fit in self._admission.fits.items():
             service = fit.lacks
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar_instances.py
@@ -105,7 +105,7 @@
     await until(lambda: node.sidecar._data.revision == fleet.store.revision)
     assert [i.id for i in found.of_service("schvaleni")] == ["i-second"]
     # Counted twice, the same slots would let in twice what the server can run.
-    slots = capacities_of(found.serving(), node.sidecar._load_of)["schvaleni"].slots
+    slots = capacities_of(found.serving(), node.sidecar._loads.of)["schvaleni"].slots
     assert slots == node.sidecar._executor.load().limit
 
 
