--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -247,13 +247,11 @@
         """Return some of each sort: by chance alone hardly any is of the own zone."""
         near = [c for c in candidates if c.availability_zone == self._zone]
         far = [c for c in candidates if c.availability_zone != self._zone]
-        near_count = min(
-            len(near), max(SAMPLE_NEAR, SAMPLE_NEAR + SAMPLE_FAR - len(far))
-        )
-        far_count = SAMPLE_NEAR + SAMPLE_FAR - near_count
+        near_count = min(len(near), SAMPLE_NEAR)
+        far_count = min(len(far), SAMPLE_NEAR + SAMPLE_FAR - near_count)
         return [
             *self._rng.sample(near, near_count),
-            *self._rng.sample(far, min(far_count, len(far))),
+            *self._rng.sample(far, far_count),
         ]
 
     def _cost(
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -162,3 +162,28 @@
     assert placement.choose([first, other], (), 0.0) is other
     again = replace(first, incarnation=2)
     assert placement.choose([again, other], (first.identity,), 0.0) is again
+
+
+def test_large_service_is_compared_in_the_own_zone_and_beyond():
+    """A service has ninety servers, a fifth of them in the own zone. Ten drawn by
+    chance have none of the own zone in one draw of ten, and answers cross between zones
+    that needn't; drawn from the own zone alone, a full zone would stay full.
+    """
+    near = [new_instance(n) for n in range(1, 19)]
+    far = [new_instance(n, zone="brno-b") for n in range(19, 91)]
+    loads = loads_of([*near, *far])
+    own = {found.id for found in near}
+    assert choices(loads, [*near, *far]).keys() <= own
+    for found in near:
+        loads[found.ip].in_flight = 58
+    assert not choices(loads, [*near, *far]).keys() & own
+
+
+def test_entries_that_were_told_the_same_dont_all_choose_the_same_server():
+    """All entries of a zone are told the loads at once. If each compared all servers,
+    the emptiest would get the requests of all of them until the next word.
+    """
+    found = [new_instance(n) for n in range(1, 19)]
+    loads = loads_of(found, in_flight=20)
+    loads["10.0.0.1"].in_flight = 5
+    assert choices(loads, found)["i-1"] < 200 * 0.75
