--- a/tests/fault_soak/store.py
+++ b/tests/fault_soak/store.py
@@ -102,7 +102,7 @@
         if path == "/v1/kv-key":
             item = self.items.get(query["key"])
             return (200, item | {"at_rev": self.revision}) if item else (404, {})
-        prefix, after = query["path_prefix"], query.get("after", "")
+        prefix, after = query.get("path_prefix", ""), query.get("after", "")
         found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix)]
         page = [item for item in found if item["key"] > after][:10]
         more = bool(page) and page[-1] is not found[-1]
