--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -19,7 +19,8 @@
     """Merges what the platform and peers tell, and keeps the fleet up to date.
 
     A sidecar that the platform turns away, or that starts while it is down, hears of
-    every change from a peer: heartbeats tell revisions, and whoever is behind asks.
+    every change from a peer: digests and reports tell revisions, and whoever is behind
+    asks.
 
     Args:
         fleet: follows the changes.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -24,9 +24,8 @@
 
 GATHER_S = (0.25, 0.6)
 """Pause after a watch that brought changes. They come in bursts, as when a service is
-released, and each call is paid for; with the heartbeat of a second, by which sidecars
-that are turned away learn of a change, it stays below the two seconds that are
-allowed."""
+released, and each call is paid for; with the rounds of gatherers, by which the others
+learn of a change within a second, it stays below the two seconds that are allowed."""
 
 RETRY_S = (0.15, 0.4)
 """Pause after a failed call: all hosts don't come back in one moment."""
