--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -205,7 +205,7 @@
         now_ms: float,
         told: Collection[Claim] = (),
     ) -> None:
-        """End an interval: set the place up to which each service admits.
+        """End an interval: set the share of each route that is admitted.
 
         Args:
             capacities: slots of each service that can be reached.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -5,8 +5,9 @@
 of what is free of charge.
 """
 
+import itertools
 from collections import Counter, deque
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 SHARE_OF_RATIO = 0.35
@@ -93,6 +94,19 @@
 
 NOTHING_COUNTED = Counted(0, 0)
 
+
+def sum_counts(told: Iterable[Mapping[str, Counted]]) -> dict[str, Counted]:
+    """Return the sums by service of what several sidecars sent."""
+    requests: Counter[str] = Counter()
+    repeats: Counter[str] = Counter()
+    for service, count in itertools.chain.from_iterable(each.items() for each in told):
+        requests[service] += count.requests
+        repeats[service] += count.repeats
+    return {
+        service: Counted(requests[service], repeats[service]) for service in requests
+    }
+
+
 Totals = tuple[Mapping[str, Counted], int]
 """Requests and repeats of all sidecars by service, and how many sidecars told them."""
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
@@ -7,7 +7,6 @@
 doubled or late.
 """
 
-from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -24,11 +23,10 @@
     FleetDigest,
     HostLoads,
     HostReport,
-    SentCount,
     ZoneLoads,
     ZoneSummary,
 )
-from sassafraswinch_sidecar.repeat_budget import Counted
+from sassafraswinch_sidecar.repeat_budget import sum_counts
 
 GATHERERS = 2
 """Sidecars of a zone that gather while they can; with one, its loss would leave the
@@ -130,11 +128,11 @@
         """Return the sum of this zone."""
         reports = {ip: told.content for ip, told in self._reports.items()}
         demands = [parse_demand(report.demand) for report in reports.values()]
-        counts = [report.counts for report in reports.values()]
+        counts = [parse_counts(report.counts) for report in reports.values()]
         return ZoneSummary(
             loads=ZoneLoads(self._zone, 0, _host_loads(reports)),
             demand=serialize_demand(merge_claims(demands)),
-            counts=serialize_counts(_sum_counts(counts)),
+            counts=serialize_counts(sum_counts(counts)),
         )
 
     def digest(self, own: ZoneSummary, revision: int, now_ms: float) -> FleetDigest:
@@ -159,7 +157,9 @@
             whole=True,
             zones=[own.loads, *others],
             demand=serialize_demand(_merged_demand(summaries)),
-            counts=serialize_counts(_sum_counts(each.counts for each in summaries)),
+            counts=serialize_counts(
+                sum_counts(parse_counts(each.counts) for each in summaries)
+            ),
         )
 
 
@@ -246,15 +246,3 @@
 
 def _merged_demand(summaries: Iterable[ZoneSummary]) -> list[Claim]:
     return merge_claims(parse_demand(summary.demand) for summary in summaries)
-
-
-def _sum_counts(told: Iterable[Iterable[SentCount]]) -> dict[str, Counted]:
-    requests: Counter[str] = Counter()
-    repeats: Counter[str] = Counter()
-    for counts in told:
-        for service, count in parse_counts(counts).items():
-            requests[service] += count.requests
-            repeats[service] += count.repeats
-    return {
-        service: Counted(requests[service], repeats[service]) for service in requests
-    }
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -28,12 +28,7 @@
     Verdict,
 )
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
-from sassafraswinch_sidecar.repeat_budget import (
-    NOTHING_COUNTED,
-    Counted,
-    RepeatBudget,
-    Totals,
-)
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals, sum_counts
 from sassafraswinch_sidecar.server_choice import choose_server
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
 from sassafraswinch_sidecar.slot_times import (
@@ -397,13 +392,7 @@
     now_ms = screen.now_ms()
     hosts = screen.hosts.values()
     demand = merge_claims(host.admission.demand() for host in hosts)
-    counts: dict[str, Counted] = {}
-    for host in hosts:
-        for service, count in host.budget.counted(now_ms).items():
-            known = counts.get(service, NOTHING_COUNTED)
-            counts[service] = Counted(
-                known.requests + count.requests, known.repeats + count.repeats
-            )
+    counts = sum_counts(host.budget.counted(now_ms) for host in hosts)
     for host in hosts:
         if host.instance.availability_zone != f"zone-{zone}":
             continue
