Sight: which requests ran when a server's process ended

Operators saw 502 and server-reset for a lost answer as well as for the end of a server, and ids that are new each time a caller sends a request again, so the logs couldn't tell one request that ends every server from servers that end by themselves.

A broken connection is now followed by one try to connect (0.15 s at most, less than 1 ms on the same host): if nobody listens, the process has ended, the server counts as down at once (before: with the next request, up to 90 ms later), and each request that ran there gets a line ran_at_server_end with a digest of method, host, path, credentials and body. The reason says server-ended in place of server-reset.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/backend_watch.py
@@ -4,11 +4,15 @@
 from collections.abc import Callable
 
 from sassafraswinch_node.logs import log_event
-from sassafraswinch_sidecar.http_client import HttpClient
+from sassafraswinch_sidecar.http_client import HttpClient, Probe
 
 PROBE_S = 0.4
 """Pause between attempts to connect to a backend server that is down."""
 
+LOOK_S = 0.15
+"""Longest look for the reason of a broken connection. On the same host the answer
+takes less than a millisecond; the rest is for a busy event loop, and callers wait."""
+
 SILENT_MS = 1_500.0
 """Time without any answer, while requests run, from which a server may be dead; at
 least so many times the mean of ``SILENT_HOLDS``."""
@@ -39,12 +43,25 @@
         client: connections to the server.
         service: its service, for the log.
         went_down: called when the server is found to be down.
+        looked: called after a look, with whether the server's process has ended.
+
+    Attributes:
+        up: whether requests may be sent to the server.
+        ended: whether its process has ended, and no other runs in its place yet.
     """
 
     def __init__(
-        self, *, client: HttpClient, service: str, went_down: Callable[[], None]
+        self,
+        *,
+        client: HttpClient,
+        service: str,
+        went_down: Callable[[], None],
+        looked: Callable[[bool], None],
     ):
         self.up = True
+        self.ended = False
+        self._looked = looked
+        self._looking: asyncio.Task | None = None
         self._client = client
         self._service = service
         self._went_down = went_down
@@ -87,6 +104,16 @@
         self._instance_id = None
         self._down()
 
+    def look(self) -> None:
+        """Find out whether the server's process has ended, after a broken connection.
+
+        Failure: a connection breaks as a server drops it, or loses an answer, and as
+        its process ends; only in the last case was a request perhaps its end. A process
+        that has ended leaves nobody who listens at its port.
+        """
+        if self._looking is None:
+            self._looking = self._loop.create_task(self._look())
+
     def overdue(self, mean_hold_ms: float) -> None:
         """Note a request without an answer in its time.
 
@@ -99,8 +126,18 @@
 
     def close(self) -> None:
         """Stop trying to connect."""
-        if self._probing is not None:
-            self._probing.cancel()
+        for task in (self._probing, self._looking):
+            if task is not None:
+                task.cancel()
+
+    async def _look(self) -> None:
+        refused = await self._client.probe(LOOK_S) is Probe.REFUSED
+        self._looking = None
+        if refused:
+            self.ended = True
+            self._instance_id = None
+            self._down()
+        self._looked(refused)
 
     def _down(self) -> None:
         if not self.up:
@@ -112,9 +149,10 @@
         self._probing = self._loop.create_task(self._probe())
 
     async def _probe(self) -> None:
-        while not await self._client.reachable():
+        while await self._client.probe() is not Probe.CONNECTED:
             await asyncio.sleep(PROBE_S)
         self.up = True
+        self.ended = False
         self._instance_id = None
         self._answered_ms = self._now_ms()
         log_event("backend_up", service=self._service)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -1,9 +1,11 @@
 """Runs requests at the backend server beside this sidecar."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
+from sassafraswinch.request_digest import Digests, digest_request, digest_text
+from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.held_bytes import HeldBytes
@@ -40,6 +42,9 @@
 INSTANCE_LEAVING = "instance-leaving"
 MISDIRECTED_STATUS = 421
 
+SERVER_ENDED = "server-ended"
+SERVER_RESET = "server-reset"
+
 UNKNOWN_SLOTS = 16
 """Slots assumed before the platform has told them."""
 
@@ -97,8 +102,12 @@
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
         self._ticking: asyncio.TimerHandle | None = None
+        self._broken: list[Execution] = []
         self._watch = BackendWatch(
-            client=client, service=service, went_down=self._refuse_waiting
+            client=client,
+            service=service,
+            went_down=self._refuse_waiting,
+            looked=self._looked,
         )
 
     def set_slots(self, slots: int) -> None:
@@ -259,7 +268,40 @@
             # The server may have ended: who answers next may be another instance.
             self._watch.is_instance(None)
             execution.offered = True
-            self._end(execution, Verdict.MAY_HAVE_RUN, f"server-{end.value}")
+            if end is Fault.RESET:
+                self._connection_broke(execution)
+            else:
+                self._end(execution, Verdict.MAY_HAVE_RUN, f"server-{end.value}")
+
+    def _connection_broke(self, execution: Execution) -> None:
+        """End a request once it is known why its connection broke."""
+        if self._watch.ended:
+            self._note_server_end([execution])
+            self._end(execution, Verdict.MAY_HAVE_RUN, SERVER_ENDED)
+            return
+        self._broken.append(execution)
+        self._watch.look()
+
+    def _looked(self, server_ended: bool) -> None:
+        broken, self._broken = self._broken, []
+        open_ones = [execution for execution in broken if not execution.ended]
+        if server_ended:
+            self._note_server_end(open_ones)
+        reason = SERVER_ENDED if server_ended else SERVER_RESET
+        for execution in open_ones:
+            self._end(execution, Verdict.MAY_HAVE_RUN, reason)
+
+    def _note_server_end(self, executions: Collection[Execution]) -> None:
+        """Tell which requests ran when the server's process ended."""
+        for execution in executions:
+            request = execution.request
+            log_event(
+                "ran_at_server_end",
+                level="warning",
+                request_id=request.request_id,
+                instance=request.instance_id,
+                digest=digest_text(_digests(request)[0]),
+            )
 
     def _answered(self, execution: Execution, response: HttpResponse) -> None:
         names = self._names
@@ -394,3 +436,12 @@
     def _refuse_waiting(self) -> None:
         for queued in self.queue.drain():
             self._end_unrun(queued.item, "server-down")
+
+
+def _digests(request: RelayRequest) -> Digests:
+    return digest_request(
+        method=request.method,
+        target=request.target,
+        header_lines=request.headers,
+        body=request.body,
+    )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -47,6 +47,18 @@
     """The response has a longer body than this process may hold."""
 
 
+class Probe(enum.Enum):
+    """What a try to connect finds."""
+
+    CONNECTED = "connected"
+
+    REFUSED = "refused"
+    """Nobody listens: the server's process has ended."""
+
+    SILENT = "silent"
+    """No answer, which doesn't tell a dead server from a slow or cut off one."""
+
+
 @dataclass(slots=True)
 class HttpResponse:
     """A whole response."""
@@ -297,14 +309,21 @@
         if exchange.connection is not None:
             exchange.connection.abort()
 
-    async def reachable(self) -> bool:
-        """Return whether a connection can be made; it is kept."""
-        connection = await self._open()
-        if connection is None:
-            return False
+    async def probe(self, timeout_s: float = CONNECT_TIMEOUT_S) -> Probe:
+        """Try to connect; the connection is kept.
+
+        Args:
+            timeout_s: time after which the server counts as silent.
+        """
+        try:
+            connection = await self._connection_within(timeout_s)
+        except ConnectionRefusedError:
+            return Probe.REFUSED
+        except (OSError, TimeoutError):
+            return Probe.SILENT
         connection.idle_since_ms = self._loop.time() * 1000
         self._release(connection)
-        return True
+        return Probe.CONNECTED
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -342,12 +361,15 @@
 
     async def _open(self) -> ServerConnection | None:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                transport, connection = await self._loop.create_connection(
-                    self._connection, self._ip, self._port
-                )
+            return await self._connection_within(CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
             return None
+
+    async def _connection_within(self, timeout_s: float) -> ServerConnection:
+        async with asyncio.timeout(timeout_s):
+            transport, connection = await self._loop.create_connection(
+                self._connection, self._ip, self._port
+            )
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_request_digest.py
@@ -0,0 +1,63 @@
+"""Which requests count as the same."""
+
+import pytest
+
+from sassafraswinch.request_digest import digest_request, digest_text
+
+REQUEST = {
+    "method": "POST",
+    "target": b"/orders/1",
+    "header_lines": b"Host: shop.example\r\nAuthorization: Bearer k1\r\n",
+    "body": b"order",
+}
+
+
+def digests(**changed):
+    return digest_request(**REQUEST | changed)
+
+
+def test_request_sent_again_at_another_host_is_the_same():
+    """A caller sends a request again: its id, its time limit, the service beside which
+    it arrives and the order of its fields are others, and it is still the same request.
+    """
+    again = (
+        b"authorization:  Bearer k1\r\nX-Request-Id: 2\r\nX-Deadline-Ms: 9\r\n"
+        b"X-Caller-Service: other\r\nHost: shop.example\r\n"
+    )
+    assert digests(header_lines=again) == digests()
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"method": "PUT"},
+        {"target": b"/orders/2"},
+        {"body": b"other"},
+        {"body": b""},
+        {"header_lines": b"Host: shop.example\r\nAuthorization: Bearer k2\r\n"},
+        {"header_lines": b"Host: else.example\r\nAuthorization: Bearer k1\r\n"},
+        {"header_lines": b"Host: shop.example\r\n"},
+    ],
+)
+def test_another_request_or_caller_has_other_digests(changed):
+    assert not set(digests(**changed)) & set(digests())
+
+
+def test_query_changes_one_digest_of_two():
+    first, second = (
+        digests(target=b"/orders/1?page=1"),
+        digests(target=b"/orders/1?p=2"),
+    )
+    assert len(first) == len(second) == 2
+    assert set(first) & set(second) == set(digests())
+
+
+def test_parts_cant_be_shifted_into_each_other():
+    """A caller moves bytes between path and body; the digests must not meet."""
+    assert digests(target=b"/orders/", body=b"1order") != digests()
+
+
+def test_text_shows_a_part():
+    (digest,) = digests()
+    assert digest.hex().startswith(digest_text(digest))
+    assert len(digest_text(digest)) == 12
