Sight: a line for each request that ran at a server's end, not ten in ten seconds

The log's bound for repeated events is ten lines in ten seconds, and 14 to 44 requests ran at each end; the lines go through the log of requests, whose bound is 100 a second.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 
 from sassafraswinch.request_digest import Digests, digest_request, digest_text
-from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.held_bytes import HeldBytes
@@ -295,10 +294,9 @@
         """Tell which requests ran when the server's process ended."""
         for execution in executions:
             request = execution.request
-            log_event(
+            self._log.failed(
                 "ran_at_server_end",
-                level="warning",
-                request_id=request.request_id,
+                request.request_id,
                 instance=request.instance_id,
                 digest=digest_text(_digests(request)[0]),
             )
