Requests that ended three servers are held back everywhere

Callers of order lookups got 502 and 503 for seconds, again and again, and so did approvals, which call the same service: one lookup, sent again under new ids at any host, ended each server that began to run it.

Cause: what a host learnt of a request ended with its id. Each new id, and each repeat of ours, began anew with an innocent request's rights. Ruled out: servers that end by themselves (a server whose port refuses right after its connections broke, with the same digest each time; plain crashes share no digest), repeats alone (new ids go on without them).

Mend: the sidecar beside a server names each end of its process and makes suspects of what ran there; gatherers hand them on. After two ends a request runs once at a time, at a server that all hosts agree on; after three it is refused unrun, at its owner and again before the server, with the time of its next trial. An answer clears it. Why it holds: the register is a union of named ends, so no lateness, double or cut changes a count, and both gates ask it at the last moment.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -1,10 +1,10 @@
 """Runs requests at the backend server beside this sidecar."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sassafraswinch.request_digest import Digests, digest_request, digest_text
+from sassafraswinch.crash_suspects import Standing
 from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.held_bytes import HeldBytes
@@ -25,8 +25,15 @@
     Verdict,
 )
 from sassafraswinch_sidecar.request_log import RequestLog
+from sassafraswinch_sidecar.server_ends import ServerEnds
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
 from sassafraswinch_sidecar.slot_times import add_slot_times, serialize_slot_times
+from sassafraswinch_sidecar.suspect_requests import (
+    HELD_BACK,
+    RUNS_ALREADY,
+    SuspectRequests,
+    digests_of,
+)
 
 Reply = Callable[[RelayResponse], None]
 
@@ -40,6 +47,8 @@
 OTHER_INSTANCE = "other-instance"
 INSTANCE_LEAVING = "instance-leaving"
 MISDIRECTED_STATUS = 421
+SERVER_FAILURE = 500
+"""Least status of answers that clear no request: its run may have been cut short."""
 
 SERVER_ENDED = "server-ended"
 SERVER_RESET = "server-reset"
@@ -63,6 +72,7 @@
     actual_instance_id: str | None = None
     held_bytes: int = 0
     repeats_spent: bool = False
+    server_end: str | None = None
     calls_done: int = 0
     slot_ms: dict[str, float] = field(default_factory=dict)
 
@@ -76,6 +86,7 @@
         names: header fields of the deployment.
         is_leaving: tells whether an instance must get no new work.
         held: counts the bytes that this process holds.
+        suspects: requests that ended servers.
         log: lines about single requests.
     """
 
@@ -87,6 +98,7 @@
         names: HeaderNames,
         is_leaving: Callable[[str], bool],
         held: HeldBytes,
+        suspects: SuspectRequests,
         log: RequestLog,
     ):
         self.queue = ServerQueue(limit=int(UNKNOWN_SLOTS * SLOT_SHARE))
@@ -101,6 +113,8 @@
         self._loop = asyncio.get_running_loop()
         self._executions: dict[tuple[object, int], Execution] = {}
         self._ticking: asyncio.TimerHandle | None = None
+        self._suspects = suspects
+        self._ends = ServerEnds(suspects=suspects, is_leaving=self._leaves, log=log)
         self._broken: list[Execution] = []
         self._watch = BackendWatch(
             client=client,
@@ -214,11 +228,38 @@
             return "deadline"
         if request.body and not self._held.fits(len(request.body)):
             return "no-memory"
+        return self._suspicion(request)
+
+    def _suspicion(self, request: RelayRequest) -> str:
+        """Return why a request may not run for the servers that ended under it.
+
+        This is the last gate before the server: owners may not have heard yet.
+        """
+        standing = self._suspects.judge(request).standing
+        if standing is Standing.HELD:
+            return HELD_BACK
+        if standing is not Standing.FREE and self._runs_copy_of(request):
+            return RUNS_ALREADY
         return ""
 
+    def _runs_copy_of(self, request: RelayRequest) -> bool:
+        digests = digests_of(request)
+        return any(
+            execution.request is not request
+            and execution.request.target == request.target
+            and digests_of(execution.request) == digests
+            for execution in self.running.values()
+        )
+
     def _start(self, now_ms: float) -> None:
         for queued in self.queue.startable(now_ms):
-            self._run(queued.item, now_ms)
+            execution = queued.item
+            # Servers may have ended under it while it waited.
+            suspicion = self._suspicion(execution.request)
+            if suspicion:
+                self._end_unrun(execution, suspicion)
+            else:
+                self._run(execution, now_ms)
 
     def _run(self, execution: Execution, now_ms: float) -> None:
         request = execution.request
@@ -259,9 +300,12 @@
         execution = exchange.item
         if isinstance(end, HttpResponse):
             self._watch.alive()
+            self._ends.answered()
             self._answered(execution, end)
         elif end is Fault.UNREACHABLE:
             self._watch.unreachable()
+            if self._ends.has_given_up:
+                self._watch.look()
             self._end(execution, Verdict.NOT_RUN, "server-down")
         else:
             # The server may have ended: who answers next may be another instance.
@@ -275,8 +319,7 @@
     def _connection_broke(self, execution: Execution) -> None:
         """End a request once it is known why its connection broke."""
         if self._watch.ended:
-            self._note_server_end([execution])
-            self._end(execution, Verdict.MAY_HAVE_RUN, SERVER_ENDED)
+            self._end_with_server(execution)
             return
         self._broken.append(execution)
         self._watch.look()
@@ -285,21 +328,20 @@
         broken, self._broken = self._broken, []
         open_ones = [execution for execution in broken if not execution.ended]
         if server_ended:
-            self._note_server_end(open_ones)
-        reason = SERVER_ENDED if server_ended else SERVER_RESET
+            instance_id = open_ones[0].request.instance_id if open_ones else ""
+            self._ends.begin(instance_id)
         for execution in open_ones:
-            self._end(execution, Verdict.MAY_HAVE_RUN, reason)
+            if server_ended:
+                self._end_with_server(execution)
+            else:
+                self._end(execution, Verdict.MAY_HAVE_RUN, SERVER_RESET)
 
-    def _note_server_end(self, executions: Collection[Execution]) -> None:
-        """Tell which requests ran when the server's process ended."""
-        for execution in executions:
-            request = execution.request
-            self._log.failed(
-                "ran_at_server_end",
-                request.request_id,
-                instance=request.instance_id,
-                digest=digest_text(_digests(request)[0]),
-            )
+    def _end_with_server(self, execution: Execution) -> None:
+        execution.server_end = self._ends.add(execution.request)
+        self._end(execution, Verdict.MAY_HAVE_RUN, SERVER_ENDED)
+
+    def _leaves(self, instance_id: str) -> bool:
+        return self.leaving or self._is_leaving(instance_id)
 
     def _answered(self, execution: Execution, response: HttpResponse) -> None:
         names = self._names
@@ -320,6 +362,8 @@
         if encoded or (response.status < 300 and not signed):
             self._end(execution, Verdict.MAY_HAVE_RUN, "server-garbled")
             return
+        if response.status < SERVER_FAILURE:
+            self._suspects.answered(execution.request)
         lines = serialize_end_to_end(response.fields, DROPPED)
         self._end(
             execution,
@@ -351,6 +395,7 @@
         if execution.ended:
             return
         self._client.cancel(execution.exchange)
+        self._ends.gave_up(execution.request)
         execution.offered = True
         self._end(execution, Verdict.MAY_HAVE_RUN, "deadline")
         self._watch.overdue(self.queue.hold_ms)
@@ -359,6 +404,7 @@
         if execution.ended:
             return
         self._client.cancel(execution.exchange)
+        self._ends.gave_up(execution.request)
         self._release(execution)
         self._forget(execution)
         self._start(self._loop.time() * 1000)
@@ -404,6 +450,7 @@
                 load=self.load(),
                 actual_instance_id=execution.actual_instance_id,
                 repeats_spent=execution.repeats_spent,
+                server_end=execution.server_end,
             )
         )
 
@@ -434,12 +481,3 @@
     def _refuse_waiting(self) -> None:
         for queued in self.queue.drain():
             self._end_unrun(queued.item, "server-down")
-
-
-def _digests(request: RelayRequest) -> Digests:
-    return digest_request(
-        method=request.method,
-        target=request.target,
-        header_lines=request.headers,
-        body=request.body,
-    )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.fleet import Fleet
@@ -19,6 +19,7 @@
     ZoneSummary,
 )
 from sassafraswinch_sidecar.relay_wire import Message, serialize_message
+from sassafraswinch_sidecar.suspect_exchange import SuspectExchange
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 from sassafraswinch_sidecar.zone_gatherer import (
     GATHER_STEP_MS,
@@ -56,6 +57,7 @@
         view: takes what is told here.
         reports: tells of this sidecar.
         data: the platform's data, which is handed on by the way.
+        suspects: requests that ended servers, which are handed on as well.
         now_ms: monotonic clock.
     """
 
@@ -69,6 +71,7 @@
         view: FleetView,
         reports: HostReports,
         data: PlatformData,
+        suspects: SuspectExchange,
         now_ms: Callable[[], float],
     ):
         self._own_ip = own_ip
@@ -78,6 +81,7 @@
         self._view = view
         self._reports = reports
         self._data = data
+        self._suspects = suspects
         self._now_ms = now_ms
         self._duty = ZoneDuty(own_ip=own_ip, holders=GATHERERS, step_ms=GATHER_STEP_MS)
         self._gatherer = ZoneGatherer(availability_zone=availability_zone)
@@ -111,8 +115,14 @@
         gatherers = self._view.gatherers(self._now_ms())
         for link in self._links.accepted:
             if link.peer_ip in gatherers:
+                self._suspects.tell(link)
                 link.send(self._report_for(link.peer_ip))
 
+    def has_suspects(self) -> None:
+        """Hand on, when on duty, what a peer told of requests that ended servers."""
+        if self._gathers:
+            self._news.set()
+
     def greet(self) -> None:
         """Let those that gather, if all is well, hear that this host is up."""
         self._news.set()
@@ -139,6 +149,7 @@
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Answer a gatherer of this zone or of another one."""
+        self._suspects.tell(link)
         if isinstance(message, FleetDigest):
             self._told(link, message)
         else:
@@ -209,6 +220,7 @@
         digest = self._gatherer.digest(self._summary, revision, now_ms)
         self._view.heard_gatherer(self._own_ip, now_ms)
         self._view.take(digest, now_ms)
+        self._tell_suspects(itertools.chain(members, contacts))
         whole = serialize_message(digest)
         bare = serialize_message(bare_digest(revision))
         for ip in members:
@@ -216,3 +228,9 @@
         request = serialize_message(SummaryRequest(revision))
         for ip in contacts:
             self._links.poll(ip, request)
+
+    def _tell_suspects(self, ips: Iterable[str]) -> None:
+        peers = (self._links.peers.get(ip) for ip in ips)
+        for peer in peers:
+            if peer is not None and peer.link is not None:
+                self._suspects.tell(peer.link)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -74,6 +74,8 @@
         peer_ip: address that the peer names in its greeting; empty until then.
         availability_zone: where the peer says it is.
         heard_since_check: whether anything was read since its owner looked last.
+        takes_suspects: whether the peer understands news of suspects.
+        suspects_told: number of the last change of suspects that the peer was told.
     """
 
     def __init__(
@@ -90,6 +92,8 @@
         self.incarnation = 0
         self.fault = ""
         self.heard_since_check = False
+        self.takes_suspects = False
+        self.suspects_told = 0
         self._greeting = greeting
         self._greeted = greeted
         self._receive = receive
@@ -216,6 +220,7 @@
         self.peer_ip = message.ip
         self.incarnation = message.incarnation
         self.availability_zone = message.availability_zone
+        self.takes_suspects = message.takes_suspects
         self._splitter.accept_long(MAX_FRAME_BYTES)
         self._greeted(self)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -50,6 +50,9 @@
 class LinkListener(Protocol):
     """What the owner of the links is told."""
 
+    def greeted(self, link: PeerLink) -> None:
+        """A link is up, whichever side dialled it."""
+
     def link_lost(self, ip: str) -> None:
         """A dialled link is gone; what was written may still arrive."""
 
@@ -111,6 +114,7 @@
             ip=own_ip,
             incarnation=incarnation,
             availability_zone=availability_zone,
+            takes_suspects=True,
         )
         self._listener = listener
         self._batch = WriteBatch()
@@ -327,6 +331,7 @@
         # stays as one that looks open.
         peer.greeted.set()
         log_event("link_up", peer=link.peer_ip, incarnation=link.incarnation)
+        self._listener.greeted(link)
         self._flush(peer)
 
     def _dialled_lost(self, link: PeerLink) -> None:
@@ -356,6 +361,7 @@
 
     def _accepted_greeted(self, link: PeerLink) -> None:
         self.accepted.add(link)
+        self._listener.greeted(link)
         peer = self.peers.get(link.peer_ip)
         if peer is not None:
             self._heed_greeting(peer, link)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -4,6 +4,8 @@
 import itertools
 from collections.abc import Iterable
 
+from sassafraswinch.crash_suspects import Judgement, Standing
+from sassafraswinch.request_digest import digest_text
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import INSTANCE_LEAVING, Executor
 from sassafraswinch_sidecar.fleet import Fleet, Instance
@@ -29,9 +31,15 @@
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
-from sassafraswinch_sidecar.server_choice import choose_server
+from sassafraswinch_sidecar.server_choice import choose_for_suspect, choose_server
 from sassafraswinch_sidecar.slot_times import add_slot_times, parse_slot_times
 from sassafraswinch_sidecar.substitutes import Substitutes
+from sassafraswinch_sidecar.suspect_requests import (
+    HELD_BACK,
+    RUNS_ALREADY,
+    SuspectRequests,
+    digests_of,
+)
 
 ROOT_WAIT_SHARE = 0.12
 """Part of the target latency that a root request waits for a slot: after that it is
@@ -79,6 +87,7 @@
         placement: Placement,
         admission: EntryAdmission,
         budget: RepeatBudget,
+        suspects: SuspectRequests,
         held: HeldBytes,
         counts: RelayCounts,
         log: RequestLog,
@@ -95,6 +104,7 @@
         self._executor = executor
         self._placement = placement
         self._admission = admission
+        self._suspects = suspects
         self._held = held
         self._counts = counts
         self._log = log
@@ -119,6 +129,10 @@
             return
         relay = taken
         self._by_http[http] = relay
+        judged = self._suspects.judge(relay)
+        if judged.standing is Standing.HELD:
+            self._hold_back(relay, judged)
+            return
         if relay.parent is None and not self._admit(relay):
             return
         self._place(relay)
@@ -168,6 +182,8 @@
             relay.offers += 1
             relay.offered_to.add(relay.identity)
         relay.repeats_spent = relay.repeats_spent or response.repeats_spent
+        if response.server_end:
+            self._suspects.ended(digests_of(relay), response.server_end)
         self._repeats.learn(relay)
         self._lessons.execution_ended(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
@@ -211,19 +227,16 @@
         return False
 
     def _place(self, relay: Relay) -> None:
-        now_ms = self._now_ms()
-        left_ms = relay.deadline_ms - now_ms
+        judged = self._suspects.judge(relay)
+        if judged.standing is Standing.HELD:
+            self._hold_back(relay, judged)
+            return
+        left_ms = relay.deadline_ms - self._now_ms()
         instances = self._fleet.of_service(relay.service)
         instance = None
         refusals = relay.places - relay.offers
         if left_ms >= MIN_RETRY_LEFT_MS and refusals < MAX_PLACES:
-            instance = choose_server(
-                self._placement,
-                relay,
-                instances,
-                now_ms,
-                self._lessons.answer_bytes(relay.route.name),
-            )
+            instance = self._choose(relay, instances, judged)
         if instance is None and not relay.tried and self._settling(left_ms):
             self._loop.call_later(SETTLE_PAUSE_S, self._place_again, relay)
             return
@@ -234,6 +247,27 @@
         relay.tried.add(instance.identity)
         self._send(relay, instance, left_ms)
 
+    def _choose(
+        self, relay: Relay, instances: list[Instance], judged: Judgement
+    ) -> Instance | None:
+        now_ms = self._now_ms()
+        if judged.standing is not Standing.FREE:
+            return choose_for_suspect(self._placement, relay, instances, now_ms, judged)
+        answer_bytes = self._lessons.answer_bytes(relay.route.name)
+        return choose_server(self._placement, relay, instances, now_ms, answer_bytes)
+
+    def _hold_back(self, relay: Relay, judged: Judgement) -> None:
+        """Give up a request that ended servers, with the time of its next trial."""
+        self._log.failed(
+            "held_back",
+            relay.request_id,
+            digest=digest_text(judged.digest),
+            ends=len(judged.ends),
+            wait_ms=judged.wait_ms,
+        )
+        relay.retry_after_ms = judged.wait_ms
+        self._end(relay, HELD_BACK)
+
     def _place_again(self, relay: Relay) -> None:
         if not relay.ended:
             self._place(relay)
@@ -317,6 +351,10 @@
     ) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
+        if response.reason in (HELD_BACK, RUNS_ALREADY):
+            # No other server may run it either.
+            self._end(relay, response.reason)
+            return
         if response.reason == INSTANCE_LEAVING:
             self._lessons.refused_as_leaving(load)
         if not response.offered:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -139,6 +139,8 @@
         connection.respond(http, status=NOT_RUN_STATUS, header_lines=lines)
 
     def _wait_ms(self, relay: Relay) -> float:
+        if relay.retry_after_ms is not None:
+            return relay.retry_after_ms
         share = self._rng.uniform(*RETRY_AFTER_SHARES)
         return max(relay.route.target_latency_ms * share, MIN_RETRY_AFTER_MS)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -42,6 +42,7 @@
         may_have_run: whether an offer ended without a proof.
         repeats_spent: whether it, or a call below it, failed and wasn't repeated since
             too much is repeated.
+        retry_after_ms: wait that a refused caller is told; None for the usual one.
         last_answer: a failure that a backend server answered, while it is repeated.
         ended: whether the caller has its answer, or left.
         slot_ms: slot time that it and the calls below it took, by service.
@@ -69,10 +70,31 @@
     places: int = 0
     may_have_run: bool = False
     repeats_spent: bool = False
+    retry_after_ms: float | None = None
     last_answer: RelayResponse | None = None
     ended: bool = False
     slot_ms: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def method(self) -> str:
+        """Method of the request (SentRequest, as are the next three)."""
+        return self.http.method.decode("latin-1")
+
+    @property
+    def target(self) -> bytes:
+        """Path and query of the request."""
+        return self.http.target
+
+    @property
+    def headers(self) -> bytes:
+        """Header lines that are passed on."""
+        return self.header_lines
+
+    @property
+    def body(self) -> bytes:
+        """Body of the request."""
+        return self.http.body
+
 
 @dataclass(frozen=True, slots=True)
 class Unroutable:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -19,6 +19,7 @@
     ReplicaRequest,
     SummaryReply,
     SummaryRequest,
+    SuspectNews,
 )
 from sassafraswinch_sidecar.replica import Delta, Entry
 
@@ -35,6 +36,7 @@
     | ReplicaRequest
     | SummaryReply
     | SummaryRequest
+    | SuspectNews
 )
 
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -54,6 +56,7 @@
     FleetDigest: "fleet_digest",
     SummaryRequest: "summary_request",
     SummaryReply: "summary_reply",
+    SuspectNews: "suspect_news",
 }
 
 _DECODING_ERRORS = (TException, EOFError, TypeError, ValueError, OverflowError)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_choice.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_choice.py
@@ -1,7 +1,9 @@
 """Which server a request is sent to next, among those that its route allows."""
 
+import zlib
 from collections.abc import Sequence
 
+from sassafraswinch.crash_suspects import Judgement, Standing
 from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.placement import Placement
 from sassafraswinch_sidecar.relay_intake import Relay
@@ -32,3 +34,31 @@
             return chosen
     offered_to = [each for each in instances if each.identity in relay.offered_to]
     return placement.choose(offered_to, (), now_ms, answer_bytes)
+
+
+def choose_for_suspect(
+    placement: Placement,
+    relay: Relay,
+    instances: Sequence[Instance],
+    now_ms: float,
+    judged: Judgement,
+) -> Instance | None:
+    """Return the instance for a request under which servers ended.
+
+    Load pattern: copies of it arrive at many hosts at once, and each would end a
+    server. All hosts rank the servers alike for a request, so its copies meet at one,
+    which runs one at a time; and those who were lost with it go to other servers than
+    it does. A trial has no second choice: hosts that haven't heard of its end yet must
+    not try the next server.
+    """
+    ranked = sorted(instances, key=lambda each: _rank(judged.digest, each.ip))
+    if judged.standing is Standing.TRIAL:
+        ranked = ranked[:1]
+    choices = (
+        choose_server(placement, relay, [instance], now_ms) for instance in ranked
+    )
+    return next((choice for choice in choices if choice is not None), None)
+
+
+def _rank(digest: bytes, ip: str) -> int:
+    return zlib.crc32(digest + ip.encode())
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
@@ -0,0 +1,88 @@
+"""The ends of the backend server beside this sidecar, and what ran there then."""
+
+import secrets
+from collections import deque
+from collections.abc import Callable
+
+from sassafraswinch.request_digest import Digests, digest_text
+from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest
+from sassafraswinch_sidecar.request_log import RequestLog
+from sassafraswinch_sidecar.suspect_requests import SuspectRequests, digests_of
+
+NAME_BYTES = 4
+"""Random part of an end's name: an instance may start again under the id it had."""
+
+MOST_GIVEN_UP = 64
+"""Requests without an answer that are remembered; a server hangs under the first."""
+
+
+class ServerEnds:
+    """Makes suspects of the requests that ran when the server's process ended.
+
+    Only the sidecar beside a server can see that its process ended, so only it names an
+    end; all others repeat the name. Given up requests count as well until the server
+    answers anything: one under which it hangs is given up long before the hanging
+    server is ended.
+
+    Args:
+        suspects: is told of the suspects.
+        is_leaving: tells whether an instance was about to leave, so that its end says
+            nothing of its requests.
+        log: lines about single requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: SuspectRequests,
+        is_leaving: Callable[[str], bool],
+        log: RequestLog,
+    ):
+        self._suspects = suspects
+        self._is_leaving = is_leaving
+        self._log = log
+        self._name = ""
+        self._given_up: deque[tuple[str, Digests]] = deque(maxlen=MOST_GIVEN_UP)
+
+    @property
+    def has_given_up(self) -> bool:
+        """Whether requests were given up since the server's last answer."""
+        return bool(self._given_up)
+
+    def gave_up(self, request: RelayRequest) -> None:
+        """Note a request that is no longer waited for, and may still run."""
+        self._given_up.append((request.instance_id, digests_of(request)))
+
+    def answered(self) -> None:
+        """Note that the server answers, so it outlived what was given up."""
+        self._given_up.clear()
+
+    def begin(self, instance_id: str) -> None:
+        """Note that the server's process has ended, as the instance that it was."""
+        self._name = f"{instance_id}/{secrets.token_hex(NAME_BYTES)}"
+        given_up = [*self._given_up]
+        self._given_up.clear()
+        for instance_id, digests in given_up:
+            self._note(instance_id, digests)
+
+    def add(self, request: RelayRequest) -> str | None:
+        """Note a request that ran then; return the end's name, for its owner.
+
+        None where the end says nothing of the request.
+        """
+        return self._note(request.instance_id, digests_of(request), request.request_id)
+
+    def _note(
+        self, instance_id: str, digests: Digests, request_id: str = ""
+    ) -> str | None:
+        if self._is_leaving(instance_id):
+            return None
+        self._log.failed(
+            "ran_at_server_end",
+            request_id,
+            instance=instance_id,
+            end=self._name,
+            digest=digest_text(digests[0]),
+        )
+        self._suspects.ended(digests, self._name)
+        return self._name
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Collection
 
+from sassafraswinch.crash_suspects import CrashSuspects
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
@@ -43,6 +44,7 @@
     RelayCancel,
     RelayRequest,
     RelayResponse,
+    SuspectNews,
 )
 from sassafraswinch_sidecar.relay_wire import Message
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
@@ -54,6 +56,8 @@
 )
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
 from sassafraswinch_sidecar.standstill import Standstill
+from sassafraswinch_sidecar.suspect_exchange import SuspectExchange
+from sassafraswinch_sidecar.suspect_requests import SuspectRequests
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 from sassafraswinch_sidecar.zone_peers import ZonePeers
 
@@ -102,6 +106,18 @@
         self._view = FleetView(own_ip=settings.ip)
         self._log = RequestLog(now_ms=self._now_ms)
         self._held = HeldBytes(most_bytes=most_held_bytes(settings.memory_mb))
+        self._crash_suspects = CrashSuspects()
+        self._suspects = SuspectRequests(
+            suspects=self._crash_suspects,
+            now_ms=self._now_ms,
+            changed=self._suspects_changed,
+        )
+        self._suspect_exchange = SuspectExchange(
+            suspects=self._crash_suspects,
+            now_ms=self._now_ms,
+            changed=lambda: self._exchange.has_suspects(),
+        )
+        self._telling_suspects: asyncio.Handle | None = None
         backend = settings.address("backend")
         self._executor = Executor(
             service=settings.service,
@@ -109,6 +125,7 @@
             names=names,
             is_leaving=self._fleet.is_leaving,
             held=self._held,
+            suspects=self._suspects,
             log=self._log,
         )
         self._own_entry = OwnEntry(
@@ -161,6 +178,7 @@
             view=self._view,
             reports=self._reports,
             data=self._data,
+            suspects=self._suspect_exchange,
             now_ms=self._now_ms,
         )
         self._duty = ZoneDuty(
@@ -199,6 +217,7 @@
             ),
             admission=self._admission,
             budget=self._budget,
+            suspects=self._suspects,
             held=self._held,
             counts=self._counts,
             log=self._log,
@@ -258,6 +277,10 @@
         log_event("task_failed", level="error", error=repr(task.exception()))
         self._stopping.set()
 
+    def greeted(self, link: PeerLink) -> None:
+        """Tell a new peer which requests ended servers (LinkListener)."""
+        self._suspect_exchange.greet(link)
+
     def link_lost(self, ip: str) -> None:
         """Decide anew on the calls of a lost link (LinkListener)."""
         self._owner.link_lost(ip)
@@ -276,6 +299,8 @@
             self._owner.response(message, self._view.load(ip))
         elif isinstance(message, ExchangeMessage):
             self._exchange.dialled_message(ip, message)
+        elif isinstance(message, SuspectNews):
+            self._suspect_exchange.take(message)
         elif isinstance(message, HeartbeatReply):
             load = self._view.told(ip, message.load, self._now_ms())
             load.leaving = message.leaving
@@ -292,6 +317,8 @@
             self._executor.cancel(link, message.call_id)
         elif isinstance(message, ExchangeMessage):
             self._exchange.accepted_message(link, message)
+        elif isinstance(message, SuspectNews):
+            self._suspect_exchange.take(message)
         elif isinstance(message, Heartbeat):
             link.send(self._reports.reply(message.sequence))
         else:
@@ -301,6 +328,16 @@
         """Cancel what the peer can't be told the end of (LinkListener)."""
         self._executor.owner_lost(link)
 
+    def _suspects_changed(self) -> None:
+        """Tell the others soon: dozens of requests are lost with a server at once."""
+        if self._telling_suspects is None:
+            self._telling_suspects = self._loop.call_soon(self._tell_suspects)
+
+    def _tell_suspects(self) -> None:
+        self._telling_suspects = None
+        self._suspect_exchange.log_held()
+        self._exchange.has_news()
+
     def _announce(self) -> None:
         """Tell the zone what this sidecar knows of the platform by now."""
         self._exchange.has_news()
@@ -350,6 +387,7 @@
             if self._admission.due(now_ms):
                 self._share_duty(now_ms)
                 self._admit_anew(now_ms)
+                self._crash_suspects.forget(now_ms)
 
     def _notice_standstill(self) -> None:
         stood_ms = self._standstill.look()
@@ -359,6 +397,7 @@
         self._owner.stood_still(stood_ms)
         self._executor.stood_still(stood_ms)
         self._view.stood_still(stood_ms)
+        self._crash_suspects.stood_still(stood_ms)
 
     def _admit_anew(self, now_ms: float) -> None:
         capacities = capacities_of(self._fleet.serving(), self._loads.of)
@@ -419,6 +458,10 @@
             "owned_requests": self._owner.in_flight,
             "gathers": self._exchange.gathers,
             "view_age_ms": min(self._view.age_ms(self._now_ms()), NO_VIEW_MS),
+            "crash_suspects": len(self._crash_suspects),
+            "requests_held_back": sum(
+                1 for _ in self._crash_suspects.held_back(self._now_ms())
+            ),
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
             "platform_revision": self._data.revision,
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
@@ -0,0 +1,123 @@
+"""Hands on what sidecars know of requests that ended servers."""
+
+from collections.abc import Callable
+
+from sassafraswinch.crash_suspects import (
+    ENDS_TO_RUN_ALONE,
+    CrashSuspects,
+    Judgement,
+    Standing,
+    SuspectWord,
+)
+from sassafraswinch.request_digest import digest_text
+from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.peer_link import PeerLink
+from sassafraswinch_sidecar.relay_protocol.ttypes import Suspect, SuspectNews
+
+LONGEST_AGE_MS = 2**31 - 1
+"""Greatest age on the wire; anything near it was forgotten long before."""
+
+
+class SuspectExchange:
+    """Tells each peer what it wasn't told yet, and takes in what peers tell.
+
+    News goes with the rounds of gatherers, so it crosses the fleet in three of them,
+    half a second in zones of up to sixteen hosts. Each link has its own mark of what
+    was told, so nothing is sent twice, and a new link begins with all.
+
+    Args:
+        suspects: what is known.
+        now_ms: monotonic clock.
+        changed: called when a peer told something new.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: CrashSuspects,
+        now_ms: Callable[[], float],
+        changed: Callable[[], None],
+    ):
+        self._suspects = suspects
+        self._now_ms = now_ms
+        self._changed = changed
+        self._held: frozenset[bytes] = frozenset()
+
+    def greet(self, link: PeerLink) -> None:
+        """Tell a new peer at once which requests must not run freely.
+
+        Failure: a sidecar starts and has callers before the next round reaches it; it
+        would hand a request that is held back everywhere else to its own server.
+        """
+        words = self._suspects.words(self._now_ms(), least_ends=ENDS_TO_RUN_ALONE)
+        if words and link.takes_suspects:
+            link.send(serialize_news(words))
+
+    def tell(self, link: PeerLink) -> None:
+        """Tell a peer what is new since it was told last."""
+        if not link.takes_suspects:
+            return
+        last_change = self._suspects.last_change
+        if link.suspects_told == last_change:
+            return
+        words = self._suspects.words(self._now_ms(), after=link.suspects_told)
+        if not words or link.send(serialize_news(words)):
+            link.suspects_told = last_change
+
+    def take(self, news: SuspectNews) -> None:
+        """Take in what a peer tells."""
+        if self._suspects.take(parse_news(news), self._now_ms()):
+            self.log_held()
+            self._changed()
+
+    def log_held(self) -> None:
+        """Tell of each request that begins or ceases to be held back."""
+        held = {each.digest: each for each in self._suspects.held_back(self._now_ms())}
+        for digest in held.keys() - self._held:
+            _log_held(held[digest])
+        for digest in self._held - held.keys():
+            log_event("request_let_go", level="warning", digest=digest_text(digest))
+        self._held = frozenset(held)
+
+
+def serialize_news(words: list[SuspectWord]) -> SuspectNews:
+    """Write what is told of suspects."""
+    return SuspectNews([_serialize_word(word) for word in words])
+
+
+def parse_news(news: SuspectNews) -> list[SuspectWord]:
+    """Read what is told of suspects."""
+    return [
+        SuspectWord(
+            digest=told.digest,
+            end_ages_ms=dict(zip(told.ends, told.ages_ms, strict=False)),
+            answered_age_ms=told.answered_age_ms,
+        )
+        for told in news.suspects
+    ]
+
+
+def _serialize_word(word: SuspectWord) -> Suspect:
+    answered_ms = word.answered_age_ms
+    return Suspect(
+        digest=word.digest,
+        ends=list(word.end_ages_ms),
+        ages_ms=[_wire_age(age_ms) for age_ms in word.end_ages_ms.values()],
+        answered_age_ms=None if answered_ms is None else _wire_age(answered_ms),
+    )
+
+
+def _wire_age(age_ms: float) -> int:
+    return min(max(int(age_ms), 0), LONGEST_AGE_MS)
+
+
+def _log_held(judged: Judgement) -> None:
+    log_event(
+        "request_held_back",
+        level="warning",
+        digest=digest_text(judged.digest),
+        ends=len(judged.ends),
+        servers=",".join(judged.ends),
+        standing=Standing(judged.standing).name.lower(),
+        trial_in_ms=judged.wait_ms,
+    )
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_requests.py
@@ -0,0 +1,68 @@
+"""Looks requests up among those that ended servers."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from sassafraswinch.crash_suspects import UNSUSPECTED, CrashSuspects, Judgement
+from sassafraswinch.request_digest import Digests, RequestContent, digest_request
+
+HELD_BACK = "held-back"
+"""Reason of refusals: servers ended under this request, so it must not run now."""
+
+RUNS_ALREADY = "copy-runs"
+"""Reason of refusals: a copy of this request runs, and servers ended under it."""
+
+
+class SentRequest(Protocol):
+    """A request as its owner or the executing sidecar has it."""
+
+    method: str
+    target: bytes
+    headers: bytes
+    body: bytes
+
+
+def digests_of(request: SentRequest) -> Digests:
+    """Return the digests of a request."""
+    return digest_request(
+        RequestContent(request.method, request.target, request.headers, request.body)
+    )
+
+
+class SuspectRequests:
+    """The suspects, by the content of requests.
+
+    Args:
+        suspects: what is known.
+        now_ms: monotonic clock.
+        changed: called when this sidecar learns something that others don't know.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: CrashSuspects,
+        now_ms: Callable[[], float],
+        changed: Callable[[], None],
+    ):
+        self._suspects = suspects
+        self._now_ms = now_ms
+        self._changed = changed
+
+    def judge(self, request: SentRequest) -> Judgement:
+        """Return what a request may do."""
+        if not self._suspects.may_know(request.target):
+            return UNSUSPECTED
+        return self._suspects.judge(digests_of(request), self._now_ms())
+
+    def ended(self, digests: Digests, end: str) -> None:
+        """Note that a server ended while it ran a request."""
+        if self._suspects.ended(digests, end, self._now_ms()):
+            self._changed()
+
+    def answered(self, request: SentRequest) -> None:
+        """Note that a server ran a request to a good end."""
+        if not self._suspects.may_know(request.target):
+            return
+        if self._suspects.answered(digests_of(request), self._now_ms()):
+            self._changed()
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -31,6 +31,9 @@
         self.returned = []
         self.unwanted = set()
 
+    def greeted(self, link):
+        pass
+
     def link_lost(self, ip):
         pass
 
