--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -371,6 +371,10 @@
             self._end(relay, reason)
 
     def _repeat(self, relay: Relay, reason: str) -> None:
+        judged = self._suspects.judge(relay)
+        if judged.standing is Standing.HELD:
+            self._hold_back(relay, judged)
+            return
         self._log.failed(
             "repeated",
             relay.request_id,
