Fault soak: a request that ends the servers that run it, beside all other faults

FATAL=--fatal sends it at random hosts, two a second; servers start again after 0.3 to 1.5 s. The check: no more than three runs later than 3 s after the third end, counted anew when all processes were killed and nobody can know. Servers are linked without a proxy there, since a proxy would listen for a server that has ended.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 SEED ?= 1
 SEEDS ?= 5
 MINUTES ?= 1
+FATAL ?=
 
 .PHONY: setup test lint demo bench screen slopes soak fault-soak generate clean
 
@@ -42,10 +43,11 @@
 soak: setup
 	$(BIN)/python -m sassafraswinch_standins.soak --seed $(SEED) --minutes $(MINUTES)
 
-# Sidecars as processes, with faults from outside; a failed seed is printed.
+# Sidecars as processes, with faults from outside; a failed seed is printed. With
+# FATAL=--fatal a request that ends the servers that run it is sent as well.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
-		--first $(SEED) --seeds $(SEEDS)
+		--first $(SEED) --seeds $(SEEDS) $(FATAL)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -25,6 +25,8 @@
     idempotent: bool
     time_left_ms: int
     version: int = 0
+    same_target: bool = False
+    """Whether all its requests are for one target, in place of one each."""
 
 
 class Caller:
@@ -50,7 +52,7 @@
             host=self._host,
             caller_service=self._service,
             method=kind.method,
-            target=f"{kind.prefix}{number}",
+            target=kind.prefix if kind.same_target else f"{kind.prefix}{number}",
             idempotent=kind.idempotent,
             version=kind.version,
             lifetime=self.lifetime,
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -97,6 +97,7 @@
             await self._play.change_routes()
         for host in hosts:
             host.kill()
+        self._play.record.forgot_s.append(asyncio.get_running_loop().time())
         await self._wait(0.1, 1.0)
         for host in hosts:
             host.start()
@@ -216,6 +217,7 @@
     def _route(self, name: str):
         host = self._rng.choice(self._play.hosts)
         kind = self._rng.choice(["link", "link", "store", "server"])
+        kind = kind if kind in host.routes else "link"
         self.counts[f"{name}-{kind}"] += 1
         return host.routes[kind]
 
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -15,7 +15,7 @@
 from sassafraswinch_standins.relay_settings import RouteSettings
 
 from .callers import Caller, Kind, keep_asking
-from .record import Record
+from .record import FATAL_TARGET, Record
 from .server import ServerStandIn
 from .store import StoreStandIn
 
@@ -37,6 +37,18 @@
 ORDERS = Kind(prefix="/orders/", method="GET", idempotent=True, time_left_ms=3_000)
 PRICES = Kind(prefix="/prices/", method="GET", idempotent=True, time_left_ms=1_500)
 APPROVE = Kind(prefix="/approve/", method="POST", idempotent=False, time_left_ms=3_000)
+FATAL = Kind(
+    prefix=FATAL_TARGET,
+    method="GET",
+    idempotent=True,
+    time_left_ms=3_000,
+    same_target=True,
+)
+FATAL_PER_S = 2.0
+"""Requests that end servers, in all."""
+
+RESTART_S = (0.3, 1.5)
+"""Shortest and longest time in which a server that has ended starts again."""
 
 
 class Host:
@@ -63,6 +75,7 @@
             ip=self.ip,
             record=play.record,
             call=self._calls,
+            ended=self._server_ended,
             rng=play.rng,
         )
         self.caller = self._new_caller()
@@ -78,10 +91,13 @@
         )
         store = RouteSettings(name="store", target=self._play.store_address)
         server = RouteSettings(name="server", target=f"{self.ip}:{self.server.port}")
-        self._relay = Relay(routes=[link, store, server])
+        # A proxy would listen for a server that has ended.
+        proxied = [link, store] if self._play.fatal else [link, store, server]
+        self._relay = Relay(routes=proxied)
         addresses = await self._relay.start()
         self.routes = self._relay.routes
-        settings = self._settings(backend=addresses["server"], store=addresses["store"])
+        backend = addresses.get("server", server.target)
+        settings = self._settings(backend=backend, store=addresses["store"])
         self._settings_path.write_text(yaml.safe_dump(settings))
 
     def _settings(self, *, backend: str, store: str) -> dict[str, Any]:
@@ -153,6 +169,16 @@
         self.kill()
         return False
 
+    def _server_ended(self) -> None:
+        """Start the server again, some time after a request has ended it."""
+        self.server.crash()
+        self._restarting = asyncio.create_task(self._restart_server())
+
+    async def _restart_server(self) -> None:
+        await asyncio.sleep(self._play.rng.uniform(*RESTART_S))
+        await self.server.start()
+        await self.publish()
+
     async def publish(self, state: str = "ready") -> None:
         """Write the server's entry."""
         key = f"servers/{self.server.instance_id}"
@@ -185,12 +211,16 @@
         seed: seed of all that is drawn.
         directory: where the processes' settings and logs go.
         copies: hosts for each entry of ``SERVICES``; 41 at most.
+        fatal: whether callers send a request that ends the servers that run it.
 
     Attributes:
         version: version of the routes in the store.
     """
 
-    def __init__(self, *, seed: int, directory: Path, copies: int = 1):
+    def __init__(
+        self, *, seed: int, directory: Path, copies: int = 1, fatal: bool = False
+    ):
+        self.fatal = fatal
         self.rng = random.Random(seed)
         self.directory = directory
         self.record = Record()
@@ -264,6 +294,14 @@
             for host in self.hosts
         ]
 
+    async def send_fatal(self) -> None:
+        """Send the request that ends servers, at any host, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self.rng.expovariate(FATAL_PER_S))
+                host = self.rng.choice(self.hosts)
+                group.create_task(host.caller.ask(FATAL))
+
     async def until_served(self, ceiling_s: float = 40.0) -> None:
         """Wait until every host serves every kind of request, the newest included.
 
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -36,15 +36,22 @@
 
 
 async def play(
-    seed: int, directory: Path, *, chaos_s: float = CHAOS_S, copies: int = 1
+    seed: int,
+    directory: Path,
+    *,
+    chaos_s: float = CHAOS_S,
+    copies: int = 1,
+    fatal: bool = False,
 ) -> Outcome:
     """Play one seed; logs of the processes stay in the directory."""
     outcome = Outcome(seed)
-    game = Play(seed=seed, directory=directory, copies=copies)
+    game = Play(seed=seed, directory=directory, copies=copies, fatal=fatal)
     chaos = Chaos(play=game, rng=random.Random(seed + 1))
     try:
         await game.open()
         asking = game.ask_everywhere()
+        if fatal:
+            asking.append(asyncio.create_task(game.send_fatal()))
         await chaos.run(chaos_s)
         try:
             await game.until_served()
@@ -71,7 +78,12 @@
 
 
 def main(
-    *, first: int = 1, seeds: int = 1, chaos_s: float = CHAOS_S, copies: int = 1
+    *,
+    first: int = 1,
+    seeds: int = 1,
+    chaos_s: float = CHAOS_S,
+    copies: int = 1,
+    fatal: bool = False,
 ) -> None:
     """Play seeds in turn; the exit code is 1 if a promise was broken.
 
@@ -80,12 +92,15 @@
         seeds: how many.
         chaos_s: time in which faults begin, in seconds.
         copies: six hosts each.
+        fatal: send a request that ends the servers that run it as well.
     """
     failed = []
     for seed in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))
         began_s = time.monotonic()
-        outcome = asyncio.run(play(seed, directory, chaos_s=chaos_s, copies=copies))
+        outcome = asyncio.run(
+            play(seed, directory, chaos_s=chaos_s, copies=copies, fatal=fatal)
+        )
         took_s = time.monotonic() - began_s
         statuses = {str(key): n for key, n in outcome.statuses.most_common()}
         print(f"seed {seed}: {took_s:.0f} s, {outcome.runs} runs, {statuses}")
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -1,6 +1,8 @@
 """What callers sent and servers ran, and the promises that must hold between them."""
 
 import hashlib
+import itertools
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -15,6 +17,15 @@
 """Time after a server's leaving was published in which requests may still come: the
 two seconds of the platform, and room for a busy machine."""
 
+FATAL_TARGET = "/orders/fatal"
+"""Target of the request that ends each server that runs it."""
+
+FATAL_ENDS = 3
+"""Servers that may end under it, and retries that may follow those in the long run."""
+
+SPREAD_S = 3.0
+"""Time after the last of these ends in which all hosts must know of them."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Sent:
@@ -61,6 +72,8 @@
     runs: list[Run] = field(default_factory=list)
     services_of: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     """Services to which any version of the routes sent a path prefix."""
+    forgot_s: list[float] = field(default_factory=list)
+    """When all processes were killed, so that nobody knew anything any more."""
 
     def broken_promises(self) -> list[str]:
         """Return a line for each promise that was broken."""
@@ -75,8 +88,23 @@
                 for line in _wrong_answer(sent, runs_of[sent.request_id])
             ),
             *self._falling_versions(),
+            *self._fatal_runs(),
         ]
 
+    def _fatal_runs(self) -> list[str]:
+        """Return where servers went on to end under a request that ended three."""
+        fatal = [run for run in self.runs if run.target == FATAL_TARGET]
+        lines = []
+        for since_s, until_s in itertools.pairwise([0.0, *self.forgot_s, math.inf]):
+            runs_s = sorted(
+                r.started_s for r in fatal if since_s < r.started_s < until_s
+            )
+            known_s = [at + SPREAD_S for at in runs_s[FATAL_ENDS - 1 : FATAL_ENDS]]
+            late = [at for at in runs_s if known_s and at > known_s[0]]
+            if len(late) > FATAL_ENDS:
+                lines.append(f"went on ending servers: {len(runs_s)} runs, {late} late")
+        return lines
+
     def _wrong_run(self, run: Run) -> list[str]:
         sent = self.sent.get(run.request_id)
         if sent is None:
--- a/tests/fault_soak/server.py
+++ b/tests/fault_soak/server.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from .record import Record, Run, body_of
+from .record import FATAL_TARGET, Record, Run, body_of
 
 SLOTS = 8
 RUN_S = (0.02, 0.12)
@@ -81,7 +81,14 @@
     """
 
     def __init__(
-        self, *, service: str, ip: str, record: Record, call: Call, rng: random.Random
+        self,
+        *,
+        service: str,
+        ip: str,
+        record: Record,
+        call: Call,
+        ended: Callable[[], None],
+        rng: random.Random,
     ):
         self.service = service
         self.ip = ip
@@ -90,6 +97,7 @@
         self.connections: set[ServerConnection] = set()
         self.well()
         self._call = call
+        self._ended = ended
         self._rng = rng
         self._running = 0
         self._drained_since_s: float | None = None
@@ -102,7 +110,9 @@
         self.slow_x = 1.0
 
     async def start(self) -> None:
-        """Begin a new lifetime at the same address."""
+        """Begin a new lifetime at the same address, unless one runs there."""
+        if self._server is not None:
+            return
         self.instance_id = f"i-{next(_numbers):04x}"
         self._running = 0
         self._drained_since_s = None
@@ -114,7 +124,10 @@
 
     def crash(self) -> None:
         """End without a word."""
+        if self._server is None:
+            return
         self._server.close()
+        self._server = None
         for connection in tuple(self.connections):
             connection.transport.abort()
 
@@ -167,6 +180,8 @@
             )
         )
         await asyncio.sleep(self._rng.uniform(*RUN_S) * self.slow_x)
+        if connection.target.decode() == FATAL_TARGET:
+            self._ended()
         return await self._call(request_id)
 
     async def _answer(self, connection, status: int, request_id: str) -> None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -3,7 +3,15 @@
 import pytest
 
 from fault_soak.play import play
-from fault_soak.record import DRAIN_CEILING_S, Record, Run, Sent, body_of
+from fault_soak.record import (
+    DRAIN_CEILING_S,
+    FATAL_TARGET,
+    SPREAD_S,
+    Record,
+    Run,
+    Sent,
+    body_of,
+)
 
 SEED = 2
 """All processes are killed once, others paused and killed; links are cut and silenced,
@@ -24,6 +32,16 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_request_that_ends_servers_is_held_back_while_all_else_fails(tmp_path):
+    """One request ends each server that runs it and comes again at any host, while
+    processes, links and servers fail around it. It may end three servers, and those
+    that run it before all hosts can know.
+    """
+    outcome = await play(SEED, tmp_path, fatal=True)
+    assert not outcome.broken
+    assert outcome.statuses[200] > outcome.statuses.total() / 2
+
+
 def sent(**fields) -> Sent:
     known = {
         "request_id": "a",
@@ -104,5 +122,24 @@
     assert broken([new, old], runs) == []
 
 
+def fatal_runs(*starts_s) -> list[str]:
+    record = Record()
+    record.services_of["/orders/"].add("archiv")
+    request = sent(target=FATAL_TARGET, idempotent=True, method="GET", status=502)
+    record.sent = {"a": request}
+    record.runs = [
+        run(target=FATAL_TARGET, service="archiv", method="GET", started_s=at)
+        for at in starts_s
+    ]
+    return [line.partition(":")[0] for line in record.broken_promises()]
+
+
+def test_request_that_goes_on_ending_servers_is_noticed():
+    late = [3.0 + SPREAD_S + number for number in range(1, 5)]
+    assert fatal_runs(1.0, 2.0, 3.0, *late[:3]) == []
+    assert fatal_runs(1.0, 2.0, 3.0, 3.1, 3.2, 3.3) == []
+    assert fatal_runs(1.0, 2.0, 3.0, *late) == ["went on ending servers"]
+
+
 def test_bodies_differ_between_requests():
     assert body_of("a") != body_of("b")
