Screen: servers that end, by themselves and under a request that comes again

Four load patterns, alone and over a surge and plain crashes, with the decisions that run: register, both gates, ranking of servers, gossip by rounds.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen.py
@@ -49,7 +49,11 @@
     """Play one pattern once."""
     played = Screen(pattern=PATTERNS[name], seed=seed)
     played.run(seconds + TAIL_SECONDS)
-    return figures_of(played.tallies, seconds)
+    crashes = played.crashes
+    return figures_of(played.tallies, seconds) | {
+        "servers ended": crashes.ended,
+        "innocent held": len(crashes.held),
+    }
 
 
 def screen(
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_crashes.py
@@ -0,0 +1,133 @@
+"""Servers of the screen that end, by themselves or under a request, and suspects."""
+
+import itertools
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from sassafraswinch.crash_suspects import Judgement, Standing
+from sassafraswinch.request_digest import Digests
+from sassafraswinch_sidecar.executor import Execution
+from sassafraswinch_sidecar.relay_protocol.ttypes import Verdict
+
+if TYPE_CHECKING:
+    from sassafraswinch_standins.screen_fleet import Host, Screen
+
+DOWN_MS = 2_000.0
+"""Time after which a server that has ended runs again."""
+
+FATAL_RUN_MS = (30.0, 120.0)
+"""Shortest and longest run of a request that ends its server."""
+
+FATAL = "fatal"
+"""Key of the request that ends servers; those of others are numbers."""
+
+
+def digests_of_key(key: str) -> Digests:
+    """Return the digests of a request of the screen."""
+    return (key.encode().ljust(16),)
+
+
+class ServerCrashes:
+    """Ends servers, and counts what that costs.
+
+    Attributes:
+        ended: servers that ended.
+        fatal_sent: fatal requests that were sent.
+        held: innocent requests that were held back, by key.
+    """
+
+    def __init__(self, *, screen: "Screen"):
+        self.ended = 0
+        self.fatal_sent = 0
+        self.held: set[str] = set()
+        self._screen = screen
+        self._names = itertools.count(1)
+
+    def begin(self) -> None:
+        """Start what the pattern's spells bring."""
+        for spell in self._screen.pattern.spells:
+            for per_s, act in (
+                (spell.crashes_per_s, self._crash_any),
+                (spell.fatal_per_s, self._send_fatal),
+            ):
+                if per_s:
+                    self._after(spell.from_s * 1000, spell, per_s, act)
+
+    def runs(self, host: "Host", execution: Execution) -> None:
+        """Let a fatal request end its server soon after it began to run."""
+        if execution.request.request_id == FATAL:
+            wait_ms = self._screen.rng.uniform(*FATAL_RUN_MS)
+            self._screen.clock.after(wait_ms, lambda: self._ends_under(host, execution))
+
+    def judge(self, host: "Host", key: str) -> Judgement:
+        """Return what a request may do, as a host knows."""
+        judged = host.suspects.judge(digests_of_key(key), self._screen.now_ms())
+        if judged.standing is Standing.HELD and key != FATAL:
+            self.held.add(key)
+        return judged
+
+    def refuses(self, host: "Host", key: str) -> bool:
+        """Return whether the last gate keeps a request from a host's server."""
+        standing = self.judge(host, key).standing
+        copies = (each.request.request_id == key for each in host.executions)
+        return standing is Standing.HELD or (
+            standing is not Standing.FREE and any(copies)
+        )
+
+    def crash(self, host: "Host") -> None:
+        """End the server's process; another one starts in its place."""
+        if not host.up:
+            return
+        self.ended += 1
+        host.up = False
+        now_ms = self._screen.now_ms()
+        name = f"i-{next(self._names)}"
+        for execution in list(host.executions):
+            began = execution.place.started_at_ms is not None
+            if began:
+                digests = digests_of_key(execution.request.request_id)
+                host.suspects.ended(digests, name, now_ms)
+            else:
+                host.queue.withdraw(execution.place)
+            verdict = Verdict.MAY_HAVE_RUN if began else Verdict.NOT_RUN
+            self._screen.end(host, execution, verdict, "server-ended")
+        self._screen.clock.after(DOWN_MS, lambda: setattr(host, "up", True))
+
+    def _ends_under(self, host: "Host", execution: Execution) -> None:
+        if not execution.ended:
+            self.crash(host)
+
+    def _after(self, wait_ms, spell, per_s, act) -> None:
+        def again() -> None:
+            if spell.holds(self._screen.now_ms()):
+                act(spell.service)
+                gap_ms = self._screen.rng.expovariate(per_s) * 1000
+                self._after(gap_ms, spell, per_s, act)
+
+        self._screen.clock.after(wait_ms, again)
+
+    def _crash_any(self, service: str) -> None:
+        hosts = [
+            host
+            for host in self._screen.hosts.values()
+            if host.instance.service == service
+        ]
+        self.crash(self._screen.rng.choice(hosts))
+
+    def _send_fatal(self, service: str) -> None:
+        kinds = self._screen.pattern.kinds.items()
+        name = next(n for n, k in kinds if k.service == service and k.worth)
+        host = self._screen.hosts[self._screen.rng.choice(self._screen.ips)]
+        self.fatal_sent += 1
+        self._screen.enter(host, name, None, lambda status: None, FATAL)
+
+
+def tell_suspects(zone: str, hosts: Iterable["Host"], now_ms: float) -> None:
+    """Tell the hosts of a zone what all hosts learnt since its last round."""
+    tellers = [host for host in hosts if host.told.get(zone) != host.last_change]
+    for teller in tellers:
+        words = teller.suspects.words(now_ms, after=teller.told.get(zone, 0))
+        teller.told[zone] = teller.last_change
+        for host in hosts:
+            if host.instance.availability_zone == zone:
+                host.suspects.take(words, now_ms)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from functools import partial
 
+from sassafraswinch.crash_suspects import CrashSuspects, Standing
 from sassafraswinch.fitting_shares import Claim
 from sassafraswinch_sidecar.entry_admission import (
     LEVELS,
@@ -29,7 +30,7 @@
 )
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals, sum_counts
-from sassafraswinch_sidecar.server_choice import choose_server
+from sassafraswinch_sidecar.server_choice import choose_for_suspect, choose_server
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
 from sassafraswinch_sidecar.slot_times import (
     add_slot_times,
@@ -39,6 +40,11 @@
 from sassafraswinch_sidecar.zone_gatherer import PAUSE_MS
 from sassafraswinch_standins.screen_callers import Caller, Tally
 from sassafraswinch_standins.screen_clock import Clock
+from sassafraswinch_standins.screen_crashes import (
+    ServerCrashes,
+    digests_of_key,
+    tell_suspects,
+)
 from sassafraswinch_standins.screen_load import Pattern, route_of
 
 ZONES = 3
@@ -65,6 +71,10 @@
         now_ms = screen.now_ms
         self.instance = instance
         self.speed = speed
+        self.up = True
+        self.executions: set[Execution] = set()
+        self.suspects = CrashSuspects()
+        self.told: dict[str, int] = {}
         self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
         self.loads = {ip: PeerLoad() for ip in screen.ips}
         self.admission = EntryAdmission()
@@ -91,7 +101,12 @@
     def load(self) -> ServerLoad:
         """Return what peers are told."""
         queue = self.queue
-        return ServerLoad(queue.running, queue.queued, queue.limit)
+        return ServerLoad(queue.running, queue.queued, queue.limit if self.up else 0)
+
+    @property
+    def last_change(self) -> int:
+        """Number of the last change of its suspects."""
+        return self.suspects.last_change
 
 
 class Screen:
@@ -106,6 +121,8 @@
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.pattern = pattern
+        self.crashes = ServerCrashes(screen=self)
+        self._keys = itertools.count(1)
         self.tallies = {
             name: Tally() for name, kind in pattern.kinds.items() if kind.worth
         }
@@ -135,6 +152,7 @@
             self.clock.after(
                 self.rng.uniform(0, PAUSE_MS), partial(_gather, self, zone)
             )
+        self.crashes.begin()
         self.clock.run(seconds * 1000)
 
     def instances_of(self, service: str) -> list[Instance]:
@@ -167,16 +185,16 @@
         abusive = self.rng.random() < self.pattern.abuse_share(self.now_ms())
         Caller(
             kind=kind,
-            send=partial(self._send, name),
+            send=partial(self._send, name, str(next(self._keys))),
             tally=self.tallies[name],
             clock=self.clock,
             rng=self.rng,
             is_abusive=abusive,
         )
 
-    def _send(self, name: str, done: Done) -> None:
+    def _send(self, name: str, key: str, done: Done) -> None:
         host = self.hosts[self.rng.choice(self.ips)]
-        self.enter(host, name, None, done)
+        self.enter(host, name, None, done, key)
 
     def _tick(self, host: Host) -> None:
         now_ms = self.now_ms()
@@ -190,9 +208,12 @@
         self.clock.after(TICK_MS, lambda: self._tick(host))
 
     def enter(
-        self, host: Host, name: str, parent: Execution | None, done: Done
+        self, host: Host, name: str, parent: Execution | None, done: Done, key: str
     ) -> None:
-        """Take a request at a host; ``done`` gets its status once."""
+        """Take a request at a host; ``done`` gets its status once.
+
+        Its key stays the same when its caller, or the run that calls, sends it again.
+        """
         kind, route = self.pattern.kinds[name], self.routes[name]
         deadline_ms = self.now_ms() + kind.timeout_ms
         relay = Relay(
@@ -200,7 +221,7 @@
             connection=host,
             route=route,
             service=kind.service,
-            request_id="",
+            request_id=key,
             header_lines=b"",
             deadline_ms=min(deadline_ms, parent.deadline_ms) if parent else deadline_ms,
             priority=parent.request.priority if parent else kind.priority,
@@ -218,11 +239,20 @@
 
     def _place(self, host: Host, relay: Relay) -> None:
         now_ms = self.now_ms()
+        judged = self.crashes.judge(host, relay.request_id)
+        if judged.standing is Standing.HELD:
+            self._fail(host, relay)
+            return
         left_ms = relay.deadline_ms - now_ms
         instance = None
         if left_ms >= MIN_RETRY_LEFT_MS and relay.places - relay.offers < MAX_PLACES:
             instances = self.instances_of(relay.service)
-            instance = choose_server(host.placement, relay, instances, now_ms)
+            if judged.standing is Standing.FREE:
+                instance = choose_server(host.placement, relay, instances, now_ms)
+            else:
+                instance = choose_for_suspect(
+                    host.placement, relay, instances, now_ms, judged
+                )
         if instance is None:
             self._fail(host, relay)
             return
@@ -234,6 +264,7 @@
         host.repeats.sent(relay)
         host.loads[instance.ip].sent_since += 1
         request = RelayRequest(
+            request_id=relay.request_id,
             remaining_ms=int(left_ms),
             max_wait_ms=int(wait_ms),
             priority=relay.priority,
@@ -264,9 +295,13 @@
             request.progress,
             request.last,
         )
+        if not host.up or self.crashes.refuses(host, request.request_id):
+            self.end(host, execution, Verdict.NOT_RUN, "refused")
+            return
         if not host.queue.offer(execution.place, now_ms):
             self.end(host, execution, Verdict.NOT_RUN, "overloaded")
             return
+        host.executions.add(execution)
         self._start(host)
 
     def _start(self, host: Host) -> None:
@@ -280,6 +315,7 @@
             shed = lambda: self.end(host, execution, Verdict.NOT_RUN, "server-shed")  # noqa: E731
             self.clock.after(SHED_MS, shed)
             return
+        self.crashes.runs(host, execution)
         kind = self.pattern.kinds[execution.owner]
         mean_ms = kind.work_ms * host.speed * max((s.slower for s in spells), default=1)
         work_ms = mean_ms * self.rng.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
@@ -288,6 +324,8 @@
         names = [call.kind for call in calls]
 
         def call_on() -> None:
+            if execution.ended:
+                return
             batch = names[:] if together else names[:1]
             del names[: len(batch)]
             if not batch or self.now_ms() > execution.deadline_ms:
@@ -307,21 +345,30 @@
                 else:
                     self._finished(host, execution, 500)
 
-            for name in batch:
-                self.enter(host, name, execution, called)
+            for number, name in enumerate(batch):
+                key = f"{execution.request.request_id}/{len(names)}.{number}"
+                self.enter(host, name, execution, called, key)
 
         self.clock.after(work_ms, call_on)
 
     def _finished(self, host: Host, execution: Execution, status: int) -> None:
+        if execution.ended:
+            return
         late = self.now_ms() > execution.deadline_ms
+        if not late and status == 200:
+            digests = digests_of_key(execution.request.request_id)
+            host.suspects.answered(digests, self.now_ms())
         self.end(host, execution, Verdict.ANSWERED, "", 504 if late else status)
 
     def end(
         self, host: Host, execution: Execution, verdict: int, reason: str, status=0
     ) -> None:
         """End an execution and tell its owner."""
+        if execution.ended:
+            return
+        host.executions.discard(execution)
         place, now_ms = execution.place, self.now_ms()
-        if place.started_at_ms is not None and not execution.ended:
+        if place.started_at_ms is not None:
             service = host.instance.service
             held_ms = host.queue.finished(place, now_ms)
             add_slot_times(execution.slot_ms, {service: held_ms})
@@ -356,8 +403,17 @@
             if failed and host.repeats.allow_failed(relay):
                 self._repeat(host, relay)
                 return
+            if not failed:
+                digests = digests_of_key(relay.request_id)
+                host.suspects.answered(digests, self.now_ms())
             host.lessons.answered(relay, response)
             self._done(relay, response.status)
+        elif response.verdict == Verdict.MAY_HAVE_RUN:
+            if host.repeats.allow_failed(relay):
+                self._repeat(host, relay)
+            else:
+                host.lessons.failed(relay)
+                self._done(relay, 502)
         elif not response.offered:
             self._place(host, relay)
         elif host.repeats.allow_unrun(relay):
@@ -393,6 +449,7 @@
     hosts = screen.hosts.values()
     demand = merge_claims(host.admission.demand() for host in hosts)
     counts = sum_counts(host.budget.counted(now_ms) for host in hosts)
+    tell_suspects(f"zone-{zone}", hosts, now_ms)
     for host in hosts:
         if host.instance.availability_zone != f"zone-{zone}":
             continue
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
@@ -86,6 +86,8 @@
         service: the service; empty with ``load`` alone.
         lost: how many servers of the service can't be reached, its first ones.
         abuse_share: callers that ignore Retry-After and ask three times more at once.
+        crashes_per_s: servers of the service that end by themselves.
+        fatal_per_s: copies of one request that ends each server that runs it.
     """
 
     from_s: float
@@ -96,6 +98,8 @@
     slower: float = 1.0
     lost: int = 0
     abuse_share: float = 0.0
+    crashes_per_s: float = 0.0
+    fatal_per_s: float = 0.0
 
     def holds(self, now_ms: float) -> bool:
         """Return whether it holds now."""
@@ -258,6 +262,27 @@
             ),
         ),
     ),
+    "crashes": replace(
+        WIDE, spells=(Spell(from_s=4, until_s=12, service="front", crashes_per_s=1.5),)
+    ),
+    "fatal": replace(
+        WIDE, spells=(Spell(from_s=4, until_s=12, service="front", fatal_per_s=4.0),)
+    ),
+    "fatal-and-crashes": replace(
+        WIDE,
+        spells=(
+            Spell(from_s=4, until_s=12, service="front", fatal_per_s=4.0),
+            Spell(from_s=4, until_s=12, service="front", crashes_per_s=1.0),
+        ),
+    ),
+    "fatal-in-surge": replace(
+        WIDE,
+        load=1.35,
+        spells=(
+            Spell(from_s=3, until_s=13, load=1.6),
+            Spell(from_s=4, until_s=12, service="front", fatal_per_s=4.0),
+        ),
+    ),
     "server-lost": replace(
         WIDE, load=1.1, spells=(Spell(from_s=5, until_s=11, service="office", lost=1),)
     ),
