Operators see the requests that ended servers, and can let one go

GET /suspects on the metrics port lists digest, standing, ends and servers; POST /suspects/DIGEST/clear clears one at all hosts, over the links that tell of suspects, so nothing is written anywhere. Tests of that page and of what sidecars tell each other (once a link, never to older ones).

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -58,6 +58,7 @@
 from sassafraswinch_sidecar.standstill import Standstill
 from sassafraswinch_sidecar.suspect_exchange import SuspectExchange
 from sassafraswinch_sidecar.suspect_requests import SuspectRequests
+from sassafraswinch_sidecar.suspects_page import SuspectsPage
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 from sassafraswinch_sidecar.zone_peers import ZonePeers
 
@@ -65,6 +66,9 @@
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
 a timer for each request costs a twentieth of its processor time."""
 
+FORGET_MS = 10_000.0
+"""Pause between looks for suspects that are too old: they live for a minute or more."""
+
 NO_VIEW_MS = 1e9
 """Age that the metrics show while nobody has told anything of the fleet."""
 
@@ -117,6 +121,7 @@
             now_ms=self._now_ms,
             changed=lambda: self._exchange.has_suspects(),
         )
+        self._forget_at_ms = 0.0
         self._telling_suspects: asyncio.Handle | None = None
         backend = settings.address("backend")
         self._executor = Executor(
@@ -231,7 +236,12 @@
             held=self._held,
         )
         self._metrics = HttpListener(
-            handler=MetricsPage(counts=self._counts, gauges=self._gauges),
+            handler=SuspectsPage(
+                suspects=self._crash_suspects,
+                others=MetricsPage(counts=self._counts, gauges=self._gauges),
+                now_ms=self._now_ms,
+                cleared=self._suspects_changed,
+            ),
             limits=lambda: DEFAULT_LIMITS,
             held=self._held,
         )
@@ -387,6 +397,8 @@
             if self._admission.due(now_ms):
                 self._share_duty(now_ms)
                 self._admit_anew(now_ms)
+            if now_ms >= self._forget_at_ms:
+                self._forget_at_ms = now_ms + FORGET_MS
                 self._crash_suspects.forget(now_ms)
 
     def _notice_standstill(self) -> None:
@@ -459,9 +471,7 @@
             "gathers": self._exchange.gathers,
             "view_age_ms": min(self._view.age_ms(self._now_ms()), NO_VIEW_MS),
             "crash_suspects": len(self._crash_suspects),
-            "requests_held_back": sum(
-                1 for _ in self._crash_suspects.held_back(self._now_ms())
-            ),
+            "requests_held_back": len(self._crash_suspects.held_back(self._now_ms())),
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
             "platform_revision": self._data.revision,
--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -10,8 +10,9 @@
 from sassafraswinch.crash_suspects import Standing
 from sassafraswinch.request_digest import RequestContent, digest_request
 from sassafraswinch_node.logs import configure_logs
+from sassafraswinch_sidecar.sidecar_settings import Address
 from sidecar_standins.backend import answer
-from sidecar_standins.fleet import running_fleet, until
+from sidecar_standins.fleet import call, running_fleet, until
 
 
 @pytest.fixture
@@ -366,6 +367,36 @@
         assert statuses == [200] * 3
 
 
+async def test_operator_sees_and_clears_a_request_that_is_held_back(log):
+    """An operator follows a 502 to the request that ended three servers, has the
+    servers mended, and lets the request go again without waiting for its trial.
+    """
+    async with running_fleet("archiv", "archiv", "schvaleni") as fleet:
+        servers = CrashingServers(fleet, "archiv")
+        await end_three_servers(fleet, servers)
+        await asyncio.sleep(SPREAD_S)
+        await servers.all_up()
+        (told,) = [
+            line for line in log.getvalue().splitlines() if "request_held_back" in line
+        ][:1]
+        digest = told.partition("digest=")[2].split()[0]
+        node = fleet.nodes[2]
+        page = Address(ip=node.ip, port=node.settings.metrics_port)
+        listed = await call(page, target="/suspects")
+        assert f"digest={digest} standing=held ends=3".encode() in listed.body
+        assert (
+            await call(page, target="/suspects/00/clear", method="POST")
+        ).status == (404)
+        cleared = await call(page, target=f"/suspects/{digest}/clear", method="POST")
+        assert cleared.status == 204
+        servers.fatal.clear()
+        await asyncio.sleep(SPREAD_S)
+        for each in fleet.nodes:
+            got = await fleet.call(each, target=BAD, request_id=f"r-{each.ip}")
+            assert got.status == 200
+        assert (await call(page, target="/suspects")).body == b""
+
+
 def digests_of_get(target):
     headers = b"Host: shop.example\r\n"
     return digest_request(RequestContent("GET", target.encode(), headers, b""))
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_suspect_exchange.py
@@ -0,0 +1,118 @@
+"""What sidecars tell each other of requests that ended servers."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from sassafraswinch.crash_suspects import CrashSuspects, Standing, SuspectWord
+from sassafraswinch_node.frames import LENGTH_BYTES
+from sassafraswinch_sidecar.relay_wire import parse_message, serialize_message
+from sassafraswinch_sidecar.suspect_exchange import (
+    LONGEST_AGE_MS,
+    SuspectExchange,
+    parse_news,
+    serialize_news,
+)
+
+BAD = (b"b" * 16,)
+AGES = st.integers(0, LONGEST_AGE_MS)
+
+
+class Link:
+    """A link that keeps what is sent, or is closed."""
+
+    def __init__(self, *, takes_suspects=True, is_open=True):
+        self.takes_suspects = takes_suspects
+        self.suspects_told = 0
+        self.is_open = is_open
+        self.sent = []
+
+    def send(self, message):
+        if self.is_open:
+            self.sent.append(message)
+        return self.is_open
+
+
+@pytest.fixture
+def suspects():
+    return CrashSuspects()
+
+
+@pytest.fixture
+def changes():
+    return []
+
+
+@pytest.fixture
+def exchange(suspects, changes):
+    return SuspectExchange(
+        suspects=suspects, now_ms=lambda: 1_000.0, changed=lambda: changes.append(1)
+    )
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            SuspectWord,
+            digest=st.binary(min_size=16, max_size=16),
+            end_ages_ms=st.dictionaries(st.text(max_size=20), AGES, max_size=4),
+            answered_age_ms=st.none() | AGES,
+        ),
+        max_size=4,
+    )
+)
+def test_words_come_back_equal(words):
+    payload = serialize_message(serialize_news(words))[LENGTH_BYTES:]
+    assert parse_news(parse_message(payload)) == words
+
+
+def test_link_is_told_only_what_is_new(exchange, suspects):
+    link = Link()
+    suspects.ended(BAD, "i-1", 900.0)
+    exchange.tell(link)
+    exchange.tell(link)
+    assert len(link.sent) == 1
+    suspects.ended(BAD, "i-2", 950.0)
+    exchange.tell(link)
+    assert len(link.sent) == 2
+
+
+def test_what_was_not_sent_is_told_again(exchange, suspects):
+    link = Link(is_open=False)
+    suspects.ended(BAD, "i-1", 900.0)
+    exchange.tell(link)
+    link.is_open = True
+    exchange.tell(link)
+    assert len(link.sent) == 1
+
+
+def test_older_sidecar_is_told_nothing(exchange, suspects):
+    """A release replaces the sidecars one by one. An older one would give up the link
+    for a message that it doesn't know.
+    """
+    link = Link(takes_suspects=False)
+    for number in range(3):
+        suspects.ended(BAD, f"i-{number}", 900.0)
+    exchange.greet(link)
+    exchange.tell(link)
+    assert not link.sent
+
+
+def test_greeting_tells_of_requests_that_must_not_run_freely(exchange, suspects):
+    link = Link()
+    suspects.ended((b"o" * 16,), "i-1", 900.0)
+    exchange.greet(link)
+    assert not link.sent
+    for number in range(3):
+        suspects.ended(BAD, f"i-{number}", 900.0)
+    exchange.greet(link)
+    (news,) = link.sent
+    assert [told.digest for told in news.suspects] == list(BAD)
+
+
+def test_news_is_handed_on_once(exchange, suspects, changes):
+    words = [SuspectWord(BAD[0], {"a": 1.0, "b": 2.0, "c": 3.0})]
+    exchange.take(serialize_news(words))
+    exchange.take(serialize_news(words))
+    assert len(changes) == 1
+    assert suspects.judge(BAD, 1_000.0).standing is Standing.HELD
--- a/packages/sassafraswinch/sassafraswinch/crash_suspects.py
+++ b/packages/sassafraswinch/sassafraswinch/crash_suspects.py
@@ -14,7 +14,7 @@
 import enum
 import itertools
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from sassafraswinch.request_digest import TAG_BYTES, Digests, path_tag
@@ -169,10 +169,15 @@
         judgements = (self._judge(digest, now_ms) for digest in digests)
         return max(judgements, key=lambda each: each.standing, default=UNSUSPECTED)
 
-    def held_back(self, now_ms: float) -> Iterator[Judgement]:
-        """Yield a judgement for each request that is held back, or on trial."""
+    def restricted(self, now_ms: float) -> list[Judgement]:
+        """Return a judgement for each request that doesn't go its usual way."""
         judgements = (self._judge(digest, now_ms) for digest in self._suspects)
-        return (each for each in judgements if each.standing >= Standing.TRIAL)
+        return [each for each in judgements if each.standing is not Standing.FREE]
+
+    def held_back(self, now_ms: float) -> list[Judgement]:
+        """Return a judgement for each request that is held back, or on trial."""
+        restricted = self.restricted(now_ms)
+        return [each for each in restricted if each.standing >= Standing.TRIAL]
 
     def words(
         self, now_ms: float, *, after: int = 0, least_ends: int = 0
