--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sassafraswinch.crash_suspects import Standing
 from sassafraswinch_sidecar.backend_watch import BackendWatch
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.held_bytes import HeldBytes
@@ -27,13 +26,10 @@
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.server_ends import ServerEnds
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
+from sassafraswinch_sidecar.server_request import serialize_request
 from sassafraswinch_sidecar.slot_times import add_slot_times, serialize_slot_times
-from sassafraswinch_sidecar.suspect_requests import (
-    HELD_BACK,
-    RUNS_ALREADY,
-    SuspectRequests,
-    digests_of,
-)
+from sassafraswinch_sidecar.suspect_gate import SuspectGate
+from sassafraswinch_sidecar.suspect_requests import SuspectRequests
 
 Reply = Callable[[RelayResponse], None]
 
@@ -114,6 +110,10 @@
         self._executions: dict[tuple[object, int], Execution] = {}
         self._ticking: asyncio.TimerHandle | None = None
         self._suspects = suspects
+        self._gate = SuspectGate(
+            suspects=suspects,
+            running=lambda: (each.request for each in self.running.values()),
+        )
         self._ends = ServerEnds(suspects=suspects, is_leaving=self._leaves, log=log)
         self._broken: list[Execution] = []
         self._watch = BackendWatch(
@@ -228,59 +228,24 @@
             return "deadline"
         if request.body and not self._held.fits(len(request.body)):
             return "no-memory"
-        return self._suspicion(request)
-
-    def _suspicion(self, request: RelayRequest) -> str:
-        """Return why a request may not run for the servers that ended under it.
-
-        This is the last gate before the server: owners may not have heard yet.
-        """
-        standing = self._suspects.judge(request).standing
-        if standing is Standing.HELD:
-            return HELD_BACK
-        if standing is not Standing.FREE and self._runs_copy_of(request):
-            return RUNS_ALREADY
-        return ""
-
-    def _runs_copy_of(self, request: RelayRequest) -> bool:
-        digests = digests_of(request)
-        return any(
-            execution.request is not request
-            and execution.request.target == request.target
-            and digests_of(execution.request) == digests
-            for execution in self.running.values()
-        )
+        return self._gate.refusal(request)
 
     def _start(self, now_ms: float) -> None:
         for queued in self.queue.startable(now_ms):
             execution = queued.item
             # Servers may have ended under it while it waited.
-            suspicion = self._suspicion(execution.request)
-            if suspicion:
-                self._end_unrun(execution, suspicion)
+            refusal = self._gate.refusal(execution.request)
+            if refusal:
+                self._end_unrun(execution, refusal)
             else:
                 self._run(execution, now_ms)
 
     def _run(self, execution: Execution, now_ms: float) -> None:
         request = execution.request
         left_ms = execution.deadline_ms - now_ms
-        names = self._names
-        payload = b"".join(
-            (
-                request.method.encode(),
-                b" ",
-                request.target,
-                b" HTTP/1.1\r\n",
-                request.headers,
-                b"%b: %d\r\n" % (names.time_left_ms, max(int(left_ms), 1)),
-                b"%b: %b\r\n" % (names.expected_instance, request.instance_id.encode()),
-                b"Content-Length: %d\r\n" % len(request.body) if request.body else b"",
-                b"\r\n",
-                request.body,
-            )
-        )
+        payload = serialize_request(request, self._names, left_ms)
         request_id = request.request_id.encode()
-        id_name = names.request_id.lower()
+        id_name = self._names.request_id.lower()
 
         def is_own(response: HttpResponse) -> bool:
             return any(
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -35,8 +35,8 @@
 from sassafraswinch_sidecar.slot_times import add_slot_times, parse_slot_times
 from sassafraswinch_sidecar.substitutes import Substitutes
 from sassafraswinch_sidecar.suspect_requests import (
+    COPY_RUNS,
     HELD_BACK,
-    RUNS_ALREADY,
     SuspectRequests,
     digests_of,
 )
@@ -351,7 +351,7 @@
     ) -> None:
         if response.actual_instance_id:
             self._note_instance(relay, response.actual_instance_id)
-        if response.reason in (HELD_BACK, RUNS_ALREADY):
+        if response.reason in (HELD_BACK, COPY_RUNS):
             # No other server may run it either.
             self._end(relay, response.reason)
             return
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_requests.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_requests.py
@@ -9,9 +9,13 @@
 HELD_BACK = "held-back"
 """Reason of refusals: servers ended under this request, so it must not run now."""
 
-RUNS_ALREADY = "copy-runs"
+COPY_RUNS = "copy-runs"
 """Reason of refusals: a copy of this request runs, and servers ended under it."""
 
+SUSPECT_RUNS = "suspect-runs"
+"""Reason of refusals: servers ended under this request, and under another one that runs
+here. Apart, the next end or answer tells them apart."""
+
 
 class SentRequest(Protocol):
     """A request as its owner or the executing sidecar has it."""
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -37,6 +37,7 @@
     parse_slot_times,
     serialize_slot_times,
 )
+from sassafraswinch_sidecar.suspect_requests import COPY_RUNS, HELD_BACK
 from sassafraswinch_sidecar.zone_gatherer import PAUSE_MS
 from sassafraswinch_standins.screen_callers import Caller, Tally
 from sassafraswinch_standins.screen_clock import Clock
@@ -295,8 +296,9 @@
             request.progress,
             request.last,
         )
-        if not host.up or self.crashes.refuses(host, request.request_id):
-            self.end(host, execution, Verdict.NOT_RUN, "refused")
+        refusal = self.crashes.refusal(host, request.request_id)
+        if refusal or not host.up:
+            self.end(host, execution, Verdict.NOT_RUN, refusal or "server-down")
             return
         if not host.queue.offer(execution.place, now_ms):
             self.end(host, execution, Verdict.NOT_RUN, "overloaded")
@@ -414,6 +416,8 @@
             else:
                 host.lessons.failed(relay)
                 self._done(relay, 502)
+        elif response.reason in (HELD_BACK, COPY_RUNS):
+            self._fail(host, relay)
         elif not response.offered:
             self._place(host, relay)
         elif host.repeats.allow_unrun(relay):
--- a/packages/sassafraswinch/sassafraswinch/crash_suspects.py
+++ b/packages/sassafraswinch/sassafraswinch/crash_suspects.py
@@ -20,7 +20,8 @@
 from sassafraswinch.request_digest import TAG_BYTES, Digests, path_tag
 
 ENDS_TO_RUN_ALONE = 2
-"""Ends after which a request runs once at a time: each copy would end one more."""
+"""Ends after which a request runs once at a time, and beside no other such request:
+each copy would end one more server, and others would be lost with it once more."""
 
 ENDS_TO_HOLD = 3
 """Ends after which a request is held back. Few innocent ones share three: whoever is
@@ -58,7 +59,7 @@
     """It goes its usual way."""
 
     ALONE = 1
-    """It may run where no copy of it runs."""
+    """It may run where no copy of it runs, and no other request that may run alone."""
 
     TRIAL = 2
     """It was held back; one server of the fleet may run it once, alone."""
