An owner clears what was answered elsewhere; requests between sidecars have a module

Callers would have seen a lookup held back that had been answered: the sidecar that answered it didn't know of the end yet, and only that one cleared it. The owner knows both and clears it as well (test with a sidecar that tells nothing). Refactored: what an owner sends is made in relay_requests, the exchange of suspects hands on, forgets and counts by itself.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -7,7 +7,11 @@
 from sassafraswinch.crash_suspects import Judgement, Standing
 from sassafraswinch.request_digest import digest_text
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
-from sassafraswinch_sidecar.executor import INSTANCE_LEAVING, Executor
+from sassafraswinch_sidecar.executor import (
+    INSTANCE_LEAVING,
+    SERVER_FAILURE,
+    Executor,
+)
 from sassafraswinch_sidecar.fleet import Fleet, Instance
 from sassafraswinch_sidecar.fleet_view import FleetView
 from sassafraswinch_sidecar.held_bytes import HeldBytes
@@ -29,6 +33,7 @@
     Verdict,
 )
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
+from sassafraswinch_sidecar.relay_requests import request_of
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.server_choice import choose_for_suspect, choose_server
@@ -41,14 +46,6 @@
     digests_of,
 )
 
-ROOT_WAIT_SHARE = 0.12
-"""Part of the target latency that a root request waits for a slot: after that it is
-better off elsewhere, or told to come back while there is time."""
-
-INNER_WAIT_SHARE = 0.4
-"""Part of its time that a call of a running request waits for a slot. Refusing it
-would waste what its root request has taken so far."""
-
 MAX_PLACES = 4
 """Instances that are asked for one request; refusals by their sidecars before the
 backend server are free, but each takes a way there and back."""
@@ -277,42 +274,22 @@
         return young and left_ms >= MIN_RETRY_LEFT_MS
 
     def _send(self, relay: Relay, instance: Instance, left_ms: float) -> None:
-        inner = relay.parent is not None
-        now_ms = self._now_ms()
-        call_id = relay.call_id = next(self._call_ids)
+        relay.call_id = next(self._call_ids)
         relay.ip = instance.ip
         relay.identity = instance.identity
-        relay.instance_id = self._substitutes.actual_id(instance, now_ms)
-        share = INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE
-        span_ms = left_ms if inner else relay.route.target_latency_ms
-        request = RelayRequest(
-            call_id=call_id,
-            instance_id=relay.instance_id,
-            service_name=relay.service,
-            request_id=relay.request_id,
-            method=relay.http.method.decode("latin-1"),
-            target=relay.http.target,
-            headers=relay.header_lines,
-            body=relay.http.body,
-            remaining_ms=int(left_ms),
-            max_wait_ms=int(span_ms * share),
-            priority=relay.priority,
-            level=relay.level,
-            inner=inner,
-            idempotent=relay.route.idempotent,
-            repeated=relay.repeated,
-            progress=relay.progress,
-            last=not inner
-            and self._admission.needs_only(relay.route.name, relay.service),
+        relay.instance_id = self._substitutes.actual_id(instance, self._now_ms())
+        last = relay.parent is None and self._admission.needs_only(
+            relay.route.name, relay.service
         )
-        self.relays[call_id] = relay
+        request = request_of(relay, left_ms=left_ms, last=last)
+        self.relays[relay.call_id] = relay
         self._repeats.sent(relay)
         if instance.ip == self._own_ip:
             self._own_load.sent_since += 1
             self._executor.submit(request, self._own_response, self)
             return
         if not self._links.request(instance.ip, request):
-            del self.relays[call_id]
+            del self.relays[relay.call_id]
             self._place(relay)
             return
         load = self._view.load(instance.ip)
@@ -339,7 +316,10 @@
         self._loop.call_soon(self.response, response, self._own_load)
 
     def _answered(self, relay: Relay, response: RelayResponse) -> None:
-        server_failed = response.status >= 500
+        server_failed = response.status >= SERVER_FAILURE
+        if not server_failed:
+            # The sidecar beside the server may not know yet that it was a suspect.
+            self._suspects.answered(relay)
         if server_failed and self._repeats.allow_failed(relay):
             relay.last_answer = response
             self._repeat(relay, f"status-{response.status}")
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
@@ -1,6 +1,6 @@
 """The ends of the backend server beside this sidecar, and what ran there then."""
 
-import secrets
+import os
 from collections import deque
 from collections.abc import Callable
 
@@ -58,10 +58,16 @@
         self._given_up.clear()
 
     def begin(self, instance_id: str) -> None:
-        """Note that the server's process has ended, as the instance that it was."""
-        self._name = f"{instance_id}/{secrets.token_hex(NAME_BYTES)}"
+        """Note that the server's process has ended.
+
+        Args:
+            instance_id: instance that requests ran at; empty where none did.
+        """
         given_up = [*self._given_up]
         self._given_up.clear()
+        if given_up and not instance_id:
+            instance_id, _ = given_up[-1]
+        self._name = f"{instance_id}/{os.urandom(NAME_BYTES).hex()}"
         for instance_id, digests in given_up:
             self._note(instance_id, digests)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -66,9 +66,6 @@
 """Pause between the periodic decisions. Time limits of requests are looked at with it:
 a timer for each request costs a twentieth of its processor time."""
 
-FORGET_MS = 10_000.0
-"""Pause between looks for suspects that are too old: they live for a minute or more."""
-
 NO_VIEW_MS = 1e9
 """Age that the metrics show while nobody has told anything of the fleet."""
 
@@ -111,18 +108,17 @@
         self._log = RequestLog(now_ms=self._now_ms)
         self._held = HeldBytes(most_bytes=most_held_bytes(settings.memory_mb))
         self._crash_suspects = CrashSuspects()
-        self._suspects = SuspectRequests(
+        self._suspect_exchange = SuspectExchange(
             suspects=self._crash_suspects,
             now_ms=self._now_ms,
-            changed=self._suspects_changed,
+            learnt_here=lambda: self._exchange.has_news(),
+            told_here=lambda: self._exchange.has_suspects(),
         )
-        self._suspect_exchange = SuspectExchange(
+        self._suspects = SuspectRequests(
             suspects=self._crash_suspects,
             now_ms=self._now_ms,
-            changed=lambda: self._exchange.has_suspects(),
+            changed=self._suspect_exchange.note,
         )
-        self._forget_at_ms = 0.0
-        self._telling_suspects: asyncio.Handle | None = None
         backend = settings.address("backend")
         self._executor = Executor(
             service=settings.service,
@@ -240,7 +236,7 @@
                 suspects=self._crash_suspects,
                 others=MetricsPage(counts=self._counts, gauges=self._gauges),
                 now_ms=self._now_ms,
-                cleared=self._suspects_changed,
+                cleared=self._suspect_exchange.note,
             ),
             limits=lambda: DEFAULT_LIMITS,
             held=self._held,
@@ -338,16 +334,6 @@
         """Cancel what the peer can't be told the end of (LinkListener)."""
         self._executor.owner_lost(link)
 
-    def _suspects_changed(self) -> None:
-        """Tell the others soon: dozens of requests are lost with a server at once."""
-        if self._telling_suspects is None:
-            self._telling_suspects = self._loop.call_soon(self._tell_suspects)
-
-    def _tell_suspects(self) -> None:
-        self._telling_suspects = None
-        self._suspect_exchange.log_held()
-        self._exchange.has_news()
-
     def _announce(self) -> None:
         """Tell the zone what this sidecar knows of the platform by now."""
         self._exchange.has_news()
@@ -397,9 +383,7 @@
             if self._admission.due(now_ms):
                 self._share_duty(now_ms)
                 self._admit_anew(now_ms)
-            if now_ms >= self._forget_at_ms:
-                self._forget_at_ms = now_ms + FORGET_MS
-                self._crash_suspects.forget(now_ms)
+            self._suspect_exchange.tick()
 
     def _notice_standstill(self) -> None:
         stood_ms = self._standstill.look()
@@ -470,8 +454,7 @@
             "owned_requests": self._owner.in_flight,
             "gathers": self._exchange.gathers,
             "view_age_ms": min(self._view.age_ms(self._now_ms()), NO_VIEW_MS),
-            "crash_suspects": len(self._crash_suspects),
-            "requests_held_back": len(self._crash_suspects.held_back(self._now_ms())),
+            **self._suspect_exchange.gauges(),
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
             "platform_revision": self._data.revision,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
@@ -1,6 +1,8 @@
 """Hands on what sidecars know of requests that ended servers."""
 
-from collections.abc import Callable
+import asyncio
+import math
+from collections.abc import Callable, Mapping
 
 from sassafraswinch.crash_suspects import (
     ENDS_TO_RUN_ALONE,
@@ -18,6 +20,10 @@
 """Greatest age on the wire; anything near it was forgotten long before."""
 
 
+FORGET_MS = 10_000.0
+"""Pause between looks for suspects that are too old: they live for a minute or more."""
+
+
 class SuspectExchange:
     """Tells each peer what it wasn't told yet, and takes in what peers tell.
 
@@ -28,7 +34,8 @@
     Args:
         suspects: what is known.
         now_ms: monotonic clock.
-        changed: called when a peer told something new.
+        learnt_here: called when this sidecar learnt something that nobody knows yet.
+        told_here: called when a peer told something new.
     """
 
     def __init__(
@@ -36,12 +43,35 @@
         *,
         suspects: CrashSuspects,
         now_ms: Callable[[], float],
-        changed: Callable[[], None],
+        learnt_here: Callable[[], None],
+        told_here: Callable[[], None],
     ):
         self._suspects = suspects
         self._now_ms = now_ms
-        self._changed = changed
+        self._learnt_here = learnt_here
+        self._told_here = told_here
         self._held: frozenset[bytes] = frozenset()
+        self._noted: asyncio.Handle | None = None
+        self._forgot_ms = -math.inf
+
+    def note(self) -> None:
+        """Hand on soon what was learnt: dozens of requests are lost with a server."""
+        if self._noted is None:
+            self._noted = asyncio.get_running_loop().call_soon(self._hand_on)
+
+    def tick(self) -> None:
+        """Forget now and then what is too old."""
+        now_ms = self._now_ms()
+        if now_ms - self._forgot_ms >= FORGET_MS:
+            self._forgot_ms = now_ms
+            self._suspects.forget(now_ms)
+
+    def gauges(self) -> Mapping[str, float]:
+        """Return the figures of the moment by name."""
+        return {
+            "crash_suspects": len(self._suspects),
+            "requests_held_back": len(self._suspects.held_back(self._now_ms())),
+        }
 
     def greet(self, link: PeerLink) -> None:
         """Tell a new peer at once which requests must not run freely.
@@ -67,14 +97,19 @@
     def take(self, news: SuspectNews) -> None:
         """Take in what a peer tells."""
         if self._suspects.take(parse_news(news), self._now_ms()):
-            self.log_held()
-            self._changed()
+            self._log_held()
+            self._told_here()
+
+    def _hand_on(self) -> None:
+        self._noted = None
+        self._log_held()
+        self._learnt_here()
 
-    def log_held(self) -> None:
+    def _log_held(self) -> None:
         """Tell of each request that begins or ceases to be held back."""
         held = {each.digest: each for each in self._suspects.held_back(self._now_ms())}
         for digest in held.keys() - self._held:
-            _log_held(held[digest])
+            _log_held_back(held[digest])
         for digest in self._held - held.keys():
             log_event("request_let_go", level="warning", digest=digest_text(digest))
         self._held = frozenset(held)
@@ -111,7 +146,7 @@
     return min(max(int(age_ms), 0), LONGEST_AGE_MS)
 
 
-def _log_held(judged: Judgement) -> None:
+def _log_held_back(judged: Judgement) -> None:
     log_event(
         "request_held_back",
         level="warning",
--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -269,6 +269,22 @@
     assert not any(len(node.sidecar._crash_suspects) for node in fleet.nodes)
 
 
+async def test_owner_clears_a_request_that_is_answered_elsewhere(fleet):
+    """A lookup is lost with a server and repeated at another one, whose sidecar may
+    not have heard of the end. Its owner knows both, and nothing is left to suspect.
+    """
+    first, second = fleet.of("archiv")
+    first.backend.behaviour = crash(first.backend)
+    second.sidecar._suspects.answered = lambda request: None
+    owner = fleet.nodes[2].sidecar
+    numbers = itertools.count()
+    while not len(owner._crash_suspects):
+        got = await fleet.call(fleet.nodes[2], request_id=f"r-{next(numbers)}")
+        assert got.status == 200
+    (word,) = owner._crash_suspects.words(now_ms())
+    assert word.answered_age_ms is not None
+
+
 async def test_end_of_a_server_that_leaves_makes_no_suspects(fleet):
     """A server ends as planned, and cuts off what still ran there."""
     node = fleet.of("schvaleni")[0]
--- a/packages/sassafraswinch-sidecar/tests/test_suspect_exchange.py
+++ b/packages/sassafraswinch-sidecar/tests/test_suspect_exchange.py
@@ -45,7 +45,10 @@
 @pytest.fixture
 def exchange(suspects, changes):
     return SuspectExchange(
-        suspects=suspects, now_ms=lambda: 1_000.0, changed=lambda: changes.append(1)
+        suspects=suspects,
+        now_ms=lambda: 1_000.0,
+        learnt_here=lambda: None,
+        told_here=lambda: changes.append(1),
     )
 
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -19,7 +19,7 @@
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
-from sassafraswinch_sidecar.relay import INNER_WAIT_SHARE, MAX_PLACES, ROOT_WAIT_SHARE
+from sassafraswinch_sidecar.relay import MAX_PLACES
 from sassafraswinch_sidecar.relay_intake import Relay
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
@@ -29,6 +29,7 @@
     Verdict,
 )
 from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
+from sassafraswinch_sidecar.relay_requests import INNER_WAIT_SHARE, ROOT_WAIT_SHARE
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals, sum_counts
 from sassafraswinch_sidecar.server_choice import choose_for_suspect, choose_server
 from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
