What a server just answered is no suspect; the first trial comes after two minutes

Failure: all servers of a service end together, and the page that everybody asks for ran on each. A process that answered a request in the last 10 s isn't ended by it: a checksum of target and body for each answer, a microsecond. So popular requests need no early trial any more, and the first one moves from 20 s to two minutes: hosts that all lost power let three servers end before they know again, and an early trial would be a fourth.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -114,7 +114,12 @@
             suspects=suspects,
             running=lambda: (each.request for each in self.running.values()),
         )
-        self._ends = ServerEnds(suspects=suspects, is_leaving=self._leaves, log=log)
+        self._ends = ServerEnds(
+            suspects=suspects,
+            is_leaving=self._leaves,
+            log=log,
+            now_ms=lambda: self._loop.time() * 1000,
+        )
         self._broken: list[Execution] = []
         self._watch = BackendWatch(
             client=client,
@@ -328,6 +333,7 @@
             self._end(execution, Verdict.MAY_HAVE_RUN, "server-garbled")
             return
         if response.status < SERVER_FAILURE:
+            self._ends.ran_well(execution.request)
             self._suspects.answered(execution.request)
         lines = serialize_end_to_end(response.fields, DROPPED)
         self._end(
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
@@ -1,6 +1,7 @@
 """The ends of the backend server beside this sidecar, and what ran there then."""
 
 import os
+import zlib
 from collections import deque
 from collections.abc import Callable
 
@@ -16,6 +17,14 @@
 """Requests without an answer that are remembered; a server hangs under the first."""
 
 
+PROVEN_MS = 10_000.0
+"""Time for which an answer shows that a request doesn't end its server."""
+
+MOST_PROVEN = 1_024
+"""Answered requests that are remembered: a busy server's last seconds. What many
+callers send comes again within them."""
+
+
 class ServerEnds:
     """Makes suspects of the requests that ran when the server's process ended.
 
@@ -24,11 +33,16 @@
     answers anything: one under which it hangs is given up long before the hanging
     server is ended.
 
+    What the same process answered a moment ago is no suspect. Failure: all servers of a
+    service end together, by a loss of power say, and the page that everybody asks for
+    ran on each; it would be held back when they are up again.
+
     Args:
         suspects: is told of the suspects.
         is_leaving: tells whether an instance was about to leave, so that its end says
             nothing of its requests.
         log: lines about single requests.
+        now_ms: monotonic clock.
     """
 
     def __init__(
@@ -37,10 +51,13 @@
         suspects: SuspectRequests,
         is_leaving: Callable[[str], bool],
         log: RequestLog,
+        now_ms: Callable[[], float],
     ):
         self._suspects = suspects
         self._is_leaving = is_leaving
         self._log = log
+        self._now_ms = now_ms
+        self._proven_ms: dict[int, float] = {}
         self._name = ""
         self._given_up: deque[tuple[str, Digests]] = deque(maxlen=MOST_GIVEN_UP)
 
@@ -57,6 +74,15 @@
         """Note that the server answers, so it outlived what was given up."""
         self._given_up.clear()
 
+    def ran_well(self, request: RelayRequest) -> None:
+        """Note that the server has run a request to a good end."""
+        proven_ms = self._proven_ms
+        checksum = _checksum(request)
+        proven_ms.pop(checksum, None)
+        proven_ms[checksum] = self._now_ms()
+        if len(proven_ms) > MOST_PROVEN:
+            del proven_ms[next(iter(proven_ms))]
+
     def begin(self, instance_id: str) -> None:
         """Note that the server's process has ended.
 
@@ -76,6 +102,9 @@
 
         None where the end says nothing of the request.
         """
+        proven_ms = self._proven_ms.get(_checksum(request))
+        if proven_ms is not None and self._now_ms() - proven_ms < PROVEN_MS:
+            return None
         return self._note(request.instance_id, digests_of(request), request.request_id)
 
     def _note(
@@ -92,3 +121,8 @@
         )
         self._suspects.ended(digests, self._name)
         return self._name
+
+
+def _checksum(request: RelayRequest) -> int:
+    """Return what tells requests apart well enough, at the cost of a microsecond."""
+    return zlib.crc32(request.body, zlib.crc32(request.target))
--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -367,6 +367,35 @@
         assert len(held) == 1
 
 
+async def test_page_that_everybody_asks_for_outlives_the_end_of_all_servers():
+    """All servers of a service end at the same moment, and the page that everybody
+    asks for ran on each of them. It is served as soon as they are up again.
+    """
+    async with running_fleet(*["archiv"] * 3, "schvaleni") as fleet:
+        for number in range(30):
+            await fleet.call(fleet.nodes[number % 4], request_id=f"p-{number}")
+        archives = fleet.of("archiv")
+        assert all(node.backend.seen for node in archives)
+        running = []
+        for node in archives:
+            node.backend.behaviour = lambda connection, seen: running.append(seen)
+        calls = [
+            asyncio.create_task(fleet.call(node, request_id=f"lost-{number}"))
+            for number, node in enumerate(fleet.nodes * 3)
+        ]
+        await until(lambda: len(running) == len(calls))
+        for node in archives:
+            node.backend.close()
+        await asyncio.gather(*calls)
+        servers = CrashingServers(fleet, "archiv")
+        for node in archives:
+            await servers._restart(node)
+        await asyncio.sleep(SPREAD_S)
+        for node in fleet.nodes:
+            got = await fleet.call(node, request_id=f"again-{node.ip}")
+            assert got.status == 200
+
+
 async def test_trial_runs_at_one_server_of_the_fleet(monkeypatch):
     """A request was held back for long enough. Its copies arrive at all hosts at once;
     one of them may run, and ends one server more.
--- a/packages/sassafraswinch/sassafraswinch/crash_suspects.py
+++ b/packages/sassafraswinch/sassafraswinch/crash_suspects.py
@@ -27,12 +27,13 @@
 """Ends after which a request is held back. Few innocent ones share three: whoever is
 lost with a server is repeated at another one, which has to end under it as well."""
 
-FIRST_TRIAL_MS = 20_000.0
+FIRST_TRIAL_MS = 120_000.0
 """Time after the last end until a request that is held back may run once. An innocent
-caller waits no longer; a bad request costs one server more in that time."""
+caller waits no longer. Hosts that all forgot, by a loss of power, let three more
+servers end before they know again; trials that came sooner would add to those."""
 
-TRIAL_FACTOR = 12
-"""Factor on that time for each trial that ended a server: 20 s, 4 minutes, then the
+TRIAL_FACTOR = 5
+"""Factor on that time for each trial that ended a server: 2 minutes, 10, then the
 longest, so that a bad request which keeps coming ends two servers an hour."""
 
 LONGEST_TRIAL_MS = 1_800_000.0
