Tests of sockets run on the event loop that sidecars run on, too

One fault of my test's own: its server ended twice when two copies had been read before the first one's end, so its second start found the address in use.

--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -87,6 +87,7 @@
         self.ends: list[str] = []
         self.fatal = {BAD.encode()}
         self.run_ms = 0.0
+        self._down: set[str] = set()
         self._store = fleet.store
         self._numbers = itertools.count(1)
         self._tasks: list[asyncio.Task] = []
@@ -95,8 +96,11 @@
 
     def _behave(self, node) -> None:
         def behave(connection, seen):
+            if node.ip in self._down:
+                return  # It was read before the end, and doesn't run.
             if seen.target in self.fatal:
                 self.ends.append(seen.request_id.decode())
+                self._down.add(node.ip)
                 node.backend.close()
                 self._tasks.append(asyncio.create_task(self._restart(node)))
             elif self.run_ms:
@@ -111,6 +115,7 @@
 
     async def _restart(self, node) -> None:
         await asyncio.sleep(RESTART_S)
+        self._down.discard(node.ip)
         await node.backend.open(node.ip, node.backend_port)
         name = f"i-{node.ip}-{next(self._numbers)}"
         await node.put_instance(self._store, name=name)
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -1,13 +1,15 @@
 """The HTTP edge towards callers, on a real socket."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import HttpListener
 from sassafraswinch_sidecar.routes import RequestLimits
-from sidecar_standins.fleet import read_answer, request_bytes
+from sidecar_standins.fleet import read_answer, request_bytes, until
 
 MOST_HELD_BYTES = 5_000
 
@@ -201,3 +203,34 @@
     async with asyncio.timeout(20):
         while edge._held.total_bytes:
             await asyncio.sleep(0.01)
+
+
+async def test_caller_that_closes_its_side_has_left(edge):
+    """A caller closes its side of the connection and waits. On both event loops that
+    is a caller that left: its request ends, and no more is read from it.
+    """
+    edge._handler.holds = True
+    reader, writer = await send(edge, request_bytes())
+    await until(lambda: edge._handler.requests)
+    writer.write_eof()
+    assert await asyncio.wait_for(reader.read(), 10) == b""
+    assert [request for request, _ in edge._handler.requests] == edge._handler.left
+    writer.close()
+
+
+async def test_caller_that_resets_while_its_answer_is_written_is_let_go(edge):
+    """A caller reads nothing and resets its connection in the middle of a long answer.
+    Nothing that is held for it may stay, on either event loop.
+    """
+    edge._handler.holds = True
+    sock = socket.create_connection(("127.0.0.1", edge.port))
+    sock.sendall(request_bytes())
+    await until(lambda: edge._handler.requests)
+    request, connection = edge._handler.requests[0]
+    long_body = b"x" * 30_000_000
+    connection.respond(request, status=200, header_lines=b"", body=long_body)
+    await until(lambda: edge._held.total_bytes > 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    await until(lambda: edge._held.total_bytes == 0)
+    assert not edge.connections
