--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
@@ -16,7 +16,6 @@
 MOST_GIVEN_UP = 64
 """Requests without an answer that are remembered; a server hangs under the first."""
 
-
 PROVEN_MS = 10_000.0
 """Time for which an answer shows that a request doesn't end its server."""
 
@@ -33,7 +32,7 @@
     answers anything: one under which it hangs is given up long before the hanging
     server is ended.
 
-    What the same process answered a moment ago is no suspect. Failure: all servers of a
+    What the server answered a moment ago is no suspect. Failure: all servers of a
     service end together, by a loss of power say, and the page that everybody asks for
     ran on each; it would be held back when they are up again.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
@@ -19,7 +19,6 @@
 LONGEST_AGE_MS = 2**31 - 1
 """Greatest age on the wire; anything near it was forgotten long before."""
 
-
 FORGET_MS = 10_000.0
 """Pause between looks for suspects that are too old: they live for a minute or more."""
 
