One digest function for whatever holds a request; one fixture for the log; held back is decided in one place

Read again: sidecars wrapped the library's digest to copy four fields, so it takes a protocol now; an owner asked whether a request is held back in three copies of the same lines; two tests had the same fixture of the log; lessons had their own 500. Behaviour and assertions stay. Seen while it was checked: test_owner_clears_a_request_that_is_answered_elsewhere failed once, and passed six times after; not traced yet.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from sassafraswinch.crash_suspects import Judgement, Standing
-from sassafraswinch.request_digest import digest_text
+from sassafraswinch.request_digest import digest_request, digest_text
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import (
     INSTANCE_LEAVING,
@@ -43,7 +43,6 @@
     COPY_RUNS,
     HELD_BACK,
     SuspectRequests,
-    digests_of,
 )
 
 MAX_PLACES = 4
@@ -126,9 +125,7 @@
             return
         relay = taken
         self._by_http[http] = relay
-        judged = self._suspects.judge(relay)
-        if judged.standing is Standing.HELD:
-            self._hold_back(relay, judged)
+        if self._judge(relay) is None:
             return
         if relay.parent is None and not self._admit(relay):
             return
@@ -180,7 +177,7 @@
             relay.offered_to.add(relay.identity)
         relay.repeats_spent = relay.repeats_spent or response.repeats_spent
         if response.server_end:
-            self._suspects.ended(digests_of(relay), response.server_end)
+            self._suspects.ended(digest_request(relay), response.server_end)
         self._repeats.learn(relay)
         self._lessons.execution_ended(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
@@ -224,9 +221,8 @@
         return False
 
     def _place(self, relay: Relay) -> None:
-        judged = self._suspects.judge(relay)
-        if judged.standing is Standing.HELD:
-            self._hold_back(relay, judged)
+        judged = self._judge(relay)
+        if judged is None:
             return
         left_ms = relay.deadline_ms - self._now_ms()
         instances = self._fleet.of_service(relay.service)
@@ -253,8 +249,11 @@
         answer_bytes = self._lessons.answer_bytes(relay.route.name)
         return choose_server(self._placement, relay, instances, now_ms, answer_bytes)
 
-    def _hold_back(self, relay: Relay, judged: Judgement) -> None:
-        """Give up a request that ended servers, with the time of its next trial."""
+    def _judge(self, relay: Relay) -> Judgement | None:
+        """Return what a request may do; None where it is held back, and given up."""
+        judged = self._suspects.judge(relay)
+        if judged.standing is not Standing.HELD:
+            return judged
         self._log.failed(
             "held_back",
             relay.request_id,
@@ -264,6 +263,7 @@
         )
         relay.retry_after_ms = judged.wait_ms
         self._end(relay, HELD_BACK)
+        return None
 
     def _place_again(self, relay: Relay) -> None:
         if not relay.ended:
@@ -351,9 +351,7 @@
             self._end(relay, reason)
 
     def _repeat(self, relay: Relay, reason: str) -> None:
-        judged = self._suspects.judge(relay)
-        if judged.standing is Standing.HELD:
-            self._hold_back(relay, judged)
+        if self._judge(relay) is None:
             return
         self._log.failed(
             "repeated",
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -23,7 +23,7 @@
         route: the route that it takes.
         service: the route's service that runs it.
         request_id: the caller's id of it.
-        header_lines: header lines that are passed on.
+        headers: header lines that are passed on.
         deadline_ms: loop time at which its caller or its route stops waiting.
         priority: rank of its root request.
         level: place of its root request within the priority.
@@ -53,7 +53,7 @@
     route: Route
     service: str
     request_id: str
-    header_lines: bytes
+    headers: bytes
     deadline_ms: float
     priority: int
     level: int
@@ -77,7 +77,7 @@
 
     @property
     def method(self) -> str:
-        """Method of the request (SentRequest, as are the next three)."""
+        """Method of the request (SentRequest, as are the next two)."""
         return self.http.method.decode("latin-1")
 
     @property
@@ -85,11 +85,6 @@
         """Path and query of the request."""
         return self.http.target
 
-    @property
-    def headers(self) -> bytes:
-        """Header lines that are passed on."""
-        return self.header_lines
-
     @property
     def body(self) -> bytes:
         """Body of the request."""
@@ -172,7 +167,7 @@
             route=route,
             service=self._shares.choose(route),
             request_id=request_id,
-            header_lines=self._header_lines(http),
+            headers=self._header_lines(http),
             deadline_ms=deadline_ms,
             priority=parent.request.priority if parent else route.priority,
             level=parent.request.level if parent else self._rng.randrange(LEVELS),
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_lessons.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_lessons.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
+from sassafraswinch_sidecar.executor import SERVER_FAILURE
 from sassafraswinch_sidecar.placement import (
     LEAVING_WORD_MS,
     PaceMeter,
@@ -44,7 +45,9 @@
         if load is None or not response.offered:
             return
         now_ms = self._now_ms()
-        failed = response.verdict != Verdict.ANSWERED or response.status >= 500
+        failed = (
+            response.verdict != Verdict.ANSWERED or response.status >= SERVER_FAILURE
+        )
         if response.reason != "deadline":
             load.ended(failed=failed, now_ms=now_ms)
         for taken in response.slot_times:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_ends.py
@@ -5,10 +5,10 @@
 from collections import deque
 from collections.abc import Callable
 
-from sassafraswinch.request_digest import Digests, digest_text
+from sassafraswinch.request_digest import Digests, digest_request, digest_text
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest
 from sassafraswinch_sidecar.request_log import RequestLog
-from sassafraswinch_sidecar.suspect_requests import SuspectRequests, digests_of
+from sassafraswinch_sidecar.suspect_requests import SuspectRequests
 
 NAME_BYTES = 4
 """Random part of an end's name: an instance may start again under the id it had."""
@@ -67,7 +67,7 @@
 
     def gave_up(self, request: RelayRequest) -> None:
         """Note a request that is no longer waited for, and may still run."""
-        self._given_up.append((request.instance_id, digests_of(request)))
+        self._given_up.append((request.instance_id, digest_request(request)))
 
     def answered(self) -> None:
         """Note that the server answers, so it outlived what was given up."""
@@ -104,7 +104,9 @@
         proven_ms = self._proven_ms.get(_checksum(request))
         if proven_ms is not None and self._now_ms() - proven_ms < PROVEN_MS:
             return None
-        return self._note(request.instance_id, digests_of(request), request.request_id)
+        return self._note(
+            request.instance_id, digest_request(request), request.request_id
+        )
 
     def _note(
         self, instance_id: str, digests: Digests, request_id: str = ""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_exchange.py
@@ -8,7 +8,6 @@
     ENDS_TO_RUN_ALONE,
     CrashSuspects,
     Judgement,
-    Standing,
     SuspectWord,
 )
 from sassafraswinch.request_digest import digest_text
@@ -152,6 +151,6 @@
         digest=digest_text(judged.digest),
         ends=len(judged.ends),
         servers=",".join(judged.ends),
-        standing=Standing(judged.standing).name.lower(),
+        standing=judged.standing.name.lower(),
         trial_in_ms=judged.wait_ms,
     )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_gate.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_gate.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Iterable
 
 from sassafraswinch.crash_suspects import Standing
+from sassafraswinch.request_digest import digest_request
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest
 from sassafraswinch_sidecar.suspect_requests import (
     COPY_RUNS,
     HELD_BACK,
     SUSPECT_RUNS,
     SuspectRequests,
-    digests_of,
 )
 
 
@@ -42,7 +42,7 @@
             return HELD_BACK
         others = (each for each in self._running() if each is not request)
         restricted = [each for each in others if self._is_restricted(each)]
-        if any(digests_of(each) == digests_of(request) for each in restricted):
+        if any(digest_request(each) == digest_request(request) for each in restricted):
             return COPY_RUNS
         return SUSPECT_RUNS if restricted else ""
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_requests.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/suspect_requests.py
@@ -1,10 +1,9 @@
 """Looks requests up among those that ended servers."""
 
 from collections.abc import Callable
-from typing import Protocol
 
 from sassafraswinch.crash_suspects import UNSUSPECTED, CrashSuspects, Judgement
-from sassafraswinch.request_digest import Digests, RequestContent, digest_request
+from sassafraswinch.request_digest import Digests, SentRequest, digest_request
 
 HELD_BACK = "held-back"
 """Reason of refusals: servers ended under this request, so it must not run now."""
@@ -17,22 +16,6 @@
 here. Apart, the next end or answer tells them apart."""
 
 
-class SentRequest(Protocol):
-    """A request as its owner or the executing sidecar has it."""
-
-    method: str
-    target: bytes
-    headers: bytes
-    body: bytes
-
-
-def digests_of(request: SentRequest) -> Digests:
-    """Return the digests of a request."""
-    return digest_request(
-        RequestContent(request.method, request.target, request.headers, request.body)
-    )
-
-
 class SuspectRequests:
     """The suspects, by the content of requests.
 
@@ -57,7 +40,7 @@
         """Return what a request may do."""
         if not self._suspects.may_know(request.target):
             return UNSUSPECTED
-        return self._suspects.judge(digests_of(request), self._now_ms())
+        return self._suspects.judge(digest_request(request), self._now_ms())
 
     def ended(self, digests: Digests, end: str) -> None:
         """Note that a server ended while it ran a request."""
@@ -68,5 +51,5 @@
         """Note that a server ran a request to a good end."""
         if not self._suspects.may_know(request.target):
             return
-        if self._suspects.answered(digests_of(request), self._now_ms()):
+        if self._suspects.answered(digest_request(request), self._now_ms()):
             self._changed()
--- a/packages/sassafraswinch-sidecar/tests/conftest.py
+++ b/packages/sassafraswinch-sidecar/tests/conftest.py
@@ -1,7 +1,11 @@
-"""Event loops of the sidecar's tests."""
+"""Event loops and the log of the sidecar's tests."""
 
 import asyncio
+import io
 
+import pytest
+
+from sassafraswinch_node.logs import configure_logs
 from sassafraswinch_sidecar.event_loop import new_event_loop
 
 ASYNCIO = {"asyncio": asyncio.new_event_loop}
@@ -18,3 +22,15 @@
 def pytest_asyncio_loop_factories(config, item):
     """Run the tests of sockets on the loops that matter to them."""
     return LOOPS_BY_MODULE.get(item.path.stem, ASYNCIO)
+
+
+@pytest.fixture
+def log_stream():
+    """The lines that are logged, in the format of a sidecar."""
+    stream = io.StringIO()
+    configure_logs(level="info", stream=stream)
+    # The log keeps what was told before it had a destination; other tests leave some.
+    stream.seek(0)
+    stream.truncate()
+    yield stream
+    configure_logs(level="info")
--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """Requests that end the backend servers that run them."""
 
 import asyncio
-import io
 import itertools
 
 import pytest
@@ -9,7 +8,6 @@
 from sassafraswinch import crash_suspects
 from sassafraswinch.crash_suspects import Standing
 from sassafraswinch.request_digest import RequestContent, digest_request
-from sassafraswinch_node.logs import configure_logs
 from sassafraswinch_sidecar.sidecar_settings import Address
 from sidecar_standins.backend import answer
 from sidecar_standins.fleet import call, running_fleet, until
@@ -21,17 +19,6 @@
         yield started
 
 
-@pytest.fixture
-def log():
-    stream = io.StringIO()
-    configure_logs(level="info", stream=stream)
-    # The log keeps what was told before it had a destination; other tests leave some.
-    stream.seek(0)
-    stream.truncate()
-    yield stream
-    configure_logs(level="info")
-
-
 def crash(backend):
     """Return a behaviour that ends the server's process."""
 
@@ -41,7 +28,7 @@
     return behave
 
 
-async def test_log_tells_a_lost_answer_from_the_end_of_the_server(fleet, log):
+async def test_log_tells_a_lost_answer_from_the_end_of_the_server(fleet, log_stream):
     """Callers get 502 for a request. An operator must see whether only its answer was
     lost, or the server's process ended while it ran, and that two such requests with
     different ids are the same.
@@ -56,7 +43,7 @@
     node.backend.behaviour = crash(node.backend)
     got = await fleet.call(node, target="/approve/1", request_id="r-2")
     assert got.status == 502
-    lines = log.getvalue().splitlines()
+    lines = log_stream.getvalue().splitlines()
     ended = [line for line in lines if "event=execution_ended" in line]
     assert "request_id=r-1" in ended[0]
     assert "reason=server-reset" in ended[0]
@@ -441,7 +428,7 @@
         assert statuses == [200] * 3
 
 
-async def test_operator_sees_and_clears_a_request_that_is_held_back(log):
+async def test_operator_sees_and_clears_a_request_that_is_held_back(log_stream):
     """An operator follows a 502 to the request that ended three servers, has the
     servers mended, and lets the request go again without waiting for its trial.
     """
@@ -451,7 +438,9 @@
         await asyncio.sleep(SPREAD_S)
         await servers.all_up()
         (told,) = [
-            line for line in log.getvalue().splitlines() if "request_held_back" in line
+            line
+            for line in log_stream.getvalue().splitlines()
+            if "request_held_back" in line
         ][:1]
         digest = told.partition("digest=")[2].split()[0]
         node = fleet.nodes[2]
--- a/packages/sassafraswinch-sidecar/tests/test_request_log.py
+++ b/packages/sassafraswinch-sidecar/tests/test_request_log.py
@@ -1,28 +1,13 @@
 """Log lines within bounds, to a reader that may stand still."""
 
 import asyncio
-import io
 import os
 
-import pytest
-
-from sassafraswinch_node.logs import configure_logs
 from sassafraswinch_sidecar.line_output import MAX_HELD_BYTES, LineOutput
 from sassafraswinch_sidecar.request_log import RequestLog
 
 
-@pytest.fixture
-def stream():
-    stream = io.StringIO()
-    configure_logs(level="info", stream=stream)
-    # The log keeps what was told before it had a destination; other tests leave some.
-    stream.seek(0)
-    stream.truncate()
-    yield stream
-    configure_logs(level="info")
-
-
-def test_failures_have_lines_when_successes_have_used_up_theirs(stream):
+def test_failures_have_lines_when_successes_have_used_up_theirs(log_stream):
     """Under load thousands of requests a second are served, and few fail. On-call
     engineers look for the ids of the few.
     """
@@ -31,19 +16,19 @@
     for number in range(1_000):
         log.served("answered", f"s-{number}", status=200)
     log.failed("not_served", "f-1", reason="deadline")
-    lines = stream.getvalue().splitlines()
+    lines = log_stream.getvalue().splitlines()
     assert len(lines) < 40
     assert "event=not_served request_id=f-1 reason=deadline" in lines[-1]
 
 
-def test_lines_left_out_are_counted(stream):
+def test_lines_left_out_are_counted(log_stream):
     now_ms = [0.0]
     log = RequestLog(now_ms=lambda: now_ms[0])
     for number in range(1_000):
         log.failed("not_served", f"f-{number}")
     now_ms[0] = 10_001.0
     log.tell_left_out()
-    assert "event=lines_left_out of=failures count=900" in stream.getvalue()
+    assert "event=lines_left_out of=failures count=900" in log_stream.getvalue()
 
 
 def test_last_lines_are_written_after_the_event_loop_has_ended():
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -224,7 +224,7 @@
             route=route,
             service=kind.service,
             request_id=key,
-            header_lines=b"",
+            headers=b"",
             deadline_ms=min(deadline_ms, parent.deadline_ms) if parent else deadline_ms,
             priority=parent.request.priority if parent else kind.priority,
             level=parent.request.level if parent else self.rng.randrange(LEVELS),
--- a/packages/sassafraswinch/sassafraswinch/request_digest.py
+++ b/packages/sassafraswinch/sassafraswinch/request_digest.py
@@ -4,6 +4,7 @@
 import zlib
 from collections.abc import Collection
 from dataclasses import dataclass
+from typing import Protocol
 
 TAG_BYTES = 4
 """Begin of a digest that the path alone decides, and that is worked out much faster."""
@@ -22,24 +23,33 @@
 """The digests of one request: with its query and, if it has one, without."""
 
 
-@dataclass(frozen=True, slots=True)
-class RequestContent:
-    """What a caller sends.
+class SentRequest(Protocol):
+    """What a caller sends, wherever a host holds it.
 
     Attributes:
         method: its method.
         target: path and query.
-        header_lines: header lines, each with its line end.
+        headers: header lines, each with its line end.
         body: its body.
     """
 
     method: str
     target: bytes
-    header_lines: bytes
+    headers: bytes
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContent:
+    """A request that is nothing but what its caller sent (SentRequest)."""
+
+    method: str
+    target: bytes
+    headers: bytes
     body: bytes
 
 
-def digest_request(content: RequestContent) -> Digests:
+def digest_request(request: SentRequest) -> Digests:
     """Return the digests of a request, which tell nothing of its content.
 
     What is left out differs each time that a request is sent again: its id, its time
@@ -47,11 +57,11 @@
     (a page, a time), so the request without it has a digest of its own.
     """
     hasher = hashlib.blake2b(digest_size=HASH_BYTES)
-    sender = sorted(_sender_lines(content.header_lines))
-    for part in (content.method.encode("latin-1"), *sender, content.body):
+    sender = sorted(_sender_lines(request.headers))
+    for part in (request.method.encode("latin-1"), *sender, request.body):
         _add(hasher, part)
-    path, mark, _ = content.target.partition(b"?")
-    targets = (content.target, path) if mark else (path,)
+    path, mark, _ = request.target.partition(b"?")
+    targets = (request.target, path) if mark else (path,)
     tag = path_tag(path)
     return tuple(tag + _finished(hasher, target) for target in targets)
 
@@ -67,9 +77,9 @@
     return digest[:TEXT_BYTES].hex()
 
 
-def _sender_lines(header_lines: bytes) -> Collection[bytes]:
+def _sender_lines(headers: bytes) -> Collection[bytes]:
     """Return the lines that name the host asked for, and who asks."""
-    lines = (line.partition(b":") for line in header_lines.split(b"\r\n") if line)
+    lines = (line.partition(b":") for line in headers.split(b"\r\n") if line)
     return [
         b"%b:%b" % (name.lower(), value.strip())
         for name, _, value in lines
--- a/packages/sassafraswinch/tests/test_request_digest.py
+++ b/packages/sassafraswinch/tests/test_request_digest.py
@@ -12,7 +12,7 @@
 REQUEST = {
     "method": "POST",
     "target": b"/orders/1",
-    "header_lines": b"Host: shop.example\r\nAuthorization: Bearer k1\r\n",
+    "headers": b"Host: shop.example\r\nAuthorization: Bearer k1\r\n",
     "body": b"order",
 }
 
@@ -29,7 +29,7 @@
         b"authorization:  Bearer k1\r\nX-Request-Id: 2\r\nX-Deadline-Ms: 9\r\n"
         b"X-Caller-Service: other\r\nHost: shop.example\r\n"
     )
-    assert digests(header_lines=again) == digests()
+    assert digests(headers=again) == digests()
 
 
 @pytest.mark.parametrize(
@@ -39,9 +39,9 @@
         {"target": b"/orders/2"},
         {"body": b"other"},
         {"body": b""},
-        {"header_lines": b"Host: shop.example\r\nAuthorization: Bearer k2\r\n"},
-        {"header_lines": b"Host: else.example\r\nAuthorization: Bearer k1\r\n"},
-        {"header_lines": b"Host: shop.example\r\n"},
+        {"headers": b"Host: shop.example\r\nAuthorization: Bearer k2\r\n"},
+        {"headers": b"Host: else.example\r\nAuthorization: Bearer k1\r\n"},
+        {"headers": b"Host: shop.example\r\n"},
     ],
 )
 def test_another_request_or_caller_has_other_digests(changed):
