Screen: the sidecars' own gate decides, in place of a second writing of its rule

screen_crashes.refusal repeated suspect_gate, and digested requests in its own way; hosts of the screen have the sidecars' SuspectRequests and SuspectGate now.

--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_crashes.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_crashes.py
@@ -5,14 +5,10 @@
 from typing import TYPE_CHECKING
 
 from sassafraswinch.crash_suspects import Judgement, Standing
-from sassafraswinch.request_digest import Digests
+from sassafraswinch.request_digest import RequestContent, digest_request
 from sassafraswinch_sidecar.executor import Execution
-from sassafraswinch_sidecar.relay_protocol.ttypes import Verdict
-from sassafraswinch_sidecar.suspect_requests import (
-    COPY_RUNS,
-    HELD_BACK,
-    SUSPECT_RUNS,
-)
+from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest, Verdict
+from sassafraswinch_sidecar.suspect_requests import HELD_BACK
 
 if TYPE_CHECKING:
     from sassafraswinch_standins.screen_fleet import Host, Screen
@@ -27,9 +23,9 @@
 """Key of the request that ends servers; those of others are numbers."""
 
 
-def digests_of_key(key: str) -> Digests:
-    """Return the digests of a request of the screen."""
-    return (key.encode().ljust(16),)
+def content_of(key: str) -> RequestContent:
+    """Return what the caller of a request of the screen sends, each time."""
+    return RequestContent("GET", key.encode(), b"", b"")
 
 
 class ServerCrashes:
@@ -66,27 +62,21 @@
 
     def judge(self, host: "Host", key: str) -> Judgement:
         """Return what a request may do, as a host knows."""
-        judged = host.suspects.judge(digests_of_key(key), self._screen.now_ms())
-        if judged.standing is Standing.HELD and key != FATAL:
-            self.held.add(key)
+        judged = host.suspect_requests.judge(content_of(key))
+        if judged.standing is Standing.HELD:
+            self._note_held(key)
         return judged
 
-    def refusal(self, host: "Host", key: str) -> str:
+    def refusal(self, host: "Host", request: RelayRequest) -> str:
         """Return why the last gate keeps a request from a host's server."""
-        standing = self.judge(host, key).standing
-        if standing is Standing.FREE:
-            return ""
-        if standing is Standing.HELD:
-            return HELD_BACK
-        running = (each.request.request_id for each in host.executions)
-        suspects = [each for each in running if self._restricts(host, each)]
-        if key in suspects:
-            return COPY_RUNS
-        return SUSPECT_RUNS if suspects else ""
-
-    def _restricts(self, host: "Host", key: str) -> bool:
-        judged = host.suspects.judge(digests_of_key(key), self._screen.now_ms())
-        return judged.standing is not Standing.FREE
+        refusal = host.gate.refusal(request)
+        if refusal == HELD_BACK:
+            self._note_held(request.request_id)
+        return refusal
+
+    def _note_held(self, key: str) -> None:
+        if key != FATAL:
+            self.held.add(key)
 
     def crash(self, host: "Host") -> None:
         """End the server's process; another one starts in its place."""
@@ -94,13 +84,12 @@
             return
         self.ended += 1
         host.up = False
-        now_ms = self._screen.now_ms()
         name = f"i-{next(self._names)}"
         for execution in list(host.executions):
             began = execution.place.started_at_ms is not None
             if began:
-                digests = digests_of_key(execution.request.request_id)
-                host.suspects.ended(digests, name, now_ms)
+                digests = digest_request(execution.request)
+                host.suspect_requests.ended(digests, name)
             else:
                 host.queue.withdraw(execution.place)
             verdict = Verdict.MAY_HAVE_RUN if began else Verdict.NOT_RUN
@@ -138,10 +127,12 @@
 
 def tell_suspects(zone: str, hosts: Iterable["Host"], now_ms: float) -> None:
     """Tell the hosts of a zone what all hosts learnt since its last round."""
-    tellers = [host for host in hosts if host.told.get(zone) != host.last_change]
+    tellers = [
+        host for host in hosts if host.told.get(zone) != host.suspects.last_change
+    ]
     for teller in tellers:
         words = teller.suspects.words(now_ms, after=teller.told.get(zone, 0))
-        teller.told[zone] = teller.last_change
+        teller.told[zone] = teller.suspects.last_change
         for host in hosts:
             if host.instance.availability_zone == zone:
                 host.suspects.take(words, now_ms)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -38,13 +38,18 @@
     parse_slot_times,
     serialize_slot_times,
 )
-from sassafraswinch_sidecar.suspect_requests import COPY_RUNS, HELD_BACK
+from sassafraswinch_sidecar.suspect_gate import SuspectGate
+from sassafraswinch_sidecar.suspect_requests import (
+    COPY_RUNS,
+    HELD_BACK,
+    SuspectRequests,
+)
 from sassafraswinch_sidecar.zone_gatherer import PAUSE_MS
 from sassafraswinch_standins.screen_callers import Caller, Tally
 from sassafraswinch_standins.screen_clock import Clock
 from sassafraswinch_standins.screen_crashes import (
     ServerCrashes,
-    digests_of_key,
+    content_of,
     tell_suspects,
 )
 from sassafraswinch_standins.screen_load import Pattern, route_of
@@ -76,6 +81,13 @@
         self.up = True
         self.executions: set[Execution] = set()
         self.suspects = CrashSuspects()
+        self.suspect_requests = SuspectRequests(
+            suspects=self.suspects, now_ms=now_ms, changed=lambda: None
+        )
+        self.gate = SuspectGate(
+            suspects=self.suspect_requests,
+            running=lambda: (each.request for each in self.executions),
+        )
         self.told: dict[str, int] = {}
         self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
         self.loads = {ip: PeerLoad() for ip in screen.ips}
@@ -105,11 +117,6 @@
         queue = self.queue
         return ServerLoad(queue.running, queue.queued, queue.limit if self.up else 0)
 
-    @property
-    def last_change(self) -> int:
-        """Number of the last change of its suspects."""
-        return self.suspects.last_change
-
 
 class Screen:
     """One run of a pattern.
@@ -265,8 +272,13 @@
         wait_ms = span_ms * (INNER_WAIT_SHARE if inner else ROOT_WAIT_SHARE)
         host.repeats.sent(relay)
         host.loads[instance.ip].sent_since += 1
+        content = content_of(relay.request_id)
         request = RelayRequest(
             request_id=relay.request_id,
+            method=content.method,
+            target=content.target,
+            headers=content.headers,
+            body=content.body,
             remaining_ms=int(left_ms),
             max_wait_ms=int(wait_ms),
             priority=relay.priority,
@@ -297,7 +309,7 @@
             request.progress,
             request.last,
         )
-        refusal = self.crashes.refusal(host, request.request_id)
+        refusal = self.crashes.refusal(host, request)
         if refusal or not host.up:
             self.end(host, execution, Verdict.NOT_RUN, refusal or "server-down")
             return
@@ -359,8 +371,7 @@
             return
         late = self.now_ms() > execution.deadline_ms
         if not late and status == 200:
-            digests = digests_of_key(execution.request.request_id)
-            host.suspects.answered(digests, self.now_ms())
+            host.suspect_requests.answered(execution.request)
         self.end(host, execution, Verdict.ANSWERED, "", 504 if late else status)
 
     def end(
@@ -407,8 +418,7 @@
                 self._repeat(host, relay)
                 return
             if not failed:
-                digests = digests_of_key(relay.request_id)
-                host.suspects.answered(digests, self.now_ms())
+                host.suspect_requests.answered(content_of(relay.request_id))
             host.lessons.answered(relay, response)
             self._done(relay, response.status)
         elif response.verdict == Verdict.MAY_HAVE_RUN:
