--- a/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_crashing_requests.py
@@ -1,7 +1,6 @@
 """Requests that end the backend servers that run them."""
 
 import asyncio
-import itertools
 
 import pytest
 
@@ -10,6 +9,7 @@
 from sassafraswinch.request_digest import RequestContent, digest_request
 from sassafraswinch_sidecar.sidecar_settings import Address
 from sidecar_standins.backend import answer
+from sidecar_standins.crashing import BAD, CrashingServers, end_three_servers
 from sidecar_standins.fleet import call, running_fleet, until
 
 
@@ -54,79 +54,10 @@
     assert "digest=" in told
 
 
-BAD = "/orders/bad"
-RESTART_S = 0.15
-"""Time after which a server that has ended runs again."""
-
 SPREAD_S = 1.0
 """Time in which all hosts must know of an end: a third of what is allowed."""
 
 
-class CrashingServers:
-    """Servers that end when they run a bad request, and start again as new ones.
-
-    Attributes:
-        ends: ids of the bad requests that a server ran, one for each end.
-        fatal: targets of bad requests.
-    """
-
-    def __init__(self, fleet, service):
-        self.ends: list[str] = []
-        self.fatal = {BAD.encode()}
-        self.run_ms = 0.0
-        self._down: set[str] = set()
-        self._store = fleet.store
-        self._numbers = itertools.count(1)
-        self._tasks: list[asyncio.Task] = []
-        for node in fleet.of(service):
-            self._behave(node)
-
-    def _behave(self, node) -> None:
-        def behave(connection, seen):
-            if node.ip in self._down:
-                return  # It was read before the end, and doesn't run.
-            if seen.target in self.fatal:
-                self.ends.append(seen.request_id.decode())
-                self._down.add(node.ip)
-                node.backend.close()
-                self._tasks.append(asyncio.create_task(self._restart(node)))
-            elif self.run_ms:
-                loop = asyncio.get_running_loop()
-                loop.call_later(
-                    self.run_ms / 1000, connection.transport.write, answer(seen)
-                )
-            else:
-                connection.transport.write(answer(seen))
-
-        node.backend.behaviour = behave
-
-    async def _restart(self, node) -> None:
-        await asyncio.sleep(RESTART_S)
-        self._down.discard(node.ip)
-        await node.backend.open(node.ip, node.backend_port)
-        name = f"i-{node.ip}-{next(self._numbers)}"
-        await node.put_instance(self._store, name=name)
-
-    async def all_up(self) -> None:
-        """Wait until every server runs again."""
-        await asyncio.gather(*self._tasks)
-
-
-def other_hosts(fleet):
-    """Return all hosts, again and again."""
-    return itertools.cycle(fleet.nodes)
-
-
-async def end_three_servers(fleet, servers):
-    """Send the bad request, at one host after the other, until three servers ended."""
-    numbers = itertools.count(1)
-    for node in other_hosts(fleet):
-        await fleet.call(node, target=BAD, request_id=f"bad-{next(numbers)}")
-        if len(servers.ends) >= 3:
-            return
-        await servers.all_up()
-
-
 async def test_request_that_ended_three_servers_is_sent_to_no_more():
     """Order lookups were refused or failed for seconds, again and again. One lookup,
     sent again under new ids at any host, ended each server that began to run it, and
@@ -339,7 +270,7 @@
             await asyncio.sleep(0.3)
             node = fleet.of("archiv")[number % 3]
             node.backend.close()
-            await servers._restart(node)
+            await servers.restart(node)
         stopped.set()
         await asyncio.gather(*asking)
         assert statuses.count(200) > 0.9 * len(statuses)
@@ -393,7 +324,7 @@
         await asyncio.gather(*calls)
         servers = CrashingServers(fleet, "archiv")
         for node in archives:
-            await servers._restart(node)
+            await servers.restart(node)
         await asyncio.sleep(SPREAD_S)
         for node in fleet.nodes:
             got = await fleet.call(node, request_id=f"again-{node.ip}")
