Organisations: keys are decoded, checked at the entry, and named to servers

Cause: the adapter read neither organisations nor public routes.

Change: the adapter decodes organisations (ambiguous names and keys, empty ones and negative rates leave the last configuration in force); the entry looks the key up, answers 401 to unknown ones, drops the key and the caller's own organisation header, and writes ours. Calls of servers take the organisation of the request that runs here; one whose parent isn't known here gets 503, since 401 would deny a proper call after a restart. A request whose key is removed while it waits isn't sent again. An unknown path is told before an unknown key. Without organisations nothing changes. The digest of crashing requests names the organisation, so that a rotated key is the same caller. An organisation's priority goes before its route's.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -58,6 +58,8 @@
   16: i32 progress = 0
   /** Whether its tree ends with it: a root request that makes no calls. */
   17: bool last = false
+  /** Name of the organisation that sent its root request; empty for none. */
+  18: string organisation = ""
 }
 
 /** Slot time that a request and the calls below it took at one service. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/dialect.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/dialect.py
@@ -16,6 +16,7 @@
         signature: marks a backend server's own answer.
         actual_instance: instance id of a backend server that refuses a request for
             another one.
+        organisation: name of the organisation that sent a request.
     """
 
     request_id: bytes = b"x-request-id"
@@ -25,3 +26,4 @@
     caller_service: bytes = b"x-caller-service"
     signature: bytes = b"x-signature"
     actual_instance: bytes = b"x-instance"
+    organisation: bytes = b"x-organisation"
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import httptools
@@ -34,7 +34,8 @@
 
     method: bytes
     target: bytes
-    fields: Fields
+    # Not shown: they hold keys.
+    fields: Fields = field(repr=False)
     body: bytes
     keep_alive: bool
     arrived_ms: float
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -25,7 +25,7 @@
     RelayAnswers,
 )
 from sassafraswinch_sidecar.relay_counts import RelayCounts
-from sassafraswinch_sidecar.relay_intake import Relay, RelayIntake
+from sassafraswinch_sidecar.relay_intake import KEY_CHANGED, Relay, RelayIntake
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayRequest,
@@ -224,6 +224,9 @@
         judged = self._judge(relay)
         if judged is None:
             return
+        if not self._intake.has_key_in_force(relay):
+            self._end(relay, KEY_CHANGED)
+            return
         left_ms = relay.deadline_ms - self._now_ms()
         instances = self._fleet.of_service(relay.service)
         instance = None
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -6,7 +6,12 @@
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_counts import RelayCounts
-from sassafraswinch_sidecar.relay_intake import Relay, Unroutable
+from sassafraswinch_sidecar.relay_intake import (
+    NO_ROUTE,
+    UNKNOWN_KEY,
+    Relay,
+    Unroutable,
+)
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
 from sassafraswinch_sidecar.request_log import RequestLog
 
@@ -24,6 +29,7 @@
 """Word of logs and counters for requests that the services below can't carry."""
 
 NO_ROUTE_STATUS = 404
+UNKNOWN_KEY_STATUS = 401
 NOT_RUN_STATUS = 503
 """Promises that the request hasn't run and never will."""
 
@@ -132,9 +138,13 @@
             host=why.host,
             version=why.version,
         )
-        if why.reason == "no-route":
+        if why.reason == NO_ROUTE:
             connection.respond(http, status=NO_ROUTE_STATUS, header_lines=b"")
             return
+        if why.reason == UNKNOWN_KEY:
+            lines = b"WWW-Authenticate: Bearer\r\n"
+            connection.respond(http, status=UNKNOWN_KEY_STATUS, header_lines=lines)
+            return
         lines = _retry_after(UNREADY_RETRY_MS)
         connection.respond(http, status=NOT_RUN_STATUS, header_lines=lines)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from sassafraswinch.organisations import Organisation, parse_bearer_key
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import LEVELS
 from sassafraswinch_sidecar.executor import Execution, Executor
@@ -10,7 +11,21 @@
 from sassafraswinch_sidecar.http_fields import DROPPED, serialize_end_to_end
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
-from sassafraswinch_sidecar.routes import Route, ShareChooser
+from sassafraswinch_sidecar.routes import Route, RouteTable, ShareChooser
+
+AUTHORIZATION = b"authorization"
+
+ROUTE_PRIORITIES = 16
+"""Priorities of routes that are told apart within one of organisations."""
+
+LEAVING = "leaving"
+NO_ROUTES = "no-routes"
+NO_ROUTE = "no-route"
+UNKNOWN_KEY = "unknown-key"
+KEY_CHANGED = "key-changed"
+"""Its key was removed, or moved, while it waited; it hasn't run."""
+UNKNOWN_PARENT = "unknown-parent"
+"""A call of a request that doesn't run here any more, or whose sidecar restarted."""
 
 
 @dataclass(slots=True, eq=False)
@@ -29,6 +44,10 @@
         level: place of its root request within the priority.
         parent: the execution whose backend server made it; None for a root request.
         repeated: whether it, or a request above it, was sent before.
+        caller: organisation whose key it carries; None for a call, and where it needs
+            no key.
+        organisation: name of the organisation that sent its root request, or "".
+        table_version: version of the routes and keys that it was let in by.
         progress: calls that the requests above it have finished, itself included as
             one: 0 for a root request.
         call_id: number of the call under way.
@@ -60,6 +79,9 @@
     parent: Execution | None
     repeated: bool
     progress: int
+    caller: Organisation | None = None
+    organisation: str = ""
+    table_version: int = 0
     call_id: int = 0
     ip: str = ""
     instance_id: str = ""
@@ -93,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unroutable:
-    """A request that takes no route.
+    """A request that takes no route, or may not.
 
     Attributes:
         request_id: the caller's id of it.
@@ -132,6 +154,8 @@
             names.expected_instance.lower(),
             names.caller_service.lower(),
         }
+        self._identity_names = {AUTHORIZATION, names.organisation.lower()}
+        self._organisation_name = names.organisation
         self._fleet = fleet
         self._executor = executor
         self._rng = rng
@@ -150,32 +174,48 @@
         host, request_id, left_ms = self._read(http)
         table = self._fleet.table
         if table is None:
-            return Unroutable(request_id, host, "no-routes", None)
+            return Unroutable(request_id, host, NO_ROUTES, None)
         if closed:
-            return Unroutable(request_id, host, "leaving", table.version)
+            return Unroutable(request_id, host, LEAVING, table.version)
         route = table.find(host, http.target.decode("latin-1"))
         if route is None:
-            return Unroutable(request_id, host, "no-route", table.version)
+            return Unroutable(request_id, host, NO_ROUTE, table.version)
+        parent = self._executor.running.get(request_id.rpartition(".")[0])
+        caller = None if parent else self._caller(http, table)
+        if parent is None and caller is None and not _is_open(route, table):
+            reason = _identity_fault(http, request_id)
+            return Unroutable(request_id, host, reason, table.version)
         waits_ms = route.timeout_ms if left_ms is None else left_ms
         deadline_ms = http.arrived_ms + min(waits_ms, route.timeout_ms)
-        parent = self._executor.running.get(request_id.rpartition(".")[0])
         if parent is not None:
             deadline_ms = min(deadline_ms, parent.deadline_ms)
+        organisation = _organisation_name(caller, parent)
         return Relay(
             http=http,
             connection=connection,
             route=route,
             service=self._shares.choose(route),
             request_id=request_id,
-            headers=self._header_lines(http),
+            headers=self._header_lines(http, table, organisation),
             deadline_ms=deadline_ms,
-            priority=parent.request.priority if parent else route.priority,
+            priority=parent.request.priority if parent else _rank(caller, route),
             level=parent.request.level if parent else self._rng.randrange(LEVELS),
             parent=parent,
             repeated=parent is not None and parent.request.repeated,
             progress=_progress(parent),
+            caller=caller,
+            organisation=organisation,
+            table_version=table.version,
         )
 
+    def has_key_in_force(self, relay: Relay) -> bool:
+        """Return whether a request's key still belongs to its organisation."""
+        table = self._fleet.table
+        if relay.caller is None or table.version == relay.table_version:
+            return True
+        caller = self._caller(relay.http, table)
+        return caller is not None and caller.name == relay.organisation
+
     def _read(self, http: HttpRequest) -> tuple[str, str, float | None]:
         host = request_id = ""
         left_ms: float | None = None
@@ -188,8 +228,53 @@
                 left_ms = float(value) if value.isdigit() else None
         return host, request_id, left_ms
 
-    def _header_lines(self, http: HttpRequest) -> bytes:
-        return serialize_end_to_end(http.fields, self._own_names) + self._caller_line
+    def _caller(self, http: HttpRequest, table: RouteTable) -> Organisation | None:
+        """Return the organisation whose key a request carries."""
+        if table.organisations is None:
+            return None
+        return table.organisations.find(parse_bearer_key(_authorizations(http)))
+
+    def _header_lines(
+        self, http: HttpRequest, table: RouteTable, organisation: str
+    ) -> bytes:
+        if table.organisations is None:
+            lines = serialize_end_to_end(http.fields, self._own_names)
+            return lines + self._caller_line
+        dropped = self._own_names | self._identity_names
+        lines = serialize_end_to_end(http.fields, dropped) + self._caller_line
+        if organisation:
+            lines += b"%b: %b\r\n" % (self._organisation_name, organisation.encode())
+        return lines
+
+
+def _authorizations(http: HttpRequest) -> list[bytes]:
+    return [value for lowered, _, value in http.fields if lowered == AUTHORIZATION]
+
+
+def _is_open(route: Route, table: RouteTable) -> bool:
+    """Return whether requests of a route need no key."""
+    return route.public or table.organisations is None
+
+
+def _identity_fault(http: HttpRequest, request_id: str) -> str:
+    """Return why a request isn't let in: calls of servers carry no key."""
+    if "." in request_id and not _authorizations(http):
+        return UNKNOWN_PARENT
+    return UNKNOWN_KEY
+
+
+def _organisation_name(caller: Organisation | None, parent: Execution | None) -> str:
+    if parent is not None:
+        return parent.request.organisation
+    return caller.name if caller else ""
+
+
+def _rank(caller: Organisation | None, route: Route) -> int:
+    """Return the priority of a root request: its organisation's goes first."""
+    if caller is None or caller.priority is None:
+        return route.priority
+    within = min(route.priority, ROUTE_PRIORITIES - 1)
+    return caller.priority * ROUTE_PRIORITIES + within
 
 
 def _progress(parent: Execution | None) -> int:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -282,6 +282,7 @@
      - repeated: Whether it, or a request above it, was sent before.
      - progress: Calls that its root request and those above it have already finished.
      - last: Whether its tree ends with it: a root request that makes no calls.
+     - organisation: Name of the organisation that sent its root request; empty for none.
 
     """
 
@@ -303,10 +304,11 @@
         'repeated',
         'progress',
         'last',
+        'organisation',
     )
 
 
-    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=0, last=False,):
+    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=0, last=False, organisation="",):
         self.call_id = call_id
         self.instance_id = instance_id
         self.service_name = service_name
@@ -324,6 +326,7 @@
         self.repeated = repeated
         self.progress = progress
         self.last = last
+        self.organisation = organisation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -419,6 +422,11 @@
                     self.last = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -497,6 +505,10 @@
             oprot.writeFieldBegin('last', TType.BOOL, 17)
             oprot.writeBool(self.last)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 18)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3017,6 +3029,7 @@
     (15, TType.BOOL, 'repeated', None, None, ),  # 15
     (16, TType.I32, 'progress', None, 0, ),  # 16
     (17, TType.BOOL, 'last', None, False, ),  # 17
+    (18, TType.STRING, 'organisation', 'UTF8', "", ),  # 18
 )
 all_structs.append(SlotTime)
 SlotTime.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_requests.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_requests.py
@@ -41,4 +41,5 @@
         repeated=relay.repeated,
         progress=relay.progress,
         last=last,
+        organisation=relay.organisation,
     )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/routes.py
@@ -3,6 +3,8 @@
 import itertools
 from dataclasses import dataclass, field
 
+from sassafraswinch.organisations import Organisations
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Share:
@@ -26,6 +28,7 @@
         timeout_ms: longest time that a caller is kept waiting.
         target_latency_ms: time within which an answer has its full worth.
         priority: rank of the requests; 0 is the most important.
+        public: whether requests need no key.
     """
 
     name: str
@@ -37,6 +40,7 @@
     timeout_ms: float
     target_latency_ms: float
     priority: int
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,12 +63,15 @@
         limits: bounds on what callers may send.
         known_services: services that servers may belong to, besides those that a
             route leads to; empty where the platform doesn't list them.
+        organisations: who may send requests; None where anybody may, and keys are the
+            backend servers' own concern.
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: RequestLimits = RequestLimits()
     known_services: frozenset[str] = frozenset()
+    organisations: Organisations | None = field(default=None, compare=False)
     _by_host: dict[str, dict[str, Route]] = field(
         init=False, repr=False, compare=False, default_factory=dict
     )
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -8,6 +8,12 @@
 from dataclasses import dataclass, field
 
 from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
+from sassafraswinch.organisations import (
+    Organisation,
+    OrganisationKeys,
+    Organisations,
+    RateLimit,
+)
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.platform_reader import PlatformUnavailableError
@@ -51,9 +57,28 @@
             ),
             limits=RequestLimits(**read.get("limits", {})),
             known_services=frozenset(read.get("known_services", ())),
+            organisations=read_organisations(read.get("organisations")),
         )
 
 
+def read_organisations(listed):
+    """Read organisations as ``organisation`` writes them; None where there are none."""
+    if listed is None:
+        return None
+    entries = [
+        OrganisationKeys(
+            organisation=Organisation(
+                name=each["name"],
+                priority=each["priority"],
+                limit=RateLimit(**each["limit"]) if each["limit"] else None,
+            ),
+            api_keys=tuple(each["api_keys"]),
+        )
+        for each in listed
+    ]
+    return Organisations(entries=entries)
+
+
 class MemoryStore:
     """The platform's store: one revision, watches, and outages on demand."""
 
@@ -272,6 +297,16 @@
     } | fields
 
 
+def organisation(name, *api_keys, priority=None, limit=None) -> dict:
+    """Return an organisation as ``MemoryDecoder`` reads it."""
+    return {
+        "name": name,
+        "api_keys": list(api_keys),
+        "priority": priority,
+        "limit": limit,
+    }
+
+
 async def until(condition, *, seconds=10.0) -> None:
     """Wait for a condition."""
     async with asyncio.timeout(seconds):
--- a/packages/sassafraswinch/sassafraswinch/request_digest.py
+++ b/packages/sassafraswinch/sassafraswinch/request_digest.py
@@ -31,12 +31,14 @@
         target: path and query.
         headers: header lines, each with its line end.
         body: its body.
+        organisation: name of the organisation that sends it, whatever its key; or "".
     """
 
     method: str
     target: bytes
     headers: bytes
     body: bytes
+    organisation: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,7 @@
     target: bytes
     headers: bytes
     body: bytes
+    organisation: str = ""
 
 
 def digest_request(request: SentRequest) -> Digests:
@@ -58,7 +61,8 @@
     """
     hasher = hashlib.blake2b(digest_size=HASH_BYTES)
     sender = sorted(_sender_lines(request.headers))
-    for part in (request.method.encode("latin-1"), *sender, request.body):
+    organisation = request.organisation.encode()
+    for part in (request.method.encode("latin-1"), organisation, *sender, request.body):
         _add(hasher, part)
     path, mark, _ = request.target.partition(b"?")
     targets = (request.target, path) if mark else (path,)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -70,6 +70,68 @@
     assert table.limits.idle_timeout_ms == 15_000.0
 
 
+TENANT = {
+    "name": "pulo780",
+    "api_keys": ["gjy5", "3nax"],
+    "priority": 1,
+    "rate_per_s": 163,
+    "burst": 20,
+}
+
+
+def with_tenants(*tenants):
+    return coded(CONFIG, tenants=list(tenants))
+
+
+def test_tenants_become_organisations():
+    table = PlatformDecoder().parse_route_table(with_tenants(TENANT))
+    found = table.organisations.find("3nax")
+    assert (found.name, found.priority) == ("pulo780", 1)
+    assert (found.limit.rate_per_s, found.limit.burst) == (163, 20)
+
+
+def test_without_tenants_anybody_may_send():
+    assert PlatformDecoder().parse_route_table(coded(CONFIG)).organisations is None
+
+
+def test_an_empty_list_of_tenants_lets_nobody_send():
+    table = PlatformDecoder().parse_route_table(with_tenants())
+    assert table.organisations is not None
+
+
+@pytest.mark.parametrize("rates", [{"rate_per_s": 0}, {}])
+def test_a_rate_of_zero_or_none_is_no_limit(rates):
+    tenant = {"name": "a", "api_keys": ["k"]} | rates
+    table = PlatformDecoder().parse_route_table(with_tenants(tenant))
+    assert table.organisations.find("k").limit is None
+
+
+def test_a_route_may_be_public():
+    config = CONFIG | {"hosts": [{"host": "a", "paths": [PATH | {"public": True}]}]}
+    (found,) = PlatformDecoder().parse_route_table(coded(config)).routes
+    assert found.public
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANT | {"name": ""}],
+        [TENANT | {"api_keys": [""]}],
+        [TENANT | {"rate_per_s": -1}],
+        [TENANT | {"burst": -1}],
+        [TENANT | {"priority": -1}],
+        [TENANT, TENANT | {"name": "other"}],
+        [TENANT, TENANT | {"api_keys": ["other"]}],
+    ],
+)
+def test_wrong_tenants_are_refused_without_showing_a_key(tenants):
+    with pytest.raises(InvalidFieldsError) as caught:
+        PlatformDecoder().parse_route_table(with_tenants(*tenants))
+    texts = [str(error) for error in caught.value.exceptions]
+    assert any("tenants" in text for text in texts)
+    assert not any("gjy5" in text for text in texts)
+
+
 def test_one_service_is_a_split_of_one_part():
     path = {k: v for k, v in PATH.items() if k != "traffic_split"}
     config = CONFIG | {"hosts": [{"host": "a", "paths": [path | {"service": "x"}]}]}
