Organisations: one rate limit over all hosts, by the sums that hosts tell

Change: each host counts by organisation what is asked and let in, tells it with its report, and is told the sums of those that come near their limit. The part let in is worked out from the sums; hosts that aren't in view keep their part; a host that starts counts its past as spent. 429 with a Retry-After by what is overdrawn.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -111,6 +111,19 @@
   3: required i32 repeated
 }
 
+/** What was asked and let in of organisations, a column for each fact. */
+struct OrganisationUses {
+  1: required list<string> names
+  /** Requests that arrived, in thousandths a second. */
+  2: required list<i64> asked_per_ks
+  /** Requests that were let in within the window. */
+  3: required list<i32> spent
+  /** Hosts that tell it. */
+  4: required i32 hosts
+  /** Time of the window before these hosts started, added up. */
+  5: required i64 unknown_ms
+}
+
 /** Asks for a sign of life on a link that is quiet. */
 struct Heartbeat {
   1: required i64 sequence
@@ -147,6 +160,7 @@
   7: required list<SentCount> counts
   /** Whether the sender takes its view of the fleet from the receiver. */
   8: required bool relies
+  9: optional OrganisationUses uses
 }
 
 /** Loads of one zone. */
@@ -162,6 +176,7 @@
   1: required ZoneLoads loads
   2: required list<RouteDemand> demand
   3: required list<SentCount> counts
+  4: optional OrganisationUses uses
 }
 
 /** What a gatherer tells a host of its zone. */
@@ -173,6 +188,8 @@
   /** Sums over all zones. */
   4: required list<RouteDemand> demand
   5: required list<SentCount> counts
+  /** Organisations that come near their limit. */
+  6: optional OrganisationUses uses
 }
 
 /** Asks a sidecar of another zone for that zone's sum. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable, Iterable
 
+from sassafraswinch.organisation_rates import Use
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.fleet import Fleet
 from sassafraswinch_sidecar.fleet_view import FleetView
@@ -58,6 +59,7 @@
         reports: tells of this sidecar.
         data: the platform's data, which is handed on by the way.
         suspects: requests that ended servers, which are handed on as well.
+        is_near_limit: returns whether hosts must be told of an organisation's use.
         now_ms: monotonic clock.
     """
 
@@ -72,6 +74,7 @@
         reports: HostReports,
         data: PlatformData,
         suspects: SuspectExchange,
+        is_near_limit: Callable[[str, Use], bool],
         now_ms: Callable[[], float],
     ):
         self._own_ip = own_ip
@@ -84,7 +87,9 @@
         self._suspects = suspects
         self._now_ms = now_ms
         self._duty = ZoneDuty(own_ip=own_ip, holders=GATHERERS, step_ms=GATHER_STEP_MS)
-        self._gatherer = ZoneGatherer(availability_zone=availability_zone)
+        self._gatherer = ZoneGatherer(
+            availability_zone=availability_zone, is_near_limit=is_near_limit
+        )
         self._contacts = ZoneContacts()
         self._summary: ZoneSummary | None = None
         self._gathers = False
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_view.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_view.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterator
 
 from sassafraswinch.fitting_shares import Claim
-from sassafraswinch_sidecar.host_reports import parse_counts, parse_demand
+from sassafraswinch.organisation_rates import FleetUse
+from sassafraswinch_sidecar.host_reports import (
+    parse_counts,
+    parse_demand,
+    parse_uses,
+)
 from sassafraswinch_sidecar.placement import PeerLoad
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     FleetDigest,
@@ -45,6 +50,7 @@
         self._gatherers: dict[str, float] = {}
         self._demand: list[Claim] = []
         self._totals: Totals = ({}, 0)
+        self._uses = FleetUse()
         self._told_ms = -math.inf
 
     def heard_gatherer(self, ip: str, now_ms: float) -> None:
@@ -80,6 +86,7 @@
         self._demand = parse_demand(digest.demand)
         hosts = sum(len(zone.hosts.ips) for zone in digest.zones)
         self._totals = parse_counts(digest.counts), hosts
+        self._uses = parse_uses(digest.uses)
         self._told_ms = now_ms
 
     def demand(self, now_ms: float) -> list[Claim]:
@@ -93,6 +100,10 @@
         """Return how much all sidecars sent, this one included, as last told."""
         return self._totals if now_ms - self._told_ms < VIEW_LIFE_MS else ({}, 0)
 
+    def uses(self, now_ms: float) -> FleetUse:
+        """Return what was asked and let in of organisations, as last told."""
+        return self._uses if now_ms - self._told_ms < VIEW_LIFE_MS else FleetUse()
+
     def age_ms(self, now_ms: float) -> float:
         """Return the time since a whole digest was taken."""
         return now_ms - self._told_ms
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from sassafraswinch.fitting_shares import Claim
+from sassafraswinch.organisation_rates import FleetUse, OrganisationRates, Use
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.platform_data import PlatformData
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     HeartbeatReply,
     HostReport,
+    OrganisationUses,
     RouteDemand,
     SentCount,
 )
@@ -23,6 +25,7 @@
         executor: runs requests at the backend server.
         admission: knows what this entry's arrivals need.
         budget: knows how much this sidecar repeats.
+        rates: knows what organisations sent here.
         is_stopping: whether this sidecar takes no new work.
         is_isolated: whether this host can't reach the platform, which therefore
             doesn't list the server.
@@ -36,6 +39,7 @@
         executor: Executor,
         admission: EntryAdmission,
         budget: RepeatBudget,
+        rates: OrganisationRates,
         is_stopping: Callable[[], bool],
         is_isolated: Callable[[], bool],
         now_ms: Callable[[], float],
@@ -44,6 +48,7 @@
         self._executor = executor
         self._admission = admission
         self._budget = budget
+        self._rates = rates
         self._is_stopping = is_stopping
         self._is_isolated = is_isolated
         self._now_ms = now_ms
@@ -63,6 +68,7 @@
             demand=serialize_demand(self._admission.demand()),
             counts=serialize_counts(self._budget.counted(self._now_ms())),
             relies=relies,
+            uses=serialize_uses(self._rates.report(self._now_ms())),
         )
 
     def reply(self, sequence: int) -> HeartbeatReply:
@@ -118,3 +124,25 @@
 def parse_counts(told: Iterable[SentCount]) -> dict[str, Counted]:
     """Read requests and repeats by service."""
     return {each.service_name: Counted(each.sent, each.repeated) for each in told}
+
+
+def serialize_uses(told: FleetUse) -> OrganisationUses:
+    """Write what was asked and let in of organisations."""
+    return OrganisationUses(
+        names=list(told.uses),
+        asked_per_ks=[round(use.asked_per_s * 1000) for use in told.uses.values()],
+        spent=[use.spent for use in told.uses.values()],
+        hosts=told.hosts,
+        unknown_ms=round(told.unknown_ms),
+    )
+
+
+def parse_uses(told: OrganisationUses | None) -> FleetUse:
+    """Read what was asked and let in of organisations; peers may not tell it."""
+    if told is None:
+        return FleetUse()
+    columns = zip(told.names, told.asked_per_ks, told.spent, strict=True)
+    uses = {
+        name: Use(asked_per_ks / 1000, spent) for name, asked_per_ks, spent in columns
+    }
+    return FleetUse(uses, told.hosts, told.unknown_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from sassafraswinch.crash_suspects import Judgement, Standing
+from sassafraswinch.organisation_rates import OrganisationRates
 from sassafraswinch.request_digest import digest_request, digest_text
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import (
@@ -81,6 +82,7 @@
         view: FleetView,
         executor: Executor,
         placement: Placement,
+        rates: OrganisationRates,
         admission: EntryAdmission,
         budget: RepeatBudget,
         suspects: SuspectRequests,
@@ -99,6 +101,7 @@
         self._view = view
         self._executor = executor
         self._placement = placement
+        self._rates = rates
         self._admission = admission
         self._suspects = suspects
         self._held = held
@@ -205,6 +208,8 @@
                 self._place(relay)
 
     def _admit(self, relay: Relay) -> bool:
+        if not self._is_within_rate(relay):
+            return False
         route = relay.route
         self._admission.offered(route.name, route.priority)
         if not self._held.fits():
@@ -213,6 +218,7 @@
             return False
         blocking = self._admission.blocking(route.name, relay.level)
         if blocking is None:
+            self._spend(relay)
             return True
         self._answers.refuse_overloaded(
             relay, blocking, self._admission.fits[route.name].share
@@ -220,6 +226,23 @@
         self._finish(relay)
         return False
 
+    def _is_within_rate(self, relay: Relay) -> bool:
+        """Return whether a request is within its organisation's rate."""
+        if relay.caller is None:
+            return True
+        decision = self._rates.ask(relay.caller, self._now_ms())
+        if decision is None or decision.admitted:
+            return True
+        relay.retry_after_ms = self._rates.wait_ms(decision)
+        self._answers.refuse_over_limit(relay, decision)
+        self._finish(relay)
+        return False
+
+    def _spend(self, relay: Relay) -> None:
+        if relay.caller is not None:
+            relay.has_token = True
+            self._rates.spend(relay.caller, self._now_ms())
+
     def _place(self, relay: Relay) -> None:
         judged = self._judge(relay)
         if judged is None:
@@ -311,6 +334,8 @@
         self._finish(relay)
 
     def _fail(self, relay: Relay, reason: str, status: int) -> None:
+        if status == NOT_RUN_STATUS and relay.has_token:
+            self._rates.give_back(relay.caller, self._now_ms())
         self._lessons.failed(relay)
         self._answers.fail(relay, reason, status)
         self._finish(relay)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from sassafraswinch.organisation_rates import RateDecision
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_counts import RelayCounts
@@ -33,6 +34,12 @@
 NOT_RUN_STATUS = 503
 """Promises that the request hasn't run and never will."""
 
+OVER_LIMIT = "over-limit"
+"""Word of logs and counters for requests beyond their organisation's rate."""
+
+OVER_LIMIT_STATUS = 429
+"""Promises the same, for requests beyond their organisation's rate."""
+
 MAY_HAVE_RUN_STATUS = 502
 TIMEOUT_STATUS = 504
 
@@ -97,6 +104,31 @@
         )
         self._respond_unserved(relay, NOT_RUN_STATUS)
 
+    def refuse_over_limit(self, relay: Relay, decision: RateDecision) -> None:
+        """Refuse a request beyond its organisation's rate.
+
+        Args:
+            relay: the request; it knows when its caller may come back.
+            decision: what it was refused by.
+        """
+        self._counts.ended(OVER_LIMIT)
+        limit = relay.caller.limit
+        self._log.failed(
+            "refused_over_limit",
+            relay.request_id,
+            route=relay.route.name,
+            status=OVER_LIMIT_STATUS,
+            organisation=relay.organisation,
+            rate_per_s=limit.rate_per_s,
+            burst=limit.burst,
+            part=decision.part,
+            asked_per_s=decision.asked_per_s,
+            spent=decision.spent,
+            share=decision.share,
+            version=relay.table_version,
+        )
+        self._respond_unserved(relay, OVER_LIMIT_STATUS)
+
     def fail(self, relay: Relay, reason: str, status: int) -> None:
         """Answer a request that has no answer of a backend server.
 
@@ -122,7 +154,7 @@
 
     def _respond_unserved(self, relay: Relay, status: int) -> None:
         lines = b"%b: %b\r\n" % (self._id_name, relay.request_id.encode("latin-1"))
-        if status == NOT_RUN_STATUS:
+        if status in (NOT_RUN_STATUS, OVER_LIMIT_STATUS):
             lines += _retry_after(self._wait_ms(relay))
         relay.connection.respond(relay.http, status=status, header_lines=lines)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -47,6 +47,7 @@
         caller: organisation whose key it carries; None for a call, and where it needs
             no key.
         organisation: name of the organisation that sent its root request, or "".
+        has_token: whether it counts towards its organisation's rate.
         table_version: version of the routes and keys that it was let in by.
         progress: calls that the requests above it have finished, itself included as
             one: 0 for a root request.
@@ -81,6 +82,7 @@
     progress: int
     caller: Organisation | None = None
     organisation: str = ""
+    has_token: bool = False
     table_version: int = 0
     call_id: int = 0
     ip: str = ""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -1176,6 +1176,158 @@
         return not (self == other)
 
 
+class OrganisationUses(object):
+    """
+    What was asked and let in of organisations, a column for each fact.
+
+    Attributes:
+     - names
+     - asked_per_ks: Requests that arrived, in thousandths a second.
+     - spent: Requests that were let in within the window.
+     - hosts: Hosts that tell it.
+     - unknown_ms: Time of the window before these hosts started, added up.
+
+    """
+
+    __slots__ = (
+        'names',
+        'asked_per_ks',
+        'spent',
+        'hosts',
+        'unknown_ms',
+    )
+
+
+    def __init__(self, names=None, asked_per_ks=None, spent=None, hosts=None, unknown_ms=None,):
+        self.names = names
+        self.asked_per_ks = asked_per_ks
+        self.spent = spent
+        self.hosts = hosts
+        self.unknown_ms = unknown_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.names = []
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem21)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.asked_per_ks = []
+                    (_etype25, _size22) = iprot.readListBegin()
+                    for _i26 in range(_size22):
+                        _elem27 = iprot.readI64()
+                        self.asked_per_ks.append(_elem27)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readI32()
+                        self.spent.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.unknown_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrganisationUses')
+        if self.names is not None:
+            oprot.writeFieldBegin('names', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.names))
+            for iter34 in self.names:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.asked_per_ks is not None:
+            oprot.writeFieldBegin('asked_per_ks', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.asked_per_ks))
+            for iter35 in self.asked_per_ks:
+                oprot.writeI64(iter35)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.spent))
+            for iter36 in self.spent:
+                oprot.writeI32(iter36)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.I32, 4)
+            oprot.writeI32(self.hosts)
+            oprot.writeFieldEnd()
+        if self.unknown_ms is not None:
+            oprot.writeFieldBegin('unknown_ms', TType.I64, 5)
+            oprot.writeI64(self.unknown_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.names is None:
+            raise TProtocolException(message='Required field names is unset!')
+        if self.asked_per_ks is None:
+            raise TProtocolException(message='Required field asked_per_ks is unset!')
+        if self.spent is None:
+            raise TProtocolException(message='Required field spent is unset!')
+        if self.hosts is None:
+            raise TProtocolException(message='Required field hosts is unset!')
+        if self.unknown_ms is None:
+            raise TProtocolException(message='Required field unknown_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Asks for a sign of life on a link that is quiet.
@@ -1416,50 +1568,50 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ips = []
-                    (_etype19, _size16) = iprot.readListBegin()
-                    for _i20 in range(_size16):
-                        _elem21 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ips.append(_elem21)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ips.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.in_flight = []
-                    (_etype25, _size22) = iprot.readListBegin()
-                    for _i26 in range(_size22):
-                        _elem27 = iprot.readI32()
-                        self.in_flight.append(_elem27)
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = iprot.readI32()
+                        self.in_flight.append(_elem48)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.queued = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readI32()
-                        self.queued.append(_elem33)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI32()
+                        self.queued.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = iprot.readI32()
-                        self.limits.append(_elem39)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readI32()
+                        self.limits.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.flags = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = iprot.readI32()
-                        self.flags.append(_elem45)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readI32()
+                        self.flags.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1476,36 +1628,36 @@
         if self.ips is not None:
             oprot.writeFieldBegin('ips', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.ips))
-            for iter46 in self.ips:
-                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            for iter67 in self.ips:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flight is not None:
             oprot.writeFieldBegin('in_flight', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.in_flight))
-            for iter47 in self.in_flight:
-                oprot.writeI32(iter47)
+            for iter68 in self.in_flight:
+                oprot.writeI32(iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.queued is not None:
             oprot.writeFieldBegin('queued', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.queued))
-            for iter48 in self.queued:
-                oprot.writeI32(iter48)
+            for iter69 in self.queued:
+                oprot.writeI32(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.limits))
-            for iter49 in self.limits:
-                oprot.writeI32(iter49)
+            for iter70 in self.limits:
+                oprot.writeI32(iter70)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flags is not None:
             oprot.writeFieldBegin('flags', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.flags))
-            for iter50 in self.flags:
-                oprot.writeI32(iter50)
+            for iter71 in self.flags:
+                oprot.writeI32(iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1556,6 +1708,7 @@
      - demand
      - counts
      - relies: Whether the sender takes its view of the fleet from the receiver.
+     - uses
 
     """
 
@@ -1568,10 +1721,11 @@
         'demand',
         'counts',
         'relies',
+        'uses',
     )
 
 
-    def __init__(self, revision=None, load=None, leaving=None, following=None, isolated=None, demand=None, counts=None, relies=None,):
+    def __init__(self, revision=None, load=None, leaving=None, following=None, isolated=None, demand=None, counts=None, relies=None, uses=None,):
         self.revision = revision
         self.load = load
         self.leaving = leaving
@@ -1580,6 +1734,7 @@
         self.demand = demand
         self.counts = counts
         self.relies = relies
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1619,22 +1774,22 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = RouteDemand()
-                        _elem56.read(iprot)
-                        self.demand.append(_elem56)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = RouteDemand()
+                        _elem77.read(iprot)
+                        self.demand.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = SentCount()
-                        _elem62.read(iprot)
-                        self.counts.append(_elem62)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = SentCount()
+                        _elem83.read(iprot)
+                        self.counts.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1643,6 +1798,12 @@
                     self.relies = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.uses = OrganisationUses()
+                    self.uses.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1676,21 +1837,25 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter63 in self.demand:
-                iter63.write(oprot)
+            for iter84 in self.demand:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter64 in self.counts:
-                iter64.write(oprot)
+            for iter85 in self.counts:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relies is not None:
             oprot.writeFieldBegin('relies', TType.BOOL, 8)
             oprot.writeBool(self.relies)
             oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.STRUCT, 9)
+            self.uses.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1841,6 +2006,7 @@
      - loads
      - demand
      - counts
+     - uses
 
     """
 
@@ -1848,13 +2014,15 @@
         'loads',
         'demand',
         'counts',
+        'uses',
     )
 
 
-    def __init__(self, loads=None, demand=None, counts=None,):
+    def __init__(self, loads=None, demand=None, counts=None, uses=None,):
         self.loads = loads
         self.demand = demand
         self.counts = counts
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1874,25 +2042,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = RouteDemand()
-                        _elem70.read(iprot)
-                        self.demand.append(_elem70)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = RouteDemand()
+                        _elem91.read(iprot)
+                        self.demand.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = SentCount()
-                        _elem76.read(iprot)
-                        self.counts.append(_elem76)
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = SentCount()
+                        _elem97.read(iprot)
+                        self.counts.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.uses = OrganisationUses()
+                    self.uses.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1910,17 +2084,21 @@
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter77 in self.demand:
-                iter77.write(oprot)
+            for iter98 in self.demand:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter78 in self.counts:
-                iter78.write(oprot)
+            for iter99 in self.counts:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.STRUCT, 4)
+            self.uses.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1962,6 +2140,7 @@
      - zones
      - demand: Sums over all zones.
      - counts
+     - uses: Organisations that come near their limit.
 
     """
 
@@ -1971,15 +2150,17 @@
         'zones',
         'demand',
         'counts',
+        'uses',
     )
 
 
-    def __init__(self, revision=None, whole=None, zones=None, demand=None, counts=None,):
+    def __init__(self, revision=None, whole=None, zones=None, demand=None, counts=None, uses=None,):
         self.revision = revision
         self.whole = whole
         self.zones = zones
         self.demand = demand
         self.counts = counts
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2003,36 +2184,42 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.zones = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = ZoneLoads()
-                        _elem84.read(iprot)
-                        self.zones.append(_elem84)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = ZoneLoads()
+                        _elem105.read(iprot)
+                        self.zones.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demand = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = RouteDemand()
-                        _elem90.read(iprot)
-                        self.demand.append(_elem90)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = RouteDemand()
+                        _elem111.read(iprot)
+                        self.demand.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.counts = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = SentCount()
-                        _elem96.read(iprot)
-                        self.counts.append(_elem96)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = SentCount()
+                        _elem117.read(iprot)
+                        self.counts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.uses = OrganisationUses()
+                    self.uses.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2054,24 +2241,28 @@
         if self.zones is not None:
             oprot.writeFieldBegin('zones', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.zones))
-            for iter97 in self.zones:
-                iter97.write(oprot)
+            for iter118 in self.zones:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demand))
-            for iter98 in self.demand:
-                iter98.write(oprot)
+            for iter119 in self.demand:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.counts))
-            for iter99 in self.counts:
-                iter99.write(oprot)
+            for iter120 in self.counts:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.STRUCT, 6)
+            self.uses.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2217,10 +2408,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.gatherers = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gatherers.append(_elem105)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gatherers.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2247,8 +2438,8 @@
         if self.gatherers is not None:
             oprot.writeFieldBegin('gatherers', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.gatherers))
-            for iter106 in self.gatherers:
-                oprot.writeString(iter106.encode('utf-8') if sys.version_info[0] == 2 else iter106)
+            for iter127 in self.gatherers:
+                oprot.writeString(iter127.encode('utf-8') if sys.version_info[0] == 2 else iter127)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summary is not None:
@@ -2327,20 +2518,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ends.append(_elem112)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ends.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ages_ms = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = iprot.readI32()
-                        self.ages_ms.append(_elem118)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = iprot.readI32()
+                        self.ages_ms.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2366,15 +2557,15 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.ends))
-            for iter119 in self.ends:
-                oprot.writeString(iter119.encode('utf-8') if sys.version_info[0] == 2 else iter119)
+            for iter140 in self.ends:
+                oprot.writeString(iter140.encode('utf-8') if sys.version_info[0] == 2 else iter140)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.ages_ms))
-            for iter120 in self.ages_ms:
-                oprot.writeI32(iter120)
+            for iter141 in self.ages_ms:
+                oprot.writeI32(iter141)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_age_ms is not None:
@@ -2441,11 +2632,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = Suspect()
-                        _elem126.read(iprot)
-                        self.suspects.append(_elem126)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = Suspect()
+                        _elem147.read(iprot)
+                        self.suspects.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2462,8 +2653,8 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter127 in self.suspects:
-                iter127.write(oprot)
+            for iter148 in self.suspects:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2704,11 +2895,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = ReplicaEntry()
-                        _elem133.read(iprot)
-                        self.entries.append(_elem133)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = ReplicaEntry()
+                        _elem154.read(iprot)
+                        self.entries.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2733,8 +2924,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter134 in self.entries:
-                iter134.write(oprot)
+            for iter155 in self.entries:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3074,6 +3265,15 @@
     (2, TType.I32, 'sent', None, None, ),  # 2
     (3, TType.I32, 'repeated', None, None, ),  # 3
 )
+all_structs.append(OrganisationUses)
+OrganisationUses.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'names', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'asked_per_ks', (TType.I64, None, False), None, ),  # 2
+    (3, TType.LIST, 'spent', (TType.I32, None, False), None, ),  # 3
+    (4, TType.I32, 'hosts', None, None, ),  # 4
+    (5, TType.I64, 'unknown_ms', None, None, ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -3108,6 +3308,7 @@
     (6, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 6
     (7, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 7
     (8, TType.BOOL, 'relies', None, None, ),  # 8
+    (9, TType.STRUCT, 'uses', [OrganisationUses, None], None, ),  # 9
 )
 all_structs.append(ZoneLoads)
 ZoneLoads.thrift_spec = (
@@ -3122,6 +3323,7 @@
     (1, TType.STRUCT, 'loads', [ZoneLoads, None], None, ),  # 1
     (2, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 2
     (3, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'uses', [OrganisationUses, None], None, ),  # 4
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
@@ -3131,6 +3333,7 @@
     (3, TType.LIST, 'zones', (TType.STRUCT, [ZoneLoads, None], False), None, ),  # 3
     (4, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 4
     (5, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 5
+    (6, TType.STRUCT, 'uses', [OrganisationUses, None], None, ),  # 6
 )
 all_structs.append(SummaryRequest)
 SummaryRequest.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 
 from sassafraswinch.crash_suspects import CrashSuspects
+from sassafraswinch.organisation_rates import OrganisationRates, RateRule, Use
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, EntryAdmission
@@ -162,11 +163,22 @@
             sidecars=lambda: len(self._known_hosts),
             totals=self._view.totals,
         )
+        self._rate_rule = RateRule(
+            window_ms=settings.rate_window_s * 1000, slack=settings.rate_slack
+        )
+        self._rates = OrganisationRates(
+            rule=self._rate_rule,
+            now_ms=self._now_ms(),
+            most_hosts=lambda: self._most_sidecars.value(self._now_ms()),
+            told=self._view.uses,
+            random=rng.random,
+        )
         self._reports = HostReports(
             data=self._data,
             executor=self._executor,
             admission=self._admission,
             budget=self._budget,
+            rates=self._rates,
             is_stopping=lambda: self._stopping.is_set(),
             is_isolated=lambda: self._own_entry.is_isolated,
             now_ms=self._now_ms,
@@ -180,6 +192,7 @@
             reports=self._reports,
             data=self._data,
             suspects=self._suspect_exchange,
+            is_near_limit=self._is_near_limit,
             now_ms=self._now_ms,
         )
         self._duty = ZoneDuty(
@@ -216,6 +229,7 @@
                 cold_left_ms=self._fleet.cold_left_ms,
                 rng=rng,
             ),
+            rates=self._rates,
             admission=self._admission,
             budget=self._budget,
             suspects=self._suspects,
@@ -352,6 +366,16 @@
         load = self._view.recent_load(ip, self._now_ms())
         return load is not None and load.isolated
 
+    def _is_near_limit(self, name: str, use: Use) -> bool:
+        """Return whether hosts must be told of an organisation's use."""
+        table = self._fleet.table
+        if table is None or table.organisations is None:
+            return False
+        organisation = table.organisations.by_name.get(name)
+        if organisation is None or organisation.limit is None:
+            return False
+        return self._rate_rule.is_near(organisation.limit, use)
+
     def _share_duty(self, now_ms: float) -> None:
         """Decide who of the zone follows the platform."""
         self._duty.decide(self._zone_peers.following(), now_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -40,6 +40,8 @@
         repeat_ratio: repeats for each request that the fleet may make.
         repeat_slack: repeats in a window that need no request.
         repeat_window_s: length of that window.
+        rate_window_s: span over which requests of an organisation are counted.
+        rate_slack: requests of an organisation in that span that are free.
         log_level: debug, info, warning or error.
     """
 
@@ -59,6 +61,8 @@
     repeat_ratio: Annotated[float, Meta(ge=0, le=10)] = 0.2
     repeat_slack: Annotated[float, Meta(ge=0, le=1e6)] = 50.0
     repeat_window_s: Annotated[float, Meta(gt=0, le=600)] = 10.0
+    rate_window_s: Annotated[float, Meta(gt=0, le=600)] = 5.0
+    rate_slack: Annotated[float, Meta(ge=0, le=1e6)] = 20.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
     def address(self, field: str) -> Address:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
@@ -7,17 +7,20 @@
 doubled or late.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from sassafraswinch.fitting_shares import Claim
+from sassafraswinch.organisation_rates import FleetUse, Use, sum_uses
 from sassafraswinch_sidecar.entry_admission import merge_claims
 from sassafraswinch_sidecar.host_reports import (
     parse_counts,
     parse_demand,
+    parse_uses,
     serialize_counts,
     serialize_demand,
+    serialize_uses,
 )
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     FleetDigest,
@@ -81,10 +84,17 @@
 
     Args:
         availability_zone: the gatherer's zone.
+        is_near_limit: returns whether hosts must be told of an organisation's use.
     """
 
-    def __init__(self, *, availability_zone: str):
+    def __init__(
+        self,
+        *,
+        availability_zone: str,
+        is_near_limit: Callable[[str, Use], bool],
+    ):
         self._zone = availability_zone
+        self._is_near_limit = is_near_limit
         self._reports: dict[str, _Told[HostReport]] = {}
         self._zones: dict[str, _Told[ZoneSummary]] = {}
 
@@ -133,6 +143,9 @@
             loads=ZoneLoads(self._zone, 0, _host_loads(reports)),
             demand=serialize_demand(merge_claims(demands)),
             counts=serialize_counts(sum_counts(counts)),
+            uses=serialize_uses(
+                sum_uses(parse_uses(report.uses) for report in reports.values())
+            ),
         )
 
     def digest(self, own: ZoneSummary, revision: int, now_ms: float) -> FleetDigest:
@@ -160,8 +173,19 @@
             counts=serialize_counts(
                 sum_counts(parse_counts(each.counts) for each in summaries)
             ),
+            uses=serialize_uses(self._near_limits(summaries)),
         )
 
+    def _near_limits(self, summaries: Iterable[ZoneSummary]) -> FleetUse:
+        """Return the uses that hosts must hear of; the others have no effect."""
+        total = sum_uses(parse_uses(each.uses) for each in summaries)
+        near = {
+            name: use
+            for name, use in total.uses.items()
+            if self._is_near_limit(name, use)
+        }
+        return FleetUse(near, total.hosts, total.unknown_ms)
+
 
 def bare_digest(revision: int) -> FleetDigest:
     """Return the digest for hosts that take their view from another gatherer."""
--- a/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
@@ -5,12 +5,14 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from sassafraswinch.organisation_rates import FleetUse, Use
 from sassafraswinch_sidecar.fleet_view import (
     GATHERER_LIFE_MS,
     MISSING_LIFE_MS,
     VIEW_LIFE_MS,
     FleetView,
 )
+from sassafraswinch_sidecar.host_reports import parse_uses, serialize_uses
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     HostReport,
     RouteDemand,
@@ -31,7 +33,15 @@
 IPS = {zone: [f"10.{n}.0.{host}" for host in range(3)] for n, zone in enumerate(ZONES)}
 
 
-def new_report(requests=10, repeats=1, *, rate_per_s=5.0, relies=True, leaving=False):
+def zone_gatherer(zone):
+    return ZoneGatherer(
+        availability_zone=zone, is_near_limit=lambda name, use: use.spent >= 20
+    )
+
+
+def new_report(
+    requests=10, repeats=1, *, rate_per_s=5.0, relies=True, leaving=False, uses=None
+):
     return HostReport(
         revision=1,
         load=ServerLoad(in_flight=requests, queued=0, limit=20),
@@ -41,11 +51,12 @@
         demand=[RouteDemand("orders", 1, rate_per_s, {"archiv": 200_000})],
         counts=[SentCount("archiv", requests, repeats)],
         relies=relies,
+        uses=uses,
     )
 
 
 def test_hosts_are_told_the_sums_of_all_zones():
-    near, far = (ZoneGatherer(availability_zone=zone) for zone in ZONES)
+    near, far = (zone_gatherer(zone) for zone in ZONES)
     for zone, gatherer in zip(ZONES, (near, far), strict=True):
         for ip in IPS[zone]:
             gatherer.heard(ip, new_report(), 0.0)
@@ -63,8 +74,27 @@
     assert view.recent_load(IPS["brno-a"][0], 100.0 + VIEW_LIFE_MS) is not None
 
 
+def test_hosts_are_told_of_organisations_near_their_limit():
+    near, far = (zone_gatherer(zone) for zone in ZONES)
+    told = FleetUse({"large": Use(4.0, 7), "small": Use(0.5, 1)}, 1, 250.0)
+    for zone, gatherer in zip(ZONES, (near, far), strict=True):
+        for ip in IPS[zone]:
+            gatherer.heard(ip, new_report(uses=serialize_uses(told)), 0.0)
+    near.heard_zone(far.summary(), 100.0)
+    view = FleetView(own_ip=IPS["brno-a"][2])
+    view.take(near.digest(near.summary(), 1, 200.0), 200.0)
+    assert view.uses(200.0) == FleetUse({"large": Use(24.0, 42)}, 6, 1_500.0)
+    assert view.uses(200.0 + VIEW_LIFE_MS) == FleetUse()
+
+
+def test_hosts_that_tell_nothing_of_organisations_are_none_of_their_sum():
+    gatherer = zone_gatherer("brno-a")
+    gatherer.heard("10.0.0.1", new_report(), 0.0)
+    assert parse_uses(gatherer.summary().uses) == FleetUse()
+
+
 def test_word_of_a_host_itself_is_newer_than_any_digest():
-    gatherer = ZoneGatherer(availability_zone="brno-a")
+    gatherer = zone_gatherer("brno-a")
     gatherer.heard("10.0.0.1", new_report(requests=3, leaving=True), 0.0)
     view = FleetView(own_ip="10.0.0.9")
     view.told("10.0.0.1", ServerLoad(in_flight=7, queued=0, limit=20), 100.0)
@@ -79,7 +109,7 @@
     """A host loses power. Whoever goes on sending there lets each request wait for a
     link that doesn't come up.
     """
-    gatherer = ZoneGatherer(availability_zone="brno-a")
+    gatherer = zone_gatherer("brno-a")
     view = FleetView(own_ip="10.0.0.9")
     gatherer.heard("10.0.0.1", new_report(), 0.0)
     view.take(gatherer.digest(gatherer.summary(), 1, 0.0), 0.0)
@@ -102,7 +132,7 @@
 
 
 def test_hosts_that_take_their_view_elsewhere_are_told_no_more_than_who_gathers():
-    gatherer = ZoneGatherer(availability_zone="brno-a")
+    gatherer = zone_gatherer("brno-a")
     assert gatherer.relies("10.0.0.1")
     gatherer.heard("10.0.0.1", new_report(relies=False), 0.0)
     assert not gatherer.relies("10.0.0.1")
@@ -155,7 +185,7 @@
     def __init__(self):
         super().__init__()
         self.now_ms = 0.0
-        self.gatherers = {z: ZoneGatherer(availability_zone=z) for z in ZONES}
+        self.gatherers = {z: zone_gatherer(z) for z in ZONES}
         self.told = {}
         self.passed_on = {}
 
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
@@ -111,7 +111,12 @@
 
 def _gathering(count: int) -> Iterator[Figure]:
     """Measure what the sums of a fleet cost a gatherer, and a host of its zone."""
-    gatherers = [ZoneGatherer(availability_zone=f"zone-{n}") for n in range(ZONES)]
+    gatherers = [
+        ZoneGatherer(
+            availability_zone=f"zone-{n}", is_near_limit=lambda name, use: True
+        )
+        for n in range(ZONES)
+    ]
     for number, found in enumerate(hosts(count)):
         gatherers[number % ZONES].heard(found.ip, report(SERVICES_CALLED[0]), 0.0)
     first, *others = gatherers
