Rank: an organisation's priority goes before its route's, at the entry too

The queue before a server already took the rank of a request from its organisation; the entry admitted by the route alone. Kinds at the entry are now a route and the priority of the caller's organisation. Repeats go by the route's priority as before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -210,18 +210,17 @@
     def _admit(self, relay: Relay) -> bool:
         if not self._is_within_rate(relay):
             return False
-        route = relay.route
-        self._admission.offered(route.name, route.priority)
+        self._admission.offered(relay.kind, relay.priority)
         if not self._held.fits():
             # Its answer would be one more that is held for a slow reader.
             self._fail(relay, "no-memory", NOT_RUN_STATUS)
             return False
-        blocking = self._admission.blocking(route.name, relay.level)
+        blocking = self._admission.blocking(relay.kind, relay.level)
         if blocking is None:
             self._spend(relay)
             return True
         self._answers.refuse_overloaded(
-            relay, blocking, self._admission.fits[route.name].share
+            relay, blocking, self._admission.fits[relay.kind].share
         )
         self._finish(relay)
         return False
@@ -305,7 +304,7 @@
         relay.identity = instance.identity
         relay.instance_id = self._substitutes.actual_id(instance, self._now_ms())
         last = relay.parent is None and self._admission.needs_only(
-            relay.route.name, relay.service
+            relay.kind, relay.service
         )
         request = request_of(relay, left_ms=left_ms, last=last)
         self.relays[relay.call_id] = relay
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from sassafraswinch.organisations import Organisation, parse_bearer_key
+from sassafraswinch.ranks import rank_of
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import LEVELS
 from sassafraswinch_sidecar.executor import Execution, Executor
@@ -15,9 +16,6 @@
 
 AUTHORIZATION = b"authorization"
 
-ROUTE_PRIORITIES = 16
-"""Priorities of routes that are told apart within one of organisations."""
-
 LEAVING = "leaving"
 NO_ROUTES = "no-routes"
 NO_ROUTE = "no-route"
@@ -40,7 +38,8 @@
         request_id: the caller's id of it.
         headers: header lines that are passed on.
         deadline_ms: loop time at which its caller or its route stops waiting.
-        priority: rank of its root request.
+        priority: rank of its root request, which its organisation's priority decides
+            before that of its route.
         level: place of its root request within the priority.
         parent: the execution whose backend server made it; None for a root request.
         repeated: whether it, or a request above it, was sent before.
@@ -99,6 +98,13 @@
     ended: bool = False
     slot_ms: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def kind(self) -> str:
+        """What entries admit root requests by: the route, and its caller's priority."""
+        if self.caller is None or self.caller.priority is None:
+            return self.route.name
+        return f"{self.route.name}/{self.caller.priority}"
+
     @property
     def method(self) -> str:
         """Method of the request (SentRequest, as are the next two)."""
@@ -272,11 +278,7 @@
 
 
 def _rank(caller: Organisation | None, route: Route) -> int:
-    """Return the priority of a root request: its organisation's goes first."""
-    if caller is None or caller.priority is None:
-        return route.priority
-    within = min(route.priority, ROUTE_PRIORITIES - 1)
-    return caller.priority * ROUTE_PRIORITIES + within
+    return rank_of(caller.priority if caller else None, route.priority)
 
 
 def _progress(parent: Execution | None) -> int:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_lessons.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_lessons.py
@@ -66,12 +66,11 @@
         if served:
             self._answer_bytes.count(relay.route.name, len(response.body))
         if relay.parent is None and served:
-            route = relay.route.name
-            self._admission.learn(route, relay.slot_ms, self._now_ms())
+            self._admission.learn(relay.kind, relay.slot_ms, self._now_ms())
         elif relay.parent is None:
-            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
+            self._admission.learn_at_least(relay.kind, relay.slot_ms)
 
     def failed(self, relay: Relay) -> None:
         """Learn from a request that ends without an answer what it took at least."""
         if relay.parent is None and relay.slot_ms:
-            self._admission.learn_at_least(relay.route.name, relay.slot_ms)
+            self._admission.learn_at_least(relay.kind, relay.slot_ms)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_repeats.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_repeats.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from sassafraswinch.ranks import route_priority_of
 from sassafraswinch_sidecar.relay_intake import Relay
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 
@@ -36,7 +37,7 @@
                 relay.service,
                 repeated=relay.repeated,
                 now_ms=self._now_ms(),
-                priority=relay.priority,
+                priority=route_priority_of(relay.priority),
             )
 
     def learn(self, relay: Relay) -> None:
@@ -73,7 +74,10 @@
         if not relay.repeats_spent:
             below = self._services_below.get(relay.route.name, ())
             allowed = self._budget.allows(
-                relay.service, self._now_ms(), below=below, priority=relay.priority
+                relay.service,
+                self._now_ms(),
+                below=below,
+                priority=route_priority_of(relay.priority),
             )
             relay.repeats_spent = not allowed
         return not relay.repeats_spent
--- /dev/null
+++ b/packages/sassafraswinch/tests/test_ranks.py
@@ -0,0 +1,20 @@
+"""Ranks of requests."""
+
+from sassafraswinch.ranks import ROUTE_PRIORITIES, rank_of, route_priority_of
+
+
+def test_without_organisations_routes_keep_their_priorities():
+    assert [rank_of(None, priority) for priority in (0, 1, 2)] == [0, 1, 2]
+
+
+def test_an_organisations_priority_goes_before_its_routes():
+    assert rank_of(0, 2) < rank_of(1, 0)
+
+
+def test_routes_keep_their_order_within_an_organisations_priority():
+    assert rank_of(1, 0) < rank_of(1, 1) < rank_of(1, 2)
+    assert route_priority_of(rank_of(1, 2)) == 2
+
+
+def test_far_priorities_of_routes_stay_within_their_organisations():
+    assert rank_of(0, ROUTE_PRIORITIES + 5) < rank_of(1, 0)
