Entry: header lines are written for what is let in only; sums are made once a round

Cause: the lines for the server, the digest's look and a second pass over the fields were made for requests that were refused right after.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -1,6 +1,7 @@
 """What one sidecar tells of itself, and the coding of demand and counts."""
 
 from collections.abc import Callable, Iterable, Mapping
+from typing import TypedDict
 
 from sassafraswinch.fitting_shares import Claim
 from sassafraswinch.organisation_rates import FleetUse, OrganisationRates, Use
@@ -17,6 +18,16 @@
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 
 
+SUMS_LIFE_MS = 40.0
+"""Time in which the same sums are told to each gatherer: a part of their pause."""
+
+
+class _Sums(TypedDict):
+    demand: list[RouteDemand]
+    counts: list[SentCount]
+    uses: OrganisationUses
+
+
 class HostReports:
     """Demand and repeats of this entry, load of its backend server, and its state.
 
@@ -52,6 +63,7 @@
         self._is_stopping = is_stopping
         self._is_isolated = is_isolated
         self._now_ms = now_ms
+        self._sums: tuple[float, _Sums] | None = None
 
     def report(self, *, relies: bool) -> HostReport:
         """Return the report of the moment.
@@ -65,12 +77,22 @@
             leaving=self._is_stopping(),
             following=self._data.following,
             isolated=self._is_isolated(),
-            demand=serialize_demand(self._admission.demand()),
-            counts=serialize_counts(self._budget.counted(self._now_ms())),
             relies=relies,
-            uses=serialize_uses(self._rates.report(self._now_ms())),
+            **self._current_sums(),
         )
 
+    def _current_sums(self) -> _Sums:
+        """Return what is added up over hosts, made once for all gatherers."""
+        now_ms = self._now_ms()
+        if self._sums is None or now_ms - self._sums[0] >= SUMS_LIFE_MS:
+            sums = _Sums(
+                demand=serialize_demand(self._admission.demand()),
+                counts=serialize_counts(self._budget.counted(now_ms)),
+                uses=serialize_uses(self._rates.report(now_ms)),
+            )
+            self._sums = now_ms, sums
+        return self._sums[1]
+
     def reply(self, sequence: int) -> HeartbeatReply:
         """Return the reply to a heartbeat; 0 where it answers none, as an announcement.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -128,10 +128,9 @@
             return
         relay = taken
         self._by_http[http] = relay
-        if self._judge(relay) is None:
-            return
         if relay.parent is None and not self._admit(relay):
             return
+        self._intake.add_headers(relay)
         self._place(relay)
 
     def close(self) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -36,7 +36,7 @@
         route: the route that it takes.
         service: the route's service that runs it.
         request_id: the caller's id of it.
-        headers: header lines that are passed on.
+        headers: header lines that are passed on, once it is let in.
         deadline_ms: loop time at which its caller or its route stops waiting.
         priority: rank of its root request, which its organisation's priority decides
             before that of its route.
@@ -72,13 +72,13 @@
     route: Route
     service: str
     request_id: str
-    headers: bytes
     deadline_ms: float
     priority: int
     level: int
     parent: Execution | None
     repeated: bool
     progress: int
+    headers: bytes = b""
     caller: Organisation | None = None
     organisation: str = ""
     has_token: bool = False
@@ -162,7 +162,10 @@
             names.expected_instance.lower(),
             names.caller_service.lower(),
         }
-        self._identity_names = {AUTHORIZATION, names.organisation.lower()}
+        self._own_and_identity_names = self._own_names | {
+            AUTHORIZATION,
+            names.organisation.lower(),
+        }
         self._organisation_name = names.organisation
         self._fleet = fleet
         self._executor = executor
@@ -179,7 +182,7 @@
             connection: where its answer goes.
             closed: whether this sidecar takes no requests any more.
         """
-        host, request_id, left_ms = self._read(http)
+        host, request_id, left_ms, credentials = self._read(http)
         table = self._fleet.table
         if table is None:
             return Unroutable(request_id, host, NO_ROUTES, None)
@@ -189,9 +192,9 @@
         if route is None:
             return Unroutable(request_id, host, NO_ROUTE, table.version)
         parent = self._executor.running.get(request_id.rpartition(".")[0])
-        caller = None if parent else self._caller(http, table)
+        caller = None if parent else _caller(credentials, table)
         if parent is None and caller is None and not _is_open(route, table):
-            reason = _identity_fault(http, request_id)
+            reason = _identity_fault(credentials, request_id)
             return Unroutable(request_id, host, reason, table.version)
         waits_ms = route.timeout_ms if left_ms is None else left_ms
         deadline_ms = http.arrived_ms + min(waits_ms, route.timeout_ms)
@@ -204,7 +207,6 @@
             route=route,
             service=self._shares.choose(route),
             request_id=request_id,
-            headers=self._header_lines(http, table, organisation),
             deadline_ms=deadline_ms,
             priority=parent.request.priority if parent else _rank(caller, route),
             level=parent.request.level if parent else self._rng.randrange(LEVELS),
@@ -221,12 +223,29 @@
         table = self._fleet.table
         if relay.caller is None or table.version == relay.table_version:
             return True
-        caller = self._caller(relay.http, table)
+        *_, credentials = self._read(relay.http)
+        caller = _caller(credentials, table)
         return caller is not None and caller.name == relay.organisation
 
-    def _read(self, http: HttpRequest) -> tuple[str, str, float | None]:
+    def add_headers(self, relay: Relay) -> None:
+        """Write the header lines that a request is sent on with."""
+        if self._fleet.table.organisations is None:
+            lines = serialize_end_to_end(relay.http.fields, self._own_names)
+        else:
+            lines = serialize_end_to_end(
+                relay.http.fields, self._own_and_identity_names
+            )
+        lines += self._caller_line
+        if relay.organisation:
+            name, value = self._organisation_name, relay.organisation.encode()
+            lines += b"%b: %b\r\n" % (name, value)
+        relay.headers = lines
+
+    def _read(self, http: HttpRequest) -> tuple[str, str, float | None, list[bytes]]:
+        """Return host, request id, time left and credentials of a request."""
         host = request_id = ""
         left_ms: float | None = None
+        credentials: list[bytes] = []
         for lowered, _, value in http.fields:
             if lowered == b"host":
                 host = value.decode("latin-1")
@@ -234,29 +253,16 @@
                 request_id = value.decode("latin-1")
             elif lowered == self._time_left_name:
                 left_ms = float(value) if value.isdigit() else None
-        return host, request_id, left_ms
-
-    def _caller(self, http: HttpRequest, table: RouteTable) -> Organisation | None:
-        """Return the organisation whose key a request carries."""
-        if table.organisations is None:
-            return None
-        return table.organisations.find(parse_bearer_key(_authorizations(http)))
-
-    def _header_lines(
-        self, http: HttpRequest, table: RouteTable, organisation: str
-    ) -> bytes:
-        if table.organisations is None:
-            lines = serialize_end_to_end(http.fields, self._own_names)
-            return lines + self._caller_line
-        dropped = self._own_names | self._identity_names
-        lines = serialize_end_to_end(http.fields, dropped) + self._caller_line
-        if organisation:
-            lines += b"%b: %b\r\n" % (self._organisation_name, organisation.encode())
-        return lines
+            elif lowered == AUTHORIZATION:
+                credentials.append(value)
+        return host, request_id, left_ms, credentials
 
 
-def _authorizations(http: HttpRequest) -> list[bytes]:
-    return [value for lowered, _, value in http.fields if lowered == AUTHORIZATION]
+def _caller(credentials: list[bytes], table: RouteTable) -> Organisation | None:
+    """Return the organisation whose key a request carries."""
+    if table.organisations is None:
+        return None
+    return table.organisations.find(parse_bearer_key(credentials))
 
 
 def _is_open(route: Route, table: RouteTable) -> bool:
@@ -264,9 +270,9 @@
     return route.public or table.organisations is None
 
 
-def _identity_fault(http: HttpRequest, request_id: str) -> str:
+def _identity_fault(credentials: list[bytes], request_id: str) -> str:
     """Return why a request isn't let in: calls of servers carry no key."""
-    if "." in request_id and not _authorizations(http):
+    if "." in request_id and not credentials:
         return UNKNOWN_PARENT
     return UNKNOWN_KEY
 
--- a/packages/sassafraswinch/sassafraswinch/organisation_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/organisation_rates.py
@@ -8,7 +8,7 @@
 that are cut off from each other are flooded on both sides; all hosts lose their memory.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -82,16 +82,18 @@
 
 def sum_uses(told: Iterable[FleetUse]) -> FleetUse:
     """Return the sum of what hosts, or zones, tell."""
-    sums: dict[str, Use] = {}
+    asked_per_s: dict[str, float] = defaultdict(float)
+    spent: dict[str, int] = defaultdict(int)
     hosts = 0
     unknown_ms = 0.0
     for each in told:
         hosts += each.hosts
         unknown_ms += each.unknown_ms
-        for name, use in each.uses.items():
-            asked_per_s, spent = sums.get(name, NOTHING)
-            sums[name] = Use(asked_per_s + use.asked_per_s, spent + use.spent)
-    return FleetUse(sums, hosts, unknown_ms)
+        for name, (asked, let_in) in each.uses.items():
+            asked_per_s[name] += asked
+            spent[name] += let_in
+    uses = {name: Use(asked, spent[name]) for name, asked in asked_per_s.items()}
+    return FleetUse(uses, hosts, unknown_ms)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,31 +155,32 @@
     tokens: float
     filled_ms: float
     limit: RateLimit
+    spent: float = 0.0
     buckets: deque[_Bucket] = field(default_factory=deque)
     reported: Use = NOTHING
 
     def current(self, window_ms: float, now_ms: float) -> _Bucket:
         buckets = self.buckets
-        while buckets and now_ms - buckets[0].began_ms >= window_ms:
-            buckets.popleft()
+        self.advance(window_ms, now_ms)
         if not buckets or now_ms - buckets[-1].began_ms >= BUCKET_MS:
             buckets.append(_Bucket(now_ms))
         return buckets[-1]
 
-    def use(self, window_ms: float, now_ms: float, age_ms: float) -> Use:
-        self.current(window_ms, now_ms)
-        spent = 0.0
+    def advance(self, window_ms: float, now_ms: float) -> None:
+        """Drop the buckets that ended before the window."""
+        buckets = self.buckets
+        while buckets and now_ms - buckets[0].began_ms >= window_ms + BUCKET_MS:
+            self.spent -= buckets.popleft().spent
+
+    def use(self, now_ms: float, age_ms: float) -> Use:
         asked = 0
         since_ms = now_ms - ASKED_MS
-        for bucket in self.buckets:
-            spent += bucket.spent
-            if bucket.began_ms > since_ms:
-                asked += bucket.asked
+        for bucket in reversed(self.buckets):
+            if bucket.began_ms <= since_ms:
+                break
+            asked += bucket.asked
         over_ms = min(ASKED_MS, max(MIN_ASKED_MS, age_ms))
-        return Use(asked * 1000 / over_ms, max(0, round(spent)))
-
-    def is_idle(self) -> bool:
-        return not any(bucket.asked or bucket.spent for bucket in self.buckets)
+        return Use(asked * 1000 / over_ms, max(0, round(self.spent)))
 
     def take_over(self, limit: RateLimit) -> None:
         """Follow a changed limit.
@@ -190,6 +193,7 @@
         scale = min(1.0, limit.rate_per_s / self.limit.rate_per_s)
         for bucket in self.buckets:
             bucket.spent *= scale
+        self.spent *= scale
         self.limit = limit
 
 
@@ -261,10 +265,11 @@
         age_ms = now_ms - self._started_ms
         uses = {}
         for name, counts in list(self._counts.items()):
-            use = counts.reported = counts.use(window_ms, now_ms, age_ms)
+            counts.advance(window_ms, now_ms)
+            use = counts.reported = counts.use(now_ms, age_ms)
             if use.spent or use.asked_per_s:
                 uses[name] = use
-            elif counts.is_idle():
+            elif not counts.buckets:
                 del self._counts[name]
         return FleetUse(uses, 1, self._unknown_ms(now_ms))
 
@@ -273,6 +278,7 @@
             return
         counts = self._counts_of(organisation.name, organisation.limit, now_ms)
         counts.current(self._rule.window_ms, now_ms).spent += sign
+        counts.spent += sign
         counts.tokens -= sign
 
     def _counts_of(self, name: str, limit: RateLimit, now_ms: float) -> _Counts:
@@ -298,7 +304,7 @@
     ) -> tuple[float, Use, float]:
         """Return the part to let in, what is known of its use, and of its limit."""
         limit = counts.limit
-        own = counts.use(self._rule.window_ms, now_ms, now_ms - self._started_ms)
+        own = counts.use(now_ms, now_ms - self._started_ms)
         use = told.uses.get(name, NOTHING)
         use = Use(max(use.asked_per_s, own.asked_per_s), max(use.spent, own.spent))
         most_hosts = max(self._most_hosts(), told.hosts, 1)
