--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -8,10 +8,11 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from sassafraswinch.fitting_shares import Claim, Fit, fitting_shares
+from sassafraswinch.ranks import route_priority_of
 
 LEVELS = 1_000
 """A request draws one at random and keeps it down its tree: it is admitted if the
@@ -107,12 +108,17 @@
 class EntryAdmission:
     """Learns what routes need, and refuses what can't be carried to the end.
 
+    Args:
+        worths: worth of a request by its route's priority, the last one for all that
+            are less important; empty for a strict order of priorities.
+
     Attributes:
         fits: the routes that aren't admitted in full, as of the last decision.
         wanted: slots that all entries' arrivals need, by service, as of then.
     """
 
-    def __init__(self):
+    def __init__(self, *, worths: Sequence[float] = ()):
+        self._worths = worths
         self.fits: Mapping[str, Fit] = {}
         self.wanted: Mapping[str, float] = {}
         self._routes: dict[str, _RouteDemand] = {}
@@ -221,9 +227,14 @@
             for service in self.wanted
         }
         self.fits = fitting_shares(
-            claims, {s: room for s, room in rooms.items() if room is not None}
+            claims,
+            {s: room for s, room in rooms.items() if room is not None},
+            self._worth_of if self._worths else None,
         )
 
+    def _worth_of(self, rank: int) -> float:
+        return self._worths[min(route_priority_of(rank), len(self._worths) - 1)]
+
     def _room(self, service: str, capacity: Capacity) -> float | None:
         """Return the slots that admitted requests may take; None for no bound."""
         if not capacity.slots:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -17,7 +17,6 @@
 )
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 
-
 SUMS_LIFE_MS = 40.0
 """Time in which the same sums are told to each gatherer: a part of their pause."""
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -150,7 +150,7 @@
             view=self._view,
             now_ms=self._now_ms,
         )
-        self._admission = EntryAdmission()
+        self._admission = EntryAdmission(worths=settings.worth_by_priority)
         self._counts = RelayCounts()
         window_ms = settings.repeat_window_s * 1000
         self._known_hosts: set[str] = set()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar_settings.py
@@ -15,6 +15,7 @@
 
 Name = Annotated[str, Meta(min_length=1, max_length=200)]
 AddressText = Annotated[str, Meta(min_length=1, max_length=64)]
+Worth = Annotated[float, Meta(gt=0, le=1e6)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 ADDRESS_FIELDS = ("backend", "outbound", "ready", "platform")
 
@@ -40,6 +41,10 @@
         repeat_ratio: repeats for each request that the fleet may make.
         repeat_slack: repeats in a window that need no request.
         repeat_window_s: length of that window.
+        worth_by_priority: worth of a request by the priority of its route, the last one
+            for all that are less important. Less important requests that are worth
+            more for what they take are then refused no more often than the others.
+            Empty: the more important always go first.
         rate_window_s: span over which requests of an organisation are counted.
         rate_slack: requests of an organisation in that span that are free.
         log_level: debug, info, warning or error.
@@ -61,6 +66,7 @@
     repeat_ratio: Annotated[float, Meta(ge=0, le=10)] = 0.2
     repeat_slack: Annotated[float, Meta(ge=0, le=1e6)] = 50.0
     repeat_window_s: Annotated[float, Meta(gt=0, le=600)] = 10.0
+    worth_by_priority: tuple[Worth, ...] = ()
     rate_window_s: Annotated[float, Meta(gt=0, le=600)] = 5.0
     rate_slack: Annotated[float, Meta(ge=0, le=1e6)] = 20.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
@@ -222,7 +222,103 @@
 )
 """Two kinds of tree fill one small service at the bottom; one kind needs it alone."""
 
+LEADING = Pattern(
+    services=MappingProxyType(
+        {
+            "archive": ServerGroup(servers=8, slots=41, speeds=(0.6, 1.0, 1.4)),
+            "approval": ServerGroup(servers=12, slots=27, speeds=(0.6, 1.0, 1.4)),
+            "release": ServerGroup(servers=4, slots=94, speeds=(0.6, 1.0, 1.4)),
+            "status": ServerGroup(servers=4, slots=14, speeds=(0.7, 0.7, 1.6)),
+        }
+    ),
+    kinds=MappingProxyType(
+        {
+            "history": Kind(
+                service="archive",
+                priority=2,
+                rate_per_s=136.0,
+                work_ms=93.0,
+                target_ms=1_201.0,
+                timeout_ms=2_500.0,
+                patience_ms=5_002.0,
+                worth=1.0,
+                late_worth=0.3,
+                calls=(Calls(kind="budget", times=1),),
+            ),
+            "approve": Kind(
+                service="approval",
+                priority=0,
+                rate_per_s=146.0,
+                work_ms=120.0,
+                target_ms=1_501.0,
+                timeout_ms=2_500.0,
+                patience_ms=5_002.0,
+                idempotent=False,
+                worth=3.0,
+                late_worth=0.6,
+                calls=(Calls(kind="supplier", times=2),),
+            ),
+            "issue": Kind(
+                service="release",
+                priority=0,
+                rate_per_s=36.0,
+                work_ms=65.0,
+                target_ms=201.0,
+                timeout_ms=800.0,
+                patience_ms=805.0,
+                idempotent=False,
+                worth=3.0,
+                late_worth=0.9,
+            ),
+            "check": Kind(
+                service="status",
+                priority=1,
+                rate_per_s=161.0,
+                work_ms=38.4,
+                target_ms=155.0,
+                timeout_ms=600.0,
+                patience_ms=602.0,
+                worth=2.0,
+                late_worth=0.6,
+            ),
+            "budget": Kind(
+                service="approval",
+                priority=0,
+                work_ms=15.0,
+                target_ms=1_000.0,
+                timeout_ms=2_500.0,
+                patience_ms=2_500.0,
+                calls=(Calls(kind="supplier", times=1),),
+            ),
+            "supplier": Kind(
+                service="release",
+                priority=0,
+                work_ms=15.0,
+                target_ms=800.0,
+                timeout_ms=2_000.0,
+                patience_ms=2_000.0,
+                calls=(Calls(kind="price", times=4),),
+            ),
+            "price": Kind(
+                service="status",
+                priority=0,
+                work_ms=23.9,
+                target_ms=303.0,
+                timeout_ms=701.0,
+                patience_ms=701.0,
+            ),
+        }
+    ),
+)
+"""Important trees fill the deepest service, which short requests need alone."""
+
 PATTERNS: dict[str, Pattern] = {
+    "leading": replace(LEADING, spells=(Spell(from_s=0.3, until_s=14, load=2.1),)),
+    "leading-shed": replace(
+        LEADING,
+        load=1.6,
+        spells=(Spell(from_s=6, until_s=14, service="status", shed_share=0.55),),
+    ),
     "surge": replace(
         WIDE,
         load=1.35,
