--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -20,6 +20,7 @@
 from sassafraswinch_sidecar.host_reports import HostReports
 from sassafraswinch_sidecar.http_client import HttpClient
 from sassafraswinch_sidecar.http_server import HttpListener
+from sassafraswinch_sidecar.organisations_page import OrganisationsPage
 from sassafraswinch_sidecar.own_entry import OwnEntry
 from sassafraswinch_sidecar.pages import MetricsPage, ReadyPage
 from sassafraswinch_sidecar.peer_link import PeerLink
@@ -248,7 +249,12 @@
         self._metrics = HttpListener(
             handler=SuspectsPage(
                 suspects=self._crash_suspects,
-                others=MetricsPage(counts=self._counts, gauges=self._gauges),
+                others=OrganisationsPage(
+                    table=lambda: self._fleet.table,
+                    rates=self._rates,
+                    others=MetricsPage(counts=self._counts, gauges=self._gauges),
+                    now_ms=self._now_ms,
+                ),
                 now_ms=self._now_ms,
                 cleared=self._suspect_exchange.note,
             ),
--- a/packages/sassafraswinch-sidecar/tests/test_organisation_limits.py
+++ b/packages/sassafraswinch-sidecar/tests/test_organisation_limits.py
@@ -2,8 +2,16 @@
 
 import pytest
 
+from sassafraswinch_node.addresses import parse_address
 from sidecar_standins.backend import answer
-from sidecar_standins.fleet import ROUTES, organisation, route, running_fleet, until
+from sidecar_standins.fleet import (
+    ROUTES,
+    call,
+    organisation,
+    route,
+    running_fleet,
+    until,
+)
 
 WINDOW_MS = 5_000.0
 
@@ -67,6 +75,19 @@
     assert {got.status for got in answers} == {200}
 
 
+async def test_operators_see_limits_and_use_but_no_keys(fleet):
+    await send(fleet, 1)
+    settings = fleet.nodes[1].settings
+    address = parse_address(f"{settings.ip}:{settings.metrics_port}")
+    shown = (await call(address, target="/organisations")).body.decode()
+    first, second = shown.splitlines()
+    assert first.startswith("organisation=a priority=None rate_per_s=0.001")
+    assert "spent_here=1 version=2" in first
+    assert second == "organisation=b priority=None rate_per_s=none version=2"
+    assert "key-" not in shown
+    assert (await call(address, target="/metrics")).status == 200
+
+
 async def test_what_did_not_run_is_not_counted(fleet):
     """Guards against a shedding server that uses up an organisation's limit."""
 
--- a/packages/sassafraswinch/sassafraswinch/organisation_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/organisation_rates.py
@@ -246,6 +246,20 @@
             counts.credit -= 1.0
         return RateDecision(admitted, share, use.asked_per_s, use.spent, part)
 
+    def look(
+        self, organisation: Organisation, now_ms: float
+    ) -> tuple[RateDecision, int]:
+        """Return what a request would meet now, and what this host let in lately."""
+        limit = organisation.limit
+        counts = self._counts.get(organisation.name)
+        if counts is None:
+            counts = _Counts(0.0, UNTOLD_TOKENS, now_ms, limit)
+        counts.advance(self._rule.window_ms, now_ms)
+        view = self._view(now_ms)
+        share, use, part = self._share(organisation.name, counts, view, now_ms)
+        seen = RateDecision(share > 0.0, share, use.asked_per_s, use.spent, part)
+        return seen, counts.use(now_ms, now_ms - self._started_ms).spent
+
     def spend(self, organisation: Organisation, now_ms: float) -> None:
         """Count a request that is sent to a backend server."""
         self._add(organisation, 1, now_ms)
--- a/packages/sassafraswinch/tests/test_fitting_shares.py
+++ b/packages/sassafraswinch/tests/test_fitting_shares.py
@@ -84,10 +84,11 @@
 )
 
 
+@pytest.mark.parametrize("worth_of", [None, lambda priority: 3.0 - priority])
 @settings(derandomize=True, deadline=None)
 @given(claims=claims_of_kinds, rooms=rooms_of_all)
-def test_nothing_is_over_full_and_no_usable_room_is_left(claims, rooms):
-    fits = fitting_shares(claims, rooms)
+def test_nothing_is_over_full_and_no_usable_room_is_left(worth_of, claims, rooms):
+    fits = fitting_shares(claims, rooms, worth_of)
     shares = {c.kind: fits[c.kind].share if c.kind in fits else 1.0 for c in claims}
     used = {
         resource: sum(shares[c.kind] * c.wanted(resource) for c in claims)
@@ -143,3 +144,56 @@
             share = fits[other.kind].share if other.kind in fits else 1.0
             if other.priority == claim.priority and share > fit.share + 1e-6:
                 assert not other.needs.get(fit.lacks)
+
+
+APPROVAL = Claim(kind="approval", priority=0, rate_per_s=100.0, needs={"status": 0.2})
+CHECK = Claim(kind="check", priority=1, rate_per_s=100.0, needs={"status": 0.04})
+LOOKUP = Claim(kind="lookup", priority=2, rate_per_s=100.0, needs={"status": 0.1})
+RELEASE = Claim(kind="release", priority=0, rate_per_s=50.0, needs={"release": 0.1})
+FULL = {"status": 20.0, "release": 50.0}
+
+
+def by_priority(priority):
+    return (3.0, 2.0, 1.0)[priority % 16]
+
+
+def test_requests_worth_more_for_their_room_are_refused_no_more_than_those_above():
+    """Guards against trees of eight calls that starve many short requests."""
+    claims = [APPROVAL, CHECK, LOOKUP, RELEASE]
+    strict = fitting_shares(claims, FULL)
+    assert "approval" not in strict or strict["approval"].share == pytest.approx(1.0)
+    assert strict["check"].share == pytest.approx(0.0)
+    fits = fitting_shares(claims, FULL, by_priority)
+    assert fits["approval"].share == pytest.approx(20.0 / 24.0)
+    assert fits["check"].share == pytest.approx(20.0 / 24.0)
+    assert fits["lookup"].share == pytest.approx(0.0)
+    assert "release" not in fits
+
+
+def test_an_organisation_that_goes_first_gives_nothing_up():
+    first = Claim(kind="first", priority=2, rate_per_s=100.0, needs={"status": 0.2})
+    check = Claim(kind="check", priority=17, rate_per_s=100.0, needs={"status": 0.04})
+    fits = fitting_shares([first, check], FULL, by_priority)
+    assert "first" not in fits or fits["first"].share == pytest.approx(1.0)
+    assert fits["check"].share == pytest.approx(0.0)
+
+
+@settings(derandomize=True, deadline=None)
+@given(claims=claims_of_kinds, rooms=rooms_of_all)
+def test_a_less_important_kind_is_never_let_in_more_often(claims, rooms):
+    """What both need in the same proportion, the more important gets no less of."""
+    claims = [
+        Claim(
+            kind=claim.kind,
+            priority=claim.priority,
+            rate_per_s=claim.rate_per_s,
+            needs={name: claim.needs.get(name, 0.0) + 0.01 for name in rooms},
+        )
+        for claim in claims
+    ]
+    fits = fitting_shares(claims, rooms, by_priority)
+    shares = {c.kind: fits[c.kind].share if c.kind in fits else 1.0 for c in claims}
+    for above in claims:
+        for below in claims:
+            if above.priority < below.priority:
+                assert shares[above.kind] >= shares[below.kind] - 1e-6
