--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/entry_admission.py
@@ -28,9 +28,8 @@
 LEARN_MS = 1_000.0
 """Age of what was learnt at which the next answer weighs as much as all before it.
 
-Failure: a service was four times slower for some seconds, and few requests were let in.
-By the last 25 answers it looked slow for seconds more, and its slots stood empty; by
-their age a load of that kind earned 0.781 of its credit in place of 0.769."""
+Load pattern: a service is several times slower for some seconds, and few requests are
+let in. By a number of answers alone it would look slow for seconds more."""
 
 FIRST_GAIN = 0.3
 """Weight of one failed request while no whole one has been answered."""
@@ -47,8 +46,7 @@
 AIM_SHARE = 1.0
 """Measured use of the slots, waiting requests included, that the correction aims at:
 demand that no entry knows, such as that of running trees, shows in it. Calls wait in
-order of their importance, so a few that wait cost less than slots left empty: a day of
-surges earned 0.812 of its credit in place of 0.806 with 0.93 here and 0.92 above."""
+order of their importance, so a few that wait cost less than slots left empty."""
 
 TRIM_GAIN = 0.3
 """Step of the correction in an interval, as share of the distance from the aim. What
@@ -57,9 +55,8 @@
 MAX_TRIM_FALL = 0.015
 MAX_TRIM_RISE = 0.15
 """Longest steps down and up. A queue after a burst says little of the next seconds: it
-empties only as the trees that were let in end, a second or two later. With falls as
-long as the rises, half of the slots then stood empty for some seconds, and a day of
-surges earned 0.795 of its credit in place of 0.806."""
+empties only as the trees that were let in end, a second or two later. Falls as long as
+the rises would leave slots empty in that time."""
 
 BACKLOG_GAIN = 0.4
 MIN_BACKLOG_FACTOR = 0.5
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/repeat_budget.py
@@ -29,9 +29,7 @@
 
 Load pattern: the deepest service refuses half of what it gets. A tree of eight calls
 can only end if each may be offered several times, so repeats that are spread over all
-trees save hardly any. Spent on the most important ones, a load of that kind earned
-0.706 of its credit in place of 0.636 (simulated, 8 s of 16 with 0.55 refused), and its
-most important trees 0.674 in place of 0.500."""
+trees save hardly any; spent on the most important ones, they save those."""
 
 PRESSING_SHARE = 0.1
 """Part of the repeats from which those of more important requests take room from the
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_queue.py
@@ -13,9 +13,7 @@
 
 SLOT_SHARE = 0.95
 """Part of the slots that is used: a new connection and a health check hold a slot
-for a moment, and some servers slow down above 95%. A day in which three servers of 37
-slots were full earned 0.825 of its credit in place of 0.818 with 0.94, which leaves one
-more slot of each empty."""
+for a moment, and some servers slow down when they are nearly full."""
 
 HOLD_GAIN = 0.05
 """Weight of one request in the mean time that a slot is held: the last twenty."""
@@ -30,12 +28,9 @@
 Rank = tuple[int, bool, float]
 """Its priority, whether it begins a tree, and how far from its end its tree is.
 
-Failure: lookups whose calls fill a service keep its short, more important requests from
-ever starting, although the calls could wait. With the priority first, status checks
-beside lookups at a full service earned 0.79 of their worth in place of 0.70, and all
-requests of the day 0.795 in place of 0.777. Requests that make no calls are the end of
-their tree, so they go with the calls: behind them, those of the same priority started
-hardly ever, and a third of them was served where their share was two thirds."""
+The priority goes first: calls of long trees can wait where short, more important
+requests can't. Requests that make no calls are the end of their tree, so they go with
+the calls; behind them they would hardly ever start."""
 
 
 @dataclass(slots=True, eq=False)
