Fault soak: keys, organisations, a rate over all hosts, a key that each version replaces

Callers draw a key of three organisations or a forged one, and send a false organisation; runs are checked against the sender's, keys must not come through, the limited one must keep its rate in every window, and a key that all versions hold is never denied.

--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .record import Record, Sent, body_of
@@ -12,6 +13,9 @@
 """Longest wait for an answer: far beyond every time limit, so that a process that is
 paused, or a busy machine, isn't taken for a lost answer."""
 
+Key = tuple[str, str] | None
+"""A key and the organisation that holds it."""
+
 IDLE_MOST = 20
 """Idle connections that callers of a host keep."""
 
@@ -34,17 +38,33 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, *, host: str, service: str, ip: str, port: int, record: Record):
+    def __init__(
+        self,
+        *,
+        host: str,
+        service: str,
+        ip: str,
+        port: int,
+        record: Record,
+        draw_key: Callable[[], tuple[str, str]],
+    ):
         self.lifetime = 0
         self._host = host
         self._service = service
         self._ip = ip
         self._port = port
         self._record = record
+        self._draw_key = draw_key
         self._idle: deque[tuple] = deque()
 
-    async def ask(self, kind: Kind, *, parent: str = "") -> Sent:
-        """Send one request; a parent's id makes it a call of that run."""
+    async def ask(self, kind: Kind, *, parent: str = "", key: Key = None) -> Sent:
+        """Send one request; a parent's id makes it a call of that run, without a key.
+
+        Without a key and an organisation given, one is drawn.
+        """
+        key, organisation = key or ("", "") if parent else key or self._draw_key()
+        if parent in self._record.sent:
+            organisation = self._record.sent[parent].organisation
         number = f"{next(self._numbers):08x}"
         request_id = f"{parent}.{number}" if parent else number
         sent = Sent(
@@ -55,13 +75,14 @@
             target=kind.prefix if kind.same_target else f"{kind.prefix}{number}",
             idempotent=kind.idempotent,
             version=kind.version,
+            organisation=organisation,
             lifetime=self.lifetime,
             sent_s=_now_s(),
         )
         self._record.sent[request_id] = sent
         try:
             async with asyncio.timeout(ANSWER_CEILING_S):
-                await self._exchange(sent, kind)
+                await self._exchange(sent, kind, key)
         except TimeoutError:
             sent.status = None
         except (OSError, asyncio.IncompleteReadError):
@@ -74,11 +95,11 @@
         while self._idle:
             self._idle.pop()[1].close()
 
-    async def _exchange(self, sent: Sent, kind: Kind) -> None:
+    async def _exchange(self, sent: Sent, kind: Kind, key: str) -> None:
         reader, writer = await self._connection()
         kept = False
         try:
-            writer.write(_request_bytes(sent, kind))
+            writer.write(_request_bytes(sent, kind, key))
             kept = await _read_answer(reader, sent)
         finally:
             if kept and len(self._idle) < IDLE_MOST:
@@ -95,13 +116,15 @@
         return await asyncio.open_connection(self._ip, self._port)
 
 
-def _request_bytes(sent: Sent, kind: Kind) -> bytes:
-    # A false origin: the sidecar must put its own host's service in its place.
+def _request_bytes(sent: Sent, kind: Kind, key: str) -> bytes:
+    # A false origin and organisation: the sidecar must put the true ones there.
+    credentials = f"Authorization: Bearer {key}\r\n" if key else ""
     body = b"x" * 300 if kind.method == "POST" else b""
     return (
         f"{sent.method} {sent.target} HTTP/1.1\r\nHost: shop.example\r\n"
         f"Request-Id: {sent.request_id}\r\nDeadline-Ms: {kind.time_left_ms}\r\n"
-        f"Caller-Service: nobody\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Caller-Service: nobody\r\nTenant: nobody\r\n{credentials}"
+        f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
 
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -15,6 +15,7 @@
 from sassafraswinch_standins.relay_settings import RouteSettings
 
 from .callers import Caller, Kind, keep_asking
+from .organisations import OWN, KeyRing, tenants
 from .record import FATAL_TARGET, Record
 from .server import ServerStandIn
 from .store import StoreStandIn
@@ -47,6 +48,9 @@
 FATAL_PER_S = 2.0
 """Requests that end servers, in all."""
 
+OWN_KEY = ("own-key", OWN)
+"""A key that every version holds."""
+
 RESTART_S = (0.3, 1.5)
 """Shortest and longest time in which a server that has ended starts again."""
 
@@ -191,6 +195,7 @@
             ip=self.ip,
             port=OUTBOUND_PORT,
             record=self._play.record,
+            draw_key=lambda: self._play.keys.draw(self._play.version),
         )
 
     async def _calls(self, request_id: str) -> int:
@@ -222,6 +227,7 @@
     ):
         self.fatal = fatal
         self.rng = random.Random(seed)
+        self.keys = KeyRing(seed=seed)
         self.directory = directory
         self.record = Record()
         self.store = StoreStandIn()
@@ -268,6 +274,7 @@
             "version": f"{self.version:08x}",
             "hosts": [{"host": "shop.example", "paths": paths}],
             "limits": limits,
+            "tenants": tenants(self.version),
         }
         await self.store.put("op/config", config)
 
@@ -300,7 +307,7 @@
             while True:
                 await asyncio.sleep(self.rng.expovariate(FATAL_PER_S))
                 host = self.rng.choice(self.hosts)
-                group.create_task(host.caller.ask(FATAL))
+                group.create_task(host.caller.ask(FATAL, key=OWN_KEY))
 
     async def until_served(self, ceiling_s: float = 40.0) -> None:
         """Wait until every host serves every kind of request, the newest included.
@@ -312,7 +319,7 @@
         async with asyncio.timeout(ceiling_s):
             for host in self.hosts:
                 for kind in kinds:
-                    while (await host.caller.ask(kind)).status != 200:
+                    while (await host.caller.ask(kind, key=OWN_KEY)).status != 200:
                         await asyncio.sleep(0.1)
 
     def _path(self, kind: Kind, service: str, priority: int, attempts: int) -> dict:
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -6,6 +6,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from .organisations import first_runs_s, windows_over_limit
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
@@ -45,6 +47,8 @@
     status: int | None = None
     """None while there is no whole answer; 0 where the connection ended without."""
     done_s: float = 0.0
+    organisation: str = ""
+    """Whose key it carries; of a call, whose request made it. Empty for none."""
     fault: str = ""
     """What was wrong with its answer."""
 
@@ -60,6 +64,10 @@
     target: str
     caller_service: str
     started_s: float
+    organisation: str = ""
+    """What the server was told of it."""
+    has_key: bool = False
+    """Whether the key came with it."""
     drained_since_s: float | None
     """When the server's leaving was published, if it was."""
 
@@ -89,6 +97,7 @@
             ),
             *self._falling_versions(),
             *self._fatal_runs(),
+            *windows_over_limit(first_runs_s(self.runs)),
         ]
 
     def _fatal_runs(self) -> list[str]:
@@ -114,6 +123,10 @@
             lines.append(f"changed on the way: {sent} {run}")
         if run.caller_service != sent.caller_service:
             lines.append(f"wrong origin: {sent} {run}")
+        if run.organisation != sent.organisation or not run.organisation:
+            lines.append(f"wrong organisation: {sent} {run}")
+        if run.has_key:
+            lines.append(f"key passed on: {run}")
         if run.service not in self.services_of[prefix_of(run.target)]:
             lines.append(f"wrong service: {run}")
         leaving_s = run.drained_since_s
--- a/tests/fault_soak/server.py
+++ b/tests/fault_soak/server.py
@@ -175,6 +175,8 @@
                 method=connection.method,
                 target=connection.target.decode(),
                 caller_service=connection.header(b"caller-service"),
+                organisation=connection.header(b"tenant"),
+                has_key=b"authorization" in connection.headers,
                 started_s=_now_s(),
                 drained_since_s=self._drained_since_s,
             )
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -50,6 +50,7 @@
         "method": "POST",
         "target": "/approve/a",
         "idempotent": False,
+        "organisation": "own",
         "sent_s": 1.0,
         "status": 200,
         "done_s": 2.0,
@@ -65,6 +66,7 @@
         "method": "POST",
         "target": "/approve/a",
         "caller_service": "archiv",
+        "organisation": "own",
         "started_s": 1.1,
         "drained_since_s": None,
     }
@@ -97,6 +99,9 @@
         ({}, [run(target="/approve/b")], "changed on the way"),
         ({}, [run(caller_service="nobody")], "wrong origin"),
         ({}, [run(service="archiv")], "wrong service"),
+        ({}, [run(organisation="limited")], "wrong organisation"),
+        ({"organisation": ""}, [run(organisation="")], "wrong organisation"),
+        ({}, [run(has_key=True)], "key passed on"),
         (
             {},
             [run(drained_since_s=0.0, started_s=DRAIN_CEILING_S + 1)],
@@ -141,5 +146,20 @@
     assert fatal_runs(1.0, 2.0, 3.0, *late) == ["went on ending servers"]
 
 
+def test_an_organisation_over_its_limit_is_noticed():
+    def lines(count):
+        requests = [
+            sent(request_id=str(n), organisation="limited") for n in range(count)
+        ]
+        runs = [
+            run(request_id=str(n), organisation="limited", started_s=1 + n * 0.05)
+            for n in range(count)
+        ]
+        return broken(requests, runs)
+
+    assert lines(50) == []
+    assert lines(51) == ["over the limit"]
+
+
 def test_bodies_differ_between_requests():
     assert body_of("a") != body_of("b")
