--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -6,11 +6,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from .organisations import first_runs_s, windows_over_limit
+from .organisations import OWN, first_runs_s, windows_over_limit
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
+DENIED_STATUS = 401
+"""Status of a request whose key isn't known."""
+
 VERSION_SLACK_S = 0.5
 """Time after an answer by a version in which requests that overtook it may still be
 handled by an older one."""
@@ -168,6 +171,8 @@
         lines.append(f"ran twice: {sent} {runs}")
     if not sent.idempotent and sent.status in NOT_RUN_STATUSES and runs:
         lines.append(f"ran though refused: {sent} {runs}")
+    if sent.status == DENIED_STATUS and sent.organisation == OWN:
+        lines.append(f"denied: {sent}")
     if sent.status == 200 and not runs:
         lines.append(f"answered without a run: {sent}")
     return lines
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -95,6 +95,7 @@
         ({"status": 503}, [run()], "ran though refused"),
         ({}, [], "answered without a run"),
         ({"status": None}, [], "no answer"),
+        ({"status": 401}, [], "denied"),
         ({"fault": "answer of another request"}, [run()], "answer of another request"),
         ({}, [run(target="/approve/b")], "changed on the way"),
         ({}, [run(caller_service="nobody")], "wrong origin"),
