Entry: requests worth more for their room are refused no more often than those above

A less important kind that is worth more for what it takes of a full service joins the tier above and gets the same share, never more; organisations of a higher priority keep their place. Empty: the strict order as before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from sassafraswinch.errors import InvalidFieldsError
@@ -42,6 +42,8 @@
         cold_ms: how much longer it was slow when this was written.
         incarnation: tells lifetimes of one id apart, later ones by a greater number;
             0 where the platform doesn't tell it.
+        identity: what names this lifetime and no other; made once, since placement
+            compares it for each request.
     """
 
     id: str
@@ -53,11 +55,10 @@
     leaving: bool
     cold_ms: float
     incarnation: int = 0
+    identity: InstanceIdentity = field(init=False, repr=False, compare=False)
 
-    @property
-    def identity(self) -> InstanceIdentity:
-        """What names this lifetime and no other."""
-        return self.id, self.incarnation
+    def __post_init__(self):
+        object.__setattr__(self, "identity", (self.id, self.incarnation))
 
 
 @dataclass(slots=True, kw_only=True)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Container, Hashable, Iterable
+from collections.abc import Callable, Collection, Hashable, Iterable
 from dataclasses import dataclass
 
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, Capacity
@@ -145,6 +145,8 @@
 
     def pace_now(self, now_ms: float) -> float:
         """Return the pace, fading to that of the others with time."""
+        if self.pace == 1.0:
+            return 1.0
         return 1.0 + (self.pace - 1.0) * _faded(now_ms - self.pace_at_ms)
 
 
@@ -219,7 +221,7 @@
     def choose(
         self,
         instances: Iterable[Instance],
-        tried: Container[InstanceIdentity],
+        tried: Collection[InstanceIdentity],
         now_ms: float,
         answer_bytes: float = 0.0,
     ) -> Instance | None:
@@ -233,7 +235,9 @@
         """
         bytes_cost = min(answer_bytes / 1000 * ZONE_COST_PER_KB, MAX_BYTES_COST)
         other_zone_cost = OTHER_ZONE_COST + bytes_cost
-        candidates = [found for found in instances if found.identity not in tried]
+        candidates = list(instances)
+        if tried:
+            candidates = [each for each in candidates if each.identity not in tried]
         if len(candidates) > SAMPLE_NEAR + SAMPLE_FAR:
             candidates = self._sample(candidates)
         best, best_cost = None, float("inf")
@@ -262,10 +266,12 @@
             return None
         if now_ms < load.refuses_until_ms:
             return None
-        load.is_of(instance.identity)
+        if load.identity != instance.identity:
+            load.is_of(instance.identity)
         limit = load.limit or max(instance.slots, 1)
         cost = (load.in_flight + load.queued + load.sent_since) / limit
-        cost += FAILING_COST * load.failing_share(now_ms)
+        if load.failing:
+            cost += FAILING_COST * load.failing_share(now_ms)
         cost += PACE_COST * (load.pace_now(now_ms) - 1.0)
         cost += JITTER * self._rng.random()
         if instance.cold_ms and self._cold_left_ms(instance, now_ms):
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/reachable_loads.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/reachable_loads.py
@@ -48,8 +48,11 @@
             self.own.report(self._executor.load(), self._now_ms())
             self.own.leaving = self._executor.leaving
             return self.own
-        if not self._links.can_reach(ip):
-            return None
-        if self._links.is_live(ip):
-            return self._view.load(ip)
-        return self._view.recent_load(ip, self._now_ms())
+        now_ms = self._now_ms()
+        peer = self._links.peers.get(ip)
+        if peer is not None:
+            if now_ms < peer.avoided_until_ms or peer.is_suspect:
+                return None
+            if peer.is_live:
+                return self._view.load(ip)
+        return self._view.recent_load(ip, now_ms)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
@@ -91,7 +91,7 @@
         self.told: dict[str, int] = {}
         self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
         self.loads = {ip: PeerLoad() for ip in screen.ips}
-        self.admission = EntryAdmission()
+        self.admission = EntryAdmission(worths=screen.pattern.worths)
         self.totals: Totals = ({}, 0)
         self.demand: list[Claim] = []
         self.budget = RepeatBudget(
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
@@ -108,12 +108,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Pattern:
-    """A graph under a load."""
+    """A graph under a load.
+
+    Attributes:
+        worths: worth by priority that entries admit by; empty for a strict order.
+    """
 
     services: MappingProxyType[str, ServerGroup]
     kinds: MappingProxyType[str, Kind]
     load: float = 1.0
     spells: tuple[Spell, ...] = field(default=())
+    worths: tuple[float, ...] = ()
 
     def load_at(self, now_ms: float) -> float:
         """Return the times of the usual rate now."""
@@ -223,6 +228,7 @@
 """Two kinds of tree fill one small service at the bottom; one kind needs it alone."""
 
 LEADING = Pattern(
+    worths=(3.0, 2.0, 1.0),
     services=MappingProxyType(
         {
             "archive": ServerGroup(servers=8, slots=41, speeds=(0.6, 1.0, 1.4)),
