Simulator: the screen takes the field's word; hosts stand in a module of their own

Modules screen* are simulator*, the class Screen is Simulation, make screen is make simulate. Simulated hosts have a module, so that the run and its crashing servers don't import each other.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 MINUTES ?= 1
 FATAL ?=
 
-.PHONY: setup test lint demo bench screen slopes soak fault-soak generate clean
+.PHONY: setup test lint demo bench simulate slopes soak fault-soak generate clean
 
 setup: $(VENV)/.done
 
@@ -34,8 +34,8 @@
 	$(BIN)/python -m sassafraswinch_standins.bench latency
 	$(BIN)/python -m sassafraswinch_standins.bench overload --seeds $(SEEDS)
 
-screen: setup
-	$(BIN)/python -m sassafraswinch_standins.screen --seeds $(SEEDS)
+simulate: setup
+	$(BIN)/python -m sassafraswinch_standins.simulator --seeds $(SEEDS)
 
 slopes: setup
 	$(BIN)/python -m sassafraswinch_standins.slopes
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator.py
@@ -1,4 +1,4 @@
-"""Quick screen of the sidecars' decisions: load patterns on a simulated clock."""
+"""Quick simulation of the sidecars' decisions: load patterns on a simulated clock."""
 
 import itertools
 import statistics
@@ -8,9 +8,9 @@
 import defopt
 import orjson
 
-from sassafraswinch_standins.screen_callers import Tally
-from sassafraswinch_standins.screen_fleet import Screen
-from sassafraswinch_standins.screen_load import PATTERNS
+from sassafraswinch_standins.simulator_callers import Tally
+from sassafraswinch_standins.simulator_fleet import Simulation
+from sassafraswinch_standins.simulator_load import PATTERNS
 
 COUNTED_SECONDS = 16
 TAIL_SECONDS = 2
@@ -47,7 +47,7 @@
 
 def play(name: str, seed: int, seconds: int = COUNTED_SECONDS) -> Figures:
     """Play one pattern once."""
-    played = Screen(pattern=PATTERNS[name], seed=seed)
+    played = Simulation(pattern=PATTERNS[name], seed=seed)
     played.run(seconds + TAIL_SECONDS)
     crashes = played.crashes
     return figures_of(played.tallies, seconds) | {
@@ -56,7 +56,7 @@
     }
 
 
-def screen(
+def simulate(
     *,
     patterns: list[str] | None = None,
     seeds: int = 5,
@@ -69,7 +69,7 @@
         patterns: names of load patterns; all by default.
         seeds: runs of each.
         jobs: processor cores to use.
-        out: directory for screen.json.
+        out: directory for simulator.json.
     """
     names = patterns or list(PATTERNS)
     runs = list(itertools.product(names, range(1, seeds + 1)))
@@ -85,8 +85,10 @@
             spread = statistics.pstdev(values)
             print(f"  {figure:16} {statistics.mean(values):.3f} +- {spread:.3f}")
     out.mkdir(parents=True, exist_ok=True)
-    (out / "screen.json").write_bytes(orjson.dumps(by_name, option=orjson.OPT_INDENT_2))
+    (out / "simulator.json").write_bytes(
+        orjson.dumps(by_name, option=orjson.OPT_INDENT_2)
+    )
 
 
 if __name__ == "__main__":
-    defopt.run(screen)
+    defopt.run(simulate)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_callers.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_callers.py
@@ -1,12 +1,12 @@
-"""Callers of the screen: they come back as those of the users' platform do."""
+"""Callers of the simulation: they come back as those of the users' platform do."""
 
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sassafraswinch_sidecar.relay_answers import MIN_RETRY_AFTER_MS, RETRY_AFTER_SHARES
-from sassafraswinch_standins.screen_clock import Clock
-from sassafraswinch_standins.screen_load import Kind
+from sassafraswinch_standins.simulator_clock import Clock
+from sassafraswinch_standins.simulator_load import Kind
 
 Send = Callable[[Callable[[int], None]], None]
 """Sends a request to a host; the callback gets the status of its end."""
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
@@ -6,53 +6,47 @@
 
 import itertools
 import random
-from collections.abc import Callable
 from functools import partial
 
-from sassafraswinch.crash_suspects import CrashSuspects, Standing
-from sassafraswinch.fitting_shares import Claim
+from sassafraswinch.crash_suspects import Standing
 from sassafraswinch_sidecar.entry_admission import (
     LEVELS,
-    EntryAdmission,
     merge_claims,
 )
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.fleet import Instance
-from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
+from sassafraswinch_sidecar.placement import capacities_of
 from sassafraswinch_sidecar.relay import MAX_PLACES
 from sassafraswinch_sidecar.relay_intake import Relay
-from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayRequest,
     RelayResponse,
-    ServerLoad,
     Verdict,
 )
-from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS, RelayRepeats
+from sassafraswinch_sidecar.relay_repeats import MIN_RETRY_LEFT_MS
 from sassafraswinch_sidecar.relay_requests import INNER_WAIT_SHARE, ROOT_WAIT_SHARE
-from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals, sum_counts
+from sassafraswinch_sidecar.repeat_budget import sum_counts
 from sassafraswinch_sidecar.server_choice import choose_for_suspect, choose_server
-from sassafraswinch_sidecar.server_queue import SLOT_SHARE, QueuedRequest, ServerQueue
+from sassafraswinch_sidecar.server_queue import QueuedRequest
 from sassafraswinch_sidecar.slot_times import (
     add_slot_times,
     parse_slot_times,
     serialize_slot_times,
 )
-from sassafraswinch_sidecar.suspect_gate import SuspectGate
 from sassafraswinch_sidecar.suspect_requests import (
     COPY_RUNS,
     HELD_BACK,
-    SuspectRequests,
 )
 from sassafraswinch_sidecar.zone_gatherer import PAUSE_MS
-from sassafraswinch_standins.screen_callers import Caller, Tally
-from sassafraswinch_standins.screen_clock import Clock
-from sassafraswinch_standins.screen_crashes import (
+from sassafraswinch_standins.simulator_callers import Caller, Tally
+from sassafraswinch_standins.simulator_clock import Clock
+from sassafraswinch_standins.simulator_crashes import (
     ServerCrashes,
     content_of,
     tell_suspects,
 )
-from sassafraswinch_standins.screen_load import Pattern, route_of
+from sassafraswinch_standins.simulator_host import Done, Host
+from sassafraswinch_standins.simulator_load import Pattern, route_of
 
 ZONES = 3
 NEAR_MS, FAR_MS = 0.5, 1.4
@@ -65,60 +59,9 @@
 """Sigma of the work's lognormal distribution."""
 
 TICK_MS = 20.0
-REPEAT_RATIO, REPEAT_SLACK, REPEAT_WINDOW_MS = 0.2, 50.0, 10_000.0
 
-Done = Callable[[int], None]
-"""Takes the status of a request's end."""
 
-
-class Host:
-    """A sidecar's decisions and the server beside it."""
-
-    def __init__(self, *, screen: "Screen", instance: Instance, speed: float):
-        now_ms = screen.now_ms
-        self.instance = instance
-        self.speed = speed
-        self.up = True
-        self.executions: set[Execution] = set()
-        self.suspects = CrashSuspects()
-        self.suspect_requests = SuspectRequests(
-            suspects=self.suspects, now_ms=now_ms, changed=lambda: None
-        )
-        self.gate = SuspectGate(
-            suspects=self.suspect_requests,
-            running=lambda: (each.request for each in self.executions),
-        )
-        self.told: dict[str, int] = {}
-        self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
-        self.loads = {ip: PeerLoad() for ip in screen.ips}
-        self.admission = EntryAdmission(worths=screen.pattern.worths)
-        self.totals: Totals = ({}, 0)
-        self.demand: list[Claim] = []
-        self.budget = RepeatBudget(
-            ratio=REPEAT_RATIO,
-            slack=REPEAT_SLACK,
-            window_ms=REPEAT_WINDOW_MS,
-            most_sidecars=lambda: len(screen.ips),
-            sidecars=lambda: len(screen.ips),
-            totals=lambda now_ms: self.totals,
-        )
-        self.repeats = RelayRepeats(budget=self.budget, now_ms=now_ms)
-        self.lessons = RelayLessons(admission=self.admission, now_ms=now_ms)
-        self.placement = Placement(
-            own_ip=instance.ip,
-            availability_zone=instance.availability_zone,
-            load_of=self.loads.get,
-            cold_left_ms=lambda found, now: 0.0,
-            rng=screen.rng,
-        )
-
-    def load(self) -> ServerLoad:
-        """Return what peers are told."""
-        queue = self.queue
-        return ServerLoad(queue.running, queue.queued, queue.limit if self.up else 0)
-
-
-class Screen:
+class Simulation:
     """One run of a pattern.
 
     Args:
@@ -130,7 +73,7 @@
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.pattern = pattern
-        self.crashes = ServerCrashes(screen=self)
+        self.crashes = ServerCrashes(simulation=self)
         self._keys = itertools.count(1)
         self.tallies = {
             name: Tally() for name, kind in pattern.kinds.items() if kind.worth
@@ -184,7 +127,14 @@
             cold_ms=0.0,
         )
         speed = group.speeds[number % len(group.speeds)]
-        return Host(screen=self, instance=instance, speed=speed)
+        return Host(
+            instance=instance,
+            speed=speed,
+            ips=self.ips,
+            worths=self.pattern.worths,
+            clock=self.clock,
+            rng=self.rng,
+        )
 
     def _arrive(self, name: str) -> None:
         kind = self.pattern.kinds[name]
@@ -454,14 +404,14 @@
         relay.http(status)
 
 
-def _gather(screen: Screen, zone: int) -> None:
+def _gather(simulation: Simulation, zone: int) -> None:
     """Tell the hosts of a zone the loads and sums of all: a gatherer's round.
 
     Loads of other zones, and sums, are as old as a round on the users' platform; here
     they are told without that delay.
     """
-    now_ms = screen.now_ms()
-    hosts = screen.hosts.values()
+    now_ms = simulation.now_ms()
+    hosts = simulation.hosts.values()
     demand = merge_claims(host.admission.demand() for host in hosts)
     counts = sum_counts(host.budget.counted(now_ms) for host in hosts)
     tell_suspects(f"zone-{zone}", hosts, now_ms)
@@ -469,10 +419,10 @@
         if host.instance.availability_zone != f"zone-{zone}":
             continue
         host.demand = demand
-        host.totals = counts, len(screen.hosts)
-        for ip, peer in screen.hosts.items():
+        host.totals = counts, len(simulation.hosts)
+        for ip, peer in simulation.hosts.items():
             host.loads[ip].report(peer.load(), now_ms)
-    screen.clock.after(PAUSE_MS, partial(_gather, screen, zone))
+    simulation.clock.after(PAUSE_MS, partial(_gather, simulation, zone))
 
 
 def _way(one: Host, other: Host) -> float:
--- /dev/null
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
@@ -0,0 +1,82 @@
+"""One simulated host: a sidecar's decisions and the server beside it."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from sassafraswinch.crash_suspects import CrashSuspects
+from sassafraswinch.fitting_shares import Claim
+from sassafraswinch_sidecar.entry_admission import EntryAdmission
+from sassafraswinch_sidecar.executor import Execution
+from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.placement import PeerLoad, Placement
+from sassafraswinch_sidecar.relay_lessons import RelayLessons
+from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
+from sassafraswinch_sidecar.relay_repeats import RelayRepeats
+from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals
+from sassafraswinch_sidecar.server_queue import SLOT_SHARE, ServerQueue
+from sassafraswinch_sidecar.suspect_gate import SuspectGate
+from sassafraswinch_sidecar.suspect_requests import SuspectRequests
+from sassafraswinch_standins.simulator_clock import Clock
+
+REPEAT_RATIO, REPEAT_SLACK, REPEAT_WINDOW_MS = 0.2, 50.0, 10_000.0
+
+Done = Callable[[int], None]
+"""Takes the status of a request's end."""
+
+
+class Host:
+    """A sidecar's decisions and the server beside it."""
+
+    def __init__(
+        self,
+        *,
+        instance: Instance,
+        speed: float,
+        ips: Sequence[str],
+        worths: Sequence[float],
+        clock: Clock,
+        rng: random.Random,
+    ):
+        def now_ms() -> float:
+            return clock.now_ms
+
+        self.instance = instance
+        self.speed = speed
+        self.up = True
+        self.executions: set[Execution] = set()
+        self.suspects = CrashSuspects()
+        self.suspect_requests = SuspectRequests(
+            suspects=self.suspects, now_ms=now_ms, changed=lambda: None
+        )
+        self.gate = SuspectGate(
+            suspects=self.suspect_requests,
+            running=lambda: (each.request for each in self.executions),
+        )
+        self.told: dict[str, int] = {}
+        self.queue = ServerQueue(limit=int(instance.slots * SLOT_SHARE))
+        self.loads = {ip: PeerLoad() for ip in ips}
+        self.admission = EntryAdmission(worths=worths)
+        self.totals: Totals = ({}, 0)
+        self.demand: list[Claim] = []
+        self.budget = RepeatBudget(
+            ratio=REPEAT_RATIO,
+            slack=REPEAT_SLACK,
+            window_ms=REPEAT_WINDOW_MS,
+            most_sidecars=lambda: len(ips),
+            sidecars=lambda: len(ips),
+            totals=lambda now_ms: self.totals,
+        )
+        self.repeats = RelayRepeats(budget=self.budget, now_ms=now_ms)
+        self.lessons = RelayLessons(admission=self.admission, now_ms=now_ms)
+        self.placement = Placement(
+            own_ip=instance.ip,
+            availability_zone=instance.availability_zone,
+            load_of=self.loads.get,
+            cold_left_ms=lambda found, now: 0.0,
+            rng=rng,
+        )
+
+    def load(self) -> ServerLoad:
+        """Return what peers are told."""
+        queue = self.queue
+        return ServerLoad(queue.running, queue.queued, queue.limit if self.up else 0)
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_load.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_load.py
@@ -1,4 +1,4 @@
-"""Load patterns of the screen: call graphs, rates, and what happens to servers."""
+"""Load patterns of the simulation: call graphs, rates, and what happens to servers."""
 
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/screen_rates.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_rates.py
@@ -409,7 +409,7 @@
     return count
 
 
-def screen_rates(
+def simulate_rates(
     *,
     hosts: int = 78,
     organisations: int = 81,
@@ -446,4 +446,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run(screen_rates)
+    defopt.run(simulate_rates)
--- a/packages/sassafraswinch-standins/tests/test_screen.py
+++ b/packages/sassafraswinch-standins/tests/test_simulator.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sassafraswinch_standins.screen import play
-from sassafraswinch_standins.screen_load import PATTERNS
+from sassafraswinch_standins.simulator import play
+from sassafraswinch_standins.simulator_load import PATTERNS
 
 
 def test_same_seed_plays_the_same():
--- a/packages/sassafraswinch-standins/tests/test_screen_rates.py
+++ b/packages/sassafraswinch-standins/tests/test_simulator_rates.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sassafraswinch.organisations import Organisation, RateLimit
-from sassafraswinch_standins.screen_rates import (
+from sassafraswinch_standins.simulator_rates import (
     RATE_PATTERNS,
     STEP_MS,
     ZONES,
