--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_rates.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_rates.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -28,6 +28,7 @@
 
 WINDOW_MS = 5_000.0
 SLACK = 20.0
+RULE = RateRule(window_ms=WINDOW_MS, slack=SLACK)
 EXCESS = 1.25
 """What may be let in within a window: as a multiple of the limit, and on top."""
 
@@ -64,7 +65,7 @@
 
     def __init__(self, *, fleet: "RatesFleet", number: int, now_ms: float):
         self._rates = OrganisationRates(
-            rule=RateRule(window_ms=WINDOW_MS, slack=SLACK),
+            rule=RULE,
             now_ms=now_ms,
             most_hosts=lambda: len(fleet.hosts),
             told=lambda at_ms: fleet.told(number, at_ms),
@@ -173,10 +174,19 @@
         hosts: how many there are.
         way: their decisions.
         rng: source of chance.
+        limits: limits of the organisations; hosts are told of those near theirs.
     """
 
-    def __init__(self, *, hosts: int, way: Callable[..., Way], rng: random.Random):
+    def __init__(
+        self,
+        *,
+        hosts: int,
+        way: Callable[..., Way],
+        rng: random.Random,
+        limits: Mapping[str, RateLimit],
+    ):
         self.rng = rng
+        self.limits = limits
         self.now_ms = 0.0
         self.messages = 0
         self.cut_zone: int | None = None
@@ -221,10 +231,19 @@
                 for other in range(ZONES)
                 if self._joined(zone, other)
             )
+            told = self._near_limits(told)
             for host in self.hosts:
                 if host.zone == zone and host.up and host.reports:
                     host.told, host.told_ms = told, self.now_ms
 
+    def _near_limits(self, told: FleetUse) -> FleetUse:
+        near = {
+            name: use
+            for name, use in told.uses.items()
+            if RULE.is_near(self.limits[name], use)
+        }
+        return FleetUse(near, told.hosts, told.unknown_ms)
+
     def _zone_sum(self, zone: int, rounds: int) -> FleetUse:
         return sum_uses(
             host.reports[-rounds]
@@ -309,8 +328,10 @@
 ) -> RatesResult:
     """Play a pattern once."""
     rng = random.Random(seed)
-    fleet = RatesFleet(hosts=hosts, way=way, rng=rng)
     listed = organisations_of(organisations, per_s)
+    fleet = RatesFleet(
+        hosts=hosts, way=way, rng=rng, limits={o.name: o.limit for o, _ in listed}
+    )
     flooding = {listed[0][0].name, listed[organisations // 3][0].name}
     let_in: dict[str, list[float]] = defaultdict(list)
     owed: Counter[str] = Counter()
@@ -325,6 +346,8 @@
         second = fleet.now_ms / 1000
         cut = pattern.cut_s[0] <= second < pattern.cut_s[1]
         fleet.cut_zone = 0 if cut else None
+        if second >= pattern.fall_s:
+            fleet.limits = {o.name: _fallen(o).limit for o, _ in listed}
         if second >= pattern.kill_s and not killed:
             killed = True
             fleet.restart(fleet.hosts)
--- a/packages/sassafraswinch/sassafraswinch/organisation_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/organisation_rates.py
@@ -28,16 +28,16 @@
 """Time in which what is left of the limit, or overdrawn, is made up for. It is several
 times longer than the sums take to cross the fleet, so that the rate doesn't swing."""
 
-BURST_SHARE = 0.6
+BURST_SHARE = 0.7
 """Part of the burst that is handed out in a window besides the rate."""
 
 SLACK_SHARE = 0.5
 """Part of the slack that is handed out; the rest is for what hosts let in before they
 hear of each other."""
 
-NEAR_SHARE = 0.4
-"""Part of a limit below which an organisation needn't be told of: what hosts let in
-before they hear of more stays far below the limit."""
+NEAR_SHARE = 0.7
+"""Part of a limit below which an organisation needn't be told of: by the sums, all of
+its requests are let in."""
 
 UNTOLD_TOKENS = 3.0
 """Requests that one host may let in at once beyond its part of a limit. Small
@@ -167,9 +167,9 @@
         return buckets[-1]
 
     def advance(self, window_ms: float, now_ms: float) -> None:
-        """Drop the buckets that ended before the window."""
+        """Drop the buckets of which most was before the window."""
         buckets = self.buckets
-        while buckets and now_ms - buckets[0].began_ms >= window_ms + BUCKET_MS:
+        while buckets and now_ms - buckets[0].began_ms >= window_ms + BUCKET_MS / 2:
             self.spent -= buckets.popleft().spent
 
     def use(self, now_ms: float, age_ms: float) -> Use:
