Rates: what wavers a little about its limit is let in; one host may go to twice its part untold

Requests up to 1.2 times the limit are let in while the window holds no more than that (the rule leaves 1.25 and a slack), and a host's own bound is 2 in place of 1.25 times its part: at 1.25 chance alone refused.

--- a/packages/sassafraswinch/sassafraswinch/organisation_rates.py
+++ b/packages/sassafraswinch/sassafraswinch/organisation_rates.py
@@ -28,6 +28,10 @@
 """Time in which what is left of the limit, or overdrawn, is made up for. It is several
 times longer than the sums take to cross the fleet, so that the rate doesn't swing."""
 
+TOLERATED = 1.2
+"""Rate, as multiple of the limit, up to which all is let in. The rule leaves more room
+than that; whoever wavers about its limit would be refused by chance."""
+
 BURST_SHARE = 0.7
 """Part of the burst that is handed out in a window besides the rate."""
 
@@ -43,7 +47,7 @@
 """Requests that one host may let in at once beyond its part of a limit. Small
 organisations' requests are few and come at any host."""
 
-UNTOLD_EXCESS = 1.25
+UNTOLD_EXCESS = 2.0
 """Rate, as multiple of a host's part, beyond which it waits for the next sums."""
 
 MIN_WAIT_SHARE = 0.1
@@ -325,8 +329,15 @@
         part = told.hosts / most_hosts
         # What hosts let in before they started isn't known: as much as they may.
         unknown = told.unknown_ms / self._rule.window_ms / most_hosts
-        left = self._rule.allowance(limit) * (part - unknown) - use.spent
-        target_per_s = limit.rate_per_s * part + left / CATCH_UP_S
+        allowance = self._rule.allowance(limit)
+        spent = use.spent + allowance * unknown
+        rate_per_s = limit.rate_per_s * part
+        if (
+            use.asked_per_s <= TOLERATED * rate_per_s
+            and spent <= TOLERATED * rate_per_s * self._rule.window_ms / 1000
+        ):
+            return 1.0, use, part
+        target_per_s = rate_per_s + (allowance * part - spent) / CATCH_UP_S
         if target_per_s <= 0.0:
             return 0.0, use, part
         return min(1.0, target_per_s / max(use.asked_per_s, 1e-9)), use, part
