Peers say whether a request may be sent to them; two leftovers go

Behaviour is the same. Checked: lint, the tests of links, placement, sidecar, exchange, keys and crashing requests.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer.py
@@ -48,6 +48,10 @@
         """Whether the peer owes a sign of life for too long."""
         return self.link is not None and self.link.silent_ms() > SUSPECT_MS
 
+    def can_be_sent_to(self, now_ms: float) -> bool:
+        """Return whether a request may be sent, as far as the link tells."""
+        return now_ms >= self.avoided_until_ms and not self.is_suspect
+
     @property
     def is_live(self) -> bool:
         """Whether the link has just shown signs of life."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -167,14 +167,7 @@
     def can_reach(self, ip: str) -> bool:
         """Return whether a request may be sent to a host, as far as its link tells."""
         peer = self.peers.get(ip)
-        if peer is None:
-            return True
-        return not peer.is_suspect and self._now_ms() >= peer.avoided_until_ms
-
-    def is_live(self, ip: str) -> bool:
-        """Return whether the link to a host has just shown signs of life."""
-        peer = self.peers.get(ip)
-        return peer is not None and peer.is_live
+        return peer is None or peer.can_be_sent_to(self._now_ms())
 
     def request(self, ip: str, request: RelayRequest) -> bool:
         """Send a request, or let it wait for its link.
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_rates.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_rates.py
@@ -137,7 +137,6 @@
     def __init__(self, *, fleet: "RatesFleet", number: int, now_ms: float):
         self._fleet = fleet
         self._number = number
-        self._started_ms = now_ms
         self.buckets: dict[str, TokenBucket] = {}
 
     def ask(self, organisation: Organisation, now_ms: float) -> float | None:
