--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -5,6 +5,12 @@
  */
 namespace py relay_protocol
 
+/*
+ * A revision of the platform's data goes with its era, which rises each time the
+ * platform's store comes back from an older copy: era first, then revision, is the
+ * order of changes. Routes are ordered by their own version.
+ */
+
 enum Verdict {
   NOT_RUN = 1
   ANSWERED = 2
@@ -137,6 +143,8 @@
   4: required bool leaving
   /** Whether its server isn't listed since its host can't reach the platform. */
   5: bool isolated = false
+  6: i64 era = 0
+  7: i64 routes_version = 0
 }
 
 /** Hosts of one availability zone and their servers, a column for each fact. */
@@ -161,6 +169,8 @@
   /** Whether the sender takes its view of the fleet from the receiver. */
   8: required bool relies
   9: optional OrganisationUses uses
+  10: i64 era = 0
+  11: i64 routes_version = 0
 }
 
 /** Loads of one zone. */
@@ -190,11 +200,15 @@
   5: required list<SentCount> counts
   /** Organisations that come near their limit. */
   6: optional OrganisationUses uses
+  7: i64 era = 0
+  8: i64 routes_version = 0
 }
 
 /** Asks a sidecar of another zone for that zone's sum. */
 struct SummaryRequest {
   1: required i64 revision
+  2: i64 era = 0
+  3: i64 routes_version = 0
 }
 
 struct SummaryReply {
@@ -203,6 +217,8 @@
   2: required list<string> gatherers
   /** Missing where the asked sidecar doesn't gather. */
   3: optional ZoneSummary summary
+  4: i64 era = 0
+  5: i64 routes_version = 0
 }
 
 /** A request under which backend servers ended, by its digest. */
@@ -224,6 +240,8 @@
 /** Asks for the platform's data that changed after a revision. */
 struct ReplicaRequest {
   1: required i64 after_revision
+  2: i64 era = 0
+  3: i64 routes_version = 0
 }
 
 struct ReplicaEntry {
@@ -231,6 +249,7 @@
   2: required i64 revision
   /** Missing where the key was removed. */
   3: optional binary value
+  4: i64 era = 0
 }
 
 struct ReplicaReply {
@@ -239,6 +258,7 @@
   /** Whether keys that the entries don't name are gone. */
   2: required bool whole
   3: required list<ReplicaEntry> entries
+  4: i64 era = 0
 }
 
 /** Exactly one field is set. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -7,6 +7,7 @@
 
 from sassafraswinch.errors import InvalidFieldsError
 from sassafraswinch_sidecar.replica import MAX_REMOVED, Entry, Replica
+from sassafraswinch_sidecar.revisions import UNKNOWN, Revision
 from sassafraswinch_sidecar.routes import RouteTable
 
 RETURN_MS = 2_200.0
@@ -66,7 +67,7 @@
     """An instance whose entry was removed though it didn't say that it leaves."""
 
     instance: Instance
-    first_revision: int
+    first_revision: Revision
     since_ms: float
     used_until_ms: float = 0.0
     in_use: bool = False
@@ -129,7 +130,8 @@
         self._known_at_ms: dict[str, float] = {}
         self._held: dict[str, float] = {}
         self._removed: dict[str, None] = {}
-        self._first_revisions: dict[str, int] = {}
+        self._first_revisions: dict[str, Revision] = {}
+        self._read_table: tuple[bytes, RouteTable] | None = None
         self._away_since_ms: float | None = None
         self._hold_until_ms = 0.0
 
@@ -202,6 +204,15 @@
                 self._apply_table(entry.value)
         self._index()
 
+    def is_route_table(self, key: str) -> bool:
+        """Return whether a key holds the routes (RoutesReader)."""
+        return self._decoder.is_route_table(key)
+
+    def routes_version(self, value: bytes) -> int | None:
+        """Return the version of routes (RoutesReader)."""
+        table = self._parse_table(value)
+        return None if table is None else table.version
+
     def tick(self, replica: Replica, now_ms: float) -> None:
         """Drop held instances whose entries didn't come back, use isolated ones."""
         self._heed_isolation(now_ms)
@@ -280,7 +291,7 @@
     def _remove(self, instance_id: str, now_ms: float) -> None:
         instance = self.instances.pop(instance_id, None)
         self._known_at_ms.pop(instance_id, None)
-        first_revision = self._first_revisions.pop(instance_id, 0)
+        first_revision = self._first_revisions.pop(instance_id, UNKNOWN)
         if instance is not None and not instance.leaving:
             self._lapsed[instance_id] = _Lapsed(
                 instance=instance, first_revision=first_revision, since_ms=now_ms
@@ -290,14 +301,22 @@
             del self._removed[next(iter(self._removed))]
 
     def _apply_table(self, value: bytes) -> None:
-        try:
-            table = self._decoder.parse_route_table(value)
-        except InvalidFieldsError as error:
-            self._report(error)
+        table = self._parse_table(value)
+        if table is None:
             return
         if self.table is None or table.version > self.table.version:
             self.table = table
 
+    def _parse_table(self, value: bytes) -> RouteTable | None:
+        """Read routes once, though both their version and they themselves are asked."""
+        if self._read_table is None or self._read_table[0] is not value:
+            try:
+                self._read_table = value, self._decoder.parse_route_table(value)
+            except InvalidFieldsError as error:
+                self._report(error)
+                return None
+        return self._read_table[1]
+
     def _index(self) -> None:
         """Sort the instances by service, without those that another one replaced.
 
@@ -305,7 +324,7 @@
         seconds beside the new ones, and half of the requests go to instances that are
         gone. An address has one server at a time, the one that was written last.
         """
-        at_address: dict[tuple[str, int], tuple[int, Instance]] = {}
+        at_address: dict[tuple[str, int], tuple[Revision, Instance]] = {}
         for first_revision, instance in self._usable():
             address = (instance.ip, instance.port)
             known = at_address.get(address)
@@ -317,7 +336,7 @@
             if not instance.leaving:
                 self._by_service.setdefault(instance.service, []).append(instance)
 
-    def _usable(self) -> Iterator[tuple[int, Instance]]:
+    def _usable(self) -> Iterator[tuple[Revision, Instance]]:
         """Yield instances of configured services, each with its first revision.
 
         Failure: an entry of another writer names a service that doesn't exist, and the
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet_exchange.py
@@ -19,7 +19,12 @@
     SummaryRequest,
     ZoneSummary,
 )
-from sassafraswinch_sidecar.relay_wire import Message, serialize_message
+from sassafraswinch_sidecar.relay_wire import (
+    Message,
+    parse_position,
+    position_fields,
+    serialize_message,
+)
 from sassafraswinch_sidecar.suspect_exchange import SuspectExchange
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 from sassafraswinch_sidecar.zone_gatherer import (
@@ -139,7 +144,7 @@
         now_ms = self._now_ms()
         link = self._links.peers[ip].link
         link.replied()
-        self._data.ask_if_behind(message.revision, link)
+        self._data.ask_if_behind(parse_position(message), link)
         if isinstance(message, HostReport):
             if self._gatherer.heard(ip, message, now_ms):
                 self._news.set()
@@ -159,7 +164,7 @@
             self._told(link, message)
         else:
             link.send(self._summary_reply())
-        self._data.ask_if_behind(message.revision, link)
+        self._data.ask_if_behind(parse_position(message), link)
 
     def _told(self, link: PeerLink, digest: FleetDigest) -> None:
         now_ms = self._now_ms()
@@ -173,7 +178,7 @@
 
     def _summary_reply(self) -> SummaryReply:
         return SummaryReply(
-            revision=self._data.revision,
+            **position_fields(self._data.position),
             gatherers=self._view.gatherers(self._now_ms()),
             summary=self._summary if self._gathers else None,
         )
@@ -221,16 +226,16 @@
         self._gatherer.forget(now_ms, round_ms)
         self._gatherer.heard(self._own_ip, self._reports.report(relies=True), now_ms)
         self._summary = self._gatherer.summary()
-        revision = self._data.revision
-        digest = self._gatherer.digest(self._summary, revision, now_ms)
+        position = self._data.position
+        digest = self._gatherer.digest(self._summary, position, now_ms)
         self._view.heard_gatherer(self._own_ip, now_ms)
         self._view.take(digest, now_ms)
         self._tell_suspects(itertools.chain(members, contacts))
         whole = serialize_message(digest)
-        bare = serialize_message(bare_digest(revision))
+        bare = serialize_message(bare_digest(position))
         for ip in members:
             self._links.poll(ip, whole if self._gatherer.relies(ip) else bare)
-        request = serialize_message(SummaryRequest(revision))
+        request = serialize_message(SummaryRequest(**position_fields(position)))
         for ip in contacts:
             self._links.poll(ip, request)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -15,6 +15,7 @@
     RouteDemand,
     SentCount,
 )
+from sassafraswinch_sidecar.relay_wire import position_fields
 from sassafraswinch_sidecar.repeat_budget import Counted, RepeatBudget
 
 SUMS_LIFE_MS = 40.0
@@ -71,7 +72,7 @@
             relies: whether this sidecar takes its view of the fleet from the receiver.
         """
         return HostReport(
-            revision=self._data.revision,
+            **position_fields(self._data.position),
             load=self._executor.load(),
             leaving=self._is_stopping(),
             following=self._data.following,
@@ -100,7 +101,7 @@
         """
         return HeartbeatReply(
             sequence=sequence,
-            revision=self._data.revision,
+            **position_fields(self._data.position),
             load=self._executor.load(),
             leaving=self._is_stopping(),
             isolated=self._is_isolated(),
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -8,8 +8,15 @@
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.platform_reader import PLATFORM_SOURCE
 from sassafraswinch_sidecar.relay_protocol.ttypes import ReplicaReply, ReplicaRequest
-from sassafraswinch_sidecar.relay_wire import Message, parse_delta, serialize_delta
+from sassafraswinch_sidecar.relay_wire import (
+    Message,
+    parse_delta,
+    parse_question,
+    serialize_delta,
+    serialize_question,
+)
 from sassafraswinch_sidecar.replica import Delta, Replica
+from sassafraswinch_sidecar.revisions import UNKNOWN, Position, Revision
 
 ASK_AGAIN_MS = 300.0
 """Pause before changes are asked of another peer: the first may not answer."""
@@ -19,7 +26,7 @@
     """Merges what the platform and peers tell, and keeps the fleet up to date.
 
     A sidecar that the platform turns away, or that starts while it is down, hears of
-    every change from a peer: digests and reports tell revisions, and whoever is behind
+    every change from a peer: digests and reports tell positions, and whoever is behind
     asks.
 
     Args:
@@ -30,6 +37,7 @@
 
     Attributes:
         following: whether this sidecar follows the platform itself.
+        restores: how often the platform's store came back from an older copy.
     """
 
     def __init__(
@@ -40,21 +48,30 @@
         announce: Callable[[], None],
     ):
         self.following = False
+        self.restores = 0
         self._fleet = fleet
         self._changed = changed
         self._announce = announce
-        self._replica = Replica()
+        self._replica = Replica(routes=fleet)
         self._loop = asyncio.get_running_loop()
         self._asked_ms = 0.0
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision of the platform's data up to which all is known."""
         return self._replica.revision
 
+    @property
+    def position(self) -> Position:
+        """How much of the platform's data is known."""
+        return self._replica.position
+
     def take(self, delta: Delta, source: str) -> None:
         """Take in changes (ReplicaKeeper)."""
+        former = self.revision
         changed = self._replica.merge(delta)
+        if former > UNKNOWN and former.era < self.revision.era:
+            self._note_restore(former, source)
         if not changed:
             return
         version = self._fleet.table.version if self._fleet.table else None
@@ -63,7 +80,8 @@
             "platform_data_changed",
             level="warning",
             source=source,
-            revision=delta.revision,
+            era=delta.revision.era,
+            revision=delta.revision.number,
             keys=",".join(entry.key for entry in changed[:4]),
             changed=len(changed),
         )
@@ -85,7 +103,8 @@
     def platform_followed(self, following: bool) -> None:
         """Following has begun or ended here (ReplicaKeeper)."""
         self.following = following
-        log_event("platform_followed", following=following, revision=self.revision)
+        era, number = self.revision
+        log_event("platform_followed", following=following, era=era, revision=number)
         self._announce()
 
     def tick(self, now_ms: float) -> None:
@@ -95,18 +114,32 @@
     def exchange(self, link: PeerLink, message: Message) -> None:
         """Answer a peer's question for changes, or take in its answer."""
         if isinstance(message, ReplicaRequest):
-            link.send(serialize_delta(self._replica.since(message.after_revision)))
+            link.send(serialize_delta(self._replica.since(parse_question(message))))
         elif isinstance(message, ReplicaReply):
             self._asked_ms = 0.0
             self.take(parse_delta(message), f"peer-{link.peer_ip}")
 
-    def ask_if_behind(self, revision: int, link: PeerLink) -> None:
+    def ask_if_behind(self, told: Position, link: PeerLink) -> None:
         """Ask a peer for what it knows and this sidecar doesn't."""
         now_ms = self._now_ms()
-        if revision <= self.revision or now_ms - self._asked_ms < ASK_AGAIN_MS:
+        position = self.position
+        if not position.lacks(told) or now_ms - self._asked_ms < ASK_AGAIN_MS:
             return
         self._asked_ms = now_ms
-        link.send(ReplicaRequest(after_revision=self.revision))
+        link.send(serialize_question(position))
+
+    def _note_restore(self, former: Revision, source: str) -> None:
+        self.restores += 1
+        log_event(
+            "platform_restored",
+            level="warning",
+            source=source,
+            era=self.revision.era,
+            revision=self.revision.number,
+            former_era=former.era,
+            former_revision=former.number,
+        )
+        self._announce()
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -7,6 +7,7 @@
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.replica import Delta
+from sassafraswinch_sidecar.revisions import UNKNOWN, Revision
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 
 PLATFORM_SOURCE = "platform"
@@ -67,7 +68,13 @@
 
 
 class PlatformStore(Protocol):
-    """Reads the platform's data; the adapter of a platform brings it."""
+    """Reads the platform's data; the adapter of a platform brings it.
+
+    Attributes:
+        era: the newest era that any answer bore, refusals included.
+    """
+
+    era: int
 
     async def read(self) -> Delta:
         """Return all data of interest.
@@ -83,9 +90,11 @@
             PlatformUnavailableError: there is no answer.
         """
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Delta:
+    async def watch(self, after: Revision, wait_ms: int) -> Delta:
         """Return the changes after a revision as soon as there is one.
 
+        The answer may be of another era, and tells no changes after the revision then.
+
         Raises:
             HistoryGoneError: read anew.
             PlatformUnavailableError: there is no answer.
@@ -96,7 +105,7 @@
     """Whoever owns the replica."""
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Revision up to which all changes are known."""
 
     def take(self, delta: Delta, source: str) -> None:
@@ -137,6 +146,7 @@
         self._whole = False
         self._away = False
         self._failures = 0
+        self._lost_histories = 0
         self._following = False
 
     async def run(self) -> None:
@@ -148,8 +158,7 @@
             try:
                 await self._step()
             except HistoryGoneError:
-                log_event("platform_history_gone", revision=self._keeper.revision)
-                self._whole = False
+                await self._note_lost_history()
             except PlatformUnavailableError as error:
                 self._note_failure(error)
                 await self._pause(self._pause_s())
@@ -157,7 +166,7 @@
     @property
     def _is_needed(self) -> bool:
         """Whether to call the platform: on duty, or nobody has told anything yet."""
-        return self._duty.is_own or not self._keeper.revision
+        return self._duty.is_own or self._keeper.revision == UNKNOWN
 
     async def _stand_by(self) -> None:
         """Leave the platform to others while they follow it."""
@@ -186,12 +195,10 @@
             self._note_return("peers")
 
     async def _step(self) -> None:
-        if not self._whole:
-            delta = await self._store.read()
-            self._whole = True
+        if self._whole and self._store.era <= self._keeper.revision.era:
+            delta = await self._watch()
         else:
-            wait_ms = WATCH_MS if self._following else RETURN_WATCH_MS
-            delta = await self._store.watch(self._keeper.revision, wait_ms)
+            delta = await self._read()
         self._failures = 0
         self._note_return(PLATFORM_SOURCE)
         self._follow(True)
@@ -200,10 +207,36 @@
         if brought_changes and not delta.whole:
             await asyncio.sleep(self._rng.uniform(*GATHER_S))
 
+    async def _read(self) -> Delta:
+        delta = await self._store.read()
+        if delta.revision.era < self._keeper.revision.era:
+            raise PlatformUnavailableError(reason="is of an older era", answered=True)
+        self._whole = True
+        return delta
+
+    async def _watch(self) -> Delta:
+        after = self._keeper.revision
+        wait_ms = WATCH_MS if self._following else RETURN_WATCH_MS
+        delta = await self._store.watch(after, wait_ms)
+        if delta.revision.era != after.era:
+            raise HistoryGoneError
+        self._lost_histories = 0
+        return delta
+
+    async def _note_lost_history(self) -> None:
+        """Read anew: at once the first time, with a pause if no watch holds."""
+        era, number = self._keeper.revision
+        log_event("platform_history_gone", era=era, revision=number)
+        self._whole = False
+        self._lost_histories += 1
+        if self._lost_histories > 1:
+            await self._pause(self._rng.uniform(*RETRY_S))
+
     def _note_return(self, source: str) -> None:
         if self._away:
             self._away = False
-            log_event("platform_back", source=source, revision=self._keeper.revision)
+            era, number = self._keeper.revision
+            log_event("platform_back", source=source, era=era, revision=number)
         self._keeper.platform_back()
 
     def _follow(self, following: bool) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -1410,6 +1410,8 @@
      - load
      - leaving
      - isolated: Whether its server isn't listed since its host can't reach the platform.
+     - era
+     - routes_version
 
     """
 
@@ -1419,15 +1421,19 @@
         'load',
         'leaving',
         'isolated',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, sequence=None, revision=None, load=None, leaving=None, isolated=False,):
+    def __init__(self, sequence=None, revision=None, load=None, leaving=None, isolated=False, era=0, routes_version=0,):
         self.sequence = sequence
         self.revision = revision
         self.load = load
         self.leaving = leaving
         self.isolated = isolated
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1464,6 +1470,16 @@
                     self.isolated = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1494,6 +1510,14 @@
             oprot.writeFieldBegin('isolated', TType.BOOL, 5)
             oprot.writeBool(self.isolated)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 6)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 7)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1709,6 +1733,8 @@
      - counts
      - relies: Whether the sender takes its view of the fleet from the receiver.
      - uses
+     - era
+     - routes_version
 
     """
 
@@ -1722,10 +1748,12 @@
         'counts',
         'relies',
         'uses',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, revision=None, load=None, leaving=None, following=None, isolated=None, demand=None, counts=None, relies=None, uses=None,):
+    def __init__(self, revision=None, load=None, leaving=None, following=None, isolated=None, demand=None, counts=None, relies=None, uses=None, era=0, routes_version=0,):
         self.revision = revision
         self.load = load
         self.leaving = leaving
@@ -1735,6 +1763,8 @@
         self.counts = counts
         self.relies = relies
         self.uses = uses
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1804,6 +1834,16 @@
                     self.uses.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1856,6 +1896,14 @@
             oprot.writeFieldBegin('uses', TType.STRUCT, 9)
             self.uses.write(oprot)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 10)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 11)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2141,6 +2189,8 @@
      - demand: Sums over all zones.
      - counts
      - uses: Organisations that come near their limit.
+     - era
+     - routes_version
 
     """
 
@@ -2151,16 +2201,20 @@
         'demand',
         'counts',
         'uses',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, revision=None, whole=None, zones=None, demand=None, counts=None, uses=None,):
+    def __init__(self, revision=None, whole=None, zones=None, demand=None, counts=None, uses=None, era=0, routes_version=0,):
         self.revision = revision
         self.whole = whole
         self.zones = zones
         self.demand = demand
         self.counts = counts
         self.uses = uses
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2220,6 +2274,16 @@
                     self.uses.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2263,6 +2327,14 @@
             oprot.writeFieldBegin('uses', TType.STRUCT, 6)
             self.uses.write(oprot)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 7)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 8)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2304,16 +2376,22 @@
 
     Attributes:
      - revision
+     - era
+     - routes_version
 
     """
 
     __slots__ = (
         'revision',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, revision=None,):
+    def __init__(self, revision=None, era=0, routes_version=0,):
         self.revision = revision
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2329,6 +2407,16 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2343,6 +2431,14 @@
             oprot.writeFieldBegin('revision', TType.I64, 1)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 3)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2376,6 +2472,8 @@
      - revision
      - gatherers: Addresses of the gatherers that the asked sidecar hears; itself if it is one.
      - summary: Missing where the asked sidecar doesn't gather.
+     - era
+     - routes_version
 
     """
 
@@ -2383,13 +2481,17 @@
         'revision',
         'gatherers',
         'summary',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, revision=None, gatherers=None, summary=None,):
+    def __init__(self, revision=None, gatherers=None, summary=None, era=0, routes_version=0,):
         self.revision = revision
         self.gatherers = gatherers
         self.summary = summary
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2421,6 +2523,16 @@
                     self.summary.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2446,6 +2558,14 @@
             oprot.writeFieldBegin('summary', TType.STRUCT, 3)
             self.summary.write(oprot)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 5)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2690,16 +2810,22 @@
 
     Attributes:
      - after_revision
+     - era
+     - routes_version
 
     """
 
     __slots__ = (
         'after_revision',
+        'era',
+        'routes_version',
     )
 
 
-    def __init__(self, after_revision=None,):
+    def __init__(self, after_revision=None, era=0, routes_version=0,):
         self.after_revision = after_revision
+        self.era = era
+        self.routes_version = routes_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2715,6 +2841,16 @@
                     self.after_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.routes_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2729,6 +2865,14 @@
             oprot.writeFieldBegin('after_revision', TType.I64, 1)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.routes_version is not None:
+            oprot.writeFieldBegin('routes_version', TType.I64, 3)
+            oprot.writeI64(self.routes_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2762,6 +2906,7 @@
      - key
      - revision
      - value: Missing where the key was removed.
+     - era
 
     """
 
@@ -2769,13 +2914,15 @@
         'key',
         'revision',
         'value',
+        'era',
     )
 
 
-    def __init__(self, key=None, revision=None, value=None,):
+    def __init__(self, key=None, revision=None, value=None, era=0,):
         self.key = key
         self.revision = revision
         self.value = value
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2801,6 +2948,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2823,6 +2975,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2858,6 +3014,7 @@
      - revision: All changes up to this revision are in the entries or known to the asker.
      - whole: Whether keys that the entries don't name are gone.
      - entries
+     - era
 
     """
 
@@ -2865,13 +3022,15 @@
         'revision',
         'whole',
         'entries',
+        'era',
     )
 
 
-    def __init__(self, revision=None, whole=None, entries=None,):
+    def __init__(self, revision=None, whole=None, entries=None, era=0,):
         self.revision = revision
         self.whole = whole
         self.entries = entries
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2903,6 +3062,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2928,6 +3092,10 @@
                 iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3287,6 +3455,8 @@
     (3, TType.STRUCT, 'load', [ServerLoad, None], None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.BOOL, 'isolated', None, False, ),  # 5
+    (6, TType.I64, 'era', None, 0, ),  # 6
+    (7, TType.I64, 'routes_version', None, 0, ),  # 7
 )
 all_structs.append(HostLoads)
 HostLoads.thrift_spec = (
@@ -3309,6 +3479,8 @@
     (7, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 7
     (8, TType.BOOL, 'relies', None, None, ),  # 8
     (9, TType.STRUCT, 'uses', [OrganisationUses, None], None, ),  # 9
+    (10, TType.I64, 'era', None, 0, ),  # 10
+    (11, TType.I64, 'routes_version', None, 0, ),  # 11
 )
 all_structs.append(ZoneLoads)
 ZoneLoads.thrift_spec = (
@@ -3334,11 +3506,15 @@
     (4, TType.LIST, 'demand', (TType.STRUCT, [RouteDemand, None], False), None, ),  # 4
     (5, TType.LIST, 'counts', (TType.STRUCT, [SentCount, None], False), None, ),  # 5
     (6, TType.STRUCT, 'uses', [OrganisationUses, None], None, ),  # 6
+    (7, TType.I64, 'era', None, 0, ),  # 7
+    (8, TType.I64, 'routes_version', None, 0, ),  # 8
 )
 all_structs.append(SummaryRequest)
 SummaryRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.I64, 'era', None, 0, ),  # 2
+    (3, TType.I64, 'routes_version', None, 0, ),  # 3
 )
 all_structs.append(SummaryReply)
 SummaryReply.thrift_spec = (
@@ -3346,6 +3522,8 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.LIST, 'gatherers', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.STRUCT, 'summary', [ZoneSummary, None], None, ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
+    (5, TType.I64, 'routes_version', None, 0, ),  # 5
 )
 all_structs.append(Suspect)
 Suspect.thrift_spec = (
@@ -3364,6 +3542,8 @@
 ReplicaRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'after_revision', None, None, ),  # 1
+    (2, TType.I64, 'era', None, 0, ),  # 2
+    (3, TType.I64, 'routes_version', None, 0, ),  # 3
 )
 all_structs.append(ReplicaEntry)
 ReplicaEntry.thrift_spec = (
@@ -3371,6 +3551,7 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
 )
 all_structs.append(ReplicaReply)
 ReplicaReply.thrift_spec = (
@@ -3378,6 +3559,7 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.BOOL, 'whole', None, None, ),  # 2
     (3, TType.LIST, 'entries', (TType.STRUCT, [ReplicaEntry, None], False), None, ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_wire.py
@@ -1,5 +1,7 @@
 """Coding of messages between sidecars: thrift structs to frames and back."""
 
+from typing import TypedDict
+
 from thrift.protocol import fastbinary
 from thrift.Thrift import TException
 
@@ -22,6 +24,7 @@
     SuspectNews,
 )
 from sassafraswinch_sidecar.replica import Delta, Entry
+from sassafraswinch_sidecar.revisions import Position, Revision
 
 Message = (
     FleetDigest
@@ -39,6 +42,11 @@
     | SuspectNews
 )
 
+PositionMessage = (
+    FleetDigest | HeartbeatReply | HostReport | SummaryReply | SummaryRequest
+)
+"""Messages that tell the position of the sender's copy."""
+
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Longest frame: the longest body that routes commonly allow, with its header."""
 
@@ -98,18 +106,68 @@
     raise WireError(reason="a frame without a message of this protocol version")
 
 
+class PositionFields(TypedDict):
+    """Fields that tell a position, in each message that does."""
+
+    era: int
+    revision: int
+    routes_version: int
+
+
+def position_fields(position: Position) -> PositionFields:
+    """Return the fields of a message that tell a position."""
+    era, number = position.revision
+    return PositionFields(
+        era=era, revision=number, routes_version=position.routes_version
+    )
+
+
+def parse_position(message: PositionMessage) -> Position:
+    """Return the position that a message tells."""
+    return Position(
+        revision=Revision(message.era, message.revision),
+        routes_version=message.routes_version,
+    )
+
+
+def serialize_question(position: Position) -> ReplicaRequest:
+    """Return the message that asks for what a copy at a position lacks."""
+    era, number = position.revision
+    return ReplicaRequest(
+        after_revision=number, era=era, routes_version=position.routes_version
+    )
+
+
+def parse_question(request: ReplicaRequest) -> Position:
+    """Return the position of whoever asks."""
+    return Position(
+        revision=Revision(request.era, request.after_revision),
+        routes_version=request.routes_version,
+    )
+
+
 def serialize_delta(delta: Delta) -> ReplicaReply:
     """Return the message that carries changes of the platform's data."""
     entries = [
-        ReplicaEntry(entry.key, entry.revision, entry.value) for entry in delta.entries
+        ReplicaEntry(
+            key=entry.key,
+            era=entry.revision.era,
+            revision=entry.revision.number,
+            value=entry.value,
+        )
+        for entry in delta.entries
     ]
-    return ReplicaReply(revision=delta.revision, whole=delta.whole, entries=entries)
+    era, number = delta.revision
+    return ReplicaReply(era=era, revision=number, whole=delta.whole, entries=entries)
 
 
 def parse_delta(reply: ReplicaReply) -> Delta:
     """Return the changes that a message carries."""
     entries = tuple(
-        Entry(key=told.key, revision=told.revision, value=told.value)
+        Entry(
+            key=told.key, revision=Revision(told.era, told.revision), value=told.value
+        )
         for told in reply.entries
     )
-    return Delta(revision=reply.revision, whole=reply.whole, entries=entries)
+    revision = Revision(reply.era, reply.revision)
+    return Delta(revision=revision, whole=reply.whole, entries=entries)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -48,7 +48,7 @@
     RelayResponse,
     SuspectNews,
 )
-from sassafraswinch_sidecar.relay_wire import Message
+from sassafraswinch_sidecar.relay_wire import Message, parse_position
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget
 from sassafraswinch_sidecar.request_log import RequestLog
 from sassafraswinch_sidecar.routes import RequestLimits
@@ -331,7 +331,8 @@
             load = self._view.told(ip, message.load, self._now_ms())
             load.leaving = message.leaving
             load.isolated = message.isolated
-            self._data.ask_if_behind(message.revision, self._links.peers[ip].link)
+            link = self._links.peers[ip].link
+            self._data.ask_if_behind(parse_position(message), link)
         else:
             self._data.exchange(self._links.peers[ip].link, message)
 
@@ -487,7 +488,9 @@
             **self._suspect_exchange.gauges(),
             "linked_peers": sum(1 for _ in self._links.linked()),
             "route_table_version": table.version if table else 0,
-            "platform_revision": self._data.revision,
+            "platform_era": self._data.revision.era,
+            "platform_revision": self._data.revision.number,
+            "platform_restores": self._data.restores,
         }
 
     def _now_ms(self) -> float:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_gatherer.py
@@ -29,7 +29,9 @@
     ZoneLoads,
     ZoneSummary,
 )
+from sassafraswinch_sidecar.relay_wire import position_fields
 from sassafraswinch_sidecar.repeat_budget import sum_counts
+from sassafraswinch_sidecar.revisions import Position
 
 GATHERERS = 2
 """Sidecars of a zone that gather while they can; with one, its loss would leave the
@@ -148,12 +150,14 @@
             ),
         )
 
-    def digest(self, own: ZoneSummary, revision: int, now_ms: float) -> FleetDigest:
+    def digest(
+        self, own: ZoneSummary, position: Position, now_ms: float
+    ) -> FleetDigest:
         """Return what the hosts of this zone are told.
 
         Args:
             own: the sum of this zone, as made last.
-            revision: revision of the platform's data that this sidecar knows.
+            position: how much this sidecar knows of the platform's data.
             now_ms: monotonic time.
         """
         others = [
@@ -166,7 +170,7 @@
         ]
         summaries = [own, *(told.content for told in self._zones.values())]
         return FleetDigest(
-            revision=revision,
+            **position_fields(position),
             whole=True,
             zones=[own.loads, *others],
             demand=serialize_demand(_merged_demand(summaries)),
@@ -187,9 +191,11 @@
         return FleetUse(near, total.hosts, total.unknown_ms)
 
 
-def bare_digest(revision: int) -> FleetDigest:
+def bare_digest(position: Position) -> FleetDigest:
     """Return the digest for hosts that take their view from another gatherer."""
-    return FleetDigest(revision=revision, whole=False, zones=[], demand=[], counts=[])
+    return FleetDigest(
+        **position_fields(position), whole=False, zones=[], demand=[], counts=[]
+    )
 
 
 class ZoneContacts:
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sassafraswinch.errors import InvalidFieldError, InvalidFieldsError
 from sassafraswinch.organisations import (
@@ -21,6 +21,7 @@
     PlatformUnavailableError,
 )
 from sassafraswinch_sidecar.replica import Delta, Entry
+from sassafraswinch_sidecar.revisions import Revision
 from sassafraswinch_sidecar.routes import RequestLimits, Route, RouteTable, Share
 from sassafraswinch_sidecar.sidecar import Sidecar
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
@@ -31,6 +32,10 @@
 INSTANCE = "instance/"
 
 
+AWAY_S = 0.7
+"""Time for which the store is away before it comes back from a copy."""
+
+
 class MemoryDecoder:
     """Reads the values that ``MemoryStore`` holds: JSON of the fields."""
 
@@ -87,26 +92,25 @@
     """What a store held at one moment."""
 
     entries: dict[str, Entry]
-    revision: int
+    revision: Revision
 
 
 class MemoryStore:
-    """The platform's store: one revision, watches, and outages on demand.
-
-    Attributes:
-        era: how often the store has come back from an older copy.
-    """
+    """The platform's store: one revision, watches, and outages on demand."""
 
     def __init__(self):
         self.entries: dict[str, Entry] = {}
-        self.revision = 0
-        self.era = 0
+        self.revision = Revision(era=0, number=0)
         self.down = False
         self.cut_off: set[str] = set()
         self.changed = asyncio.Condition()
 
+    @property
+    def era(self) -> int:
+        return self.revision.era
+
     async def put(self, key: str, value: dict | None) -> None:
-        self.revision += 1
+        self.revision = Revision(self.era, self.revision.number + 1)
         body = None if value is None else json.dumps(value).encode()
         self.entries[key] = Entry(key=key, revision=self.revision, value=body)
         async with self.changed:
@@ -117,12 +121,16 @@
         return StoreCopy(entries=dict(self.entries), revision=self.revision)
 
     async def restore(self, copy: "StoreCopy") -> None:
-        """Come back from an older copy: what was written since is lost."""
-        self.entries = dict(copy.entries)
-        self.revision = copy.revision
-        self.era += 1
-        async with self.changed:
-            self.changed.notify_all()
+        """Be away for a moment, and come back from an older copy."""
+        await self.set_down(True)
+        await asyncio.sleep(AWAY_S)
+        era = self.era + 1
+        self.entries = {
+            key: replace(entry, revision=Revision(era, entry.revision.number))
+            for key, entry in copy.entries.items()
+        }
+        self.revision = Revision(era, copy.revision.number)
+        await self.set_down(False)
 
     async def read(self) -> Delta:
         self._check()
@@ -134,19 +142,21 @@
         entry = self.entries.get(INSTANCE + instance_id)
         return entry is not None and entry.value is not None
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Delta:
+    async def watch(self, after: Revision, wait_ms: int) -> Delta:
+        """Return the changes, as a server does that is told the number alone."""
         self._check()
-        if after_revision > self.revision:
+        number = after.number
+        if number > self.revision.number:
             raise HistoryGoneError
-        era = self.era
-        async with self.changed:
-            await self.changed.wait_for(
-                lambda: self.down or self.era > era or self.revision > after_revision
-            )
+        try:
+            async with asyncio.timeout(wait_ms / 1000), self.changed:
+                await self.changed.wait_for(
+                    lambda: self.down or self.revision.number > number
+                )
+        except TimeoutError:
+            return Delta(revision=self.revision, whole=False, entries=())
         self._check()
-        if self.era > era:
-            raise PlatformUnavailableError(reason="was restored")
-        found = (e for e in self.entries.values() if e.revision > after_revision)
+        found = (e for e in self.entries.values() if e.revision.number > number)
         return Delta(revision=self.revision, whole=False, entries=tuple(found))
 
     async def set_down(self, down: bool) -> None:
@@ -160,9 +170,14 @@
 
 
 class HostStore:
-    """The store as one host sees it, which may be cut off from it."""
+    """The store as one host sees it, which may be cut off from it.
+
+    Attributes:
+        era: the era of the latest answer (PlatformStore).
+    """
 
     def __init__(self, *, store: MemoryStore, ip: str):
+        self.era = 0
         self._store = store
         self._ip = ip
 
@@ -174,15 +189,16 @@
         self._check()
         return await self._store.lists(instance_id)
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Delta:
+    async def watch(self, after: Revision, wait_ms: int) -> Delta:
         self._check()
-        delta = await self._store.watch(after_revision, wait_ms)
+        delta = await self._store.watch(after, wait_ms)
         self._check()
         return delta
 
     def _check(self):
         if self._ip in self._store.cut_off:
             raise PlatformUnavailableError(reason="is cut off")
+        self.era = self._store.era
 
 
 @dataclass
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 from sassafraswinch_sidecar.fleet import EXPIRY_MS, RETURN_MS, Fleet
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sassafraswinch_sidecar.revisions import Revision
 from sidecar_standins.fleet import INSTANCE, ROUTES, MemoryDecoder
 
 
@@ -12,13 +13,13 @@
 
     def __init__(self):
         self.faults = []
-        self.replica = Replica()
         self.isolated = set()
         self.fleet = Fleet(
             decoder=MemoryDecoder(),
             report=self.faults.append,
             is_isolated=self.isolated.__contains__,
         )
+        self.replica = Replica(routes=self.fleet)
         self.revision = 0
 
     def put(self, name, now_ms, **fields):
@@ -38,8 +39,9 @@
 
     def write(self, key, value, now_ms):
         self.revision += 1
-        entry = Entry(key=key, revision=self.revision, value=value)
-        delta = Delta(revision=self.revision, whole=False, entries=(entry,))
+        revision = Revision(0, self.revision)
+        entry = Entry(key=key, revision=revision, value=value)
+        delta = Delta(revision=revision, whole=False, entries=(entry,))
         self.fleet.apply(self.replica.merge(delta), now_ms)
 
     def ids(self):
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -4,6 +4,7 @@
 import random
 
 from sassafraswinch_sidecar.platform_reader import (
+    RETRY_S,
     RETURN_WATCH_MS,
     WATCH_MS,
     HistoryGoneError,
@@ -11,12 +12,15 @@
     PlatformUnavailableError,
 )
 from sassafraswinch_sidecar.replica import Delta
+from sassafraswinch_sidecar.revisions import UNKNOWN, Revision
 from sassafraswinch_sidecar.zone_duty import ZoneDuty
 
 
 class ScriptedStore:
     """Answers calls in turn; the last answer is waited for for ever."""
 
+    era = 0
+
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = []
@@ -25,9 +29,9 @@
     async def read(self):
         return await self._next("read")
 
-    async def watch(self, after_revision, wait_ms):
+    async def watch(self, after, wait_ms):
         self.waits_ms.append(wait_ms)
-        return await self._next(("watch", after_revision))
+        return await self._next(("watch", *spelt(after)))
 
     async def _next(self, call):
         self.calls.append(call)
@@ -36,12 +40,21 @@
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
-        return Delta(revision=answer, whole=call == "read", entries=())
+        revision = answer if isinstance(answer, Revision) else Revision(0, answer)
+        self.era = max(self.era, revision.era)
+        return Delta(revision=revision, whole=call == "read", entries=())
+
+
+def spelt(revision):
+    """Return a revision as the calls of most tests name it: without the first era."""
+    return revision if revision.era else (revision.number,)
 
 
 class BurstStore:
     """Makes one change after the other, and answers watches as soon as there is one."""
 
+    era = 0
+
     def __init__(self, *, changes, gap_s):
         self.changes = changes
         self.gap_s = gap_s
@@ -50,14 +63,14 @@
         self._began_s = asyncio.get_running_loop().time()
 
     async def read(self):
-        return Delta(revision=0, whole=True, entries=())
+        return Delta(revision=UNKNOWN, whole=True, entries=())
 
-    async def watch(self, after_revision, wait_ms):
+    async def watch(self, after, wait_ms):
         self.watches += 1
-        while self._made() <= after_revision:
+        while self._made() <= after.number:
             await asyncio.sleep(self.gap_s / 4)
         self.told = self._made()
-        return Delta(revision=self.told, whole=False, entries=())
+        return Delta(revision=Revision(0, self.told), whole=False, entries=())
 
     def _made(self):
         passed_s = asyncio.get_running_loop().time() - self._began_s
@@ -68,7 +81,7 @@
     """Notes what it is told."""
 
     def __init__(self):
-        self.revision = 0
+        self.revision = UNKNOWN
         self.told = []
         self.followed = []
 
@@ -142,7 +155,7 @@
     down = PlatformUnavailableError(reason="status 503")
     store, keeper = await follow(down, down, 7)
     assert store.calls == ["read", "read", "read", ("watch", 7)]
-    assert keeper.revision == 7
+    assert keeper.revision == Revision(0, 7)
 
 
 async def test_return_of_the_platform_is_found_at_once_and_not_by_the_next_change():
@@ -213,3 +226,57 @@
     duty = duty_of("10.0.0.1", p2=True, p3=True)
     await run_until(lambda: not store.answers, new_reader(store, keeper, duty))
     assert "away" not in keeper.told
+
+
+async def test_watch_answered_in_another_era_is_no_continuation():
+    """Guards against changes of a restored store without what it has lost."""
+    store, keeper = await follow(4, Revision(1, 6), Revision(1, 5), Revision(1, 7))
+    assert store.calls == [
+        "read",
+        ("watch", 4),
+        "read",
+        ("watch", 1, 5),
+        ("watch", 1, 7),
+    ]
+    assert keeper.revision == Revision(1, 7)
+
+
+async def test_era_that_any_answer_bears_is_read_anew():
+    """Guards against a new era that only a refusal has told."""
+    store, keeper = ScriptedStore(4, 5, Revision(1, 3)), Keeper()
+    reader = new_reader(store, keeper, duty_of("10.0.0.1"))
+    store.watch = told_by_refusal(store, store.watch)
+    await run_until(lambda: keeper.revision == Revision(1, 3), reader)
+    assert store.calls[:3] == ["read", ("watch", 4), "read"]
+
+
+def told_by_refusal(store, watch):
+    """Return a watch whose first answer is a refusal that bears the next era."""
+
+    async def refused(after, wait_ms):
+        await watch(after, wait_ms)
+        store.watch = watch
+        store.era = 1
+        raise PlatformUnavailableError(reason="status 503", answered=True)
+
+    return refused
+
+
+async def test_answer_of_an_older_era_is_not_taken():
+    """Guards against a late answer that takes a copy back to an older era."""
+    store, keeper = ScriptedStore(4, Revision(2, 6)), Keeper()
+    keeper.revision = Revision(2, 5)
+    reader = new_reader(store, keeper, duty_of("10.0.0.1"))
+    await run_until(lambda: keeper.revision == Revision(2, 6), reader)
+    assert store.calls[:2] == ["read", "read"]
+
+
+async def test_store_that_keeps_no_history_is_read_with_pauses():
+    """Guards against readings and lost histories in turn, each at once."""
+    gone = [answer for _ in range(20) for answer in (4, HistoryGoneError())]
+    store, keeper = ScriptedStore(*gone), Keeper()
+    reader = new_reader(store, keeper, duty_of("10.0.0.1"))
+    task = asyncio.create_task(reader.run())
+    await asyncio.sleep(0.5)
+    task.cancel()
+    assert store.calls.count("read") <= 2 + 0.5 / RETRY_S[0]
--- a/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
+++ b/packages/sassafraswinch-sidecar/tests/test_relay_wire.py
@@ -12,14 +12,20 @@
     RouteDemand,
     SentCount,
     ServerLoad,
+    SummaryRequest,
 )
 from sassafraswinch_sidecar.relay_wire import (
     parse_delta,
     parse_message,
+    parse_position,
+    parse_question,
+    position_fields,
     serialize_delta,
     serialize_message,
+    serialize_question,
 )
 from sassafraswinch_sidecar.replica import Delta, Entry
+from sassafraswinch_sidecar.revisions import Position, Revision
 
 REQUESTS = st.builds(
     RelayRequest,
@@ -54,7 +60,7 @@
         st.builds(
             Entry,
             key=st.text(max_size=10),
-            revision=st.integers(0, 2**40),
+            revision=st.builds(Revision, st.integers(0, 99), st.integers(0, 2**40)),
             value=st.none() | st.binary(max_size=20),
         ),
         max_size=5,
@@ -62,11 +68,20 @@
     st.booleans(),
 )
 def test_changes_come_back_equal_removals_included(entries, whole):
-    delta = Delta(revision=7, whole=whole, entries=tuple(entries))
+    delta = Delta(revision=Revision(2, 7), whole=whole, entries=tuple(entries))
     frame = serialize_message(serialize_delta(delta))
     assert parse_delta(parse_message(frame[LENGTH_BYTES:])) == delta
 
 
+def test_positions_come_back_equal():
+    position = Position(revision=Revision(3, 7), routes_version=12)
+    request = SummaryRequest(**position_fields(position))
+    frame = serialize_message(request)
+    assert parse_position(parse_message(frame[LENGTH_BYTES:])) == position
+    frame = serialize_message(serialize_question(position))
+    assert parse_question(parse_message(frame[LENGTH_BYTES:])) == position
+
+
 @settings(derandomize=True, deadline=None)
 @given(st.binary(max_size=60))
 def test_garbage_is_refused(payload):
@@ -100,10 +115,18 @@
     """
     load = ServerLoad(in_flight=1, queued=0, limit=7)
     reply = HeartbeatReply(
-        sequence=1, revision=2, load=load, leaving=False, isolated=None
+        sequence=1,
+        revision=2,
+        load=load,
+        leaving=False,
+        isolated=None,
+        era=None,
+        routes_version=None,
     )
     read = parse_message(serialize_message(reply)[LENGTH_BYTES:])
     assert read.isolated is False
+    known = Position(revision=Revision(0, 2), routes_version=0)
+    assert parse_position(read) == known
     request = RelayRequest(
         call_id=1,
         instance_id="i-1",
--- a/packages/sassafraswinch-sidecar/tests/test_replica.py
+++ b/packages/sassafraswinch-sidecar/tests/test_replica.py
@@ -5,31 +5,52 @@
 from hypothesis import given, settings, strategies as st
 
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
+from sassafraswinch_sidecar.revisions import Revision
 
+ROUTES = "routes"
 
-def entry(key, revision, value=b"v"):
-    return Entry(key=key, revision=revision, value=value)
+
+class NumberedRoutes:
+    """Routes whose value is their version (RoutesReader)."""
+
+    def is_route_table(self, key):
+        return key == ROUTES
+
+    def routes_version(self, value):
+        return int(value) if value.isdigit() else None
+
+
+def new_replica():
+    return Replica(routes=NumberedRoutes())
+
+
+def entry(key, number, value=b"v", *, era=0):
+    return Entry(key=key, revision=Revision(era, number), value=value)
+
+
+def delta_of(number, *entries, whole=False, era=0):
+    return Delta(revision=Revision(era, number), whole=whole, entries=entries)
 
 
 def values(replica):
-    return {found.key: found.revision for found in replica.live()}
+    return {found.key: found.revision.number for found in replica.live()}
 
 
 def test_later_change_wins_whatever_the_order():
-    replica = Replica()
-    newer = Delta(revision=5, whole=False, entries=(entry("a", 5),))
-    older = Delta(revision=3, whole=True, entries=(entry("a", 3), entry("b", 2)))
+    replica = new_replica()
+    newer = delta_of(5, entry("a", 5))
+    older = delta_of(3, entry("a", 3), entry("b", 2), whole=True)
     assert replica.merge(newer) == [entry("a", 5)]
     assert replica.merge(older) == [entry("b", 2)]
     assert values(replica) == {"a": 5, "b": 2}
-    assert replica.revision == 5
+    assert replica.revision == Revision(0, 5)
 
 
 def test_whole_reading_removes_what_it_lacks():
     """History is dropped while a server leaves; the next reading doesn't name it."""
-    replica = Replica()
-    replica.merge(Delta(revision=3, whole=True, entries=(entry("a", 2), entry("b", 3))))
-    changed = replica.merge(Delta(revision=9, whole=True, entries=(entry("a", 2),)))
+    replica = new_replica()
+    replica.merge(delta_of(3, entry("a", 2), entry("b", 3), whole=True))
+    changed = replica.merge(delta_of(9, entry("a", 2), whole=True))
     assert [(found.key, found.value) for found in changed] == [("b", None)]
     assert values(replica) == {"a": 2}
 
@@ -39,13 +60,13 @@
     was removed meanwhile. If it didn't keep the removal, the other one would ask it
     for the changes, get none, and send work to the removed server for ever.
     """
-    fresh, behind = Replica(), Replica()
-    behind.merge(Delta(revision=2, whole=True, entries=(entry("a", 2),)))
-    fresh.merge(Delta(revision=1, whole=True, entries=()))
-    fresh.merge(Delta(revision=4, whole=False, entries=(entry("a", 4, None),)))
-    behind.merge(fresh.since(behind.revision))
+    fresh, behind = new_replica(), new_replica()
+    behind.merge(delta_of(2, entry("a", 2), whole=True))
+    fresh.merge(delta_of(1, whole=True))
+    fresh.merge(delta_of(4, entry("a", 4, None)))
+    behind.merge(fresh.since(behind.position))
     assert values(behind) == {}
-    assert behind.revision == 4
+    assert behind.revision == Revision(0, 4)
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
@@ -61,16 +82,73 @@
         entry(key, number, None if removed else b"%d" % number)
         for number, (key, removed) in enumerate(changes, 1)
     ]
-    copies = [Replica() for _ in range(3)]
+    copies = [new_replica() for _ in range(3)]
     for copy in copies:
         reached = rng.randrange(len(history) + 1)
-        copy.merge(
-            Delta(revision=reached, whole=False, entries=tuple(history[:reached]))
-        )
+        copy.merge(delta_of(reached, *history[:reached]))
     for _ in range(2):
         for left in copies:
             for right in copies:
-                left.merge(right.since(left.revision))
+                left.merge(right.since(left.position))
     assert values(copies[0]) == values(copies[1]) == values(copies[2])
     revisions = {copy.revision for copy in copies}
     assert len(revisions) == 1
+
+
+def test_copy_of_a_restored_store_goes_before_all_that_was_known():
+    """Guards against entries that are refused since their revisions went back."""
+    replica = new_replica()
+    replica.merge(delta_of(9, entry("a", 4), entry("b", 9), whole=True))
+    restored = delta_of(6, entry("a", 4), entry("c", 6, b"w"), whole=True, era=1)
+    changed = replica.merge(restored)
+    assert [(found.key, found.value) for found in changed] == [("c", b"w"), ("b", None)]
+    assert values(replica) == {"a": 4, "c": 6}
+    assert replica.merge(delta_of(7, entry("a", 7, b"x"), era=1))
+    assert replica.revision == Revision(1, 7)
+
+
+def test_changes_of_another_era_are_not_taken_for_a_continuation():
+    """Guards against late answers, and against changes without what was lost."""
+    replica = new_replica()
+    replica.merge(delta_of(5, entry("a", 5), whole=True, era=1))
+    assert replica.merge(delta_of(9, entry("b", 9))) == []
+    assert replica.merge(delta_of(9, entry("b", 9), whole=True)) == []
+    assert replica.merge(delta_of(9, entry("b", 9), era=2)) == []
+    assert values(replica) == {"a": 5}
+    assert replica.revision == Revision(1, 5)
+
+
+def test_peer_of_an_older_era_is_told_everything():
+    """Guards against a host that a cut kept in the old era, with higher numbers."""
+    restored, behind = new_replica(), new_replica()
+    behind.merge(delta_of(9, entry("a", 4), entry("b", 9), whole=True))
+    restored.merge(delta_of(5, entry("a", 4), whole=True, era=1))
+    assert behind.position.lacks(restored.position)
+    assert not restored.position.lacks(behind.position)
+    restored.merge(behind.since(restored.position))
+    behind.merge(restored.since(behind.position))
+    assert values(behind) == values(restored) == {"a": 4}
+    assert behind.position == restored.position
+
+
+def test_newest_routes_outlive_a_copy_that_lacks_them():
+    """Guards against a confirmed version that an older copy of the store takes back."""
+    knows, fresh = new_replica(), new_replica()
+    knows.merge(delta_of(9, entry(ROUTES, 9, b"8"), whole=True))
+    copy = delta_of(5, entry(ROUTES, 3, b"7"), whole=True, era=1)
+    assert knows.merge(copy) == []
+    fresh.merge(copy)
+    assert fresh.position.lacks(knows.position)
+    fresh.merge(knows.since(fresh.position))
+    assert fresh.routes_version == knows.routes_version == 8
+    assert knows.merge(delta_of(6, whole=True, era=2)) == []
+    assert knows.since(new_replica().position).entries[0].value == b"8"
+
+
+def test_routes_that_cant_be_read_are_not_handed_on():
+    """Guards against peers that start with routes of which they can read nothing."""
+    replica = new_replica()
+    replica.merge(delta_of(3, entry(ROUTES, 3, b"7"), whole=True))
+    assert replica.merge(delta_of(4, entry(ROUTES, 4, b"odd"))) == []
+    told = replica.since(new_replica().position)
+    assert [found.value for found in told.entries] == [b"7"]
--- a/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_zone_gatherer.py
@@ -19,6 +19,7 @@
     SentCount,
     ServerLoad,
 )
+from sassafraswinch_sidecar.revisions import Position, Revision
 from sassafraswinch_sidecar.zone_gatherer import (
     MAX_POLLS_PER_S,
     PAUSE_MS,
@@ -30,6 +31,7 @@
 )
 
 ZONES = ("brno-a", "brno-b")
+POSITION = Position(revision=Revision(0, 1), routes_version=1)
 IPS = {zone: [f"10.{n}.0.{host}" for host in range(3)] for n, zone in enumerate(ZONES)}
 
 
@@ -62,7 +64,7 @@
             gatherer.heard(ip, new_report(), 0.0)
     near.heard_zone(far.summary(), 100.0)
     view = FleetView(own_ip=IPS["brno-a"][2])
-    view.take(near.digest(near.summary(), 1, 200.0), 200.0)
+    view.take(near.digest(near.summary(), POSITION, 200.0), 200.0)
     (claim,) = view.demand(200.0)
     assert (claim.kind, claim.rate_per_s) == ("orders", 30.0)
     assert math.isclose(claim.needs["archiv"], 0.2)
@@ -82,7 +84,7 @@
             gatherer.heard(ip, new_report(uses=serialize_uses(told)), 0.0)
     near.heard_zone(far.summary(), 100.0)
     view = FleetView(own_ip=IPS["brno-a"][2])
-    view.take(near.digest(near.summary(), 1, 200.0), 200.0)
+    view.take(near.digest(near.summary(), POSITION, 200.0), 200.0)
     assert view.uses(200.0) == FleetUse({"large": Use(24.0, 42)}, 6, 1_500.0)
     assert view.uses(200.0 + VIEW_LIFE_MS) == FleetUse()
 
@@ -98,9 +100,9 @@
     gatherer.heard("10.0.0.1", new_report(requests=3, leaving=True), 0.0)
     view = FleetView(own_ip="10.0.0.9")
     view.told("10.0.0.1", ServerLoad(in_flight=7, queued=0, limit=20), 100.0)
-    view.take(gatherer.digest(gatherer.summary(), 1, 100.0), 100.0)
+    view.take(gatherer.digest(gatherer.summary(), POSITION, 100.0), 100.0)
     assert view.load("10.0.0.1").in_flight == 7
-    view.take(gatherer.digest(gatherer.summary(), 1, 200.0), 200.0)
+    view.take(gatherer.digest(gatherer.summary(), POSITION, 200.0), 200.0)
     assert view.load("10.0.0.1").in_flight == 3
     assert view.load("10.0.0.1").leaving
 
@@ -112,10 +114,10 @@
     gatherer = zone_gatherer("brno-a")
     view = FleetView(own_ip="10.0.0.9")
     gatherer.heard("10.0.0.1", new_report(), 0.0)
-    view.take(gatherer.digest(gatherer.summary(), 1, 0.0), 0.0)
+    view.take(gatherer.digest(gatherer.summary(), POSITION, 0.0), 0.0)
     lost_ms = life_ms(PAUSE_MS)
     gatherer.forget(lost_ms, PAUSE_MS)
-    view.take(gatherer.digest(gatherer.summary(), 1, lost_ms), lost_ms)
+    view.take(gatherer.digest(gatherer.summary(), POSITION, lost_ms), lost_ms)
     assert view.recent_load("10.0.0.1", lost_ms) is not None
     assert view.recent_load("10.0.0.1", lost_ms + MISSING_LIFE_MS) is None
 
@@ -136,7 +138,7 @@
     assert gatherer.relies("10.0.0.1")
     gatherer.heard("10.0.0.1", new_report(relies=False), 0.0)
     assert not gatherer.relies("10.0.0.1")
-    assert not bare_digest(7).whole
+    assert not bare_digest(POSITION).whole
 
 
 def test_time_that_stood_still_makes_the_view_older():
@@ -145,7 +147,7 @@
     """
     view = FleetView(own_ip="10.0.0.9")
     view.told("10.0.0.1", ServerLoad(7, 0, 20), 0.0)
-    view.take(bare_digest(1), 0.0)
+    view.take(bare_digest(POSITION), 0.0)
     view.stood_still(VIEW_LIFE_MS)
     assert view.recent_load("10.0.0.1", 1.0) is None
     assert view.age_ms(1.0) > VIEW_LIFE_MS
@@ -219,7 +221,9 @@
         for zone, gatherer in self.gatherers.items():
             gatherer.forget(self.now_ms, PAUSE_MS)
             view = FleetView(own_ip="10.9.9.9")
-            view.take(gatherer.digest(gatherer.summary(), 1, self.now_ms), self.now_ms)
+            view.take(
+                gatherer.digest(gatherer.summary(), POSITION, self.now_ms), self.now_ms
+            )
             counts, tellers = view.totals(self.now_ms)
             total = counts["archiv"].requests if counts else 0
             own = self.young(IPS[zone], self.now_ms)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 from urllib.parse import parse_qs, urlsplit
 
@@ -12,6 +13,7 @@
     HistoryGoneError,
     PlatformUnavailableError,
 )
+from sassafraswinch_sidecar.revisions import Revision
 
 
 def item(key, rev, value=b"{}"):
@@ -24,6 +26,7 @@
 
     def __init__(self):
         self.answers = {}
+        self.era = None
         self.asked = []
 
     async def open(self):
@@ -41,9 +44,11 @@
                 writer.close()
                 return
             payload = json.dumps(body).encode()
+            era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
             writer.write(
-                b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\n\r\n%b" % (status, len(payload), payload)
+                b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%b"
+                b"Content-Length: %d\r\n\r\n%b"
+                % (status, era.encode(), len(payload), payload)
             )
 
 
@@ -72,7 +77,7 @@
     }
     standin.answers["/v1/kv-range"] = lambda query: (200, pages[query.get("after")])
     delta = await store.read()
-    assert (delta.revision, delta.whole) == (5, True)
+    assert (delta.revision, delta.whole) == (Revision(0, 5), True)
     assert [entry.key for entry in delta.entries] == [
         "op/config",
         "servers/a",
@@ -99,8 +104,8 @@
         200,
         {"events": events, "at_rev": 8},
     )
-    delta = await store.watch(5, 1_000)
-    assert (delta.revision, delta.whole) == (8, False)
+    delta = await store.watch(Revision(0, 5), 1_000)
+    assert (delta.revision, delta.whole) == (Revision(0, 8), False)
     assert [(e.key, e.value) for e in delta.entries] == [
         ("servers/a", b"{}"),
         ("servers/b", None),
@@ -113,23 +118,35 @@
 async def test_lost_history_and_outages_are_told_apart(standin, store):
     standin.answers["/v1/kv-watch"] = lambda query: (410, {})
     with pytest.raises(HistoryGoneError):
-        await store.watch(5, 1_000)
+        await store.watch(Revision(0, 5), 1_000)
     for status in (429, 503, None):
         standin.answers["/v1/kv-watch"] = lambda query, status=status: (status, {})
         with pytest.raises(PlatformUnavailableError):
-            await store.watch(5, 1_000)
+            await store.watch(Revision(0, 5), 1_000)
 
 
 @pytest.mark.parametrize(
     "answer",
-    [[], {"events": []}, {"events": 5, "at_rev": 2}, {"at_rev": 3}],
-    ids=["no object", "no revision", "events that aren't a list", "no events"],
+    [
+        [],
+        {"events": []},
+        {"events": 5, "at_rev": 2},
+        {"at_rev": 3},
+        {"events": [], "at_rev": "4"},
+    ],
+    ids=[
+        "no object",
+        "no revision",
+        "events that aren't a list",
+        "no events",
+        "revision that isn't a number",
+    ],
 )
 async def test_answer_of_another_shape_is_an_outage_not_an_end(standin, store, answer):
     """The store answers something else for once. Whoever follows it must go on."""
     standin.answers["/v1/kv-watch"] = lambda query: (200, answer)
     with pytest.raises(PlatformUnavailableError):
-        await store.watch(5, 1_000)
+        await store.watch(Revision(0, 5), 1_000)
 
 
 async def test_one_unreadable_item_costs_that_item_only(standin, store):
@@ -156,8 +173,8 @@
         200,
         {"items": odd, "has_more": False, "at_rev": 12},
     )
-    for delta in (await store.watch(5, 1_000), await store.read()):
-        assert delta.revision == 12
+    for delta in (await store.watch(Revision(0, 5), 1_000), await store.read()):
+        assert delta.revision == Revision(0, 12)
         assert [(entry.key, entry.value) for entry in delta.entries] == [
             ("servers/a", UNREADABLE),
             ("servers/b", UNREADABLE),
@@ -194,3 +211,46 @@
     with pytest.raises(PlatformUnavailableError) as caught:
         await store.lists("a")
     assert caught.value.answered is answered
+
+
+async def test_era_of_each_answer_goes_before_its_revision(standin, store):
+    """Guards against revisions of a restored store that pass for older ones."""
+    standin.era = 3
+    standin.answers["/v1/kv-watch"] = lambda query: (
+        200,
+        {"events": [item("servers/a", 6)], "at_rev": 8},
+    )
+    delta = await store.watch(Revision(3, 5), 1_000)
+    assert delta.revision == Revision(3, 8)
+    assert delta.entries[0].revision == Revision(3, 6)
+    assert standin.asked[-1][1]["after"] == "5"
+
+
+@pytest.mark.parametrize("status", [404, 410, 429, 503])
+async def test_refusals_tell_the_era_too(standin, store, status):
+    """Guards against a new era that is unknown until the next good answer."""
+    standin.era = 2
+    standin.answers["/v1/kv-key"] = lambda query: (status, {})
+    with contextlib.suppress(HistoryGoneError, PlatformUnavailableError):
+        await store.lists("a")
+    assert store.era == 2
+
+
+async def test_pages_of_two_eras_are_read_anew(standin, store):
+    """Guards against a reading that mixes what the store held before and after."""
+
+    def page(query):
+        standin.era = 1 + ("after" in query)
+        return 200, {"items": [item("servers/a", 3)], "has_more": True, "at_rev": 5}
+
+    standin.answers["/v1/kv-range"] = page
+    with pytest.raises(HistoryGoneError):
+        await store.read()
+
+
+async def test_era_that_is_no_number_is_an_outage_not_an_end(standin, store):
+    """Guards against a foreign value that ends whoever follows the store."""
+    standin.era = "odd"
+    standin.answers["/v1/kv-watch"] = lambda query: (200, {"events": [], "at_rev": 8})
+    with pytest.raises(PlatformUnavailableError):
+        await store.watch(Revision(0, 5), 1_000)
