Servers that have left stay out of use whatever an older copy of the store lists

Cause: the store came back from an older copy. What an older copy says of servers was still believed.

Change: lifetimes that left are remembered. In a later era one that said that it leaves stays leaving; one that was removed is used once it has written since, or is listed for longer than the entry of a dead server would be. Which server is the latest at an address goes by the numbers, which the copy shares with the former era.

Why it holds: the server's own word is final for its lifetime, whatever is read; a removal without it is undone only by what can't come from the copy.

Instance moves to a module of its own, since both need it.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -2,10 +2,12 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from sassafraswinch.errors import InvalidFieldsError
+from sassafraswinch_sidecar.departures import Departures
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.replica import MAX_REMOVED, Entry, Replica
 from sassafraswinch_sidecar.revisions import UNKNOWN, Revision
 from sassafraswinch_sidecar.routes import RouteTable
@@ -23,45 +25,6 @@
 """Shortest outage in which entries expire: they live for several heartbeats."""
 
 
-InstanceIdentity = tuple[str, int]
-"""Id and incarnation, which together name one lifetime of a backend server."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Instance:
-    """One lifetime of a backend server.
-
-    Attributes:
-        id: names the server to itself and the platform; a server that starts again
-            may have the id that it had.
-        service: name of the service.
-        ip: IP number of its host, where a sidecar accepts links.
-        port: port of the server, which with the IP number has one server at a time.
-        availability_zone: where it runs.
-        slots: requests that it runs at once.
-        leaving: whether it must get no new work.
-        cold_ms: how much longer it was slow when this was written.
-        incarnation: tells lifetimes of one id apart, later ones by a greater number;
-            0 where the platform doesn't tell it.
-        identity: what names this lifetime and no other; made once, since placement
-            compares it for each request.
-    """
-
-    id: str
-    service: str
-    ip: str
-    port: int
-    availability_zone: str
-    slots: int
-    leaving: bool
-    cold_ms: float
-    incarnation: int = 0
-    identity: InstanceIdentity = field(init=False, repr=False, compare=False)
-
-    def __post_init__(self):
-        object.__setattr__(self, "identity", (self.id, self.incarnation))
-
-
 @dataclass(slots=True, kw_only=True)
 class _Lapsed:
     """An instance whose entry was removed though it didn't say that it leaves."""
@@ -73,6 +36,19 @@
     in_use: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Held:
+    """A removal that may only be a loss of the platform's.
+
+    Attributes:
+        revision: change that told it.
+        until_ms: when it counts, if the entry isn't back by then.
+    """
+
+    revision: Revision
+    until_ms: float
+
+
 class Decoder(Protocol):
     """Reads the platform's items; the adapter of a platform brings it."""
 
@@ -128,7 +104,8 @@
         self._by_service: dict[str, list[Instance]] = {}
         self._by_zone: dict[str, list[str]] = {}
         self._known_at_ms: dict[str, float] = {}
-        self._held: dict[str, float] = {}
+        self._held: dict[str, _Held] = {}
+        self._departures = Departures()
         self._removed: dict[str, None] = {}
         self._first_revisions: dict[str, Revision] = {}
         self._read_table: tuple[bytes, RouteTable] | None = None
@@ -194,6 +171,14 @@
             self._hold_until_ms = now_ms + RETURN_MS
         self._away_since_ms = None
 
+    def store_restored(self, now_ms: float) -> None:
+        """Note that the platform's store came back from an older copy.
+
+        Failure: servers that registered after the copy was taken have no entry, and
+        every request that needs them is refused until they have written again.
+        """
+        self._hold_until_ms = now_ms + RETURN_MS
+
     def apply(self, entries: Iterable[Entry], now_ms: float) -> None:
         """Take in changed entries."""
         for entry in entries:
@@ -216,15 +201,18 @@
     def tick(self, replica: Replica, now_ms: float) -> None:
         """Drop held instances whose entries didn't come back, use isolated ones."""
         self._heed_isolation(now_ms)
-        over = [found for found, until in self._held.items() if now_ms >= until]
-        if not over:
-            return
-        live = {self._decoder.instance_id(entry.key) for entry in replica.live()}
-        for instance_id in over:
-            del self._held[instance_id]
-            if instance_id not in live:
-                self._remove(instance_id, now_ms)
-        self._index()
+        returned = self._departures.pop_returned(now_ms)
+        for instance in returned:
+            self._take_instance(instance)
+        over = [found for found, held in self._held.items() if now_ms >= held.until_ms]
+        if over:
+            live = {self._decoder.instance_id(entry.key) for entry in replica.live()}
+            for instance_id in over:
+                held = self._held.pop(instance_id)
+                if instance_id not in live:
+                    self._remove(instance_id, held.revision, now_ms)
+        if over or returned:
+            self._index()
 
     def _heed_isolation(self, now_ms: float) -> None:
         """Use instances whose entries lapsed while their hosts are cut off.
@@ -249,9 +237,10 @@
     def _apply_instance(self, instance_id: str, entry: Entry, now_ms: float) -> None:
         if entry.value is None:
             if self._may_return(instance_id, now_ms):
-                self._held.setdefault(instance_id, now_ms + RETURN_MS)
+                held = _Held(revision=entry.revision, until_ms=now_ms + RETURN_MS)
+                self._held.setdefault(instance_id, held)
             else:
-                self._remove(instance_id, now_ms)
+                self._remove(instance_id, entry.revision, now_ms)
             return
         try:
             instance = self._decoder.parse_instance(instance_id, entry.value)
@@ -261,16 +250,44 @@
             self._held.pop(instance_id, None)
             return
         self._held.pop(instance_id, None)
-        self._removed.pop(instance_id, None)
-        self._lapsed.pop(instance_id, None)
         known = self.instances.get(instance_id)
         if known != instance:
             self._known_at_ms[instance_id] = now_ms
         if known is not None and known.incarnation != instance.incarnation:
             # It started anew: at its address it is the later one from now on.
             self._first_revisions.pop(instance_id, None)
-        self.instances[instance_id] = instance
-        self._first_revisions.setdefault(instance_id, entry.revision)
+        self._note_first_revision(instance_id, entry.revision)
+        self._take_instance(self._without_return(instance, entry.revision, now_ms))
+
+    def _take_instance(self, instance: Instance) -> None:
+        self._removed.pop(instance.id, None)
+        self._lapsed.pop(instance.id, None)
+        self.instances[instance.id] = instance
+
+    def _without_return(
+        self, instance: Instance, revision: Revision, now_ms: float
+    ) -> Instance:
+        """Return an instance as leaving if a restored store lists one that has left."""
+        lapsed = self._lapsed.get(instance.id)
+        if lapsed is not None and lapsed.in_use:
+            # Its host says itself that the server lives.
+            self._departures.forget(instance)
+        if self._departures.has_left(instance, revision, now_ms):
+            return replace(instance, leaving=True)
+        if instance.leaving:
+            self._departures.note(instance, revision)
+        return instance
+
+    def _note_first_revision(self, instance_id: str, revision: Revision) -> None:
+        """Note when an instance came to its address.
+
+        What is listed in a new era was written before the copy was taken, at the number
+        that it had, or anew.
+        """
+        first = self._first_revisions.setdefault(instance_id, revision)
+        if first.era < revision.era:
+            number = min(first.number, revision.number)
+            self._first_revisions[instance_id] = Revision(revision.era, number)
 
     def _was_away_long(self, now_ms: float) -> bool:
         since_ms = self._away_since_ms
@@ -288,8 +305,10 @@
             return False
         return now_ms < self._hold_until_ms or self._was_away_long(now_ms)
 
-    def _remove(self, instance_id: str, now_ms: float) -> None:
+    def _remove(self, instance_id: str, revision: Revision, now_ms: float) -> None:
         instance = self.instances.pop(instance_id, None)
+        if instance is not None:
+            self._departures.note(instance, revision)
         self._known_at_ms.pop(instance_id, None)
         first_revision = self._first_revisions.pop(instance_id, UNKNOWN)
         if instance is not None and not instance.leaving:
@@ -324,12 +343,14 @@
         seconds beside the new ones, and half of the requests go to instances that are
         gone. An address has one server at a time, the one that was written last.
         """
-        at_address: dict[tuple[str, int], tuple[Revision, Instance]] = {}
+        at_address: dict[tuple[str, int], tuple[int, Instance]] = {}
         for first_revision, instance in self._usable():
             address = (instance.ip, instance.port)
             known = at_address.get(address)
-            if known is None or first_revision > known[0]:
-                at_address[address] = (first_revision, instance)
+            # An entry that a restored store has lost is held for a while, and came
+            # after those that it lists: the numbers tell, whatever the era.
+            if known is None or first_revision.number > known[0]:
+                at_address[address] = (first_revision.number, instance)
         self._by_zone = _hosts_by_zone(instance for _, instance in at_address.values())
         self._by_service = {}
         for _, instance in at_address.values():
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/own_entry.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/own_entry.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from sassafraswinch_node.logs import log_event
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.platform_reader import (
     PlatformStore,
     PlatformUnavailableError,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from sassafraswinch_sidecar.entry_admission import NO_CAPACITY, Capacity
-from sassafraswinch_sidecar.fleet import Instance, InstanceIdentity
+from sassafraswinch_sidecar.instances import Instance, InstanceIdentity
 from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
 
 OTHER_ZONE_COST = 0.25
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_data.py
@@ -139,6 +139,7 @@
             former_era=former.era,
             former_revision=former.number,
         )
+        self._fleet.store_restored(self._now_ms())
         self._announce()
 
     def _now_ms(self) -> float:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -13,10 +13,11 @@
     SERVER_FAILURE,
     Executor,
 )
-from sassafraswinch_sidecar.fleet import Fleet, Instance
+from sassafraswinch_sidecar.fleet import Fleet
 from sassafraswinch_sidecar.fleet_view import FleetView
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
 from sassafraswinch_sidecar.relay_answers import (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -8,9 +8,10 @@
 from sassafraswinch_sidecar.dialect import HeaderNames
 from sassafraswinch_sidecar.entry_admission import LEVELS
 from sassafraswinch_sidecar.executor import Execution, Executor
-from sassafraswinch_sidecar.fleet import Fleet, InstanceIdentity
+from sassafraswinch_sidecar.fleet import Fleet
 from sassafraswinch_sidecar.http_fields import DROPPED, serialize_end_to_end
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
+from sassafraswinch_sidecar.instances import InstanceIdentity
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
 from sassafraswinch_sidecar.routes import Route, RouteTable, ShareChooser
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
@@ -90,7 +90,7 @@
         older era tells is over. Newer routes are taken from any.
 
         Returns:
-            The entries whose values changed, removals included.
+            The entries that changed, removals included.
         """
         if not self._can_follow(delta):
             return [entry for entry in delta.entries if self._take_routes(entry)]
@@ -133,8 +133,6 @@
         if known is not None and known.revision >= entry.revision:
             return False
         self._entries[entry.key] = entry
-        if known is not None and known.value == entry.value:
-            return False
         if entry.value is None:
             # Kept also for a key that was never seen here: a peer may know it, and
             # would keep it for ever if this copy told no removal.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_choice.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from sassafraswinch.crash_suspects import Judgement, Standing
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import Placement
 from sassafraswinch_sidecar.relay_intake import Relay
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/substitutes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/substitutes.py
@@ -1,6 +1,6 @@
 """Instance ids that servers tell themselves, before the platform knows them."""
 
-from sassafraswinch_sidecar.fleet import Instance, InstanceIdentity
+from sassafraswinch_sidecar.instances import Instance, InstanceIdentity
 
 SUBSTITUTE_MS = 6_000.0
 """Time in which an instance id that a server told stands in for the one that the
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -15,7 +15,7 @@
     RateLimit,
 )
 from sassafraswinch_sidecar.dialect import HeaderNames
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.platform_reader import (
     HistoryGoneError,
     PlatformUnavailableError,
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/instances.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/instances.py
@@ -1,6 +1,6 @@
 """Instances of backend servers, as a platform would tell them."""
 
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 
 
 def new_instance(number: int, zone: str = "brno-a", cold_ms: float = 0.0) -> Instance:
--- a/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from sassafraswinch_sidecar.fleet import EXPIRED_BY_MS, RETURN_MS, Fleet
+from sassafraswinch_sidecar.departures import EXPIRED_BY_MS
+from sassafraswinch_sidecar.fleet import RETURN_MS, Fleet
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
 from sassafraswinch_sidecar.revisions import Revision
 from sidecar_standins.fleet import INSTANCE, MemoryDecoder, running_fleet, until
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
@@ -14,7 +14,7 @@
     merge_claims,
 )
 from sassafraswinch_sidecar.executor import Execution
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import capacities_of
 from sassafraswinch_sidecar.relay import MAX_PLACES
 from sassafraswinch_sidecar.relay_intake import Relay
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
@@ -7,7 +7,7 @@
 from sassafraswinch.fitting_shares import Claim
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
 from sassafraswinch_sidecar.executor import Execution
-from sassafraswinch_sidecar.fleet import Instance
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
 from sassafraswinch_sidecar.relay_lessons import RelayLessons
 from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
@@ -7,9 +7,9 @@
 from sassafraswinch.fitting_shares import Claim
 from sassafraswinch_node.frames import LENGTH_BYTES
 from sassafraswinch_sidecar.entry_admission import EntryAdmission
-from sassafraswinch_sidecar.fleet import Instance
 from sassafraswinch_sidecar.fleet_view import FleetView
 from sassafraswinch_sidecar.host_reports import serialize_demand
+from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import PeerLoad, Placement, capacities_of
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     HostReport,
