--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/replica.py
@@ -107,7 +107,8 @@
     def since(self, position: Position) -> Delta:
         """Return what a copy at that position lacks."""
         after = position.revision
-        whole = after < self._forgotten_revision or after.era < self.revision.era
+        # An era begins with a whole reading, so those of older ones take all.
+        whole = after < self._forgotten_revision
 
         def is_lacking(entry: Entry) -> bool:
             if self._routes.is_route_table(entry.key):
--- a/packages/sassafraswinch-sidecar/tests/test_replica.py
+++ b/packages/sassafraswinch-sidecar/tests/test_replica.py
@@ -158,3 +158,14 @@
     assert replica.merge(delta_of(4, entry(ROUTES, 4, b"odd"))) == []
     told = replica.since(new_replica().position)
     assert [found.value for found in told.entries] == [b"7"]
+
+
+def test_host_that_a_cut_kept_in_the_old_era_hands_its_newer_routes_on():
+    """Guards against a confirmed version that only a host of the old era knows."""
+    cut, restored = new_replica(), new_replica()
+    cut.merge(delta_of(9, entry(ROUTES, 9, b"8"), entry("a", 7), whole=True))
+    restored.merge(delta_of(5, entry(ROUTES, 3, b"7", era=1), whole=True, era=1))
+    assert restored.position.lacks(cut.position)
+    changed = restored.merge(cut.since(restored.position))
+    assert [found.value for found in changed] == [b"8"]
+    assert restored.revision == Revision(1, 5)
