Fault soak: the store comes back from older copies

Beside the other faults, with changes just before, during and after, it is away, goes back 0.2 to 4 s, tells the next era, and what was lost is written again up to two seconds later.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 SEEDS ?= 5
 MINUTES ?= 1
 FATAL ?=
+RESTORES ?=
 
 .PHONY: setup test lint demo bench simulate slopes soak fault-soak generate clean
 
@@ -44,10 +45,11 @@
 	$(BIN)/python -m sassafraswinch_standins.soak --seed $(SEED) --minutes $(MINUTES)
 
 # Sidecars as processes, with faults from outside; a failed seed is printed. With
-# FATAL=--fatal a request that ends the servers that run it is sent as well.
+# FATAL=--fatal a request that ends the servers that run it is sent as well; with
+# RESTORES=--restores the store comes back from older copies as well.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
-		--first $(SEED) --seeds $(SEEDS) $(FATAL)
+		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -13,16 +13,24 @@
 
 Act = Callable[[], Awaitable[None]]
 
+RESTORES = 4
+"""Weight of a restored store among the faults, where it comes at all."""
+
 
 class Chaos:
     """Draws faults and carries them out; each ends by itself.
 
+    Args:
+        play: what they befall.
+        rng: source of the draws.
+        restores: whether the store comes back from older copies as well.
+
     Attributes:
         counts: faults so far, by kind.
         unclean_stops: stops that outlasted their grace time.
     """
 
-    def __init__(self, *, play: Play, rng: random.Random):
+    def __init__(self, *, play: Play, rng: random.Random, restores: bool = False):
         self.counts: Counter[str] = Counter()
         self.unclean_stops = 0
         self._play = play
@@ -47,6 +55,8 @@
             self.change_routes,
             self.change_routes,
         ]
+        if restores:
+            self._acts += [self.store_restored] * RESTORES
 
     async def run(self, seconds: float) -> None:
         """Begin faults for a while; return once all have ended."""
@@ -150,6 +160,25 @@
         self.counts["forget-history"] += 1
         await self._play.store.forget_history()
 
+    async def store_restored(self) -> None:
+        """The store is away and comes back from a copy, while changes are made."""
+        store = self._play.store
+        if self._rng.random() < 0.5:
+            await self.change_routes()
+        if self._rng.random() < 0.5:
+            await self._wait(0.0, 1.0)
+        if store.outage:
+            return
+        self.counts["store-restored"] += 1
+        await store.set_outage("reset")
+        await self._wait(0.1, 1.5)
+        await store.restore(self._rng.uniform(0.2, 4.0))
+        await store.set_outage("")
+        if self._rng.random() < 0.5:
+            await self.change_routes()
+        await self._wait(0.0, 2.0)
+        await store.write_again()
+
     async def server_crash(self) -> None:
         """A server ends without a word, and another lifetime begins in its place."""
         async with self._host("server-crash") as host:
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -42,11 +42,12 @@
     chaos_s: float = CHAOS_S,
     copies: int = 1,
     fatal: bool = False,
+    restores: bool = False,
 ) -> Outcome:
     """Play one seed; logs of the processes stay in the directory."""
     outcome = Outcome(seed)
     game = Play(seed=seed, directory=directory, copies=copies, fatal=fatal)
-    chaos = Chaos(play=game, rng=random.Random(seed + 1))
+    chaos = Chaos(play=game, rng=random.Random(seed + 1), restores=restores)
     try:
         await game.open()
         asking = game.ask_everywhere()
@@ -84,6 +85,7 @@
     chaos_s: float = CHAOS_S,
     copies: int = 1,
     fatal: bool = False,
+    restores: bool = False,
 ) -> None:
     """Play seeds in turn; the exit code is 1 if a promise was broken.
 
@@ -93,13 +95,21 @@
         chaos_s: time in which faults begin, in seconds.
         copies: six hosts each.
         fatal: send a request that ends the servers that run it as well.
+        restores: let the store come back from older copies as well.
     """
     failed = []
     for seed in range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"fault-soak-{seed}-"))
         began_s = time.monotonic()
         outcome = asyncio.run(
-            play(seed, directory, chaos_s=chaos_s, copies=copies, fatal=fatal)
+            play(
+                seed,
+                directory,
+                chaos_s=chaos_s,
+                copies=copies,
+                fatal=fatal,
+                restores=restores,
+            )
         )
         took_s = time.monotonic() - began_s
         statuses = {str(key): n for key, n in outcome.statuses.most_common()}
--- a/tests/fault_soak/store.py
+++ b/tests/fault_soak/store.py
@@ -1,4 +1,4 @@
-"""A store that speaks the platform's protocol, with outages on demand."""
+"""A store that speaks the platform's protocol, and fails on demand."""
 
 import asyncio
 import base64
@@ -9,6 +9,9 @@
 HISTORY = 200
 """Changes that are kept for watches."""
 
+COPIES = 400
+"""Changes that it can go back."""
+
 
 class StoreStandIn:
     """Items, one revision counter, watches.
@@ -16,6 +19,8 @@
     Attributes:
         outage: "" or what calls meet: "busy", "many", "reset" or "silent".
         delay_s: added to each answer.
+        era: how often it has come back from an older copy.
+        written: what was last written to each key; None where it was removed.
     """
 
     def __init__(self):
@@ -23,6 +28,9 @@
         self.revision = 1
         self.outage = ""
         self.delay_s = 0.0
+        self.era = 1
+        self.written: dict[str, dict | None] = {}
+        self._copies: deque[tuple[float, dict[str, dict], int]] = deque(maxlen=COPIES)
         self._history: deque[dict] = deque(maxlen=HISTORY)
         self._forgotten = 0
         self._changed = asyncio.Condition()
@@ -38,6 +46,7 @@
 
     async def put(self, key: str, value: dict) -> None:
         """Write an item; the end of this call is its acknowledgement."""
+        self.written[key] = value
         self.revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
         known = self.items.get(key, {})
@@ -47,6 +56,7 @@
         await self._tell(item)
 
     async def remove(self, key: str) -> None:
+        self.written[key] = None
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
@@ -58,6 +68,28 @@
         self._forgotten = self.revision
         await self._wake()
 
+    async def restore(self, age_s: float) -> None:
+        """Come back from a copy of that age: what was written since is lost."""
+        latest_s = asyncio.get_running_loop().time() - age_s
+        while len(self._copies) > 1 and self._copies[-1][0] > latest_s:
+            self._copies.pop()
+        _, items, self.revision = self._copies[-1]
+        self.items = dict(items)
+        self.era += 1
+        self._history = deque(
+            (event for event in self._history if event["rev"] <= self.revision),
+            maxlen=HISTORY,
+        )
+        await self._wake()
+
+    async def write_again(self) -> None:
+        """Write what was written and is lost."""
+        for key, value in tuple(self.written.items()):
+            if value is None:
+                await self.remove(key)
+            elif key not in self.items or _decoded(self.items[key]) != value:
+                await self.put(key, value)
+
     async def set_outage(self, outage: str) -> None:
         self.outage = outage
         await self._wake()
@@ -66,6 +98,8 @@
         if len(self._history) == HISTORY:
             self._forgotten = self._history[0]["rev"]
         self._history.append(event)
+        now_s = asyncio.get_running_loop().time()
+        self._copies.append((now_s, dict(self.items), self.revision))
         await self._wake()
 
     async def _wake(self) -> None:
@@ -84,7 +118,8 @@
                 payload = json.dumps(body).encode()
                 writer.write(
                     b"HTTP/1.1 %d Any\r\nContent-Type: application/json\r\n"
-                    b"Content-Length: %d\r\n\r\n%b" % (status, len(payload), payload)
+                    b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n%b"
+                    % (status, self.era, len(payload), payload)
                 )
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # The sidecar was killed, its connection cut, or the play has ended.
@@ -116,17 +151,25 @@
         return answers.get(self.outage)
 
     async def _watch(self, after: int, wait_ms: int) -> tuple[int | None, dict]:
+        era = self.era
+
         def is_over() -> bool:
-            return bool(self.outage) or self.revision > after
+            return bool(self.outage) or self.era > era or self.revision > after
 
+        if after > self.revision:
+            return 410, {}
         try:
             async with asyncio.timeout(wait_ms / 1000), self._changed:
                 await self._changed.wait_for(is_over)
         except TimeoutError:
             return 200, {"events": [], "at_rev": self.revision}
-        if self.outage:
+        if self.outage or self.era > era:
             return None, {}
         if after < self._forgotten:
             return 410, {}
         events = [event for event in self._history if event["rev"] > after]
         return 200, {"events": events, "at_rev": self.revision}
+
+
+def _decoded(item: dict) -> dict:
+    return json.loads(base64.b64decode(item["value"]))
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -42,6 +42,14 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_promises_hold_while_the_store_comes_back_from_older_copies(tmp_path):
+    """Guards against changes and leavings that are lost in a restore of the store."""
+    outcome = await play(SEED, tmp_path, restores=True)
+    assert not outcome.broken
+    assert outcome.faults["store-restored"]
+    assert outcome.statuses[200] > outcome.statuses.total() / 2
+
+
 def sent(**fields) -> Sent:
     known = {
         "request_id": "a",
