Placement: a request's pace is measured against the mean, however short it is

Callers saw: requests that all went to the first servers tried, beside one that was never tried, where they take less than a millisecond. Cause: the mean of a kind counted as a millisecond at least, so each such request looked faster than the mean, and servers without requests didn't. Tried as well and not kept: the first four of a kind unmeasured (docs/design/shifted-work.md).

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -184,7 +184,8 @@
     def measure(self, kind: Hashable, time_ms: float) -> float:
         """Return a request's time as share of the mean, and count it."""
         self._times_ms.count(kind, time_ms)
-        return time_ms / max(self._times_ms.mean(kind), 1.0)
+        mean_ms = self._times_ms.mean(kind)
+        return time_ms / mean_ms if mean_ms else 1.0
 
 
 def _faded(age_ms: float) -> float:
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -13,13 +13,13 @@
 from sidecar_standins.instances import new_instance
 
 
-def new_placement(loads, own_ip="10.0.0.99"):
+def new_placement(loads, own_ip="10.0.0.99", seed=3):
     return Placement(
         own_ip=own_ip,
         availability_zone="brno-a",
         load_of=loads.get,
         cold_left_ms=lambda found, now_ms: found.cold_ms,
-        rng=random.Random(3),
+        rng=random.Random(seed),
     )
 
 
@@ -139,6 +139,21 @@
     assert load.pace_now(0.0) > 0.8
 
 
+def test_fast_instances_tried_first_do_not_outrank_untried_ones():
+    """Guards against requests that all go to the first of some instances."""
+    found = [new_instance(number) for number in (1, 2, 3)]
+    for seed in range(200):
+        loads = loads_of(found)
+        placement = new_placement(loads, seed=seed)
+        meter = PaceMeter()
+        chosen = set()
+        for _ in range(30):
+            instance = placement.choose(found, (), 0.0)
+            chosen.add(instance.id)
+            loads[instance.ip].took(meter.measure("r", 0.4), 0.0)
+        assert chosen == {"i-1", "i-2", "i-3"}
+
+
 def test_cold_instance_is_spared_but_not_left_out():
     warm, cold = new_instance(1), new_instance(2, cold_ms=2_000.0)
     loads = loads_of([warm, cold])
