--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/departures.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/departures.py
@@ -61,21 +61,21 @@
         """Take an instance for one that hasn't left."""
         self._known.pop(instance.identity, None)
 
-    def has_left(self, instance: Instance, revision: Revision, now_ms: float) -> bool:
-        """Return whether an instance has left though an entry lists it."""
+    def accept(self, instance: Instance, revision: Revision, now_ms: float) -> bool:
+        """Decide whether an entry is to be believed; forget the departure if it is."""
         departure = self._known.get(instance.identity)
         if departure is None:
-            return False
+            return True
         if revision.era > departure.revision.era:
             if departure.is_final:
-                return True
+                return False
             if not _is_written_since(departure, revision):
                 departure.listed = instance
                 departure.listed_revision = revision
                 departure.listed_ms = now_ms
-                return True
+                return False
         self.forget(instance)
-        return False
+        return True
 
     def pop_returned(self, now_ms: float) -> list[Instance]:
         """Return instances that are listed for longer than dead ones would be."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -257,14 +257,14 @@
             # It started anew: at its address it is the later one from now on.
             self._first_revisions.pop(instance_id, None)
         self._note_first_revision(instance_id, entry.revision)
-        self._take_instance(self._without_return(instance, entry.revision, now_ms))
+        self._take_instance(self._unless_departed(instance, entry.revision, now_ms))
 
     def _take_instance(self, instance: Instance) -> None:
         self._removed.pop(instance.id, None)
         self._lapsed.pop(instance.id, None)
         self.instances[instance.id] = instance
 
-    def _without_return(
+    def _unless_departed(
         self, instance: Instance, revision: Revision, now_ms: float
     ) -> Instance:
         """Return an instance as leaving if a restored store lists one that has left."""
@@ -272,7 +272,7 @@
         if lapsed is not None and lapsed.in_use:
             # Its host says itself that the server lives.
             self._departures.forget(instance)
-        if self._departures.has_left(instance, revision, now_ms):
+        if not self._departures.accept(instance, revision, now_ms):
             return replace(instance, leaving=True)
         if instance.leaving:
             self._departures.note(instance, revision)
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/instances.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/instances.py
@@ -1,8 +1,24 @@
 """Instances of backend servers, as a platform would tell them."""
 
+import json
+
 from sassafraswinch_sidecar.instances import Instance
 
 
+def instance_value(**fields):
+    """Return an instance's value in the store, as ``MemoryDecoder`` reads it."""
+    value = {
+        "service": "archiv",
+        "ip": "10.0.0.1",
+        "port": 8080,
+        "availability_zone": "brno-a",
+        "slots": 8,
+        "leaving": False,
+        "cold_ms": 0.0,
+    }
+    return json.dumps(value | fields).encode()
+
+
 def new_instance(number: int, zone: str = "brno-a", cold_ms: float = 0.0) -> Instance:
     """Return the instance at ``10.0.0.number``."""
     return Instance(
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -6,6 +6,7 @@
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
 from sassafraswinch_sidecar.revisions import Revision
 from sidecar_standins.fleet import INSTANCE, ROUTES, MemoryDecoder
+from sidecar_standins.instances import instance_value
 
 
 class World:
@@ -23,16 +24,7 @@
         self.revision = 0
 
     def put(self, name, now_ms, **fields):
-        value = {
-            "service": "archiv",
-            "ip": "10.0.0.1",
-            "port": 8080,
-            "availability_zone": "brno-a",
-            "slots": 8,
-            "leaving": False,
-            "cold_ms": 0.0,
-        } | fields
-        self.write(INSTANCE + name, json.dumps(value).encode(), now_ms)
+        self.write(INSTANCE + name, instance_value(**fields), now_ms)
 
     def remove(self, name, now_ms):
         self.write(INSTANCE + name, None, now_ms)
--- a/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
@@ -1,7 +1,5 @@
 """Backend servers after the platform's store came back from an older copy."""
 
-import json
-
 import pytest
 
 from sassafraswinch_sidecar.departures import EXPIRED_BY_MS
@@ -9,6 +7,7 @@
 from sassafraswinch_sidecar.replica import Delta, Entry, Replica
 from sassafraswinch_sidecar.revisions import Revision
 from sidecar_standins.fleet import INSTANCE, MemoryDecoder, running_fleet, until
+from sidecar_standins.instances import instance_value
 
 DRAIN_S = 2.0
 """Time after its acknowledgement in which a leaving must be known everywhere."""
@@ -24,16 +23,7 @@
         self.items: dict[str, Entry] = {}
 
     def put(self, name, now_ms, **fields):
-        value = {
-            "service": "archiv",
-            "ip": "10.0.0.1",
-            "port": 8080,
-            "availability_zone": "brno-a",
-            "slots": 8,
-            "leaving": False,
-            "cold_ms": 0.0,
-        } | fields
-        self._write(INSTANCE + name, json.dumps(value).encode(), now_ms)
+        self._write(INSTANCE + name, instance_value(**fields), now_ms)
 
     def remove(self, name, now_ms):
         self._write(INSTANCE + name, None, now_ms)
