Store: a watch over a silent connection is given up within the time that is left

Callers could see: changes that come up to five seconds late in a zone whose one host that follows the store waits on a connection that fell silent, while the others rely on it.

Cause: a watch of 3 s and 2 s for its answer; hosts count as in touch again 3 s after their connections fell silent. The aim, as a test: wait, answer and taking over within these 3 s.

Change: watches of 1.5 s, given up 1 s after; idle connections to the store go with the silent one. A store that came back unnoticed is found out as early.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -13,9 +13,9 @@
 PLATFORM_SOURCE = "platform"
 """Names the platform itself as the source of changes, in logs too."""
 
-WATCH_MS = 3_000
-"""Longest wait of one watch: a connection that fell silent is found out within it,
-and each call is paid for."""
+WATCH_MS = 1_500
+"""Longest wait of one watch. A connection that fell silent, or a store that came back
+from an older copy unnoticed, is found out by its end; each call is paid for."""
 
 RETURN_WATCH_MS = 20
 """Wait of the first watch after a failure, or after others have followed: it tells at
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-from sassafraswinch_platform.store import UNREADABLE, ReadOnlyStore
+from sassafraswinch_platform import store as store_module
+from sassafraswinch_platform.store import UNREADABLE, WATCH_ANSWER_S, ReadOnlyStore
 from sassafraswinch_sidecar.platform_reader import (
+    WATCH_MS,
     HistoryGoneError,
     PlatformUnavailableError,
 )
@@ -27,6 +29,8 @@
     def __init__(self):
         self.answers = {}
         self.era = None
+        self.before_answer = None
+        self.connections = 0
         self.asked = []
 
     async def open(self):
@@ -34,11 +38,14 @@
         return self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
+        self.connections += 1
         while line := await reader.readline():
             await reader.readuntil(b"\r\n\r\n")
             target = urlsplit(line.split()[1].decode())
             query = {name: values[0] for name, values in parse_qs(target.query).items()}
             self.asked.append((target.path, query))
+            if self.before_answer is not None:
+                await self.before_answer()
             status, body = self.answers[target.path](query)
             if status is None:
                 writer.close()
@@ -254,3 +261,33 @@
     standin.answers["/v1/kv-watch"] = lambda query: (200, {"events": [], "at_rev": 8})
     with pytest.raises(PlatformUnavailableError):
         await store.watch(Revision(0, 5), 1_000)
+
+
+STABLE_WINDOW_S = 3.0
+"""Time after which a host must follow changes again, though its connections fell
+silent."""
+
+TAKE_OVER_S = 0.4
+"""Time in which the next host of the zone steps in, and tells the others."""
+
+
+def test_silent_watch_is_given_up_before_changes_are_due():
+    """Guards against a zone that relies on a host whose watch nobody answers."""
+    assert WATCH_MS / 1000 + WATCH_ANSWER_S + TAKE_OVER_S <= STABLE_WINDOW_S
+
+
+async def test_silent_connections_are_not_used_again(standin, store, monkeypatch):
+    """Guards against one lost answer after the other, each on an old connection."""
+    monkeypatch.setattr(store_module, "WATCH_ANSWER_S", 0.05)
+    standin.answers["/v1/kv-key"] = lambda query: (404, {})
+    standin.answers["/v1/kv-watch"] = lambda query: (200, {"events": [], "at_rev": 8})
+    await asyncio.gather(store.lists("a"), store.lists("b"))
+    silent = asyncio.Event()
+    standin.before_answer = silent.wait
+    with pytest.raises(PlatformUnavailableError):
+        await store.watch(Revision(0, 5), 50)
+    known = standin.connections
+    standin.before_answer = None
+    assert (await store.watch(Revision(0, 5), 50)).revision == Revision(0, 8)
+    assert standin.connections == known + 1
+    silent.set()
