Store: an odd era of one answer is forgotten with the next

Callers would see nothing; the store would be read whole without a pause, for good. Cause, found by reading: the newest era that any answer bore was kept, so one foreign value ahead of all made each step a whole reading. The era of the latest answer is enough: what follows bears it too.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -71,7 +71,7 @@
     """Reads the platform's data; the adapter of a platform brings it.
 
     Attributes:
-        era: the newest era that any answer bore, refusals included.
+        era: the era of the latest answer, refusals included.
     """
 
     era: int
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -41,7 +41,7 @@
         if isinstance(answer, Exception):
             raise answer
         revision = answer if isinstance(answer, Revision) else Revision(0, answer)
-        self.era = max(self.era, revision.era)
+        self.era = revision.era
         return Delta(revision=revision, whole=call == "read", entries=())
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -243,6 +243,15 @@
     assert store.era == 2
 
 
+async def test_odd_era_of_one_answer_is_forgotten_with_the_next(standin, store):
+    """Guards against a store that is read whole for ever, as its era seems ahead."""
+    standin.answers["/v1/kv-key"] = lambda query: (404, {})
+    for era in (2, 900, 2):
+        standin.era = era
+        await store.lists("a")
+    assert store.era == 2
+
+
 async def test_pages_of_two_eras_are_read_anew(standin, store):
     """Guards against a reading that mixes what the store held before and after."""
 
