Fleet: a doubted server whose entry can't be read any more isn't used

Callers could see requests at a server of which nobody knows what it is: listed by an older copy, then overwritten by another writer, it came into use 8 s later. Found by reading; the test fails on the commit before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -201,7 +201,8 @@
     def tick(self, replica: Replica, now_ms: float) -> None:
         """Drop held instances whose entries didn't come back, use isolated ones."""
         self._heed_isolation(now_ms)
-        returned = self._departures.pop_returned(now_ms)
+        listed = self._departures.pop_returned(now_ms)
+        returned = [each for each in listed if each.id in self.instances]
         for instance in returned:
             self._take_instance(instance)
         over = [found for found, held in self._held.items() if now_ms >= held.until_ms]
--- a/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_store_restored_servers.py
@@ -23,10 +23,10 @@
         self.items: dict[str, Entry] = {}
 
     def put(self, name, now_ms, **fields):
-        self._write(INSTANCE + name, instance_value(**fields), now_ms)
+        self.write(INSTANCE + name, instance_value(**fields), now_ms)
 
     def remove(self, name, now_ms):
-        self._write(INSTANCE + name, None, now_ms)
+        self.write(INSTANCE + name, None, now_ms)
 
     def copy(self):
         return dict(self.items), self.revision
@@ -54,7 +54,7 @@
         self.fleet.tick(self.replica, now_ms)
         return self.ids()
 
-    def _write(self, key, value, now_ms):
+    def write(self, key, value, now_ms):
         era, number = self.revision
         self.revision = Revision(era, number + 1)
         entry = Entry(key=key, revision=self.revision, value=value)
@@ -126,6 +126,16 @@
     assert world.tick(100.0 + EXPIRED_BY_MS) == ["a"]
 
 
+def test_doubted_server_whose_entry_cant_be_read_is_not_used(world):
+    """Guards against a server that is used though nobody knows what it is by now."""
+    world.put("a", 0.0)
+    copy = world.copy()
+    world.remove("a", 10.0)
+    world.restore(copy, 100.0)
+    world.write(INSTANCE + "a", b'{"fault": true}', 200.0)
+    assert world.tick(100.0 + EXPIRED_BY_MS) == []
+
+
 def test_next_lifetime_of_a_server_that_left_is_used(world):
     """Guards against a started server that is taken for its former lifetime."""
     world.put("a", 0.0, incarnation=1)
