--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,8 @@
 MINUTES ?= 1
 FATAL ?=
 RESTORES ?=
+# Half of the cores, four at most: tests of many sidecars take turns on one core.
+WORKERS ?= $(shell n=$$(( $$(nproc) / 2 )); echo $$(( n > 4 ? 4 : n < 1 ? 1 : n )))
 
 .PHONY: setup test lint demo bench simulate slopes soak fault-soak generate clean
 
@@ -22,7 +24,7 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(WORKERS) --dist loadfile
 
 lint: setup
 	$(BIN)/ruff format --check .
--- a/packages/sassafraswinch-node/tests/test_logs.py
+++ b/packages/sassafraswinch-node/tests/test_logs.py
@@ -34,6 +34,9 @@
 def stream(clock):
     stream = io.StringIO()
     configure_logs(level="info", stream=stream, now_ms=clock)
+    # The log keeps what was told before it had a destination; other tests leave some.
+    stream.seek(0)
+    stream.truncate()
     yield stream
     configure_logs(level="error", stream=io.StringIO())
 
