--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -9,6 +9,10 @@
 from sidecar_standins.instances import instance_value
 
 
+DRAIN_MS = 2_000.0
+"""Time after its removal in which a server must get no more work."""
+
+
 class World:
     """A fleet fed from a replica, as a sidecar does it."""
 
@@ -81,6 +85,18 @@
     assert world.fleet.is_leaving("a")
 
 
+def test_removal_late_in_the_time_of_return_counts_within_the_drain_time():
+    """Guards against a server without a farewell that is held for a whole return."""
+    world = World()
+    world.put("a", 0.0)
+    world.fleet.platform_away(1_000.0)
+    world.fleet.platform_back(6_000.0)
+    removed_ms = 6_000.0 + RETURN_MS - 100.0
+    world.remove("a", removed_ms)
+    world.fleet.tick(world.replica, removed_ms + DRAIN_MS)
+    assert world.ids() == []
+
+
 def test_leaving_instance_is_not_held():
     world = World()
     world.put("a", 0.0, leaving=True)
