Fleet: what is removed in the time of return is held until that time is over

Cause, suspected: the store had been away; a removal in the 2.2 s after a host noticed its return was held for 2.2 s more, whatever was left of them. A server that leaves by its entry's removal alone then gets work for too long. Ruled out: the era; a leaving told as such reached all hosts within 0.15 s in every log. Why it holds: entries that expired in the outage are back two seconds after the return, so holding longer than that brings nothing back.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -238,7 +238,8 @@
     def _apply_instance(self, instance_id: str, entry: Entry, now_ms: float) -> None:
         if entry.value is None:
             if self._may_return(instance_id, now_ms):
-                held = _Held(revision=entry.revision, until_ms=now_ms + RETURN_MS)
+                until_ms = self._returns_until_ms(now_ms)
+                held = _Held(revision=entry.revision, until_ms=until_ms)
                 self._held.setdefault(instance_id, held)
             else:
                 self._remove(instance_id, entry.revision, now_ms)
@@ -304,7 +305,17 @@
         known = self.instances.get(instance_id)
         if known is None or known.leaving:
             return False
-        return now_ms < self._hold_until_ms or self._was_away_long(now_ms)
+        return now_ms < self._returns_until_ms(now_ms)
+
+    def _returns_until_ms(self, now_ms: float) -> float:
+        """Return until when entries that expired in an outage come back.
+
+        The time counts from the platform's return, not from each removal: one that
+        comes late in it may be of a server that leaves without saying so.
+        """
+        if self._was_away_long(now_ms):
+            return now_ms + RETURN_MS
+        return self._hold_until_ms
 
     def _remove(self, instance_id: str, revision: Revision, now_ms: float) -> None:
         instance = self.instances.pop(instance_id, None)
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -8,7 +8,6 @@
 from sidecar_standins.fleet import INSTANCE, ROUTES, MemoryDecoder
 from sidecar_standins.instances import instance_value
 
-
 DRAIN_MS = 2_000.0
 """Time after its removal in which a server must get no more work."""
 
