--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -28,7 +28,7 @@
 )
 from sassafraswinch_sidecar.relay_counts import RelayCounts
 from sassafraswinch_sidecar.relay_intake import KEY_CHANGED, Relay, RelayIntake
-from sassafraswinch_sidecar.relay_lessons import RelayLessons
+from sassafraswinch_sidecar.relay_outcomes import RelayOutcomes
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     RelayRequest,
     RelayResponse,
@@ -109,7 +109,7 @@
         self._counts = counts
         self._log = log
         self._repeats = RelayRepeats(budget=budget, now_ms=self._now_ms)
-        self._lessons = RelayLessons(admission=admission, now_ms=self._now_ms)
+        self._outcomes = RelayOutcomes(admission=admission, now_ms=self._now_ms)
         self._call_ids = itertools.count(1)
         self._loop = asyncio.get_running_loop()
         self._started_ms = self._now_ms()
@@ -182,7 +182,7 @@
         if response.server_end:
             self._suspects.ended(digest_request(relay), response.server_end)
         self._repeats.learn(relay)
-        self._lessons.execution_ended(relay, response, load)
+        self._outcomes.execution_ended(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
             self._answered(relay, response)
         elif response.verdict == Verdict.NOT_RUN:
@@ -271,7 +271,7 @@
         now_ms = self._now_ms()
         if judged.standing is not Standing.FREE:
             return choose_for_suspect(self._placement, relay, instances, now_ms, judged)
-        answer_bytes = self._lessons.answer_bytes(relay.route.name)
+        answer_bytes = self._outcomes.answer_bytes(relay.route.name)
         return choose_server(self._placement, relay, instances, now_ms, answer_bytes)
 
     def _judge(self, relay: Relay) -> Judgement | None:
@@ -328,14 +328,14 @@
                 relay.tried.discard(instance.identity)
 
     def _deliver(self, relay: Relay, response: RelayResponse) -> None:
-        self._lessons.answered(relay, response)
+        self._outcomes.answered(relay, response)
         self._answers.deliver(relay, response)
         self._finish(relay)
 
     def _fail(self, relay: Relay, reason: str, status: int) -> None:
         if status == NOT_RUN_STATUS and relay.has_token:
             self._rates.give_back(relay.caller, self._now_ms())
-        self._lessons.failed(relay)
+        self._outcomes.failed(relay)
         self._answers.fail(relay, reason, status)
         self._finish(relay)
 
@@ -363,7 +363,7 @@
             self._end(relay, response.reason)
             return
         if response.reason == INSTANCE_LEAVING:
-            self._lessons.refused_as_leaving(load)
+            self._outcomes.refused_as_leaving(load)
         if not response.offered:
             self._place(relay)
         elif self._repeats.allow_unrun(relay):
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_lessons.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_outcomes.py
@@ -14,7 +14,7 @@
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse, Verdict
 
 
-class RelayLessons:
+class RelayOutcomes:
     """Learns how fast and sound servers are, and what routes need.
 
     Args:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
@@ -361,7 +361,7 @@
             relay.offered_to.add(instance.identity)
         relay.repeats_spent = relay.repeats_spent or response.repeats_spent
         host.repeats.learn(relay)
-        host.lessons.execution_ended(relay, response, load)
+        host.outcomes.execution_ended(relay, response, load)
         if response.verdict == Verdict.ANSWERED:
             failed = response.status >= 500
             if failed and host.repeats.allow_failed(relay):
@@ -369,13 +369,13 @@
                 return
             if not failed:
                 host.suspect_requests.answered(content_of(relay.request_id))
-            host.lessons.answered(relay, response)
+            host.outcomes.answered(relay, response)
             self._done(relay, response.status)
         elif response.verdict == Verdict.MAY_HAVE_RUN:
             if host.repeats.allow_failed(relay):
                 self._repeat(host, relay)
             else:
-                host.lessons.failed(relay)
+                host.outcomes.failed(relay)
                 self._done(relay, 502)
         elif response.reason in (HELD_BACK, COPY_RUNS):
             self._fail(host, relay)
@@ -391,7 +391,7 @@
         self._place(host, relay)
 
     def _fail(self, host: Host, relay: Relay) -> None:
-        host.lessons.failed(relay)
+        host.outcomes.failed(relay)
         self._done(relay, 503)
 
     def _done(self, relay: Relay, status: int) -> None:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
@@ -9,7 +9,7 @@
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
-from sassafraswinch_sidecar.relay_lessons import RelayLessons
+from sassafraswinch_sidecar.relay_outcomes import RelayOutcomes
 from sassafraswinch_sidecar.relay_protocol.ttypes import ServerLoad
 from sassafraswinch_sidecar.relay_repeats import RelayRepeats
 from sassafraswinch_sidecar.repeat_budget import RepeatBudget, Totals
@@ -67,7 +67,7 @@
             totals=lambda now_ms: self.totals,
         )
         self.repeats = RelayRepeats(budget=self.budget, now_ms=now_ms)
-        self.lessons = RelayLessons(admission=self.admission, now_ms=now_ms)
+        self.outcomes = RelayOutcomes(admission=self.admission, now_ms=now_ms)
         self.placement = Placement(
             own_ip=instance.ip,
             availability_zone=instance.availability_zone,
