A draining sidecar closes no connection that was just accepted

Callers saw: at the SIGTERM of a sidecar, requests on new connections ended without a response, so that nobody could know whether they ran.

Cause: drain() closed each connection without a request in progress, a connection whose first request was on its way included, and so did it over bytes that lay unread in the receive buffer.

Change: drain() closes no connection itself. Each is closed after its next response, or after three idle seconds, and never over unread bytes. Requests that were read behind the current one are answered first. The write side is closed before the rest, so that the last response isn't lost to a reset when its caller sends on (413, 408, 400 and the idle timeout had the same fault).

What remains: a request that crosses the close of an idle connection.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from sassafraswinch_node.listening_sockets import has_unread_bytes
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
 from sassafraswinch_sidecar.routes import RequestLimits
@@ -19,6 +20,13 @@
 """Time after which a caller that doesn't read its response is disconnected: the unread
 bytes count toward this process's memory limit."""
 
+DRAIN_IDLE_TIMEOUT_MS = 3_000.0
+"""Idle time after which a draining listener closes a connection. Callers that use it
+more often learn of the stop from a response."""
+
+LINGER_TIMEOUT_MS = 300.0
+"""Time for which a connection that this process ends is read for its caller's end."""
+
 NO_MEMORY_STATUS = 503
 NO_MEMORY_RETRY_FIELD = b"Retry-After: 1\r\n"
 """Retry delay for callers whose bodies exceed the memory limit: the buffered data is
@@ -77,7 +85,9 @@
         self._current: HttpRequest | None = None
         self._in_message = False
         self._in_header = False
+        self._is_invalid = False
         self._closed = False
+        self._closed_ms: float | None = None
         self._message_began_ms = self._idle_since_ms = self._loop.time() * 1000
         self._write_blocked_ms: float | None = None
         self._reset_message()
@@ -110,7 +120,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes (asyncio.Protocol)."""
-        if self._closed:
+        if self._closed or self._is_invalid:
             return
         try:
             self._parser.feed_data(data)
@@ -174,7 +184,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request (httptools)."""
         self._in_message = False
-        if self._closed:
+        if self._closed or self._is_invalid:
             return
         request = HttpRequest(
             method=self._parser.get_method(),
@@ -212,40 +222,57 @@
             return
         self._current = None
         self._release_body(len(request.body))
-        keep = request.keep_alive and not self._closing()
+        is_last = not request.keep_alive or (
+            (self._closing() or self._is_invalid) and not self._queued_requests
+        )
         if has_body(status, request.method):
             framing = b"Content-Length: %d\r\n" % len(body)
         else:
             framing, body = b"", b""
-        if not keep:
+        if is_last:
             framing += b"Connection: close\r\n"
         self._write(
             b"".join((status_line(status), header_lines, framing, b"\r\n", body))
         )
         self._record_unread_bytes(self._write_buffer_bytes())
         self._idle_since_ms = self._loop.time() * 1000
-        if not keep:
+        if is_last and request.keep_alive:
             self._close()
+        elif is_last:
+            self._close_without_linger()
         elif self._queued_requests:
             self._loop.call_soon(self._handle_next)
 
     def check_timeouts(self, now_ms: float) -> None:
-        """Close the connection if it exceeds its write, header or idle timeout."""
+        """Close the connection if it exceeds a timeout."""
         limits = self._limits()
         if self._write_blocked_ms is not None:
             if now_ms - self._write_blocked_ms > WRITE_TIMEOUT_MS:
                 self._transport.abort()
+        elif self._closed_ms is not None:
+            if now_ms - self._closed_ms > LINGER_TIMEOUT_MS:
+                self._transport.abort()
         elif self._current is not None:
             return
         elif self._in_message:
             if now_ms - self._message_began_ms > limits.header_timeout_ms:
                 self._refuse(408)
-        elif now_ms - self._idle_since_ms > limits.idle_timeout_ms:
-            self._close()
+        else:
+            idle_timeout_ms = limits.idle_timeout_ms
+            if self._closing():
+                idle_timeout_ms = min(idle_timeout_ms, DRAIN_IDLE_TIMEOUT_MS)
+            self._close_idle(now_ms, idle_timeout_ms)
 
-    def close_idle(self) -> None:
-        """Close the connection if it has no request in progress, queued or partial."""
-        if self._current is None and not self._queued_requests and not self._in_message:
+    def _close_idle(self, now_ms: float, timeout_ms: float) -> None:
+        """Close the connection if it has been without a request for a time.
+
+        A request whose bytes have arrived but weren't read yet counts.
+        """
+        if self._closed or self._current is not None or self._queued_requests:
+            return
+        if self._in_message or now_ms - self._idle_since_ms < timeout_ms:
+            return
+        if not has_unread_bytes(self._transport.get_extra_info("socket")):
             self._close()
 
     def _handle_next(self) -> None:
@@ -287,18 +314,16 @@
             self._close()
         else:
             # Requests before the invalid one still get their responses.
+            self._is_invalid = True
             if not self._transport.is_closing():
                 self._transport.pause_reading()
-            for request in (self._current, *self._queued_requests):
-                if request is not None:
-                    request.keep_alive = False
 
     def _write(self, data: bytes) -> None:
         """Write unless the connection is closing and ``connection_lost`` is due.
 
         The event loop raises an error on a write to a handle that is closed already.
         """
-        if not self._transport.is_closing():
+        if not self._closed and not self._transport.is_closing():
             self._transport.write(data)
 
     def _write_buffer_bytes(self) -> int:
@@ -316,6 +341,20 @@
         self._unread_bytes = unread_bytes
 
     def _close(self) -> None:
+        """Close the write side; the rest is closed when the caller closes its own side.
+
+        Failure: closing a connection on which bytes were received but not read resets
+        it, and the caller loses the response that was written last.
+        """
+        if self._closed or self._transport.is_closing():
+            return
+        self._closed = True
+        self._closed_ms = self._loop.time() * 1000
+        self._transport.resume_reading()
+        self._transport.write_eof()
+
+    def _close_without_linger(self) -> None:
+        """Close the connection; its caller has announced that it sends nothing more."""
         self._closed = True
         self._transport.close()
 
@@ -353,10 +392,11 @@
         self._timeout_task = loop.create_task(self._check_timeouts_forever())
 
     def drain(self) -> None:
-        """Close idle connections, and each other one after its next response."""
+        """Close each connection after its next response, or once it is idle for long.
+
+        New connections are still accepted.
+        """
         self.closing = True
-        for connection in list(self.connections):
-            connection.close_idle()
 
     async def close(self) -> None:
         """Stop listening and checking timeouts."""
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -161,6 +161,53 @@
     idle.close()
 
 
+async def accepted_connection(server):
+    """Return a new connection that the server has accepted, without a request."""
+    reader, writer = await send(server)
+    await until(lambda: len(server.connections) == 1)
+    return reader, writer
+
+
+async def test_drain_answers_the_first_request_of_a_new_connection(server):
+    """Guards against a stop that takes a connection just accepted for an idle one."""
+    reader, writer = await accepted_connection(server)
+    server.drain()
+    writer.write(request_bytes())
+    got = await asyncio.wait_for(read_answer(reader), 20)
+    assert (got.status, got.headers["connection"]) == (200, "close")
+    writer.close()
+
+
+async def test_response_is_read_although_its_caller_sends_on(server):
+    """Guards against a reset that destroys the last response of a connection."""
+    caller = socket.create_connection(("127.0.0.1", server.port))
+    head = request_bytes(method="POST", fields="Content-Length: 60000\r\n")
+    caller.sendall(head)
+    await until(lambda: all(each._closed for each in server.connections))
+    caller.sendall(b"x" * 60_000)
+    await asyncio.sleep(0.05)
+    assert caller.recv(1_000).split()[1] == b"413"
+    caller.close()
+    await until(lambda: not server.connections)
+
+
+async def test_pipelined_requests_are_answered_before_a_drained_connection_closes(
+    server,
+):
+    """Guards against read requests that are dropped behind a last response."""
+    server._handler.holds = True
+    reader, writer = await send(server, request_bytes() * 3)
+    await until(lambda: server._handler.requests)
+    server.drain()
+    for number in range(3):
+        await until(lambda number=number: len(server._handler.requests) > number)
+        request, connection = server._handler.requests[number]
+        connection.respond(request, status=200, header_lines=b"")
+        got = await asyncio.wait_for(read_answer(reader), 20)
+        assert got.headers.get("connection") == ("close" if number == 2 else None)
+    writer.close()
+
+
 async def test_bodies_beyond_memory_limit_are_refused_until_others_end(server):
     """Many callers send long bodies, which are buffered until their responses. Without
     a limit they exceed the memory of the process, which is killed with all requests.
