A sidecar that ends closes its listening socket before its connections

Callers saw: at the end of a stopping sidecar, requests that were sent whole on new connections were reset or ended without a response.

Cause: close() closed the listening socket over connections that the kernel had established and the process hadn't accepted, which resets them, and ended the event loop over accepted ones whose request lay unread.

Change: a stop has an order. New handshakes are dropped by a socket filter, those under way finish and are accepted, and then the listening socket is closed: a caller that comes later is refused a connection and knows that nothing ran. Each open connection gets its response, or its refusal, and is closed when it is idle; a new one has 200 ms for its first request. Where a system has no socket filters, connections between the last accept and the close are still reset. All listeners (callers, readiness, metrics) share it.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 FATAL ?=
 RESTORES ?=
 LIMITS ?=
+STOPS ?=
 # Half of the cores, four at most: tests of many sidecars take turns on one core.
 WORKERS ?= $(shell n=$$(( $$(nproc) / 2 )); echo $$(( n > 4 ? 4 : n < 1 ? 1 : n )))
 
@@ -50,10 +51,11 @@
 # Sidecars as processes, with faults from outside; a failed seed is printed. With
 # FATAL=--fatal a request that crashes the servers that run it is sent as well; with
 # RESTORES=--restores the store comes back from older copies as well; with LIMITS=--limits
-# servers name limits and leave in their responses as well.
+# servers name limits and leave in their responses as well. With STOPS=--only-stops
+# processes are only stopped, under many callers that open new connections.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
-		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS)
+		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
@@ -1,8 +1,79 @@
-"""What the kernel knows about TCP sockets that the process hasn't read yet."""
+"""Listening TCP sockets, and how they stop without resetting connections."""
 
+import array
+import asyncio
 import fcntl
+import socket
 import struct
 import termios
+from contextlib import suppress
+
+BACKLOG = 1024
+"""Maximum length of the queue of connections waiting to be accepted."""
+
+HANDSHAKE_TIMEOUT_MS = 50.0
+"""Time allowed for handshakes that are under way when a listening socket is about to
+close: several round trips between availability zones."""
+
+_SO_ATTACH_FILTER = 26
+"""Linux socket option that the socket module doesn't name."""
+
+_BPF_LOAD_BYTE, _BPF_JUMP_IF_SET, _BPF_RETURN = 0x30, 0x45, 0x06
+_TCP_FLAGS_OFFSET, _TCP_SYN = 13, 0x02
+_DROP, _ACCEPT = 0, 0xFFFF_FFFF
+
+_DROP_SYN = (
+    (_BPF_LOAD_BYTE, 0, 0, _TCP_FLAGS_OFFSET),
+    (_BPF_JUMP_IF_SET, 0, 1, _TCP_SYN),
+    (_BPF_RETURN, 0, 0, _DROP),
+    (_BPF_RETURN, 0, 0, _ACCEPT),
+)
+"""Classic BPF program, run on each segment from its TCP header on."""
+
+
+def bind(ip: str, port: int, *, backlog: int = BACKLOG) -> socket.socket:
+    """Return a listening socket; port 0 selects a free port.
+
+    Raises:
+        OSError: if the address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    # asyncio sets TCP_NODELAY only on sockets whose protocol is explicitly TCP.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((ip, port))
+        bound.listen(backlog)
+    except OSError:
+        bound.close()
+        raise
+    bound.setblocking(False)
+    return bound
+
+
+def block_handshakes(listening: socket.socket) -> None:
+    """Drop the opening segments of new connections to a listening socket.
+
+    Their callers repeat them and are refused once the socket is closed. Handshakes that
+    are under way go on. Does nothing where the system has no socket filters.
+    """
+    code = b"".join(struct.pack("HBBI", *instruction) for instruction in _DROP_SYN)
+    instructions = array.array("B", code)
+    address, _ = instructions.buffer_info()
+    program = struct.pack("HP", len(_DROP_SYN), address)
+    with suppress(OSError):
+        listening.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
+async def finish_handshakes(listening: socket.socket) -> None:
+    """Accept no new connections, but those whose handshake is under way.
+
+    Closing a listening socket resets the connections that the kernel has established
+    and the process hasn't accepted. Their callers have sent requests, and can't know
+    that these didn't run. The event loop must be accepting connections meanwhile.
+    """
+    block_handshakes(listening)
+    await asyncio.sleep(HANDSHAKE_TIMEOUT_MS / 1000)
 
 
 def has_unread_bytes(connection) -> bool:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers; requests and responses are buffered completely."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,7 +9,12 @@
 
 import httptools
 
-from sassafraswinch_node.listening_sockets import has_unread_bytes
+from sassafraswinch_node.listening_sockets import (
+    BACKLOG,
+    bind,
+    finish_handshakes,
+    has_unread_bytes,
+)
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
 from sassafraswinch_sidecar.routes import RequestLimits
@@ -24,9 +30,20 @@
 """Idle time after which a draining listener closes a connection. Callers that use it
 more often learn of the stop from a response."""
 
+FIRST_REQUEST_TIMEOUT_MS = 200.0
+"""Time after which a new connection without a request counts as idle in a stop. Callers
+connect when they have a request to send."""
+
 LINGER_TIMEOUT_MS = 300.0
 """Time for which a connection that this process ends is read for its caller's end."""
 
+CLOSE_TIMEOUT_MS = 400.0
+"""Time limit of a stop for the connections that are still open. It includes the time
+for the first request of a new connection."""
+
+CLOSE_CHECK_INTERVAL_S = 0.01
+"""Interval of the checks for idle connections during a stop."""
+
 NO_MEMORY_STATUS = 503
 NO_MEMORY_RETRY_FIELD = b"Retry-After: 1\r\n"
 """Retry delay for callers whose bodies exceed the memory limit: the buffered data is
@@ -85,6 +102,7 @@
         self._current: HttpRequest | None = None
         self._in_message = False
         self._in_header = False
+        self._has_received = False
         self._is_invalid = False
         self._closed = False
         self._closed_ms: float | None = None
@@ -122,6 +140,7 @@
         """Parse received bytes (asyncio.Protocol)."""
         if self._closed or self._is_invalid:
             return
+        self._has_received = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -263,6 +282,17 @@
                 idle_timeout_ms = min(idle_timeout_ms, DRAIN_IDLE_TIMEOUT_MS)
             self._close_idle(now_ms, idle_timeout_ms)
 
+    def stop(self, now_ms: float) -> None:
+        """Close the connection if it is idle and no first request is to be expected."""
+        if self._has_received:
+            self._close_idle(now_ms, 0.0)
+        else:
+            self._close_idle(now_ms, FIRST_REQUEST_TIMEOUT_MS)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
     def _close_idle(self, now_ms: float, timeout_ms: float) -> None:
         """Close the connection if it has been without a request for a time.
 
@@ -380,14 +410,16 @@
         self._handler = handler
         self._limits = limits
         self._held = held
+        self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._timeout_task: asyncio.Task | None = None
 
-    async def open(self, ip: str, port: int, *, backlog: int = 1024) -> None:
+    async def open(self, ip: str, port: int, *, backlog: int = BACKLOG) -> None:
         """Listen at an address."""
         loop = asyncio.get_running_loop()
+        self._socket = bind(ip, port, backlog=backlog)
         self._server = await loop.create_server(
-            self._new_connection, ip, port, backlog=backlog, reuse_address=True
+            self._new_connection, sock=self._socket, backlog=backlog
         )
         self._timeout_task = loop.create_task(self._check_timeouts_forever())
 
@@ -399,11 +431,28 @@
         self.closing = True
 
     async def close(self) -> None:
-        """Stop listening and checking timeouts."""
-        if self._timeout_task is not None:
-            self._timeout_task.cancel()
+        """Stop listening, and close the connections once their requests are answered.
+
+        Connections that are still open after ``CLOSE_TIMEOUT_MS`` are aborted.
+        """
+        self.closing = True
         if self._server is not None:
+            await finish_handshakes(self._socket)
             self._server.close()
+            await self._close_connections()
+        if self._timeout_task is not None:
+            self._timeout_task.cancel()
+
+    async def _close_connections(self) -> None:
+        loop = asyncio.get_running_loop()
+        ends_ms = loop.time() * 1000 + CLOSE_TIMEOUT_MS
+        while self.connections and loop.time() * 1000 < ends_ms:
+            now_ms = loop.time() * 1000
+            for connection in list(self.connections):
+                connection.stop(now_ms)
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+        for connection in list(self.connections):
+            connection.abort()
 
     def _new_connection(self) -> CallerConnection:
         return CallerConnection(
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -515,11 +515,12 @@
         )
 
     async def _close(self) -> None:
+        # Callers still get their responses and refusals while the listeners close.
+        listeners = (self._outbound, self._ready, self._metrics)
+        await asyncio.gather(*(listener.close() for listener in listeners))
         log_event("stopped", level="warning", in_flight=self._in_flight())
         for task in self._tasks:
             task.cancel()
-        for listener in (self._outbound, self._ready, self._metrics):
-            await listener.close()
         await self._links.close()
         self._executor.close()
 
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -178,6 +178,64 @@
     writer.close()
 
 
+async def test_close_answers_the_first_request_of_a_new_connection(server):
+    """Guards against an end of the process between a connection and its request."""
+    reader, writer = await accepted_connection(server)
+    closing = asyncio.create_task(server.close())
+    await until(lambda: not server._server.is_serving())
+    writer.write(request_bytes())
+    got = await asyncio.wait_for(read_answer(reader), 20)
+    assert (got.status, got.headers["connection"]) == (200, "close")
+    await closing
+    writer.close()
+
+
+async def test_close_answers_connections_in_the_accept_queue(server):
+    """Guards against a listening socket that closes over connections not accepted."""
+    callers = [socket.create_connection(("127.0.0.1", server.port)) for _ in range(20)]
+    for caller in callers:
+        caller.sendall(request_bytes())
+    await server.close()
+    answers = [caller.recv(1_000) for caller in callers]
+    assert [answer.split()[1] for answer in answers] == [b"200"] * len(callers)
+    for caller in callers:
+        caller.close()
+
+
+async def test_new_connections_are_refused_and_not_reset_when_the_socket_closes(server):
+    """Guards against handshakes that end after the last connection was accepted."""
+    closing = asyncio.create_task(server.close())
+    await asyncio.sleep(0)
+    caller = socket.socket()
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.wait_for(
+            loop.sock_connect(caller, ("127.0.0.1", server.port)), 20
+        )
+    caller.close()
+    await closing
+
+
+async def test_request_in_the_receive_buffer_keeps_its_connection_open(server):
+    """Guards against an idle connection that is closed over an unread request."""
+    caller = socket.create_connection(("127.0.0.1", server.port))
+    caller.sendall(request_bytes())
+    await until(lambda: server._handler.requests)
+    (connection,) = server.connections
+    caller.sendall(request_bytes())
+    connection.stop(asyncio.get_running_loop().time() * 1000 + 10_000.0)
+    server.drain()
+    await until(lambda: len(server._handler.requests) == 2)
+    await until(lambda: not server.connections)
+    answers = b""
+    while received := caller.recv(1_000):
+        answers += received
+    assert answers.count(b" 200 ") == 2
+    assert answers.count(b"Connection: close") == 1
+    caller.close()
+
+
 async def test_response_is_read_although_its_caller_sends_on(server):
     """Guards against a reset that destroys the last response of a connection."""
     caller = socket.create_connection(("127.0.0.1", server.port))
@@ -191,6 +249,16 @@
     await until(lambda: not server.connections)
 
 
+async def test_close_ends_despite_a_caller_that_keeps_its_connection(server):
+    """Guards against a stop that waits for callers who never close their side."""
+    caller = socket.create_connection(("127.0.0.1", server.port))
+    caller.sendall(request_bytes())
+    await until(lambda: server._handler.requests)
+    await asyncio.wait_for(server.close(), 10)
+    assert not [each for each in server.connections if not each._closed]
+    caller.close()
+
+
 async def test_pipelined_requests_are_answered_before_a_drained_connection_closes(
     server,
 ):
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -46,6 +46,7 @@
 
     Attributes:
         process_starts: number of starts of the sidecar's process.
+        new_connection_share: share of the requests that open a connection of their own.
     """
 
     _numbers = itertools.count(1)
@@ -59,14 +60,17 @@
         port: int,
         record: Record,
         draw_key: Callable[[], tuple[str, str]],
+        rng: random.Random,
     ):
         self.process_starts = 0
+        self.new_connection_share = 0.0
         self._host = host
         self._service = service
         self._ip = ip
         self._port = port
         self._record = record
         self._draw_key = draw_key
+        self._rng = rng
         self._idle_connections: deque[tuple] = deque()
 
     async def send(
@@ -117,10 +121,11 @@
             self._idle_connections.pop()[1].close()
 
     async def _exchange(self, sent: SoakRequest, kind: Kind, key: str) -> None:
-        reader, writer = await self._get_connection()
+        reader, writer = await self._get_connection(sent)
         reusable = False
         try:
             writer.write(_encode_request(sent, kind, key))
+            sent.is_written = True
             fields = await _read_head_and_body(reader, sent)
             reusable = fields.get("connection", "").lower() != "close"
             instance_id = fields.get("server-signature", "").partition(".")[0]
@@ -133,12 +138,14 @@
             else:
                 writer.close()
 
-    async def _get_connection(self) -> tuple:
-        while self._idle_connections:
+    async def _get_connection(self, sent: SoakRequest) -> tuple:
+        is_new_wanted = self._rng.random() < self.new_connection_share
+        while self._idle_connections and not is_new_wanted:
             reader, writer = self._idle_connections.pop()
             if not reader.at_eof():
                 return reader, writer
             writer.close()
+        sent.has_new_connection = True
         return await asyncio.open_connection(self._ip, self._port)
 
 
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -29,6 +29,7 @@
         rng: source of faults and durations.
         restores: whether the store is also restored from older copies.
         limits: whether servers also name limits and leave in their responses.
+        only_stops: whether processes are only stopped, and receive other signals.
 
     Attributes:
         counts: number of faults so far, by kind.
@@ -42,6 +43,7 @@
         rng: random.Random,
         restores: bool = False,
         limits: bool = False,
+        only_stops: bool = False,
     ):
         self.counts: Counter[str] = Counter()
         self.unclean_stops = 0
@@ -67,6 +69,14 @@
             self.change_routes,
             self.change_routes,
         ]
+        if only_stops:
+            self._actions = [
+                self.stop,
+                self.stop,
+                self.stop_with_repeated_signals,
+                self.reload_settings,
+                self.change_routes,
+            ]
         if restores:
             self._actions += [self.store_restored] * RESTORE_WEIGHT
         if limits:
@@ -106,6 +116,19 @@
                 await self._wait(0.1, 0.5)
                 host.start()
 
+    async def stop_with_repeated_signals(self) -> None:
+        """Stop a process that receives further signals while it stops."""
+        async with self._reserve_host("stop-signals") as host:
+            if host is None:
+                return
+            stopping = asyncio.create_task(host.stop())
+            for _ in range(self._rng.randint(1, 4)):
+                await self._wait(0.0, 2.0)
+                host.signal(self._rng.choice([signal.SIGTERM, signal.SIGHUP]))
+            self.unclean_stops += not await stopping
+            await self._wait(0.1, 0.5)
+            host.start()
+
     async def reload_settings(self) -> None:
         async with self._reserve_host("hang-up") as host:
             if host is not None:
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -213,6 +213,7 @@
             port=OUTBOUND_PORT,
             record=self._fleet.record,
             draw_key=lambda: self._fleet.keys.draw(self._fleet.version),
+            rng=self._fleet.rng,
         )
 
     async def _make_child_calls(self, request_id: str) -> int:
@@ -325,8 +326,12 @@
         """Return the kinds of request that callers draw from."""
         return [ORDERS, ORDERS, APPROVE, PRICES, self.probe_kind()]
 
-    def start_host_callers(self, per_s: float = REQUESTS_PER_S) -> list[asyncio.Task]:
+    def start_host_callers(
+        self, per_s: float = REQUESTS_PER_S, new_connection_share: float = 0.0
+    ) -> list[asyncio.Task]:
         """Start the callers of all hosts."""
+        for host in self.hosts:
+            host.external_caller.new_connection_share = new_connection_share
         return [
             asyncio.create_task(
                 send_requests_at_rate(
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -20,6 +20,12 @@
 CHAOS_S = 8.0
 """Duration of the phase in which faults are started."""
 
+STOPS_REQUESTS_PER_S = 40.0
+"""Mean request rate of the callers at each host when processes are only stopped."""
+
+NEW_CONNECTION_SHARE = 0.7
+"""Share of these requests that open a connection of their own."""
+
 SETTLE_S = 1.5
 """Wait after the last request, during which a server may still run one."""
 
@@ -52,6 +58,7 @@
     fatal: bool = False,
     restores: bool = False,
     limits: bool = False,
+    only_stops: bool = False,
 ) -> SeedResult:
     """Run one seed; the processes' logs remain in the directory."""
     result = SeedResult(seed)
@@ -59,11 +66,20 @@
         seed=seed, directory=directory, copies=copies, fatal=fatal, limits=limits
     )
     chaos = Chaos(
-        fleet=fleet, rng=random.Random(seed + 1), restores=restores, limits=limits
+        fleet=fleet,
+        rng=random.Random(seed + 1),
+        restores=restores,
+        limits=limits,
+        only_stops=only_stops,
     )
     try:
         await fleet.open()
-        callers = fleet.start_host_callers()
+        if only_stops:
+            callers = fleet.start_host_callers(
+                STOPS_REQUESTS_PER_S, NEW_CONNECTION_SHARE
+            )
+        else:
+            callers = fleet.start_host_callers()
         if fatal:
             callers.append(asyncio.create_task(fleet.send_fatal_requests()))
         await chaos.run(chaos_s)
@@ -83,7 +99,12 @@
     finally:
         fleet.close()
     result.broken += fleet.record.find_invariant_violations()
+    if only_stops:
+        result.broken += fleet.record.find_cut_requests()
     result.faults = chaos.counts
+    result.faults["cut requests"] = sum(
+        sent.is_cut for sent in fleet.record.sent.values()
+    )
     if chaos.unclean_stops:
         result.faults["stops beyond the grace period"] = chaos.unclean_stops
     result.statuses = Counter(sent.status for sent in fleet.record.sent.values())
@@ -100,6 +121,7 @@
     fatal: bool = False,
     restores: bool = False,
     limits: bool = False,
+    only_stops: bool = False,
 ) -> None:
     """Run consecutive seeds; the exit code is 1 if an invariant was violated.
 
@@ -111,6 +133,7 @@
         fatal: also send a request that crashes each server that runs it.
         restores: also restore the store from older copies.
         limits: also have servers name limits and leave in their responses.
+        only_stops: only stop processes, under many callers that connect anew.
     """
     failed = []
     for seed in range(first, first + seeds):
@@ -125,6 +148,7 @@
                 fatal=fatal,
                 restores=restores,
                 limits=limits,
+                only_stops=only_stops,
             )
         )
         elapsed_s = time.monotonic() - started_s
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -55,6 +55,8 @@
         organisation: organisation that holds the request's key, or the parent
             request's key for a child call; empty if there is none.
         fault: description of an invalid response, or empty.
+        has_new_connection: whether a connection was opened for it.
+        is_written: whether it was sent whole on an established connection.
     """
 
     request_id: str
@@ -70,6 +72,13 @@
     done_s: float = 0.0
     organisation: str = ""
     fault: str = ""
+    has_new_connection: bool = False
+    is_written: bool = False
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether its connection ended without a response after it was sent whole."""
+        return self.is_written and self.status == 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -142,6 +151,17 @@
             ),
         ]
 
+    def find_cut_requests(self) -> list[str]:
+        """Return a line for each request on a new connection that got no response.
+
+        A request on a kept connection may cross the end of that connection.
+        """
+        return [
+            f"cut: {sent}"
+            for sent in self.sent.values()
+            if sent.is_cut and sent.has_new_connection
+        ]
+
     def _check_fatal_runs(self) -> list[str]:
         """Return a line if a request continued to crash servers after three crashes."""
         fatal_runs = [run for run in self.runs if run.target == FATAL_TARGET]
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -64,6 +64,14 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_no_request_is_cut_while_sidecars_stop_and_restart(tmp_path):
+    """Guards against stops that end connections over requests that were sent whole."""
+    outcome = await play(SEED, tmp_path, only_stops=True)
+    assert not outcome.broken
+    assert outcome.faults["stop"] and outcome.faults["stop-signals"]
+    assert not outcome.faults["stops beyond the grace period"]
+
+
 def sent(**fields) -> SoakRequest:
     defaults = {
         "request_id": "a",
