A node that stops resets no connection with a request on its way

Cause: uvicorn's shutdown closes the listening socket over connections in the accept queue, which resets them, and closes each connection without a response in progress: one that was just accepted, one that has half a request, one with a request in its receive buffer.

Change: the node's stop has the sidecar's order (listening_sockets): drop new handshakes, accept those under way, close the socket, answer what arrives on open connections, close each when it is idle, write side first. Its three listeners stop together.

--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -6,14 +6,19 @@
 
 import uvicorn
 
+from sassafraswinch_node.caller_protocol import CallerProtocol
+from sassafraswinch_node.listening_sockets import bind, finish_handshakes
 from sassafraswinch_node.settings import Address
 
-BACKLOG = 1024
-"""Maximum length of the queue of connections waiting to be accepted."""
-
 KEEP_ALIVE_S = 75
 """Idle time after which a caller's persistent connection is closed."""
 
+IDLE_CLOSE_TIMEOUT_MS = 1_000.0
+"""Time limit of a stop for connections without a request in progress."""
+
+CLOSE_CHECK_INTERVAL_S = 0.01
+"""Interval of the checks for idle connections during a stop."""
+
 
 class _Server(uvicorn.Server):
     """A uvicorn server without signal handlers; the node installs its own."""
@@ -22,16 +27,34 @@
     def capture_signals(self):
         yield
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Stop listening and close the idle connections, then wait for the others."""
+        for listening in sockets or ():
+            await finish_handshakes(listening)
+        for server in self.servers:
+            server.close()
+        await self._close_idle_connections()
+        await super().shutdown(sockets=sockets)
+
+    async def _close_idle_connections(self) -> None:
+        """Close each connection once it is idle, and wait until the callers do so."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + IDLE_CLOSE_TIMEOUT_MS / 1000
+        while self.server_state.connections and loop.time() < ends_s:
+            for connection in list(self.server_state.connections):
+                connection.close_if_idle()
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+
 
 class HttpListener:
     """A listening socket that serves an ASGI application."""
 
     def __init__(self, *, app, address: Address):
-        self._socket = bind(address)
+        self._socket = bind(address.ip, address.port)
         config = uvicorn.Config(
             app,
             loop="asyncio",
-            http="httptools",
+            http=CallerProtocol,
             ws="none",
             lifespan="off",
             access_log=False,
@@ -66,19 +89,3 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
-
-
-def bind(address: Address) -> socket.socket:
-    """Return a listening socket on ``address``.
-
-    Raises:
-        OSError: if the address can't be bound.
-    """
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    # asyncio sets TCP_NODELAY only on sockets whose protocol is explicitly TCP.
-    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((address.ip, address.port))
-    bound.listen(BACKLOG)
-    bound.setblocking(False)
-    return bound
--- a/packages/sassafraswinch-node/sassafraswinch_node/process.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/process.py
@@ -200,8 +200,9 @@
     async def close(self) -> None:
         """Close listeners, links and tasks."""
         timeout_s = ABORT_TIMEOUT_S if self.aborted_calls else None
-        for listener in self.http.values():
-            await listener.stop(timeout_s=timeout_s)
+        await asyncio.gather(
+            *(listener.stop(timeout_s=timeout_s) for listener in self.http.values())
+        )
         await self.links.stop()
         for task in self._tasks:
             task.cancel()
--- a/packages/sassafraswinch-node/tests/test_listeners.py
+++ b/packages/sassafraswinch-node/tests/test_listeners.py
@@ -1,8 +1,10 @@
-"""Tests of the socket options of connections accepted by HTTP listeners."""
+"""Tests of HTTP listeners: options of their connections, and how they stop."""
 
 import asyncio
 import socket
 
+import pytest
+
 from sassafraswinch_node.listeners import HttpListener
 from sassafraswinch_node.settings import Address
 
@@ -39,3 +41,115 @@
     await listener.stop()
     assert b"whole" in response
     assert app.no_delay == 1
+
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: node\r\n\r\n"
+
+
+class CountingApp:
+    """ASGI application that counts its requests and responds to each at once."""
+
+    def __init__(self):
+        self.requests = 0
+
+    async def __call__(self, scope, receive, send):
+        self.requests += 1
+        headers = [(b"content-length", b"0")]
+        start = {"type": "http.response.start", "status": 200, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": b""})
+
+
+@pytest.fixture
+def app():
+    return CountingApp()
+
+
+@pytest.fixture
+async def listener(app):
+    listener = HttpListener(app=app, address=Address(ip="127.0.0.1", port=0))
+    await listener.start()
+    yield listener
+    await listener.stop()
+
+
+def connect(listener, *, requests=0):
+    """Return a connection to a listener, with requests already sent."""
+    caller = socket.create_connection((listener.address.ip, listener.address.port))
+    caller.sendall(REQUEST * requests)
+    return caller
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+async def read_to_end(caller):
+    """Return all that the listener sends until it closes the connection."""
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    received = b""
+    async with asyncio.timeout(20):
+        while chunk := await loop.sock_recv(caller, 1_000):
+            received += chunk
+    caller.close()
+    return received
+
+
+async def test_stop_answers_connections_in_the_accept_queue(listener):
+    """Guards against a listening socket that closes over connections not accepted."""
+    callers = [connect(listener, requests=1) for _ in range(20)]
+    server = listener._server
+    stopping = asyncio.create_task(server.shutdown(sockets=[listener._socket]))
+    answers = await asyncio.gather(*(read_to_end(caller) for caller in callers))
+    assert [answer.split()[1:2] for answer in answers] == [[b"200"]] * len(callers)
+    await stopping
+
+
+async def test_stop_answers_the_first_request_of_a_new_connection(listener, app):
+    """Guards against a stop that takes a connection just accepted for an idle one."""
+    caller = connect(listener)
+    await until(lambda: listener._server.server_state.connections)
+    server = listener._server
+    stopping = asyncio.create_task(server.shutdown(sockets=[listener._socket]))
+    await asyncio.sleep(0.001)
+    caller.sendall(REQUEST)
+    assert (await read_to_end(caller)).split()[1:2] == [b"200"]
+    await stopping
+
+
+async def test_request_in_the_receive_buffer_keeps_its_connection_open(listener, app):
+    """Guards against an idle connection that is closed over an unread request."""
+    caller = connect(listener, requests=1)
+    await until(lambda: app.requests == 1)
+    (connection,) = listener._server.server_state.connections
+    caller.sendall(REQUEST)
+    connection.close_if_idle()
+    await until(lambda: app.requests == 2)
+    await asyncio.sleep(0.01)
+    connection.close_if_idle()
+    assert (await read_to_end(caller)).count(b" 200 ") == 2
+
+
+async def test_caller_that_sends_on_after_the_last_response_is_not_reset(listener):
+    """Guards against a reset that destroys the last response of a connection."""
+    caller = connect(listener)
+    caller.sendall(b"garbage\r\n\r\n")
+    for _ in range(2):
+        await asyncio.sleep(0.05)
+        caller.sendall(b"x" * 10_000)
+    assert (await read_to_end(caller)).split()[1:2] == [b"400"]
+
+
+async def test_stop_ends_despite_callers_that_send_nothing_whole(listener):
+    """Guards against a stop that waits for half a request or a caller's close."""
+    half = connect(listener)
+    half.sendall(REQUEST[:10])
+    idle = connect(listener, requests=1)
+    await asyncio.sleep(0.05)
+    await asyncio.wait_for(listener.stop(), 10)
+    half.close()
+    idle.close()
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -236,14 +236,15 @@
     caller.close()
 
 
-async def test_response_is_read_although_its_caller_sends_on(server):
+async def test_caller_that_sends_on_after_the_last_response_is_not_reset(server):
     """Guards against a reset that destroys the last response of a connection."""
     caller = socket.create_connection(("127.0.0.1", server.port))
     head = request_bytes(method="POST", fields="Content-Length: 60000\r\n")
     caller.sendall(head)
     await until(lambda: all(each._closed for each in server.connections))
-    caller.sendall(b"x" * 60_000)
-    await asyncio.sleep(0.05)
+    for _ in range(2):
+        caller.sendall(b"x" * 30_000)
+        await asyncio.sleep(0.05)
     assert caller.recv(1_000).split()[1] == b"413"
     caller.close()
     await until(lambda: not server.connections)
--- a/packages/sassafraswinch-tool/tests/conftest.py
+++ b/packages/sassafraswinch-tool/tests/conftest.py
@@ -13,7 +13,8 @@
 from sassafraswinch.document import Objective
 from sassafraswinch.status import LinkStatus, Status
 from sassafraswinch.verdict import Reason, Verdict
-from sassafraswinch_node.listeners import HttpListener, bind
+from sassafraswinch_node.listeners import HttpListener
+from sassafraswinch_node.listening_sockets import bind
 from sassafraswinch_node.operators import operators_app
 from sassafraswinch_node.settings import parse_address
 
@@ -71,7 +72,7 @@
             for node in (self.first, self.second)
         ]
         self.addresses = [str(listener.address) for listener in self._listeners]
-        unused = bind(parse_address("127.0.0.1:0"))
+        unused = bind("127.0.0.1", 0)
         self.closed_address = f"127.0.0.1:{unused.getsockname()[1]}"
         unused.close()
         platform = Starlette(routes=[Route("/v1/hosts", self._list_hosts)])
