Leave notices and limits belong to a lifetime of a server, not to its id

Callers saw: where a server keeps its id over a restart, its next lifetime got no requests after a lifetime that had stated that it leaves, until the sidecars restarted; and a limit went on until the next response was read.

Cause: what a server states was kept, reported and matched by its id alone. A peer that had already learned of the next registration applied the notice to that lifetime, the sidecar beside the server went on reporting it, and after a restart took it back from its peers.

Change: notices carry the incarnation (NoticeReport.incarnation, optional on the wire). A response counts for the lifetime that was registered when its request was sent: a later registration proves that the former process is gone, whatever is still read from its connections; a response that states nothing never clears a notice. The next registration ends both limit and notice, in the sidecar, in its reports and in what peers return. A notice that was read before any registration counts for the first lifetime known.

Why it holds: test_local_notices.py plays both orders of reading, the kill, the silent store and peers that return the old notice; test_fleet.py the peers' side.

Not covered: a sidecar that knows no registration at all (store and peers silent since its start) can't tell two lifetimes of one id, and refuses.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -26,6 +26,8 @@
   3: optional double rate_limit_per_s
   /** Whether it accepts no new requests for the rest of its lifetime. */
   4: bool leaving = false
+  /** Lifetime of the instance that gave it; 0 if unknown or not distinguished. */
+  5: i64 incarnation = 0
 }
 
 /** What a sidecar says of the backend server beside it. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/departures.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/departures.py
@@ -64,6 +64,10 @@
         """Return whether a server stated that it is leaving."""
         return identity in self._leave_notices
 
+    def has_leave_notice_of_any_lifetime(self, instance_id: str) -> bool:
+        """Return whether an instance stated in some lifetime that it is leaving."""
+        return any(left_id == instance_id for left_id, _ in self._leave_notices)
+
     def record_departure(self, instance: Instance, revision: Revision) -> None:
         """Record that an instance leaves, or that its registration was removed."""
         known = self._departures.get(instance.identity)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -16,6 +16,7 @@
     NOT_FORWARDED,
     serialize_end_to_end,
 )
+from sassafraswinch_sidecar.instances import NO_INCARNATION
 from sassafraswinch_sidecar.local_notices import LocalNotices
 from sassafraswinch_sidecar.notice_handler import NoticeHandler
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
@@ -96,6 +97,7 @@
         server_end: name of the server exit during which the request ran.
         calls_done: number of finished child calls.
         slot_ms: slot time of the request and its child calls, by service.
+        incarnation: lifetime of the instance that was registered when it started.
     """
 
     request: RelayRequest
@@ -112,6 +114,7 @@
     server_end: str | None = None
     calls_done: int = 0
     slot_ms: dict[str, float] = field(default_factory=dict)
+    incarnation: int = NO_INCARNATION
 
 
 class Executor:
@@ -125,6 +128,7 @@
         notices: latest notice of the server.
         on_notice: called when the server's limit changes or it begins to leave.
         is_leaving: returns whether an instance must get no new requests.
+        incarnation_of: returns the registered lifetime of an instance.
         held: memory limit of request and response bodies in this process.
         suspects: requests that were running when servers crashed.
         log: request log.
@@ -150,6 +154,7 @@
         held: HeldBytes,
         suspects: SuspectRequests,
         log: RequestLog,
+        incarnation_of: Callable[[str], int] = lambda instance_id: NO_INCARNATION,
     ):
         self.queue = ServerQueue(
             limit=int(UNKNOWN_SLOTS * USABLE_SLOT_SHARE), trial_slots=TRIAL_SLOTS
@@ -162,6 +167,7 @@
         self._client = client
         self._names = names
         self._is_leaving = is_leaving
+        self._incarnation_of = incarnation_of
         self._held = held
         self._log = log
         self._loop = asyncio.get_running_loop()
@@ -350,6 +356,7 @@
             self._handle_exchange_end,
             execution,
         )
+        execution.incarnation = self._incarnation_of(request.instance_id)
         self.running[request.request_id] = execution
         self.sent_requests += 1
         self._client.send(execution.exchange, fresh=not request.idempotent)
@@ -421,7 +428,9 @@
             execution.actual_instance_id = self._watch.trusted_instance_id()
             self._end(execution, Verdict.NOT_RUN, OTHER_INSTANCE)
             return
-        self._notice_handler.record_response(execution.request.instance_id, response)
+        self._notice_handler.record_response(
+            execution.request.instance_id, response, execution.incarnation
+        )
         if names.not_executed.lower() in lowered:
             self._end(execution, Verdict.NOT_RUN, "server-shed")
             return
@@ -448,6 +457,10 @@
         """Ask the server for its notice with a health check, once."""
         self._notice_handler.request_notice(path, self._service)
 
+    def record_registration(self, instance_id: str, incarnation: int) -> None:
+        """Record which lifetime of an instance is registered for the server."""
+        self._notice_handler.record_registration(instance_id, incarnation)
+
     def _handle_pace_change(self) -> None:
         """Refuse the queued requests that no longer fit, and start those that do."""
         now_ms = self._now_ms()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/fleet.py
@@ -109,6 +109,7 @@
         self._departures = Departures()
         self._removed_ids: dict[str, None] = {}
         self._first_revisions: dict[str, Revision] = {}
+        self._first_incarnations: dict[str, int] = {}
         self._parsed_table: tuple[bytes, RouteTable] | None = None
         self._outage_since_ms: float | None = None
         self._hold_until_ms = 0.0
@@ -142,25 +143,41 @@
         instance = self.instances.get(instance_id)
         if instance is not None:
             return instance.leaving
-        if self._departures.has_leave_notice((instance_id, NO_INCARNATION)):
+        if self._departures.has_leave_notice_of_any_lifetime(instance_id):
             return True
         expired = self._expired.get(instance_id)
         return instance_id in self._removed_ids and not (expired and expired.in_use)
 
-    def record_leave_notice(self, instance_id: str) -> None:
+    def record_leave_notice(
+        self, instance_id: str, incarnation: int = NO_INCARNATION
+    ) -> None:
         """Record that an instance stated in a response that it is leaving.
 
         It gets no new work for the rest of its lifetime, whatever the platform lists.
+
+        Args:
+            instance_id: id of the instance.
+            incarnation: the lifetime. If it is unknown, the sender knew no registration
+                yet, and the notice counts for the first lifetime known here.
         """
-        instance = self.instances.get(instance_id)
-        identity = instance.identity if instance else (instance_id, NO_INCARNATION)
-        self._expired.pop(instance_id, None)
+        if incarnation == NO_INCARNATION:
+            incarnation = self._first_incarnations.get(instance_id, NO_INCARNATION)
+        identity = (instance_id, incarnation)
+        expired = self._expired.get(instance_id)
+        if expired is not None and expired.instance.identity == identity:
+            del self._expired[instance_id]
         if not self._departures.record_leave_notice(identity):
             return
-        if instance is not None:
+        instance = self.instances.get(instance_id)
+        if instance is not None and instance.identity == identity:
             self.instances[instance_id] = replace(instance, leaving=True)
         self._rebuild_indexes()
 
+    def incarnation_of(self, instance_id: str) -> int:
+        """Return the registered lifetime of an instance; 0 if it is unknown."""
+        instance = self.instances.get(instance_id)
+        return NO_INCARNATION if instance is None else instance.incarnation
+
     def expired_instance_at(self, ip: str) -> Instance | None:
         """Return the latest instance at an address whose registration expired.
 
@@ -288,6 +305,7 @@
             # A restarted server counts as the latest one at its address.
             self._first_revisions.pop(instance_id, None)
         self._record_first_revision(instance_id, entry.revision)
+        self._record_first_incarnation(instance)
         self._add_instance(self._with_departure(instance, entry.revision, now_ms))
 
     def _add_instance(self, instance: Instance) -> None:
@@ -321,6 +339,20 @@
             number = min(first.number, revision.number)
             self._first_revisions[instance_id] = Revision(revision.era, number)
 
+    def _record_first_incarnation(self, instance: Instance) -> None:
+        """Record the first known lifetime of an instance whose id may be kept.
+
+        A leave notice that was received before any registration counts for it.
+        """
+        first = self._first_incarnations
+        if instance.incarnation == NO_INCARNATION or instance.id in first:
+            return
+        first[instance.id] = instance.incarnation
+        if len(first) > MAX_REMOVED_KEYS:
+            del first[next(iter(first))]
+        if self._departures.has_leave_notice((instance.id, NO_INCARNATION)):
+            self._departures.record_leave_notice(instance.identity)
+
     def _is_outage_long(self, now_ms: float) -> bool:
         since_ms = self._outage_since_ms
         return since_ms is not None and now_ms - since_ms >= MIN_EXPIRY_OUTAGE_MS
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/local_notices.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/local_notices.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.instances import NO_INCARNATION
 from sassafraswinch_sidecar.server_notices import ServerNotice, StampedNotice
 
 MAX_LOGGED_VALUE_BYTES = 40
@@ -61,6 +62,7 @@
 
     Attributes:
         instance_id: instance that gave the notice; empty until one is known.
+        incarnation: its lifetime; ``NO_INCARNATION`` until a registration is known.
         limit_per_s: requests per second that the server accepts; None for no limit.
         leaving: whether the server accepts no new requests.
         is_confirmed: whether the server has answered since the start of this process.
@@ -71,6 +73,7 @@
         self, *, now_ms: Callable[[], float], stamp_us: Callable[[], int] = time_us
     ):
         self.instance_id = ""
+        self.incarnation = NO_INCARNATION
         self.limit_per_s: float | None = None
         self.leaving = False
         self.is_confirmed = False
@@ -82,10 +85,25 @@
         self._is_reported = False
         self._has_logged_invalid_value = False
 
-    def record_response(self, instance_id: str, notice: ServerNotice) -> None:
-        """Record what a response of an instance states."""
-        if instance_id != self.instance_id:
-            self._start_lifetime(instance_id)
+    def record_response(
+        self,
+        instance_id: str,
+        notice: ServerNotice,
+        incarnation: int = NO_INCARNATION,
+    ) -> None:
+        """Record what a response of an instance states.
+
+        A request that was sent before the current lifetime was registered may have been
+        answered by the former one, on any connection: its response counts for neither.
+
+        Args:
+            instance_id: the instance.
+            notice: what the response states.
+            incarnation: lifetime that was registered when the request was sent.
+        """
+        if self._is_former(instance_id, incarnation):
+            return
+        self._enter_lifetime(instance_id, incarnation)
         self.is_confirmed = True
         if notice.invalid_value is not None:
             self._record_invalid_value(notice.invalid_value)
@@ -95,17 +113,26 @@
         if notice.leaving:
             self._set_leaving()
 
+    def record_registration(self, instance_id: str, incarnation: int) -> None:
+        """Record which lifetime of the current instance is registered.
+
+        What a former lifetime stated ends with it.
+        """
+        if instance_id == self.instance_id:
+            self._enter_lifetime(instance_id, incarnation)
+
     def merge_report(self, notice: StampedNotice) -> None:
         """Merge a notice that a peer received, perhaps from a former process.
 
         What the server stated to this process is newer. It is kept, and reported to
         peers from now on.
         """
-        if not self.is_confirmed and notice.stamp > self._stamp:
-            if notice.instance_id != self.instance_id:
-                self._start_lifetime(notice.instance_id)
+        is_former = self._is_former(notice.instance_id, notice.incarnation)
+        if not is_former and not self.is_confirmed and notice.stamp > self._stamp:
+            self._enter_lifetime(notice.instance_id, notice.incarnation)
             self._set_limit(notice.rate_limit_per_s, PEER)
-        if notice.instance_id == self.instance_id:
+        if notice.may_be_of(self.instance_id, self.incarnation):
+            self._enter_lifetime(notice.instance_id, notice.incarnation)
             self._is_reported = True
             if notice.leaving:
                 self._set_leaving()
@@ -120,6 +147,7 @@
             stamp=self._stamp,
             rate_limit_per_s=self.limit_per_s,
             leaving=self.leaving,
+            incarnation=self.incarnation,
         )
 
     def age_ms(self) -> float:
@@ -136,9 +164,28 @@
             "backend_invalid_notices": self.invalid_values,
         }
 
-    def _start_lifetime(self, instance_id: str) -> None:
+    def _is_former(self, instance_id: str, incarnation: int) -> bool:
+        """Return whether a lifetime is known to be over: a later one is registered."""
+        return (
+            instance_id == self.instance_id
+            and NO_INCARNATION != incarnation < self.incarnation
+        )
+
+    def _enter_lifetime(self, instance_id: str, incarnation: int) -> None:
+        """Start a lifetime unless it is the current one, perhaps not known as such."""
+        if instance_id != self.instance_id:
+            self._start_lifetime(instance_id, incarnation)
+        elif self.incarnation == NO_INCARNATION != incarnation:
+            self.incarnation = incarnation
+            # Peers accept the notice with its lifetime only if it is newer.
+            self._stamp += 1
+        elif incarnation > self.incarnation:
+            self._start_lifetime(instance_id, incarnation)
+
+    def _start_lifetime(self, instance_id: str, incarnation: int) -> None:
         if self.limit_per_s is not None:
             self._log_limit(None, OWN_SERVER)
+        self.incarnation = incarnation
         self.instance_id = instance_id
         self.limit_per_s = None
         self.leaving = False
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_handler.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_handler.py
@@ -4,6 +4,7 @@
 
 from sassafraswinch_sidecar.header_names import HeaderNames
 from sassafraswinch_sidecar.http_client import HttpClient, HttpResponse
+from sassafraswinch_sidecar.instances import NO_INCARNATION
 from sassafraswinch_sidecar.local_notices import LocalNotices
 from sassafraswinch_sidecar.notice_probe import NoticeProbe
 from sassafraswinch_sidecar.relay_protocol.ttypes import NoticeReport
@@ -66,14 +67,31 @@
         """Return the notice to report to peers."""
         return serialize_notice(self._notices.latest())
 
-    def record_response(self, instance_id: str, response: HttpResponse) -> None:
-        """Apply what a response of an instance states."""
+    def record_response(
+        self,
+        instance_id: str,
+        response: HttpResponse,
+        incarnation: int = NO_INCARNATION,
+    ) -> None:
+        """Apply what a response of an instance states.
+
+        Args:
+            instance_id: the instance.
+            response: the response.
+            incarnation: lifetime that was registered when the request was sent.
+        """
         former = self._notices.latest()
         notice = self._decoder.parse_notice(response.fields)
-        self._notices.record_response(instance_id, notice)
+        self._notices.record_response(instance_id, notice, incarnation)
         self._queue.trial_slots = None
         self._apply(former)
 
+    def record_registration(self, instance_id: str, incarnation: int) -> None:
+        """Apply which lifetime of an instance is registered for the server."""
+        former = self._notices.latest()
+        self._notices.record_registration(instance_id, incarnation)
+        self._apply(former)
+
     def merge_report(self, report: NoticeReport) -> None:
         """Apply a notice of the server that the sender of a request received."""
         former = self._notices.latest()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/placement.py
@@ -7,7 +7,11 @@
 from dataclasses import dataclass
 
 from sassafraswinch_sidecar.ingress_admission import NO_CAPACITY, Capacity
-from sassafraswinch_sidecar.instances import Instance, InstanceIdentity
+from sassafraswinch_sidecar.instances import (
+    NO_INCARNATION,
+    Instance,
+    InstanceIdentity,
+)
 from sassafraswinch_sidecar.relay_protocol.ttypes import HostNotice, ServerLoad
 from sassafraswinch_sidecar.server_notices import StampedNotice, parse_notice
 from sassafraswinch_sidecar.server_pace import start_interval_ms
@@ -176,15 +180,20 @@
             if self.on_notice is not None:
                 self.on_notice(notice, former)
 
-    def notice_of(self, instance_id: str) -> StampedNotice | None:
-        """Return the notice of an instance; a successor at the address has none yet."""
-        if self.notice is None or self.notice.instance_id != instance_id:
+    def notice_of(
+        self, instance_id: str, incarnation: int = NO_INCARNATION
+    ) -> StampedNotice | None:
+        """Return the notice of an instance; its next lifetime has none yet."""
+        notice = self.notice
+        if notice is None or not notice.may_be_of(instance_id, incarnation):
             return None
-        return self.notice
+        return notice
 
-    def rate_limit_of(self, instance_id: str) -> float | None:
+    def rate_limit_of(
+        self, instance_id: str, incarnation: int = NO_INCARNATION
+    ) -> float | None:
         """Return an instance's limit in requests per second; None for no limit."""
-        notice = self.notice_of(instance_id)
+        notice = self.notice_of(instance_id, incarnation)
         return None if notice is None else notice.rate_limit_per_s
 
     def paced_backlog(self, limit_per_s: float) -> float:
@@ -351,7 +360,7 @@
         waits_ms = []
         for instance in instances:
             load = self._load_of(instance.ip)
-            limit_per_s = load.rate_limit_of(instance.id) if load else None
+            limit_per_s = load.rate_limit_of(*instance.identity) if load else None
             if limit_per_s is not None:
                 waits_ms.append(load.expected_rate_wait_ms(limit_per_s, now_ms))
         return min(waits_ms, default=None)
@@ -372,7 +381,7 @@
             load.set_identity(instance.identity)
         limit = load.limit or max(instance.slots, 1)
         cost = (load.in_flight + load.queued + load.sent_since_report) / limit
-        rate_limit_per_s = load.rate_limit_of(instance.id)
+        rate_limit_per_s = load.rate_limit_of(*instance.identity)
         if rate_limit_per_s is not None:
             wait_ms = load.expected_rate_wait_ms(rate_limit_per_s, now_ms)
             if wait_ms > max_rate_wait_ms:
@@ -403,7 +412,7 @@
         capacity = capacities.get(instance.service, NO_CAPACITY)
         slots = instance.slots if load.limit is None else load.limit
         used = load.in_flight + load.queued
-        limit_per_s = load.rate_limit_of(instance.id)
+        limit_per_s = load.rate_limit_of(*instance.identity)
         paced_slots = 0.0
         if limit_per_s is not None:
             # Requests start at the limit and hold a slot each for the mean time.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -25,7 +25,7 @@
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.ingress_admission import IngressAdmission
-from sassafraswinch_sidecar.instances import Instance
+from sassafraswinch_sidecar.instances import NO_INCARNATION, Instance
 from sassafraswinch_sidecar.outcome_recorder import OutcomeRecorder
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
@@ -342,11 +342,13 @@
             relay.admission_class, relay.service
         )
         load = self._view.load(instance.ip)
+        is_listed = relay.instance_id == instance.id
+        incarnation = instance.incarnation if is_listed else NO_INCARNATION
         request = request_of(
             relay,
             remaining_ms=remaining_ms,
             is_leaf=is_leaf,
-            notice=load.notice_of(relay.instance_id) if load is not None else None,
+            notice=load and load.notice_of(relay.instance_id, incarnation),
         )
         self.relays[relay.call_id] = relay
         self._retry_policy.record_sent(relay)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -43,6 +43,7 @@
      - stamp: Orders the notices of one backend server, across restarts of its sidecar.
      - rate_limit_per_s: Requests a second that it accepts from all hosts together; missing for no limit.
      - leaving: Whether it accepts no new requests for the rest of its lifetime.
+     - incarnation: Lifetime of the instance that gave it; 0 if unknown or not distinguished.
 
     """
 
@@ -51,14 +52,16 @@
         'stamp',
         'rate_limit_per_s',
         'leaving',
+        'incarnation',
     )
 
 
-    def __init__(self, instance_id=None, stamp=None, rate_limit_per_s=None, leaving=False,):
+    def __init__(self, instance_id=None, stamp=None, rate_limit_per_s=None, leaving=False, incarnation=0,):
         self.instance_id = instance_id
         self.stamp = stamp
         self.rate_limit_per_s = rate_limit_per_s
         self.leaving = leaving
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -89,6 +92,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -115,6 +123,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 5)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3655,6 +3667,7 @@
     (2, TType.I64, 'stamp', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate_limit_per_s', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, False, ),  # 4
+    (5, TType.I64, 'incarnation', None, 0, ),  # 5
 )
 all_structs.append(ServerLoad)
 ServerLoad.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_notices.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_notices.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from sassafraswinch_sidecar.http_fields import Fields
+from sassafraswinch_sidecar.instances import NO_INCARNATION
 from sassafraswinch_sidecar.relay_protocol.ttypes import NoticeReport
 
 
@@ -44,12 +45,24 @@
         rate_limit_per_s: requests per second that the server accepts from all hosts
             together; None for no limit.
         leaving: whether it accepts no new requests for the rest of its lifetime.
+        incarnation: lifetime of the instance that gave it; ``NO_INCARNATION`` if it is
+            unknown.
     """
 
     instance_id: str
     stamp: int
     rate_limit_per_s: float | None
     leaving: bool
+    incarnation: int = NO_INCARNATION
+
+    def may_be_of(self, instance_id: str, incarnation: int) -> bool:
+        """Return whether a lifetime may have given it, which an unknown one may."""
+        if self.instance_id != instance_id:
+            return False
+        return self.incarnation == incarnation or NO_INCARNATION in (
+            self.incarnation,
+            incarnation,
+        )
 
 
 def serialize_notice(notice: StampedNotice | None) -> NoticeReport | None:
@@ -61,6 +74,7 @@
         stamp=notice.stamp,
         rate_limit_per_s=notice.rate_limit_per_s,
         leaving=notice.leaving,
+        incarnation=notice.incarnation,
     )
 
 
@@ -73,4 +87,5 @@
         stamp=report.stamp,
         rate_limit_per_s=report.rate_limit_per_s,
         leaving=report.leaving,
+        incarnation=report.incarnation,
     )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -144,6 +144,7 @@
             notices=self._notices,
             on_notice=self._apply_own_notice,
             is_leaving=self._fleet.is_leaving,
+            incarnation_of=self._fleet.incarnation_of,
             held=self._held,
             suspects=self._suspects,
             log=self._log,
@@ -392,8 +393,9 @@
 
     def _apply_own_notice(self) -> None:
         """Apply and announce a new limit, or the leaving, of the local server."""
-        if self._notices.leaving:
-            self._record_leave_notice(self._notices.instance_id)
+        notices = self._notices
+        if notices.leaving:
+            self._record_leave_notice(notices.instance_id, notices.incarnation)
         self._report_own_state()
 
     def _apply_peer_notice(
@@ -410,12 +412,13 @@
                 age_ms=(notice.stamp - former.stamp) / 1000 if former else 0.0,
             )
         if notice.leaving:
-            self._record_leave_notice(notice.instance_id)
+            self._record_leave_notice(notice.instance_id, notice.incarnation)
 
-    def _record_leave_notice(self, instance_id: str) -> None:
-        """Send no more requests to an instance, nor start those that wait for it."""
-        self._fleet.record_leave_notice(instance_id)
-        self._executor.refuse_instance(instance_id)
+    def _record_leave_notice(self, instance_id: str, incarnation: int) -> None:
+        """Send no more requests to a lifetime, nor start those that wait for it."""
+        self._fleet.record_leave_notice(instance_id, incarnation)
+        if self._fleet.is_leaving(instance_id):
+            self._executor.refuse_instance(instance_id)
 
     def _is_isolated(self, ip: str) -> bool:
         """Return whether a host reports that it can't reach the platform."""
@@ -449,6 +452,7 @@
         if health_path is not None:
             self._executor.request_notice(health_path)
         for instance in self._fleet.instances_at(self._settings.ip):
+            self._executor.record_registration(*instance.identity)
             if not instance.leaving:
                 self._executor.set_slots(instance.slots)
         self._update_zone_role(now_ms)
--- a/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/sidecar_standins/fleet.py
@@ -15,7 +15,7 @@
     RateLimit,
 )
 from sassafraswinch_sidecar.header_names import HeaderNames
-from sassafraswinch_sidecar.instances import Instance
+from sassafraswinch_sidecar.instances import NO_INCARNATION, Instance
 from sassafraswinch_sidecar.routes import RequestLimits, Route, RouteTable, Share
 from sassafraswinch_sidecar.sidecar import Sidecar
 from sassafraswinch_sidecar.sidecar_settings import SidecarSettings
@@ -112,7 +112,9 @@
             link.abort()
         await self.sidecar._close()
 
-    async def put_instance(self, store, *, leaving=False, name=None) -> None:
+    async def put_instance(
+        self, store, *, leaving=False, name=None, incarnation=NO_INCARNATION
+    ) -> None:
         await store.put(
             f"{INSTANCE}{name or 'i-' + self.ip}",
             {
@@ -123,6 +125,7 @@
                 "slots": 8,
                 "leaving": leaving,
                 "cold_ms": 0.0,
+                "incarnation": incarnation,
             },
         )
 
--- a/packages/sassafraswinch-sidecar/tests/test_fleet.py
+++ b/packages/sassafraswinch-sidecar/tests/test_fleet.py
@@ -290,6 +290,34 @@
     assert not harness.fleet.is_leaving("a")
 
 
+def test_late_leave_notice_of_a_former_lifetime_ends_no_work():
+    """Guards against peers that report the notice after the next registration."""
+    harness = Harness()
+    harness.put("a", 0.0, incarnation=1)
+    harness.put("a", 10.0, incarnation=2)
+    harness.fleet.record_leave_notice("a", 1)
+    assert harness.ids() == ["a"]
+    assert not harness.fleet.is_leaving("a")
+    harness.fleet.record_leave_notice("a", 2)
+    assert harness.ids() == []
+
+
+def test_leave_notice_that_precedes_its_registration_holds_for_that_lifetime():
+    """Guards against a notice that is lost where ids are kept and the store is silent,
+    and against one that holds for the next lifetime as well.
+    """
+    harness = Harness()
+    harness.fleet.record_leave_notice("a")
+    harness.fleet.record_leave_notice("b", 7)
+    assert harness.fleet.is_leaving("a") and harness.fleet.is_leaving("b")
+    harness.put("a", 0.0, incarnation=1)
+    harness.put("b", 0.0, incarnation=7, ip="10.0.0.2")
+    assert harness.ids() == []
+    harness.put("a", 10.0, incarnation=2)
+    harness.put("b", 10.0, incarnation=8, ip="10.0.0.2")
+    assert harness.ids() == ["a", "b"]
+
+
 def test_server_that_left_is_not_used_as_one_of_an_isolated_host():
     harness = Harness()
     harness.put("a", 0.0)
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -242,8 +242,8 @@
     head = request_bytes(method="POST", fields="Content-Length: 60000\r\n")
     caller.sendall(head)
     await until(lambda: all(each._closed for each in server.connections))
-    for _ in range(2):
-        caller.sendall(b"x" * 30_000)
+    for _ in range(3):
+        caller.sendall(b"x" * 20_000)
         await asyncio.sleep(0.05)
     assert caller.recv(1_000).split()[1] == b"413"
     caller.close()
--- a/packages/sassafraswinch-sidecar/tests/test_limited_servers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_limited_servers.py
@@ -40,6 +40,14 @@
     return server
 
 
+async def until_all_have_read_the_store(fleet):
+    await until(
+        lambda: all(
+            node.sidecar._data.revision == fleet.store.revision for node in fleet.nodes
+        )
+    )
+
+
 @pytest.mark.parametrize("limit_per_s", [12.4, 3.0, 0.4])
 async def test_server_gets_no_more_than_the_limit_it_named(fleet, limit_per_s):
     """Guards against a limit that goes through to callers and binds no host."""
@@ -153,11 +161,7 @@
     server.is_leaving = True
     await send_steadily(fleet, fleet.nodes, per_s=LOAD_PER_S, seconds=0.5)
     await node.put_instance(fleet.store, leaving=False)
-    await until(
-        lambda: all(
-            n.sidecar._data.revision == fleet.store.revision for n in fleet.nodes
-        )
-    )
+    await until_all_have_read_the_store(fleet)
     await node.kill()
     node.start()
     ingress = [each for each in fleet.nodes if each is not node]
@@ -178,15 +182,36 @@
     await fleet.store.put(f"{INSTANCE}i-{node.ip}", None)
     await node.put_instance(fleet.store, name="i-successor")
     ended = len(server.arrivals_s)
-    await until(
-        lambda: all(
-            n.sidecar._data.revision == fleet.store.revision for n in fleet.nodes
-        )
-    )
+    await until_all_have_read_the_store(fleet)
     await send_steadily(fleet, fleet.nodes, per_s=LOAD_PER_S, seconds=1.0)
     assert len(server.arrivals_s) > ended
 
 
+async def test_next_lifetime_of_a_leaving_server_under_its_id_is_used(fleet):
+    """Guards against a leave notice that outlasts its lifetime where ids are kept, and
+    against one that is forgotten in its lifetime when the sidecar beside it is killed.
+    """
+    node, *_ = fleet.nodes_of("archiv")
+    await node.put_instance(fleet.store, incarnation=1)
+    await until_all_have_read_the_store(fleet)
+    server = stating_server(fleet)
+    server.is_leaving = True
+    await send_steadily(fleet, fleet.nodes, per_s=LOAD_PER_S, seconds=0.5)
+    await node.kill()
+    node.start()
+    ingress = [each for each in fleet.nodes if each is not node]
+    await send_steadily(fleet, ingress, per_s=LOAD_PER_S, seconds=1.0)
+    assert server.arrivals_after_notice() == []
+
+    server.is_leaving = False
+    await node.put_instance(fleet.store, incarnation=2)
+    await until_all_have_read_the_store(fleet)
+    ended = len(server.arrivals_s)
+    load = await send_steadily(fleet, ingress, per_s=LOAD_PER_S, seconds=1.0)
+    assert len(server.arrivals_s) > ended
+    assert load.statuses == {200}
+
+
 async def test_status_page_and_metrics_show_limits(fleet):
     """An operator sees the limit, whose word it is, and what it held back."""
     node, *_ = fleet.nodes_of("archiv")
--- a/packages/sassafraswinch-sidecar/tests/test_local_notices.py
+++ b/packages/sassafraswinch-sidecar/tests/test_local_notices.py
@@ -1,5 +1,6 @@
 """Tests of the latest notice of the local backend server."""
 
+import dataclasses
 import math
 
 import pytest
@@ -183,3 +184,75 @@
     if notices.latest().leaving:
         fleet.record_leave_notice(notices.latest().instance_id)
     assert [found.id for found in fleet.of_service("archiv")] == ["i-1"]
+
+
+LEAVING = ServerNotice(leaving=True)
+
+
+def in_force(notices):
+    """Return the limit and whether the server is leaving."""
+    return notices.limit_per_s, notices.leaving
+
+
+def test_limit_and_leave_notice_end_with_the_registration_of_the_next_lifetime(clocks):
+    """Guards against a limit that outlasts its lifetime until the next response."""
+    notices = clocks.new_notices()
+    notice = ServerNotice(rate_limit_per_s=3.0, leaving=True)
+    notices.record_response("i-1", notice, 1)
+    notices.record_registration("i-1", 1)
+    assert in_force(notices) == (3.0, True)
+    notices.record_registration("i-1", 2)
+    assert in_force(notices) == (None, False)
+    assert notices.latest() is None
+
+
+def test_response_that_states_nothing_takes_no_leave_notice_back(clocks):
+    """Guards against a response made before the notice and read after it."""
+    notices = clocks.new_notices()
+    notices.record_response("i-1", LEAVING, 1)
+    notices.record_response("i-1", NO_NOTICE, 1)
+    notices.record_registration("i-1", 1)
+    assert notices.leaving
+
+
+def test_late_response_of_a_former_lifetime_states_nothing(clocks):
+    """Guards against a leave notice of the former server, read on another connection
+    after its successor was registered.
+    """
+    notices = clocks.new_notices()
+    notices.record_response("i-1", NO_NOTICE, 1)
+    notices.record_registration("i-1", 2)
+    notices.record_response("i-1", ServerNotice(rate_limit_per_s=3.0, leaving=True), 1)
+    assert in_force(notices) == (None, False)
+    notices.record_response("i-1", LEAVING, 2)
+    assert notices.leaving
+
+
+def test_restarted_process_takes_notices_of_its_server_lifetime_only(clocks):
+    """Guards against peers that return a notice of the former lifetime."""
+    old = report(4_000_000, leaving=True)
+    old = dataclasses.replace(old, incarnation=1)
+    unaware = clocks.new_notices()
+    unaware.merge_report(old)
+    assert in_force(unaware) == (3.0, True)
+    unaware.record_registration("i-1", 2)
+    assert in_force(unaware) == (None, False)
+    unaware.merge_report(old)
+    assert in_force(unaware) == (None, False)
+    answered = clocks.new_notices()
+    answered.record_response("i-1", NO_NOTICE, 2)
+    answered.merge_report(old)
+    assert in_force(answered) == (None, False)
+
+
+def test_notice_read_before_the_registration_is_reported_with_its_lifetime(clocks):
+    """Guards against a notice whose lifetime peers can't tell while the store is silent
+    when it is read.
+    """
+    notices = clocks.new_notices()
+    notices.record_response("i-1", LEAVING)
+    first = notices.latest()
+    notices.record_registration("i-1", 4)
+    assert notices.latest().incarnation == 4
+    assert notices.latest().stamp > first.stamp
+    assert notices.leaving
--- a/packages/sassafraswinch-sidecar/tests/test_placement.py
+++ b/packages/sassafraswinch-sidecar/tests/test_placement.py
@@ -208,10 +208,13 @@
     assert choices(loads, found)["i-1"] < 200 * 0.75
 
 
-def limited_load(instance_id, limit_per_s, *, wait_ms=0, stamp=1):
+def limited_load(instance_id, limit_per_s, *, wait_ms=0, stamp=1, incarnation=0):
     """Return the report of a server with a rate limit."""
     notice = NoticeReport(
-        instance_id=instance_id, stamp=stamp, rate_limit_per_s=limit_per_s
+        instance_id=instance_id,
+        stamp=stamp,
+        rate_limit_per_s=limit_per_s,
+        incarnation=incarnation,
     )
     return ServerLoad(0, 0, 60, notice, wait_ms, 200_000)
 
@@ -244,6 +247,15 @@
     assert load.rate_limit_of("i-2") is None
 
 
+def test_next_lifetime_under_the_same_id_does_not_inherit_the_limit():
+    """Guards against a limit that outlasts its lifetime where ids are kept."""
+    load = PeerLoad()
+    load.apply_report(limited_load("i-1", 0.4, incarnation=1), 0.0)
+    assert load.rate_limit_of("i-1", 1) == 0.4
+    assert load.rate_limit_of("i-1", 2) is None
+    assert load.notice_of("i-1", 2) is None
+
+
 def test_older_notice_does_not_replace_a_newer_one():
     """Guards against a limit that depends on the order in which reports arrive."""
     load = PeerLoad()
