Capacity shares: one definition of a full service

Callers saw: whether a request that needs a service without capacity was refused or admitted (and then refused below) depended on whether other kinds of request filled another service.

Cause: the early return asked whether each demand is below the capacity, the filling whether no more than EPSILON is left. A kind without arrivals that needs a service of capacity up to 1e-9 passed the first and not the second.

The new test shows it without drawn examples: capacities 1e-12, 1e-10 and 1e-9 failed, 0.0, 1.1e-9 and 1e-6 passed.

Change: _is_full is the one definition; the early return, the scarce resources and the blocked kinds all ask it of what is left. Searched for others in the gate, placement, the server queue and the pace of limited servers: these compare whole slots, or have one rounding bound (server_pace).

--- a/packages/sassafraswinch/sassafraswinch/capacity_shares.py
+++ b/packages/sassafraswinch/sassafraswinch/capacity_shares.py
@@ -65,8 +65,9 @@
         worth_of: worth of a request by its priority; without it the more important
             kinds go first, however little capacity the others use.
     """
-    if all(
-        _total_demand(claims, each) < capacity for each, capacity in capacities.items()
+    if not any(
+        _is_full(capacity - _total_demand(claims, resource))
+        for resource, capacity in capacities.items()
     ):
         return {}
     left = dict(capacities)
@@ -128,6 +129,15 @@
     return worth / cost if cost else 0.0
 
 
+def _is_full(left: float) -> bool:
+    """Return whether a resource of which so much is left admits no further request.
+
+    A kind without arrivals uses nothing, and is refused where nothing is left. So the
+    answer must not depend on whether other kinds need a resource that is full.
+    """
+    return left <= EPSILON
+
+
 def _total_demand(claims: Collection[Claim], resource: Hashable) -> float:
     return sum(claim.demand_for(resource) for claim in claims)
 
@@ -159,12 +169,12 @@
 ) -> dict[str, float]:
     """Return the largest share of a scarce resource that one request/s of a kind uses.
 
-    A resource is scarce if the claims demand more of it than is left.
+    A resource is scarce if it is full with all that the claims demand of it.
     """
     scarce = {
         resource: max(capacity, EPSILON)
         for resource, capacity in left.items()
-        if _total_demand(claims, resource) > capacity
+        if _is_full(capacity - _total_demand(claims, resource))
     }
     return {
         claim.kind: max(
@@ -205,7 +215,7 @@
 
     A kind with no arrivals is blocked as well: its next request must be refused.
     """
-    full = [resource for resource, capacity in left.items() if capacity <= EPSILON]
+    full = [resource for resource, capacity in left.items() if _is_full(capacity)]
     unblocked = []
     for claim in growing:
         blocking = [resource for resource in full if claim.costs.get(resource, 0.0)]
--- a/packages/sassafraswinch/tests/test_capacity_shares.py
+++ b/packages/sassafraswinch/tests/test_capacity_shares.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from sassafraswinch.capacity_shares import Claim, capacity_shares
+from sassafraswinch.capacity_shares import EPSILON, Claim, capacity_shares
 
 QUOTE = Claim(
     kind="quote",
@@ -70,6 +70,20 @@
         assert capacity_shares(claims, {"a": 0.0})["k"].share == 0.0
 
 
+@pytest.mark.parametrize("capacity", [0.0, 1e-12, 1e-10, 1e-9, 1.1e-9, 1e-6])
+def test_kind_without_arrivals_is_decided_alike_alone_and_beside_others(capacity):
+    """Guards against two definitions of a full service, which let other kinds of
+    request decide whether one is refused.
+    """
+    rare = Claim(kind="rare", priority=0, rate_per_s=0.0, costs={"a": 1.0})
+    busy = Claim(kind="busy", priority=1, rate_per_s=10.0, costs={"b": 1.0})
+    capacities = {"a": capacity, "b": 5.0}
+    alone = capacity_shares([rare], capacities)
+    beside = capacity_shares([rare, busy], capacities)
+    assert beside.get("rare") == alone.get("rare")
+    assert ("rare" in alone) == (capacity <= EPSILON)
+
+
 RESOURCES = ("a", "b", "c")
 
 
