The ramp of a cold server goes on while calls wait

What was suspected, and ruled out: that the adaptive gate takes a late event loop for a slow server.

Cause: a caller that gets no processor time sends its requests in a burst. The gate of a server that has just started runs 2 of its 8 slots and lets 4 calls wait. The limit should grow with each call that is answered while calls wait; it grew only if a further call had come to wait in the same round of 100 ms, in effect once a round. So calls waited for over 100 ms beside free slots, and each refusal closed the classes below for a while.

Change: an answer while calls wait counts as reaching the limit.

Tried and reverted: calls that the ramp's goal would fit are neither evicted nor overdue; three tests of the order of refusals, which use a cold gate, failed.

--- a/packages/sassafraswinch/sassafraswinch/admission.py
+++ b/packages/sassafraswinch/sassafraswinch/admission.py
@@ -107,6 +107,9 @@
         if running is None:
             return NO_ACTION
         held_ms = now_ms - running.started_at_ms
+        if self._waiting:
+            # A ramp goes on while calls wait, also if none has arrived in this round.
+            self._limit.record_reached()
         if outcome is BackendOutcome.OK:
             self._times.record(running.operation, held_ms, now_ms)
             self._service_rate.record_success(held_ms)
--- a/packages/sassafraswinch/tests/test_admission.py
+++ b/packages/sassafraswinch/tests/test_admission.py
@@ -119,6 +119,20 @@
     assert driver.offer("next paying").start
 
 
+def test_ramp_of_a_cold_server_goes_on_while_calls_wait(driver):
+    """Guards against calls that are refused for their wait at a server with free slots:
+    a burst finds a cold limit, which grew once a round although all its calls waited.
+    """
+    for key in "cdef":
+        assert not driver.offer(key).refused
+    driver.now_ms = 0.95 * MAX_WAIT_MS
+    started = [*driver.finish("a").start, *driver.finish("b").start]
+    driver.now_ms = MAX_WAIT_MS + 1
+    decision = driver.gate.tick(driver.now_ms)
+    assert not decision.refused
+    assert [*started, *decision.start] == list("cdef")
+
+
 def test_call_that_cannot_finish_in_time_is_refused_until_the_estimate_expires():
     """Calls take 300 ms, then the deadlines of all calls are 100 ms away.
 
