A sidecar answers the requests that it gives up when it ends

Evidence: test_stopped_sidecar_answers_requests_that_its_server_did_not got no response within the drain time before (504 of the route's timeout, from a loop that a real process doesn't have any more).

Change: they get their final response then, a 502 where they may have run, and no more than that: the requests had all the time that a stop has. The log line `stopped` says how many connections were aborted at its end, so that a cut connection can be told from one that its caller closed.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -430,20 +430,24 @@
         """
         self.closing = True
 
-    async def close(self) -> None:
+    async def close(self) -> int:
         """Stop listening, and close the connections once their requests are answered.
 
-        Connections that are still open after ``CLOSE_TIMEOUT_MS`` are aborted.
+        Returns:
+            The number of connections that were still open after ``CLOSE_TIMEOUT_MS``,
+            and were aborted.
         """
         self.closing = True
+        aborted = 0
         if self._server is not None:
             await finish_handshakes(self._socket)
             self._server.close()
-            await self._close_connections()
+            aborted = await self._close_connections()
         if self._timeout_task is not None:
             self._timeout_task.cancel()
+        return aborted
 
-    async def _close_connections(self) -> None:
+    async def _close_connections(self) -> int:
         loop = asyncio.get_running_loop()
         ends_ms = loop.time() * 1000 + CLOSE_TIMEOUT_MS
         while self.connections and loop.time() * 1000 < ends_ms:
@@ -451,8 +455,10 @@
             for connection in list(self.connections):
                 connection.stop(now_ms)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
-        for connection in list(self.connections):
+        open_connections = list(self.connections)
+        for connection in open_connections:
             connection.abort()
+        return len(open_connections)
 
     def _new_connection(self) -> CallerConnection:
         return CallerConnection(
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -177,7 +177,12 @@
             if relay.deadline_ms < overdue_ms
         ]
         for relay in overdue:
-            self._time_out(relay)
+            self._give_up(relay, "deadline")
+
+    def end_open_requests(self) -> None:
+        """Send the requests in flight their final responses before the process ends."""
+        for relay in list(self._open_by_http.values()):
+            self._give_up(relay, "stopped")
 
     def apply_pause(self, paused_ms: float) -> None:
         """Subtract a process pause that the clock did not count from all deadlines."""
@@ -457,13 +462,14 @@
             status = MAY_HAVE_RUN_STATUS if in_time else TIMEOUT_STATUS
             self._fail(relay, reason, status)
 
-    def _time_out(self, relay: Relay) -> None:
+    def _give_up(self, relay: Relay, reason: str) -> None:
+        """End a request without waiting for the response to its current attempt."""
         if relay.ended:
             return
         if relay.call_id in self.relays:
             relay.may_have_run = True
         self._cancel(relay)
-        self._conclude(relay, "deadline")
+        self._conclude(relay, reason)
 
     def _cancel(self, relay: Relay) -> None:
         if self.relays.pop(relay.call_id, None) is None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -517,12 +517,18 @@
             in_flight=self._in_flight,
             refuse_new=self._owner.close,
         )
+        self._owner.end_open_requests()
 
     async def _close(self) -> None:
         # Callers still get their responses and refusals while the listeners close.
         listeners = (self._outbound, self._ready, self._metrics)
-        await asyncio.gather(*(listener.close() for listener in listeners))
-        log_event("stopped", level="warning", in_flight=self._in_flight())
+        aborted = await asyncio.gather(*(listener.close() for listener in listeners))
+        log_event(
+            "stopped",
+            level="warning",
+            in_flight=self._in_flight(),
+            aborted_connections=sum(aborted),
+        )
         for task in self._tasks:
             task.cancel()
         await self._links.close()
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -303,6 +303,19 @@
     assert (await call(other.settings.address("ready"), target="/ready")).status == 200
 
 
+async def test_stopped_sidecar_answers_requests_that_its_server_did_not(fleet):
+    """Guards against requests whose connection just ends with the drain time."""
+    node = fleet.nodes[2]
+    for archiv_node in fleet.nodes_of("archiv"):
+        archiv_node.backend.behaviour = lambda connection, seen: None
+    pending = asyncio.create_task(fleet.call(node, time_left_ms=15_000))
+    await until(lambda: any(each.backend.seen for each in fleet.nodes_of("archiv")))
+    node.sidecar._stopping.set()
+    got = await asyncio.wait_for(pending, 20.0)
+    assert (got.status, got.headers["connection"]) == (502, "close")
+    await asyncio.wait_for(node.task, 20.0)
+
+
 async def test_child_call_is_attributed_to_route_of_parent(fleet):
     """The server that runs a request calls another service through its own sidecar. The
     slot time of the child call counts for the route of its parent request.
