--- a/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
@@ -7,6 +7,7 @@
 import struct
 import termios
 from contextlib import suppress
+from typing import Protocol
 
 BACKLOG = 1024
 """Maximum length of the queue of connections waiting to be accepted."""
@@ -31,6 +32,13 @@
 """Classic BPF program, run on each segment from its TCP header on."""
 
 
+class Connection(Protocol):
+    """A connected socket, or a transport's view of one."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor, or -1 if it is closed."""
+
+
 def bind(ip: str, port: int, *, backlog: int = BACKLOG) -> socket.socket:
     """Return a listening socket; port 0 selects a free port.
 
@@ -76,12 +84,8 @@
     await asyncio.sleep(HANDSHAKE_TIMEOUT_MS / 1000)
 
 
-def has_unread_bytes(connection) -> bool:
-    """Return whether a connection has received bytes that the process hasn't read.
-
-    Args:
-        connection: the connection's socket, or a transport's view of it.
-    """
+def has_unread_bytes(connection: Connection) -> bool:
+    """Return whether a connection has received bytes that the process hasn't read."""
     try:
         count = fcntl.ioctl(connection.fileno(), termios.FIONREAD, b"\0" * 4)
     except (OSError, ValueError):
