A leave notice is announced for each lifetime

Callers would have seen: a server that starts again under its id and leaves again goes on getting requests from hosts that were not told.

Cause: peers were notified when the notice changed to leaving; from one leaving lifetime to the next it doesn't change, nor when its lifetime becomes known.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_handler.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_handler.py
@@ -116,6 +116,15 @@
         if is_changed:
             pace.set_limit(notices.limit_per_s, self._now_ms())
             self._on_paced()
-        began_to_leave = notices.leaving and not (former and former.leaving)
-        if is_changed or began_to_leave:
+        if is_changed or (notices.leaving and not self._was_leaving(former)):
             self._on_notice()
+
+    def _was_leaving(self, former: StampedNotice | None) -> bool:
+        """Return whether a former notice says that the current lifetime is leaving."""
+        notices = self._notices
+        return (
+            former is not None
+            and former.leaving
+            and former.instance_id == notices.instance_id
+            and former.incarnation == notices.incarnation
+        )
