--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/local_notices.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/local_notices.py
@@ -166,16 +166,15 @@
 
     def _is_former(self, instance_id: str, incarnation: int) -> bool:
         """Return whether a lifetime is known to be over: a later one is registered."""
-        return (
-            instance_id == self.instance_id
-            and NO_INCARNATION != incarnation < self.incarnation
-        )
+        is_known = incarnation != NO_INCARNATION
+        is_older = is_known and incarnation < self.incarnation
+        return instance_id == self.instance_id and is_older
 
     def _enter_lifetime(self, instance_id: str, incarnation: int) -> None:
         """Start a lifetime unless it is the current one, perhaps not known as such."""
         if instance_id != self.instance_id:
             self._start_lifetime(instance_id, incarnation)
-        elif self.incarnation == NO_INCARNATION != incarnation:
+        elif incarnation > self.incarnation == NO_INCARNATION:
             self.incarnation = incarnation
             # Peers accept the notice with its lifetime only if it is newer.
             self._stamp += 1
