One copy of the times of a stop; the soak draws as before

The first request's time and the interval of the checks stood in the node's and the sidecar's listener alike; both now take them from listening_sockets. The soak's callers drew a random number for each request even where none opens connections of its own, which moved the schedules of the other soaks' seeds; without a share they draw nothing.

No change of behaviour.

--- a/packages/sassafraswinch-node/sassafraswinch_node/caller_protocol.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/caller_protocol.py
@@ -4,11 +4,10 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from sassafraswinch_node.listening_sockets import has_unread_bytes
-
-FIRST_REQUEST_TIMEOUT_MS = 200.0
-"""Time for which a stop waits for the first request of a new connection. Callers
-connect when they have a request to send, and a starved one sends it late."""
+from sassafraswinch_node.listening_sockets import (
+    FIRST_REQUEST_TIMEOUT_MS,
+    has_unread_bytes,
+)
 
 LINGER_TIMEOUT_MS = 500.0
 """Time for which a connection that this process ends is read for its caller's end."""
--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -7,7 +7,11 @@
 import uvicorn
 
 from sassafraswinch_node.caller_protocol import CallerProtocol
-from sassafraswinch_node.listening_sockets import bind, finish_handshakes
+from sassafraswinch_node.listening_sockets import (
+    CLOSE_CHECK_INTERVAL_S,
+    bind,
+    finish_handshakes,
+)
 from sassafraswinch_node.settings import Address
 
 KEEP_ALIVE_S = 75
@@ -16,9 +20,6 @@
 IDLE_CLOSE_TIMEOUT_MS = 1_000.0
 """Time limit of a stop for connections without a request in progress."""
 
-CLOSE_CHECK_INTERVAL_S = 0.01
-"""Interval of the checks for idle connections during a stop."""
-
 
 class _Server(uvicorn.Server):
     """A uvicorn server without signal handlers; the node installs its own."""
--- a/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
@@ -16,6 +16,13 @@
 """Time allowed for handshakes that are under way when a listening socket is about to
 close: several round trips between availability zones."""
 
+FIRST_REQUEST_TIMEOUT_MS = 200.0
+"""Time for which a stop waits for the first request of a new connection. Callers
+connect when they have a request to send, and a starved one sends it late."""
+
+CLOSE_CHECK_INTERVAL_S = 0.01
+"""Interval of the checks for idle connections during a stop."""
+
 _SO_ATTACH_FILTER = 26
 """Linux socket option that the socket module doesn't name."""
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -11,6 +11,8 @@
 
 from sassafraswinch_node.listening_sockets import (
     BACKLOG,
+    CLOSE_CHECK_INTERVAL_S,
+    FIRST_REQUEST_TIMEOUT_MS,
     bind,
     finish_handshakes,
     has_unread_bytes,
@@ -30,10 +32,6 @@
 """Idle time after which a draining listener closes a connection. Callers that use it
 more often learn of the stop from a response."""
 
-FIRST_REQUEST_TIMEOUT_MS = 200.0
-"""Time for which a stop waits for the first request of a new connection. Callers
-connect when they have a request to send, and a starved one sends it late."""
-
 LINGER_TIMEOUT_MS = 300.0
 """Time for which a connection that this process ends is read for its caller's end."""
 
@@ -41,9 +39,6 @@
 """Time limit of a stop for the connections that are still open. It includes the time
 for the first request of a new connection."""
 
-CLOSE_CHECK_INTERVAL_S = 0.01
-"""Interval of the checks for idle connections during a stop."""
-
 NO_MEMORY_STATUS = 503
 NO_MEMORY_RETRY_FIELD = b"Retry-After: 1\r\n"
 """Retry delay for callers whose bodies exceed the memory limit: the buffered data is
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -139,7 +139,9 @@
                 writer.close()
 
     async def _get_connection(self, sent: SoakRequest) -> tuple:
-        is_new_wanted = self._rng.random() < self.new_connection_share
+        # Draws nothing without a share: other soaks keep the schedules of their seeds.
+        share = self.new_connection_share
+        is_new_wanted = share > 0 and self._rng.random() < share
         while self._idle_connections and not is_new_wanted:
             reader, writer = self._idle_connections.pop()
             if not reader.at_eof():
