A stop accepts every waiting connection before its socket closes

Callers saw a reset connection on a request sent whole while a busy sidecar stopped.

Cause: finish_handshakes slept 20 ms and closed the listening socket, whatever was still waiting. uvloop accepts one connection in each turn of the event loop and runs due timers before it accepts, so a process that gets no turns for 20 ms, or few, closes over its accept queue. asyncio's loop accepts all that wait in one turn, before the timers.

Change: after the 20 ms the stop goes on turn by turn while the listening socket is readable, at most twice the queue's length. New handshakes are dropped meanwhile, so the queue only shrinks: time no longer decides. The node's listener uses the same function.

--- a/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
@@ -3,6 +3,7 @@
 import array
 import asyncio
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -16,6 +17,10 @@
 """Time allowed for handshakes that are under way when a listening socket is about to
 close: several round trips between availability zones."""
 
+MAX_ACCEPT_TURNS = 2 * BACKLOG
+"""Maximum number of turns of the event loop that a stop waits for an empty queue of
+connections. Only accepts that fail, or a system without socket filters, need more."""
+
 FIRST_REQUEST_TIMEOUT_MS = 200.0
 """Time for which a stop waits for the first request of a new connection. Callers
 connect when they have a request to send, and a starved one sends it late."""
@@ -86,9 +91,24 @@
     Closing a listening socket resets the connections that the kernel has established
     and the process hasn't accepted. Their callers have sent requests, and can't know
     that these didn't run. The event loop must be accepting connections meanwhile.
+
+    uvloop accepts one connection in each turn, and a starved process gets no turn for
+    longer than the timeout. So turns are counted, not time, until none is waiting.
     """
     block_handshakes(listening)
     await asyncio.sleep(HANDSHAKE_TIMEOUT_MS / 1000)
+    for _ in range(MAX_ACCEPT_TURNS):
+        if not _has_waiting_connection(listening):
+            return
+        await asyncio.sleep(0)
+
+
+def _has_waiting_connection(listening: socket.socket) -> bool:
+    if listening.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(listening, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 def has_unread_bytes(connection: Connection) -> bool:
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
 
@@ -202,6 +203,21 @@
         caller.close()
 
 
+async def test_close_answers_connections_that_came_while_the_process_was_paused(server):
+    """Guards against a close that takes elapsed time for turns of the event loop."""
+    callers = [socket.create_connection(("127.0.0.1", server.port)) for _ in range(40)]
+    for caller in callers:
+        caller.sendall(request_bytes())
+    closing = asyncio.create_task(server.close())
+    await asyncio.sleep(0)
+    time.sleep(0.05)
+    await closing
+    answers = [caller.recv(1_000) for caller in callers]
+    assert [answer.split()[1] for answer in answers] == [b"200"] * len(callers)
+    for caller in callers:
+        caller.close()
+
+
 async def test_new_connections_are_refused_and_not_reset_when_the_socket_closes(server):
     """Guards against handshakes that end after the last connection was accepted."""
     closing = asyncio.create_task(server.close())
