A stop reads what has arrived before its time limit ends connections

Callers saw a reset (sidecar) or a connection closed without a response (node) for a request that reached a stopping process while it got no processor time until the end of the stop's time limit.

After CLOSE_TIMEOUT_MS and IDLE_CLOSE_TIMEOUT_MS the rest was aborted or closed, also where a turn to read had never come.

Evidence: tests that pause the process for the time limit plus 0.1 s just before the next check.

Change: before that end, turns of the event loop until no connection has unread bytes, 16 at most, since reading may be paused.

--- a/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listeners.py
@@ -11,6 +11,7 @@
     CLOSE_CHECK_INTERVAL_S,
     bind,
     finish_handshakes,
+    read_received_bytes,
 )
 from sassafraswinch_node.settings import Address
 
@@ -46,6 +47,10 @@
             for connection in list(self.server_state.connections):
                 connection.stop(since_s)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+        await read_received_bytes(
+            connection.transport.get_extra_info("socket")
+            for connection in self.server_state.connections
+        )
 
 
 class HttpListener:
--- a/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/listening_sockets.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import Protocol
 
@@ -21,6 +22,10 @@
 """Maximum number of turns of the event loop that a stop waits for an empty queue of
 connections. Only accepts that fail, or a system without socket filters, need more."""
 
+MAX_READ_TURNS = 16
+"""Maximum number of turns of the event loop at the end of a stop in which received bytes
+are read. Only connections whose reading is paused need more."""
+
 FIRST_REQUEST_TIMEOUT_MS = 200.0
 """Time for which a stop waits for the first request of a new connection. Callers
 connect when they have a request to send, and a starved one sends it late."""
@@ -118,3 +123,15 @@
     except (OSError, ValueError):
         return False
     return bool(struct.unpack("i", count)[0])
+
+
+async def read_received_bytes(connections: Iterable[Connection]) -> None:
+    """Let the event loop read what connections have received.
+
+    A starved process reaches a time limit without a turn in which it could read.
+    """
+    open_connections = list(connections)
+    for _ in range(MAX_READ_TURNS):
+        if not any(map(has_unread_bytes, open_connections)):
+            return
+        await asyncio.sleep(0)
--- a/packages/sassafraswinch-node/tests/test_listeners.py
+++ b/packages/sassafraswinch-node/tests/test_listeners.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
-from sassafraswinch_node.listeners import HttpListener
+from sassafraswinch_node.listeners import IDLE_CLOSE_TIMEOUT_MS, HttpListener
+from sassafraswinch_node.listening_sockets import CLOSE_CHECK_INTERVAL_S
 from sassafraswinch_node.settings import Address
 
 
@@ -121,6 +123,28 @@
     await stopping
 
 
+async def test_stop_answers_requests_that_came_while_the_process_was_paused(listener):
+    """Guards against a stop whose time limit ends before it has read what arrived."""
+    caller = connect(listener)
+    await until(lambda: listener._server.server_state.connections)
+    (connection,) = listener._server.server_state.connections
+    loop = asyncio.get_running_loop()
+
+    def pause():
+        caller.sendall(REQUEST)
+        time.sleep(IDLE_CLOSE_TIMEOUT_MS / 1000 + 0.1)
+
+    def pause_before_the_next_check(since_s):
+        connection.stop = lambda since_s: None
+        loop.call_later(CLOSE_CHECK_INTERVAL_S, pause)
+
+    connection.stop = pause_before_the_next_check
+    server = listener._server
+    stopping = asyncio.create_task(server.shutdown(sockets=[listener._socket]))
+    assert (await read_to_end(caller)).split()[1:2] == [b"200"]
+    await stopping
+
+
 async def test_request_in_the_receive_buffer_keeps_its_connection_open(listener, app):
     """Guards against an idle connection that is closed over an unread request."""
     caller = connect(listener, requests=1)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -13,9 +13,11 @@
     BACKLOG,
     CLOSE_CHECK_INTERVAL_S,
     FIRST_REQUEST_TIMEOUT_MS,
+    Connection,
     bind,
     finish_handshakes,
     has_unread_bytes,
+    read_received_bytes,
 )
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
@@ -105,6 +107,11 @@
         self._write_blocked_ms: float | None = None
         self._reset_message()
 
+    @property
+    def socket(self) -> Connection:
+        """The connection's socket; only its descriptor may be used."""
+        return self._transport.get_extra_info("socket")
+
     def _reset_message(self) -> None:
         self._target = b""
         self._fields: Fields = []
@@ -300,7 +307,7 @@
             return
         if self._in_message or now_ms - self._idle_since_ms < timeout_ms:
             return
-        if not has_unread_bytes(self._transport.get_extra_info("socket")):
+        if not has_unread_bytes(self.socket):
             self._close()
 
     def _handle_next(self) -> None:
@@ -453,6 +460,7 @@
                 connection.stop(now_ms, since_ms)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
             now_ms = loop.time() * 1000
+        await read_received_bytes(each.socket for each in self.connections)
         open_connections = list(self.connections)
         for connection in open_connections:
             connection.abort()
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from sassafraswinch_node.listening_sockets import CLOSE_CHECK_INTERVAL_S
 from sassafraswinch_sidecar.held_bytes import HeldBytes
-from sassafraswinch_sidecar.http_server import HttpListener
+from sassafraswinch_sidecar.http_server import CLOSE_TIMEOUT_MS, HttpListener
 from sassafraswinch_sidecar.routes import RequestLimits
 from sidecar_standins.fleet import read_answer, request_bytes, until
 
@@ -162,6 +163,13 @@
     idle.close()
 
 
+async def status_received(caller):
+    """Return the status that a caller's socket receives."""
+    caller.setblocking(False)
+    received = asyncio.get_running_loop().sock_recv(caller, 1_000)
+    return (await asyncio.wait_for(received, 20)).split()[1]
+
+
 async def accepted_connection(server):
     """Return a new connection that the server has accepted, without a request."""
     reader, writer = await send(server)
@@ -212,12 +220,33 @@
     await asyncio.sleep(0)
     time.sleep(0.05)
     await closing
-    answers = [caller.recv(1_000) for caller in callers]
-    assert [answer.split()[1] for answer in answers] == [b"200"] * len(callers)
+    statuses = [await status_received(caller) for caller in callers]
+    assert statuses == [b"200"] * len(callers)
     for caller in callers:
         caller.close()
 
 
+async def test_close_answers_requests_that_came_while_the_process_was_paused(server):
+    """Guards against a stop whose time limit ends before it has read what arrived."""
+    caller = socket.create_connection(("127.0.0.1", server.port))
+    await until(lambda: len(server.connections) == 1)
+    (connection,) = server.connections
+    loop = asyncio.get_running_loop()
+
+    def pause():
+        caller.sendall(request_bytes())
+        time.sleep(CLOSE_TIMEOUT_MS / 1000 + 0.1)
+
+    def pause_before_the_next_check(now_ms, since_ms):
+        connection.stop = lambda now_ms, since_ms: None
+        loop.call_later(CLOSE_CHECK_INTERVAL_S, pause)
+
+    connection.stop = pause_before_the_next_check
+    await server.close()
+    assert await status_received(caller) == b"200"
+    caller.close()
+
+
 async def test_new_connections_are_refused_and_not_reset_when_the_socket_closes(server):
     """Guards against handshakes that end after the last connection was accepted."""
     closing = asyncio.create_task(server.close())
