Tool tests: children receive SIGINT however the tests were started

Cause: a shell without job control starts background commands with SIGINT ignored, children inherit that, and Python installs no handler then.

Change: a fixture starts children with the signal's default action.

--- a/packages/sassafraswinch-tool/tests/conftest.py
+++ b/packages/sassafraswinch-tool/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import signal
 import threading
 
 import pytest
@@ -111,6 +112,18 @@
         return JSONResponse(hosts, status_code=self.host_list_http_status)
 
 
+@pytest.fixture(autouse=True)
+def sigint_reaches_children():
+    """Start children with SIGINT at its default action, as a terminal does.
+
+    A shell without job control starts background commands with the signal ignored, and
+    all their children inherit that.
+    """
+    inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, inherited)
+
+
 @pytest.fixture
 def fleet():
     fleet = StubFleet()
