Admission levels are spread evenly over consecutive requests

Cause: each root request drew its admission level independently, so of 67 planned requests the number that was admitted varied by 8.

Change: levels of each admission class go in steps of the golden ratio from a random start; a request draws its level after its caller's rate limit has admitted it. Any run of up to 1000 requests is admitted within three requests of its share.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
@@ -14,10 +14,7 @@
 
 from sassafraswinch.capacity_shares import Allocation, Claim, capacity_shares
 from sassafraswinch.ranks import route_priority_of
-
-LEVELS = 1_000
-"""Number of admission levels. A root request draws a level at random, which its call
-tree keeps; it is admitted if the admitted share of its route exceeds the level."""
+from sassafraswinch_sidecar.admission_levels import LEVELS
 
 PLANNED_SLOT_SHARE = 0.97
 """Share of a service's slots that is planned for admitted requests, before correction.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -7,6 +7,7 @@
 from sassafraswinch.crash_suspects import Restriction, SuspectDecision
 from sassafraswinch.organisation_rates import OrganisationRates
 from sassafraswinch.request_digest import digest_request, digest_text
+from sassafraswinch_sidecar.admission_levels import AdmissionLevels
 from sassafraswinch_sidecar.caller_responses import (
     MAY_HAVE_RUN_STATUS,
     MIN_RETRY_AFTER_MS,
@@ -97,6 +98,7 @@
         placement: Placement,
         rates: OrganisationRates,
         admission: IngressAdmission,
+        levels: AdmissionLevels,
         budget: RetryBudget,
         suspects: SuspectRequests,
         held: HeldBytes,
@@ -116,6 +118,7 @@
         self._placement = placement
         self._rates = rates
         self._admission = admission
+        self._levels = levels
         self._suspects = suspects
         self._held = held
         self._counters = counters
@@ -232,6 +235,7 @@
     def _admit(self, relay: Relay) -> bool:
         if not self._check_rate(relay):
             return False
+        relay.level = self._levels.draw(relay.admission_class)
         self._admission.record_arrival(relay.admission_class, relay.priority)
         if not self._held.fits():
             # Its response might have to be buffered for a slow reader.
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -1,6 +1,5 @@
 """Intake of callers' requests: finds route, priority, deadline, caller and parent."""
 
-import random
 from dataclasses import dataclass, field
 
 from sassafraswinch.organisations import Organisation, parse_bearer_key
@@ -10,7 +9,6 @@
 from sassafraswinch_sidecar.header_names import HeaderNames
 from sassafraswinch_sidecar.http_fields import NOT_FORWARDED, serialize_end_to_end
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
-from sassafraswinch_sidecar.ingress_admission import LEVELS
 from sassafraswinch_sidecar.instances import InstanceIdentity
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse
 from sassafraswinch_sidecar.routes import Route, RouteTable, WeightedRoundRobin
@@ -41,7 +39,8 @@
         deadline_ms: event loop time at which the caller or the route times out.
         priority: priority of the root request; that of the organisation takes
             precedence over that of the route.
-        level: position of the root request within its priority.
+        level: admission level of the root request, drawn once its caller's rate limit
+            has admitted it.
         parent: execution whose backend server made this call; None for a root request.
         is_retry: whether this request, or one of its ancestors, is a retry.
         caller: organisation whose key the request carries; None for a child call and
@@ -160,7 +159,6 @@
         names: HeaderNames,
         fleet: Fleet,
         executor: Executor,
-        rng: random.Random,
     ):
         self._caller_service_line = b"%b: %b\r\n" % (
             names.caller_service,
@@ -180,7 +178,6 @@
         self._organisation_name = names.organisation
         self._fleet = fleet
         self._executor = executor
-        self._rng = rng
         self._round_robin = WeightedRoundRobin()
 
     def accept_request(
@@ -222,7 +219,7 @@
             priority=parent.request.priority
             if parent
             else _request_priority(caller, route),
-            level=parent.request.level if parent else self._rng.randrange(LEVELS),
+            level=parent.request.level if parent else 0,
             parent=parent,
             is_retry=parent is not None and parent.request.repeated,
             progress=_progress(parent),
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -14,6 +14,7 @@
 from sassafraswinch.crash_suspects import CrashSuspects
 from sassafraswinch.organisation_rates import OrganisationRates, RateRule, Usage
 from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.admission_levels import AdmissionLevels
 from sassafraswinch_sidecar.caller_responses import CallerResponses
 from sassafraswinch_sidecar.configuration_events import (
     log_platform_faults,
@@ -234,7 +235,6 @@
                 names=names,
                 fleet=self._fleet,
                 executor=self._executor,
-                rng=rng,
             ),
             responses=CallerResponses(
                 names=names, counters=self._counts, log=self._log, rng=rng
@@ -252,6 +252,7 @@
             ),
             rates=self._rates,
             admission=self._admission,
+            levels=AdmissionLevels(rng=rng),
             budget=self._budget,
             suspects=self._suspects,
             held=self._held,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
@@ -11,10 +11,7 @@
 
 from sassafraswinch.crash_suspects import Restriction
 from sassafraswinch_sidecar.executor import Execution
-from sassafraswinch_sidecar.ingress_admission import (
-    LEVELS,
-    merge_claims,
-)
+from sassafraswinch_sidecar.ingress_admission import merge_claims
 from sassafraswinch_sidecar.instances import Instance
 from sassafraswinch_sidecar.placement import capacities_of
 from sassafraswinch_sidecar.relay import MAX_REFUSALS
@@ -197,7 +194,7 @@
             headers=b"",
             deadline_ms=min(deadline_ms, parent.deadline_ms) if parent else deadline_ms,
             priority=parent.request.priority if parent else kind.priority,
-            level=parent.request.level if parent else self.rng.randrange(LEVELS),
+            level=parent.request.level if parent else host.levels.draw(name),
             parent=parent,
             is_retry=parent is not None and parent.request.repeated,
             progress=parent.request.progress + parent.calls_done + 1 if parent else 0,
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
@@ -5,6 +5,7 @@
 
 from sassafraswinch.capacity_shares import Claim
 from sassafraswinch.crash_suspects import CrashSuspects
+from sassafraswinch_sidecar.admission_levels import AdmissionLevels
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.ingress_admission import IngressAdmission
 from sassafraswinch_sidecar.instances import Instance
@@ -84,6 +85,7 @@
         self.queue = ServerQueue(limit=int(instance.slots * USABLE_SLOT_SHARE))
         self.loads = {ip: PeerLoad() for ip in ips}
         self.admission = IngressAdmission(worths=worths)
+        self.levels = AdmissionLevels(rng=rng)
         self.totals: FleetTotals = ({}, 0)
         self.demand: list[Claim] = []
         self.budget = RetryBudget(
