--- a/packages/sassafraswinch-sidecar/tests/test_admission_levels.py
+++ b/packages/sassafraswinch-sidecar/tests/test_admission_levels.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, strategies as st
+from hypothesis import given, settings, strategies as st
 
 from sassafraswinch_sidecar import admission_levels
 from sassafraswinch_sidecar.admission_levels import LEVELS, AdmissionLevels
@@ -22,6 +22,7 @@
 WINDOW_S = 5
 
 
+@settings(derandomize=True, deadline=None)
 @given(
     seed=st.integers(0, 1_000),
     share=st.floats(0.0, 1.0),
