Review, case 3: SIGTERM cuts answers that are read slowly

A stopping node waits until its requests are answered, not until the answers are written, and aborts the connections about 4 s after SIGTERM, of 6 s.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
