--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -21,6 +21,8 @@
 GRACE_S = 6
 MEMORY_MB = 300
 MEMORY_CHECK_S = 0.02
+PROBE_INTERVAL_S = 1.0
+MISSES_TO_TAKE_OUT = 2
 START_LIMIT_S = 20.0
 CANNOT_RUN = 2
 
@@ -109,6 +111,7 @@
 
     Attributes:
         peak_mb: most memory that ``enforce_memory`` has seen a process hold.
+        out: names of the machines whose nodes ``probe_readiness`` has taken out.
     """
 
     def __init__(self, *, record: Record, seed: int):
@@ -117,6 +120,7 @@
         self.machines: list[Machine] = []
         self.store = Store()
         self.peak_mb = 0.0
+        self.out: set[str] = set()
         self._prefix = f"127.{60 + os.getpid() % 150}.{1 + os.getpid() // 150 % 250}"
         self._directory = tempfile.TemporaryDirectory()
         self._ports = dict(
@@ -191,6 +195,29 @@
         self.record.add("sigterm", machine=machine.name)
         machine.process.send_signal(signal.SIGTERM)
 
+    async def probe_readiness(self) -> None:
+        """Ask each node each second whether it is ready; two misses take it out."""
+        misses = dict.fromkeys((machine.name for machine in self.machines), 0)
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            answers = [machine.is_ready() for machine in self.machines]
+            ready = await asyncio.gather(*answers)
+            for machine, is_ready in zip(self.machines, ready, strict=True):
+                misses[machine.name] = 0 if is_ready else misses[machine.name] + 1
+                is_out = misses[machine.name] >= MISSES_TO_TAKE_OUT
+                if is_out != (machine.name in self.out):
+                    self.record.add("out" if is_out else "in", machine=machine.name)
+                    self.out ^= {machine.name}
+
+    def gets_work(self, machine: Machine) -> bool:
+        """Return whether the platform gives new work to requesters on a machine.
+
+        None goes to a node that is out, unless fewer than half of its zone are in.
+        """
+        zone = [each.name for each in self.machines if each.zone == machine.zone]
+        taken_out = self.out.intersection(zone)
+        return machine.name not in self.out or 2 * len(taken_out) > len(zone)
+
     async def enforce_memory(self) -> None:
         """Kill each process that exceeds its memory, as the platform does."""
         while True:
--- a/review/standins/requester.py
+++ b/review/standins/requester.py
@@ -11,12 +11,8 @@
 SEGMENT_BYTES = 1448
 """Segment size of an ordinary network, also on loopback."""
 
-RECEIVE_BYTES = 16 * 1024
-"""Receive buffer of requesters that read slowly."""
-
-PART_BYTES = 8 * 1024
-PART_S = 0.2
-"""Part that a requester reads at once, and the pause after it while it reads slowly."""
+PART_BYTES = 64 * 1024
+"""Part of an answer that a requester reads at once."""
 
 
 @dataclass
@@ -50,18 +46,13 @@
 
     Args:
         address: the node's ``outbound`` address.
-        pause_s: time for which an answer is read slowly, a part each ``PART_S``, before
-            the rest is read at once.
     """
 
-    def __init__(
-        self, *, name: str, address: str, record: Record, pause_s: float = 0.0
-    ):
+    def __init__(self, *, name: str, address: str, record: Record):
         self.sent: list[Sent] = []
         self._name = name
         self._address = address
         self._record = record
-        self._pause_s = pause_s
         self._idle: deque[tuple] = deque()
 
     async def send(
@@ -135,14 +126,11 @@
                 writer.close()
 
     async def _read_body(self, sent: Sent, reader, length: int) -> None:
-        began_s = self._record.now_s()
         while sent.received_bytes < length:
             part = await reader.read(min(PART_BYTES, length - sent.received_bytes))
             if not part:
                 raise asyncio.IncompleteReadError(b"", length)
             sent.received_bytes += len(part)
-            if self._record.now_s() - began_s < self._pause_s:
-                await asyncio.sleep(PART_S)
 
     async def _connection(self, sent: Sent) -> tuple:
         while self._idle:
@@ -155,7 +143,5 @@
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         raw.setblocking(False)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        if self._pause_s:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         await asyncio.get_running_loop().sock_connect(raw, (ip, int(port)))
         return await asyncio.open_connection(sock=raw, limit=PART_BYTES)
