--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -284,10 +284,11 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     try:
         breaks = asyncio.run(case(record, is_troubled))
-    except (CannotRunError, OSError) as error:
-        record.add("cannot-run", reason=error)
+    except Exception as error:
+        # A fault of the script itself must not look like a broken rule.
+        record.add("cannot-run", reason=repr(error))
         record.write(folder / "record.txt")
-        print(f"cannot run: {error}")
+        print(f"cannot run: {error!r}")
         sys.exit(CANNOT_RUN)
     for line in breaks:
         record.add("broken", what=line)
