An id isn't sent twice on one connection to a backend server

Cause: a rejected request is sent again under its own id, often on the connection used last, which is the one that brought the rejection. The server writes the second copy of the rejection there, before the new answer. Its id is the right one, so `matches_response` takes it for the answer to the new attempt.

Change: a connection remembers the ids that it has carried, and the pool passes it over for these. A copy that comes late then meets a request with another id, and is skipped, as before. Ids are kept until their request's deadline and as long as an attempt may be under way on a link, so they don't accumulate. The pool beside the server is the only place where attempts of all owners meet.

Both new tests of the client and the one of the fleet failed before (503 where the server ran the request), on both event loops.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -354,7 +354,9 @@
             request.method.encode(),
             is_own,
             self._handle_exchange_end,
-            execution,
+            request_id=request_id,
+            deadline_ms=execution.deadline_ms,
+            context=execution,
         )
         execution.incarnation = self._incarnation_of(request.instance_id)
         self.running[request.request_id] = execution
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from sassafraswinch_sidecar.carried_ids import CarriedIds
 from sassafraswinch_sidecar.http_fields import Fields, has_body
 from sassafraswinch_sidecar.idle_limit import IdleLimit
 
@@ -83,6 +84,8 @@
         matches_response: returns whether a response belongs to this request; servers
             may send a second response to an earlier one.
         on_done: called once with the response or the fault.
+        request_id: id of the request in its responses; empty if they bear none.
+        deadline_ms: event loop time at which the request times out.
         context: the sender's context of the request, not used by the client.
         connection: the connection that the request was written to.
         cancelled: whether the sender has cancelled the request.
@@ -92,6 +95,8 @@
     method: bytes
     matches_response: Callable[[HttpResponse], bool]
     on_done: Callable[["Exchange", HttpResponse | Fault], None]
+    request_id: bytes = b""
+    deadline_ms: float = 0.0
     context: object = None
     connection: "ServerConnection | None" = None
     cancelled: bool = False
@@ -110,6 +115,9 @@
         idle_since_ms: time of the end of the last request.
         idle_before_use_ms: how long the connection was idle before the current request.
         idle_limit_ms: idle time from which the connection isn't reused.
+        carried_ids: ids of the requests that were sent on it. None of them may be sent
+            on it again: a server may send a response twice, and the second one would be
+            taken for the response to the next attempt of the same request.
     """
 
     def __init__(
@@ -130,6 +138,7 @@
         self.idle_since_ms = 0.0
         self.idle_before_use_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
+        self.carried_ids = CarriedIds()
         self._reset_parser()
 
     def _reset_parser(self) -> None:
@@ -148,6 +157,9 @@
         """Write a request; the connection must be idle."""
         self._exchange = exchange
         exchange.connection = self
+        if exchange.request_id:
+            now_ms = self._loop.time() * 1000
+            self.carried_ids.add(exchange.request_id, exchange.deadline_ms, now_ms)
         self._has_received = False
         self._reset_parser()
         # If the transport is closing, ``connection_lost`` will end the exchange.
@@ -322,7 +334,7 @@
             fresh: whether to avoid connections that have been idle for long, which
                 the server may have closed without notice.
         """
-        connection = self._acquire_idle(fresh=fresh)
+        connection = self._acquire_idle(exchange.request_id, fresh=fresh)
         if connection is not None:
             connection.send(exchange)
             return
@@ -357,23 +369,31 @@
         while self._idle:
             self._idle.pop().abort()
 
-    def _acquire_idle(self, *, fresh: bool) -> ServerConnection | None:
+    def _acquire_idle(
+        self, request_id: bytes, *, fresh: bool
+    ) -> ServerConnection | None:
+        """Return the idle connection used last that may carry a request."""
         now_ms = self._loop.time() * 1000
         idle = self._idle
         while idle and not self._is_reusable(idle[0], now_ms):
             idle.popleft().abort()
-        while idle:
+        passed_over: list[ServerConnection] = []
+        acquired = None
+        while idle and acquired is None:
             connection = idle.pop()
             idle_ms = now_ms - connection.idle_since_ms
             if not self._is_reusable(connection, now_ms):
                 connection.abort()
             elif fresh and idle_ms > self._idle_limit.limit_ms(now_ms):
-                idle.append(connection)
-                return None
+                passed_over.append(connection)
+                break
+            elif request_id in connection.carried_ids:
+                passed_over.append(connection)
             else:
                 connection.idle_before_use_ms = idle_ms
-                return connection
-        return None
+                acquired = connection
+        idle.extend(reversed(passed_over))
+        return acquired
 
     async def _connect(self, exchange: Exchange) -> None:
         connection = await self._open()
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -46,6 +46,8 @@
         method.encode(),
         is_own,
         lambda _, end: done.set_result(end),
+        request_id=expected,
+        deadline_ms=asyncio.get_running_loop().time() * 1000 + 3_000.0,
     )
     return exchange, done
 
@@ -175,6 +177,35 @@
     assert len(backend.connections) == 2
 
 
+async def test_next_attempt_does_not_get_the_second_copy_of_a_rejection(
+    client, backend
+):
+    """Guards against a rejection sent twice that passes for the next attempt's."""
+    late_copies = {}
+
+    def reject_twice_then_serve(connection, seen):
+        connection.transport.write(late_copies.pop(connection, b""))
+        if len(backend.seen) > 1:
+            connection.transport.write(answer(seen))
+            return
+        late_copies[connection] = answer(seen, status=503, signed=False)
+        connection.transport.write(late_copies[connection])
+
+    backend.behaviour = reject_twice_then_serve
+    assert (await send_request(client)).status == 503
+    assert (await send_request(client)).status == 200
+    assert len(backend.connections) == 2
+
+
+async def test_connection_that_carried_an_id_is_reused_for_others(client, backend):
+    await send_request(client, "r-1")
+    await send_request(client, "r-1")
+    assert len(client._idle) == 2
+    await send_request(client, "r-2")
+    await send_request(client, "r-3")
+    assert len(backend.connections) == 2
+
+
 async def test_bytes_behind_a_response_close_the_connection(client, backend):
     backend.behaviour = lambda connection, seen: connection.transport.write(
         answer(seen) + answer(seen, body=b"extra")
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -89,6 +89,35 @@
     assert (got.status, got.body) == (200, b"yours")
 
 
+async def test_second_copy_of_a_rejection_is_not_taken_for_the_next_attempts():
+    """Guards against "not run" for a request that its only server is running."""
+    async with running_fleet("schvaleni", "archiv") as fleet:
+        server, front = fleet.nodes
+        late_copies = {}
+
+        def reject_twice_then_serve(connection, seen):
+            connection.transport.write(late_copies.pop(connection, b""))
+            if len(server.backend.seen) % 2 == 0:
+                connection.transport.write(answer(seen))
+                return
+            rejection = answer(
+                seen, status=503, fields=b"X-Not-Run: 1\r\n", signed=False
+            )
+            late_copies[connection] = rejection
+            connection.transport.write(rejection)
+
+        server.backend.behaviour = reject_twice_then_serve
+        for number in range(4):
+            got = await fleet.call(
+                front,
+                target="/approve/1",
+                method="POST",
+                request_id=f"r-{number}",
+            )
+            assert got.status == 200
+        assert len(server.backend.seen) == 8
+
+
 @pytest.mark.parametrize(
     "spoiled",
     [
