A request isn't written to a connection that has received something

What callers saw: a server writes bytes to an idle connection, or closes it, just before the next request is sent there. The request gets 502, since it may have run; a request that isn't idempotent fails for good.

Cause: `send` went by what the event loop had read. What lies unread in the socket at that moment can't be the response to a request that isn't written yet, and the end of a connection is known to the kernel already.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -7,6 +7,7 @@
 import enum
 import math
 import os
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -152,6 +153,18 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport (asyncio.Protocol)."""
         self._transport = transport
+        self._readable = select.poll()
+        raw = transport.get_extra_info("socket")
+        self._readable.register(raw.fileno(), select.POLLIN)
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived since the last response.
+
+        The socket is polled, since the event loop may not have read it yet. What has
+        arrived before a request was sent isn't its response, and the end of the
+        connection would leave unknown whether the request ran.
+        """
+        return not self._transport.is_closing() and not self._readable.poll(0)
 
     def send(self, exchange: Exchange) -> None:
         """Write a request; the connection must be idle."""
@@ -389,6 +402,8 @@
                 break
             elif request_id in connection.carried_ids:
                 passed_over.append(connection)
+            elif not connection.is_quiet():
+                connection.abort()
             else:
                 connection.idle_before_use_ms = idle_ms
                 acquired = connection
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client, on real sockets."""
 
 import asyncio
+import os
 import socket
 import struct
 
@@ -197,6 +198,25 @@
     assert len(backend.connections) == 2
 
 
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        lambda raw: raw.send(b"no protocol at all\r\n\r\n"),
+        lambda raw: raw.shutdown(socket.SHUT_WR),
+    ],
+    ids=["bytes", "end"],
+)
+async def test_connection_with_something_unread_is_not_used(client, backend, disturb):
+    """Guards against requests spoiled by what arrived before they were sent."""
+    await send_request(client)
+    served = backend.connections[0].transport.get_extra_info("socket")
+    # The event loop has no turn before the next request is sent.
+    with socket.socket(fileno=os.dup(served.fileno())) as raw:
+        disturb(raw)
+    assert (await send_request(client, "r-2")).body == b"whole body"
+    assert len(backend.connections) == 2
+
+
 async def test_connection_that_carried_an_id_is_reused_for_others(client, backend):
     await send_request(client, "r-1")
     await send_request(client, "r-1")
