Idle connections to the backend server release their last answer

A server elsewhere turned slow for 9 s; after it had recovered, the node beside a sound server exceeded 300 MB and was killed, and 19 or 20 kept connections of its callers ended without an answer.

Cause: a connection kept the parts of its last answer and the joined one until its next request. The pool uses the newest connection first, so after a peak of concurrency each idle connection held its last answer twice, which nobody counts.

Evidence: 12 connections held 24,104,737 bytes after 12 answers of 1,000,000 bytes (the new test, before). The parser refers to its connection and is created anew for each request, so it is dropped as well.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -140,10 +140,10 @@
         self.idle_before_use_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.carried_ids = CarriedIds()
-        self._reset_parser()
+        self._parser: httptools.HttpResponseParser | None = None
+        self._reset_response()
 
-    def _reset_parser(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+    def _reset_response(self) -> None:
         self._fields: Fields = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -174,7 +174,7 @@
             now_ms = self._loop.time() * 1000
             self.carried_ids.add(exchange.request_id, exchange.deadline_ms, now_ms)
         self._has_received = False
-        self._reset_parser()
+        self._parser = httptools.HttpResponseParser(self)
         # If the transport is closing, ``connection_lost`` will end the exchange.
         if not self._transport.is_closing():
             self._transport.write(exchange.payload)
@@ -183,9 +183,18 @@
         """Close the connection at once, so that the server can cancel the request."""
         self.usable = False
         self._exchange = None
+        self._release_response()
         if self._transport is not None:
             self._transport.abort()
 
+    def _release_response(self) -> None:
+        """Drop what was received; an idle connection holds no memory for it.
+
+        The parser refers to this connection, so it is dropped as well.
+        """
+        self._parser = None
+        self._reset_response()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes (asyncio.Protocol)."""
         if self._exchange is None:
@@ -211,8 +220,8 @@
         """Complete or fail the request in flight (asyncio.Protocol)."""
         self.usable = False
         if self._exchange is None:
-            return
-        if self._body_until_close and self._closed_cleanly and exc is None:
+            self._release_response()
+        elif self._body_until_close and self._closed_cleanly and exc is None:
             self._finish(self._response())
         else:
             if not self._has_received:
@@ -275,6 +284,7 @@
         exchange, self._exchange = self._exchange, None
         if self._body_until_close or self._skipped_response:
             self.usable = False
+        self._release_response()
         self._read_idle_limit(response)
         self.idle_since_ms = self._loop.time() * 1000
         if not self.usable and self._transport is not None:
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import struct
+import tracemalloc
 
 import pytest
 
@@ -235,6 +236,26 @@
     assert not client._idle
 
 
+async def test_idle_connections_hold_no_memory_for_their_last_answer(client, backend):
+    """Guards against a pool that keeps the answers of its last peak of requests."""
+    answer_bytes, connections = 1_000_000, 12
+
+    def serve_long_answer(connection, seen):
+        connection.transport.write(answer(seen, body=b"x" * answer_bytes))
+
+    backend.behaviour = serve_long_answer
+    tracemalloc.start()
+    requests = (send_request(client, f"r-{number}") for number in range(connections))
+    assert {len(each.body) for each in await asyncio.gather(*requests)} == {
+        answer_bytes
+    }
+    assert len(client._idle) == connections
+    await asyncio.sleep(0)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < answer_bytes
+
+
 async def test_chunked_response_is_reassembled(client, backend):
     def chunked(connection, seen):
         connection.transport.write(
