Ended requests of a sidecar are freed by their last reference

Cause: reference cycles. An execution and its entry in the queue refer to each other, and so do an execution and its exchange; each holds the body of its request, once received and once serialized. The collector runs by counts of objects, of which such traffic makes few. A caller's connection and its parser are a third cycle, and the task that checks timeouts kept the connection that it had looked at last in a local variable.

Relays, responses and HTTP requests had no cycles.

Change: an execution that ends drops its entry and its exchange; a connection that is lost drops its parser.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -116,6 +116,16 @@
     slot_ms: dict[str, float] = field(default_factory=dict)
     incarnation: int = NO_INCARNATION
 
+    def release_references(self) -> None:
+        """Drop what refers back to this execution, so that its last reference frees it.
+
+        The garbage collector is triggered by counts of objects. The bodies of ended
+        requests would exceed the memory of the process before it runs.
+        """
+        if self.queue_entry is not None:
+            self.queue_entry.item = None
+        self.queue_entry = self.exchange = None
+
 
 class Executor:
     """Queues requests for one backend server and runs them there.
@@ -577,6 +587,7 @@
         self._open_executions.pop((execution.owner, request.call_id), None)
         if self.running.get(request.request_id) is execution:
             del self.running[request.request_id]
+        execution.release_references()
 
     def _schedule_tick(self, now_ms: float) -> None:
         """Schedule the next check of the queue, or the next start of a paced server."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -132,6 +132,9 @@
         self._connections.discard(self)
         self._closed = True
         self._queued_requests.clear()
+        # The parser refers to this connection.
+        self._parser = None
+        self._reset_message()
         self._release_body(self._body_bytes_held)
         self._record_unread_bytes(0)
         current, self._current = self._current, None
@@ -476,9 +479,12 @@
         )
 
     async def _check_timeouts_forever(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_INTERVAL_S)
-            now_ms = loop.time() * 1000
-            for connection in list(self.connections):
-                connection.check_timeouts(now_ms)
+            self._check_timeouts()
+
+    def _check_timeouts(self) -> None:
+        # Not in the task itself, whose variables would keep the last connection.
+        now_ms = asyncio.get_running_loop().time() * 1000
+        for connection in list(self.connections):
+            connection.check_timeouts(now_ms)
--- a/packages/sassafraswinch-sidecar/tests/conftest.py
+++ b/packages/sassafraswinch-sidecar/tests/conftest.py
@@ -14,6 +14,7 @@
 
 LOOPS_BY_MODULE = {
     "test_crashing_requests": SIDECAR,
+    "test_freed_requests": ASYNCIO | SIDECAR,
     "test_http_client": ASYNCIO | SIDECAR,
     "test_http_server": ASYNCIO | SIDECAR,
 }
