A stopping sidecar takes no request of a caller that may outlast it

Cause: new requests were taken for 0.55 of the drain time, 3.3 s of 6 and 5.5 s of 10, though callers have moved after two failed probes; whatever is in flight at 0.85 of it is broken off. So the last request had 1.8 s, whatever its time limit.

The time of the request decides, not the turn of a periodic check: a process without processor time refused later than it meant to. Child calls of requests that still run here are taken as long as they time out before the stop; so far they were refused with all others, and their parents, which the stop waits for, failed.

The test's lower bound of 3.0 s for the refusal is wrong: what is sent later than 3 s after SIGTERM must get its response, so refusing has to begin before. It is now 2.0 (the second failed probe) to 3.0 s. The new tests failed before: refusal at 3.3 s; no schedule; a child call that ends in time got 503.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/graceful_shutdown.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/graceful_shutdown.py
@@ -2,13 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
-SERVING_SHARE = 0.55
-"""Share of the drain time in which new requests are still served. The platform sends
-callers elsewhere after two failed readiness probes, one second apart."""
+CALLERS_MOVE_MS = 2_900.0
+"""Time in which the platform sends callers elsewhere: two failed readiness probes, one
+second apart, and the requests that are under way meanwhile."""
+
+MAX_SERVING_SHARE = 0.55
+"""Share of the drain time in which new requests are served at most."""
 
 STOP_SHARE = 0.85
-"""Share of the drain time after which the process ends, whatever is in flight."""
+"""Share of the drain time after which no server is waited for."""
 
 QUIET_PERIOD_MS = 300.0
 """Time without requests in flight after which a stopping process ends early."""
@@ -17,31 +21,51 @@
 """Interval of the checks of the requests in flight."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShutdownSchedule:
+    """When a stopping process ends what, in event loop time.
+
+    Attributes:
+        refuse_at_ms: from then on new requests of callers are refused.
+        stop_at_ms: then the requests in flight get their final responses.
+    """
+
+    refuse_at_ms: float
+    stop_at_ms: float
+
+
+def schedule_shutdown(began_ms: float, drain_ms: float) -> ShutdownSchedule:
+    """Return the schedule of a shutdown.
+
+    Failure: a request that is taken late, though its caller could have gone elsewhere,
+    runs longer than the process and is broken off while its server is at work.
+
+    Args:
+        began_ms: event loop time of the signal.
+        drain_ms: time from the signal until the process is killed.
+    """
+    serving_ms = min(CALLERS_MOVE_MS, drain_ms * MAX_SERVING_SHARE)
+    return ShutdownSchedule(
+        refuse_at_ms=began_ms + serving_ms,
+        stop_at_ms=began_ms + drain_ms * STOP_SHARE,
+    )
+
+
 async def drain_requests(
-    *,
-    drain_ms: float,
-    in_flight: Callable[[], int],
-    refuse_new: Callable[[], None],
+    *, schedule: ShutdownSchedule, in_flight: Callable[[], int]
 ) -> None:
     """Wait until the requests in flight have ended and callers have moved elsewhere.
 
     Args:
-        drain_ms: time until the process is killed.
+        schedule: when new requests are refused, and when to end at the latest.
         in_flight: returns the number of requests in flight.
-        refuse_new: called, possibly repeatedly, once new requests are to be refused.
     """
     loop = asyncio.get_running_loop()
-    began_ms = idle_since_ms = loop.time() * 1000
-    while True:
+    now_ms = idle_since_ms = loop.time() * 1000
+    while now_ms <= schedule.stop_at_ms:
         await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         now_ms = loop.time() * 1000
-        elapsed_ms = now_ms - began_ms
-        is_refusing = elapsed_ms > drain_ms * SERVING_SHARE
-        if is_refusing:
-            refuse_new()
-        if in_flight():
+        if in_flight() or now_ms < schedule.refuse_at_ms:
             idle_since_ms = now_ms
-        if is_refusing and now_ms - idle_since_ms > QUIET_PERIOD_MS:
-            return
-        if elapsed_ms > drain_ms * STOP_SHARE:
+        elif now_ms - idle_since_ms > QUIET_PERIOD_MS:
             return
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -23,6 +23,7 @@
 )
 from sassafraswinch_sidecar.fleet import Fleet
 from sassafraswinch_sidecar.fleet_view import FleetView
+from sassafraswinch_sidecar.graceful_shutdown import ShutdownSchedule
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.ingress_admission import IngressAdmission
@@ -107,7 +108,7 @@
     ):
         self.relays: dict[int, Relay] = {}
         self._own_load = own_load
-        self._closed = False
+        self._shutdown: ShutdownSchedule | None = None
         self._own_ip = own_ip
         self._intake = intake
         self._responses = responses
@@ -138,7 +139,9 @@
 
     def handle(self, http: HttpRequest, connection: CallerConnection) -> None:
         """Accept a request (RequestHandler)."""
-        received = self._intake.accept_request(http, connection, closed=self._closed)
+        received = self._intake.accept_request(
+            http, connection, ends_by_ms=self._ends_by_ms()
+        )
         if not isinstance(received, Relay):
             self._responses.refuse(http, connection, received)
             return
@@ -149,9 +152,9 @@
         self._intake.add_headers(relay)
         self._place(relay)
 
-    def close(self) -> None:
-        """Refuse new requests; those in flight continue."""
-        self._closed = True
+    def shut_down(self, schedule: ShutdownSchedule) -> None:
+        """Refuse new requests from the scheduled time on; those in flight continue."""
+        self._shutdown = schedule
 
     def caller_disconnected(self, http: HttpRequest) -> None:
         """Cancel a request whose caller has disconnected (RequestHandler).
@@ -232,6 +235,13 @@
             if relay is not None and not relay.ended:
                 self._place(relay)
 
+    def _ends_by_ms(self) -> float | None:
+        """Return the time by which new requests must end; None while there is none."""
+        shutdown = self._shutdown
+        if shutdown is None or self._now_ms() < shutdown.refuse_at_ms:
+            return None
+        return shutdown.stop_at_ms
+
     def _admit(self, relay: Relay) -> bool:
         if not self._check_rate(relay):
             return False
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -181,25 +181,31 @@
         self._round_robin = WeightedRoundRobin()
 
     def accept_request(
-        self, http: HttpRequest, connection: CallerConnection, *, closed: bool
+        self,
+        http: HttpRequest,
+        connection: CallerConnection,
+        *,
+        ends_by_ms: float | None,
     ) -> Relay | IntakeRefusal:
         """Return the relay of a request, or the reason for refusing it.
 
         Args:
             http: the request.
             connection: caller connection that gets the response.
-            closed: whether this sidecar refuses new requests.
+            ends_by_ms: while this sidecar refuses callers before it stops, the event
+                loop time of its stop. Child calls of requests that still run here are
+                accepted if they time out before; None while all are.
         """
         host, request_id, remaining_ms, credentials = self._read(http)
         table = self._fleet.table
         if table is None:
             return IntakeRefusal(request_id, host, NO_ROUTES, None)
-        if closed:
+        parent = self._executor.running.get(request_id.rpartition(".")[0])
+        if ends_by_ms is not None and parent is None:
             return IntakeRefusal(request_id, host, LEAVING, table.version)
         route = table.find(host, http.target.decode("latin-1"))
         if route is None:
             return IntakeRefusal(request_id, host, NO_ROUTE, table.version)
-        parent = self._executor.running.get(request_id.rpartition(".")[0])
         caller = None if parent else _caller(credentials, table)
         if parent is None and caller is None and not _is_open(route, table):
             reason = _refusal_reason(credentials, request_id)
@@ -208,6 +214,8 @@
         deadline_ms = http.arrived_ms + min(wait_ms, route.timeout_ms)
         if parent is not None:
             deadline_ms = min(deadline_ms, parent.deadline_ms)
+        if ends_by_ms is not None and deadline_ms > ends_by_ms:
+            return IntakeRefusal(request_id, host, LEAVING, table.version)
         organisation = _organisation_name(caller, parent)
         return Relay(
             http=http,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -24,7 +24,11 @@
 from sassafraswinch_sidecar.fleet import Decoder, Fleet
 from sassafraswinch_sidecar.fleet_exchange import ExchangeMessage, FleetExchange
 from sassafraswinch_sidecar.fleet_view import FleetView
-from sassafraswinch_sidecar.graceful_shutdown import drain_requests
+from sassafraswinch_sidecar.graceful_shutdown import (
+    ShutdownSchedule,
+    drain_requests,
+    schedule_shutdown,
+)
 from sassafraswinch_sidecar.header_names import HeaderNames
 from sassafraswinch_sidecar.held_bytes import HeldBytes, max_held_bytes
 from sassafraswinch_sidecar.host_reports import HostReports
@@ -319,7 +323,8 @@
         for task in self._tasks:
             task.add_done_callback(self._task_ended)
         await self._stopping.wait()
-        await self._drain()
+        schedule = schedule_shutdown(self._now_ms(), settings.drain_s * 1000)
+        await self._drain(schedule)
         await self._close()
 
     def _task_ended(self, task: asyncio.Task) -> None:
@@ -507,17 +512,14 @@
                 wanted=self._admission.required_slots[service],
             )
 
-    async def _drain(self) -> None:
+    async def _drain(self, schedule: ShutdownSchedule) -> None:
         """Finish the requests in flight while callers and peers move elsewhere."""
         log_event("stopping", level="warning", in_flight=self._in_flight())
         self._executor.leave()
         self._report_own_state()
         self._outbound.drain()
-        await drain_requests(
-            drain_ms=self._settings.drain_s * 1000,
-            in_flight=self._in_flight,
-            refuse_new=self._owner.close,
-        )
+        self._owner.shut_down(schedule)
+        await drain_requests(schedule=schedule, in_flight=self._in_flight)
         self._owner.end_open_requests()
 
     async def _close(self) -> None:
--- a/packages/sassafraswinch-sidecar/tests/test_graceful_shutdown.py
+++ b/packages/sassafraswinch-sidecar/tests/test_graceful_shutdown.py
@@ -3,23 +3,32 @@
 import asyncio
 
 import pytest
+from hypothesis import given, strategies as st
 
-from sassafraswinch_sidecar.graceful_shutdown import QUIET_PERIOD_MS, drain_requests
+from sassafraswinch_sidecar.graceful_shutdown import (
+    QUIET_PERIOD_MS,
+    drain_requests,
+    schedule_shutdown,
+)
 
 DRAIN_MS = 6_000.0
 
+CALLERS_MOVED_S = 2.0
+"""Time of the second of two failed readiness probes, one second apart."""
+
+UNEXCUSED_S = 3.0
+"""Time after the signal from which a request that was taken must get its response."""
+
 
 async def drain(in_flight):
     """Drain; return the times when new requests were refused and when it ended."""
     loop = asyncio.get_running_loop()
     began_s = loop.time()
-    refused_s = []
+    schedule = schedule_shutdown(began_s * 1000, DRAIN_MS)
     await drain_requests(
-        drain_ms=DRAIN_MS,
-        in_flight=lambda: in_flight(loop.time() - began_s),
-        refuse_new=lambda: refused_s.append(loop.time() - began_s),
+        schedule=schedule, in_flight=lambda: in_flight(loop.time() - began_s)
     )
-    return refused_s[0], loop.time() - began_s
+    return schedule.refuse_at_ms / 1000 - began_s, loop.time() - began_s
 
 
 @pytest.mark.looptime
@@ -29,7 +38,7 @@
     apart, to send callers elsewhere; refusals before that would reach all of them.
     """
     refused_s, ended_s = await drain(lambda spent_s: spent_s < busy_s)
-    assert 3.0 < refused_s < 3.6
+    assert CALLERS_MOVED_S < refused_s < UNEXCUSED_S
     assert refused_s <= ended_s < refused_s + QUIET_PERIOD_MS / 1000 + 0.2
 
 
@@ -37,3 +46,11 @@
 async def test_process_ends_before_it_is_killed_despite_requests_in_flight():
     _, ended_s = await drain(lambda spent_s: True)
     assert 4.8 < ended_s < 5.4
+
+
+@given(drain_ms=st.floats(min_value=100.0, max_value=600_000.0))
+def test_callers_are_refused_before_a_request_could_be_broken_off_unexcused(drain_ms):
+    """Guards against requests taken late that outlast the process."""
+    schedule = schedule_shutdown(0.0, drain_ms)
+    assert schedule.refuse_at_ms < UNEXCUSED_S * 1000
+    assert schedule.refuse_at_ms < schedule.stop_at_ms < drain_ms
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafraswinch_sidecar.graceful_shutdown import ShutdownSchedule
 from sidecar_standins.backend import answer
 from sidecar_standins.fleet import (
     ROUTES,
@@ -332,6 +333,37 @@
     assert (await call(other.settings.address("ready"), target="/ready")).status == 200
 
 
+async def test_stopping_sidecar_takes_no_request_that_may_outlast_it(fleet):
+    """Guards against requests that are broken off while their servers work."""
+    node = fleet.nodes[2]
+    parents = []
+    for archiv_node in fleet.nodes_of("archiv"):
+        archiv_node.backend.behaviour = lambda connection, seen: connection
+    node.backend.behaviour = lambda connection, seen: parents.append((connection, seen))
+    pending = asyncio.create_task(
+        fleet.call(node, target="/approve/1", method="POST", request_id="parent")
+    )
+    await until(lambda: parents)
+    now_ms = asyncio.get_running_loop().time() * 1000
+    node.sidecar._owner.shut_down(
+        ShutdownSchedule(
+            refuse_at_ms=now_ms,
+            stop_at_ms=now_ms + 1_000.0,
+        )
+    )
+    root = await fleet.call(node, time_left_ms=500)
+    assert (root.status, node.sidecar._owner.in_flight) == (503, 1)
+    long_call = await fleet.call(node, request_id="parent.1", time_left_ms=1_500)
+    assert long_call.status == 503
+    short_call = await fleet.call(node, request_id="parent.2", time_left_ms=300)
+    assert short_call.status == 504
+    backends = [each.backend for each in fleet.nodes_of("archiv")]
+    assert {seen.request_id for each in backends for seen in each.seen} == {b"parent.2"}
+    connection, seen = parents[0]
+    connection.transport.write(answer(seen))
+    assert (await pending).status == 200
+
+
 async def test_stopped_sidecar_answers_requests_that_its_server_did_not(fleet):
     """Guards against requests whose connection just ends with the drain time."""
     node = fleet.nodes[2]
