A stopping sidecar lets slow callers read their responses

Cause: `CLOSE_TIMEOUT_MS`, which bounds the wait for idle connections and for the first requests of new ones, aborted connections with unwritten bytes as well.

Change: connections with unread responses stay until 0.95 of the drain time. The linger begins when the response has been read, not when it was handed over.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/graceful_shutdown.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/graceful_shutdown.py
@@ -14,6 +14,10 @@
 STOP_SHARE = 0.85
 """Share of the drain time after which no server is waited for."""
 
+WRITE_SHARE = 0.95
+"""Share of the drain time after which responses that callers read slowly are cut off;
+the rest is for the exit of the process."""
+
 QUIET_PERIOD_MS = 300.0
 """Time without requests in flight after which a stopping process ends early."""
 
@@ -28,10 +32,12 @@
     Attributes:
         refuse_at_ms: from then on new requests of callers are refused.
         stop_at_ms: then the requests in flight get their final responses.
+        write_until_ms: then connections with unread responses are aborted.
     """
 
     refuse_at_ms: float
     stop_at_ms: float
+    write_until_ms: float
 
 
 def schedule_shutdown(began_ms: float, drain_ms: float) -> ShutdownSchedule:
@@ -48,6 +54,7 @@
     return ShutdownSchedule(
         refuse_at_ms=began_ms + serving_ms,
         stop_at_ms=began_ms + drain_ms * STOP_SHARE,
+        write_until_ms=began_ms + drain_ms * WRITE_SHARE,
     )
 
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -38,8 +38,8 @@
 """Time for which a connection that this process ends is read for its caller's end."""
 
 CLOSE_TIMEOUT_MS = 400.0
-"""Time limit of a stop for the connections that are still open. It includes the time
-for the first request of a new connection."""
+"""Time limit of a stop for the connections that are still open, unless their callers
+are reading a response. It includes the time for the first request of a new one."""
 
 NO_MEMORY_STATUS = 503
 NO_MEMORY_RETRY_FIELD = b"Retry-After: 1\r\n"
@@ -163,6 +163,8 @@
     def resume_writing(self) -> None:
         """Record that the caller has read all that was written (asyncio.Protocol)."""
         self._write_blocked_ms = None
+        if self._closed_ms is not None:
+            self._closed_ms = self._loop.time() * 1000
         self._record_unread_bytes(self._write_buffer_bytes())
 
     def on_message_begin(self) -> None:
@@ -274,7 +276,7 @@
             if now_ms - self._write_blocked_ms > WRITE_TIMEOUT_MS:
                 self._transport.abort()
         elif self._closed_ms is not None:
-            if now_ms - self._closed_ms > LINGER_TIMEOUT_MS:
+            if self._has_lingered(now_ms):
                 self._transport.abort()
         elif self._current is not None:
             return
@@ -297,6 +299,15 @@
         if self._has_received or now_ms - since_ms >= FIRST_REQUEST_TIMEOUT_MS:
             self._close_idle(now_ms, 0.0)
 
+    def awaits_caller(self, now_ms: float) -> bool:
+        """Return whether the caller still reads its last response, or has just done."""
+        if self._write_blocked_ms is not None:
+            return True
+        return self._closed_ms is not None and not self._has_lingered(now_ms)
+
+    def _has_lingered(self, now_ms: float) -> bool:
+        return now_ms - self._closed_ms > LINGER_TIMEOUT_MS
+
     def abort(self) -> None:
         """Close the connection at once."""
         self._transport.abort()
@@ -438,27 +449,30 @@
         """
         self.closing = True
 
-    async def close(self) -> int:
+    async def close(self, write_until_ms: float = 0.0) -> int:
         """Stop listening, and close the connections once their requests are answered.
 
+        Args:
+            write_until_ms: event loop time until which callers may read their
+                responses; ``CLOSE_TIMEOUT_MS`` from now if that is later.
+
         Returns:
-            The number of connections that were still open after ``CLOSE_TIMEOUT_MS``,
-            and were aborted.
+            The number of connections that were aborted because they were still open.
         """
         self.closing = True
         aborted = 0
         if self._server is not None:
             await finish_handshakes(self._socket)
             self._server.close()
-            aborted = await self._close_connections()
+            aborted = await self._close_connections(write_until_ms)
         if self._timeout_task is not None:
             self._timeout_task.cancel()
         return aborted
 
-    async def _close_connections(self) -> int:
+    async def _close_connections(self, write_until_ms: float) -> int:
         loop = asyncio.get_running_loop()
         since_ms = now_ms = loop.time() * 1000
-        while self.connections and now_ms - since_ms < CLOSE_TIMEOUT_MS:
+        while self._awaits_callers(now_ms, since_ms, write_until_ms):
             for connection in list(self.connections):
                 connection.stop(now_ms, since_ms)
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
@@ -469,6 +483,16 @@
             connection.abort()
         return len(open_connections)
 
+    def _awaits_callers(
+        self, now_ms: float, since_ms: float, write_until_ms: float
+    ) -> bool:
+        """Return whether a stop is to go on for the connections that are open."""
+        if now_ms - since_ms < CLOSE_TIMEOUT_MS:
+            return bool(self.connections)
+        return now_ms < write_until_ms and any(
+            connection.awaits_caller(now_ms) for connection in self.connections
+        )
+
     def _new_connection(self) -> CallerConnection:
         return CallerConnection(
             handler=self._handler,
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -325,7 +325,7 @@
         await self._stopping.wait()
         schedule = schedule_shutdown(self._now_ms(), settings.drain_s * 1000)
         await self._drain(schedule)
-        await self._close()
+        await self._close(schedule.write_until_ms)
 
     def _task_ended(self, task: asyncio.Task) -> None:
         """Stop the process if a background task failed; the platform restarts it."""
@@ -522,10 +522,11 @@
         await drain_requests(schedule=schedule, in_flight=self._in_flight)
         self._owner.end_open_requests()
 
-    async def _close(self) -> None:
+    async def _close(self, write_until_ms: float = 0.0) -> None:
         # Callers still get their responses and refusals while the listeners close.
         listeners = (self._outbound, self._ready, self._metrics)
-        aborted = await asyncio.gather(*(listener.close() for listener in listeners))
+        closing = (listener.close(write_until_ms) for listener in listeners)
+        aborted = await asyncio.gather(*closing)
         log_event(
             "stopped",
             level="warning",
--- a/packages/sassafraswinch-sidecar/tests/test_http_server.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_server.py
@@ -306,6 +306,33 @@
     caller.close()
 
 
+async def test_close_lets_slow_callers_read_their_responses(server):
+    """Guards against a stop that cuts off responses that are still being read."""
+    server._handler.holds = True
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    caller.connect(("127.0.0.1", server.port))
+    caller.sendall(request_bytes())
+    await until(lambda: server._handler.requests)
+    ((request, connection),) = server._handler.requests
+    body = b"x" * 16_000_000
+    connection.respond(request, status=200, header_lines=b"", body=body)
+    now_ms = asyncio.get_running_loop().time() * 1000
+    closing = asyncio.create_task(server.close(now_ms + 10_000.0))
+    await asyncio.sleep(CLOSE_TIMEOUT_MS / 1000 + 0.1)
+    caller.settimeout(10)
+    received = await asyncio.to_thread(lambda: sum(map(len, iter_received(caller))))
+    assert received > len(body)
+    caller.close()
+    assert await closing == 0
+
+
+def iter_received(caller):
+    """Yield what a caller receives until its connection ends."""
+    while part := caller.recv(1_000_000):
+        yield part
+
+
 async def test_pipelined_requests_are_answered_before_a_drained_connection_closes(
     server,
 ):
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -349,6 +349,7 @@
         ShutdownSchedule(
             refuse_at_ms=now_ms,
             stop_at_ms=now_ms + 1_000.0,
+            write_until_ms=now_ms + 1_500.0,
         )
     )
     root = await fleet.call(node, time_left_ms=500)
