The node reuses no connection on which a call was shed

What callers saw: a backend server that sends a shed response (503 with `x-not-run: 1`) twice makes the node's next call on that connection end as not run, while the server runs it.

Its responses bear no id, so a second copy that comes where the next response is expected can't be told apart.

Change: the connection on which a call was shed isn't reused. A shed call costs a new connection. The new test failed before (503 for a call that ran).

A second copy of another answer still passes for the next call's there: the node's protocol with services has no field by which to tell them apart.

--- a/packages/sassafraswinch-node/sassafraswinch_node/http_client.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_client.py
@@ -18,6 +18,7 @@
 from aiosonic.resolver import AbstractResolver
 from aiosonic.timeout import Timeouts
 
+from sassafraswinch.dispatch_result import is_shed
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch.messages import Headers
 from sassafraswinch.verdict import Reason, Verdict
@@ -135,7 +136,13 @@
                     written = True
                     connection.write(request)
                     response = await pending
-                    connection.keep = parser.reusable and reader.is_request_sent()
+                    # A second copy of a shed response would pass for the next call's,
+                    # whose caller would be told that it has not run.
+                    connection.keep = (
+                        parser.reusable
+                        and reader.is_request_sent()
+                        and not is_shed(response.status, response.headers)
+                    )
                     return response
         except TimeoutError as error:
             raise _error(
--- a/packages/sassafraswinch-node/tests/test_backend.py
+++ b/packages/sassafraswinch-node/tests/test_backend.py
@@ -88,6 +88,21 @@
     assert server.connections == 3
 
 
+async def test_second_copy_of_a_shed_response_is_not_taken_for_the_next_calls(
+    server, client
+):
+    """Guards against "not run" for a call that the backend server is running."""
+    shed = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"
+    server.replies = [shed]
+    assert (await call(client)).status == 503
+    calling = asyncio.create_task(call(client))
+    while len(server.requests) < 2 and server.connections < 2:
+        server.replies = [shed + OK]
+        await asyncio.sleep(0)
+    server.replies = [OK]
+    assert (await calling).status == 200
+
+
 async def test_cancelled_call_closes_its_connection(server, client):
     server.replies = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no", OK]
     calling = asyncio.create_task(call(client))
