The health check takes no response that bears a request id

A second copy of a rejection names the instance, as a health check's response does, so one that came late would have been read as the server's answer to the health check at the start: a notice out of order. The new assertion failed before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_probe.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/notice_probe.py
@@ -32,6 +32,7 @@
     def __init__(self, *, client: HttpClient, names: HeaderNames, on_answer: OnAnswer):
         self._client = client
         self._instance_name = names.actual_instance.lower()
+        self._request_id_name = names.request_id.lower()
         self._on_answer = on_answer
         self._is_sent = False
 
@@ -51,8 +52,12 @@
         )
 
     def _is_health_response(self, response: HttpResponse) -> bool:
-        """Return whether a response is a health check's: it names the instance."""
-        return any(lowered == self._instance_name for lowered, *_ in response.fields)
+        """Return whether a response is a health check's, which carries no request id.
+
+        A second copy of the rejection of a request names the instance as well.
+        """
+        names = {lowered for lowered, *_ in response.fields}
+        return self._instance_name in names and self._request_id_name not in names
 
     def _handle_end(self, exchange: Exchange, end: HttpResponse | Fault) -> None:
         if not isinstance(end, HttpResponse):
--- a/packages/sassafraswinch-sidecar/tests/test_notice_probe.py
+++ b/packages/sassafraswinch-sidecar/tests/test_notice_probe.py
@@ -60,6 +60,8 @@
     probe.send(HEALTH_PATH, "archiv")
     (exchange,) = client.exchanges
     assert not exchange.matches_response(health_response(x_request_id=b"r-1"))
+    rejection = health_response(x_request_id=b"r-1", x_instance=b"i-1")
+    assert not exchange.matches_response(rejection)
     assert exchange.matches_response(health_response(x_instance=b"i-1"))
 
 
