--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -53,6 +53,8 @@
   4: required string availability_zone
   /** Whether the sender understands SuspectNews. */
   5: bool takes_suspects = false
+  /** Whether the sender understands BodyGrant and BodyChunk. */
+  6: bool takes_chunks = false
 }
 
 /** Run this request once on the backend server beside you. */
@@ -87,6 +89,8 @@
   18: string organisation = ""
   /** Newest notice of the backend server that the sender knows. */
   19: optional NoticeReport notice
+  /** Length of a body that follows in chunks once it is granted; 0 for none. */
+  20: i64 body_bytes = 0
 }
 
 /** Slot time that a request and the calls below it took at one service. */
@@ -115,6 +119,19 @@
   12: bool repeats_spent = false
   /** Name of the end of the backend server's process, where it ended meanwhile. */
   13: optional string server_end
+  /** Length of a body that follows in chunks once it is granted; 0 for none. */
+  14: i64 body_bytes = 0
+}
+
+/** The sender has room for the body that was announced with a call. */
+struct BodyGrant {
+  1: required i64 call_id
+}
+
+/** Next part of a granted body. */
+struct BodyChunk {
+  1: required i64 call_id
+  2: required binary data
 }
 
 /** Nobody waits for the answer any more. */
@@ -307,4 +324,6 @@
   11: optional SummaryRequest summary_request
   12: optional SummaryReply summary_reply
   13: optional SuspectNews suspect_news
+  14: optional BodyGrant body_grant
+  15: optional BodyChunk body_chunk
 }
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -231,13 +231,21 @@
             load.mean_hold_us = int(queue.mean_hold_ms * 1000)
         return load
 
-    def submit(self, request: RelayRequest, reply: Reply, owner: object) -> None:
+    def submit(
+        self,
+        request: RelayRequest,
+        reply: Reply,
+        owner: object,
+        *,
+        is_body_counted: bool = False,
+    ) -> None:
         """Queue a request; ``reply`` is called once unless the request is cancelled.
 
         Args:
             request: the request; its remaining time counts from now.
             reply: callback that gets the response.
             owner: with the call id, identifies the request in ``cancel``.
+            is_body_counted: whether the owner counts the body in the memory limit.
         """
         now_ms = self._now_ms()
         execution = Execution(
@@ -248,7 +256,8 @@
         )
         if request.notice is not None:
             self._notice_handler.merge_report(request.notice)
-        refusal = self._refusal_reason(request)
+        body_bytes = 0 if is_body_counted else len(request.body)
+        refusal = self._refusal_reason(request, body_bytes)
         if refusal:
             if refusal == OTHER_INSTANCE:
                 execution.actual_instance_id = self._watch.trusted_instance_id()
@@ -266,8 +275,8 @@
             self._end_not_run(execution, self._queue_refusal("overloaded"))
             return
         self._open_executions[owner, request.call_id] = execution
-        execution.held_bytes = len(request.body)
-        self._held.hold(execution.held_bytes)
+        execution.held_bytes = body_bytes
+        self._held.hold(body_bytes)
         self._start_queued(now_ms)
         self._schedule_tick(now_ms)
 
@@ -316,7 +325,15 @@
             self._tick_timer.cancel()
         self._client.close()
 
-    def _refusal_reason(self, request: RelayRequest) -> str:
+    def refuse_announced(self, request: RelayRequest) -> RelayResponse | None:
+        """Return the response to a request whose body isn't worth receiving."""
+        refusal = self._refusal_reason(request, request.body_bytes)
+        if not refusal:
+            return None
+        execution = Execution(request, _ignore, owner=None, deadline_ms=0.0)
+        return self._response(execution, Verdict.NOT_RUN, refusal)
+
+    def _refusal_reason(self, request: RelayRequest, body_bytes: int) -> str:
         if self.leaving:
             return "leaving"
         if request.service_name != self._service:
@@ -329,7 +346,7 @@
             return "server-down"
         if request.remaining_ms <= 0:
             return "deadline"
-        if request.body and not self._held.fits(len(request.body)):
+        if body_bytes and not self._held.fits(body_bytes):
             return "no-memory"
         return self._gate.refusal_reason(request)
 
@@ -347,7 +364,7 @@
     def _run(self, execution: Execution, now_ms: float) -> None:
         request = execution.request
         remaining_ms = execution.deadline_ms - now_ms
-        payload = serialize_request(request, self._names, remaining_ms)
+        payload, body = serialize_request(request, self._names, remaining_ms)
         request_id = request.request_id.encode()
         request_id_name = self._names.request_id.lower()
 
@@ -366,6 +383,7 @@
             self._handle_exchange_end,
             request_id=request_id,
             deadline_ms=execution.deadline_ms,
+            body=body,
             context=execution,
         )
         execution.incarnation = self._incarnation_of(request.instance_id)
@@ -555,21 +573,29 @@
                 limit=self.queue.limit,
             )
         self._start_queued(self._now_ms())
-        execution.reply(
-            RelayResponse(
-                call_id=request.call_id,
-                verdict=verdict,
-                status=status,
-                headers=headers,
-                body=body,
-                reason=reason,
-                offered=execution.offered,
-                slot_times=serialize_slot_times(execution.slot_ms),
-                load=self.load(),
-                actual_instance_id=execution.actual_instance_id,
-                repeats_spent=execution.repeats_spent,
-                server_end=execution.server_end,
-            )
+        response = self._response(execution, verdict, reason)
+        response.status = status
+        response.headers = headers
+        response.body = body
+        execution.reply(response)
+
+    def _response(
+        self, execution: Execution, verdict: int, reason: str
+    ) -> RelayResponse:
+        """Return the response to an execution, without a backend server's answer."""
+        return RelayResponse(
+            call_id=execution.request.call_id,
+            verdict=verdict,
+            status=0,
+            headers=b"",
+            body=b"",
+            reason=reason,
+            offered=execution.offered,
+            slot_times=serialize_slot_times(execution.slot_ms),
+            load=self.load(),
+            actual_instance_id=execution.actual_instance_id,
+            repeats_spent=execution.repeats_spent,
+            server_end=execution.server_end,
         )
 
     def _release(self, execution: Execution) -> None:
@@ -611,3 +637,7 @@
     def _refuse_queued(self) -> None:
         for queued in self.queue.drain():
             self._end_not_run(queued.item, "server-down")
+
+
+def _ignore(response: RelayResponse) -> None:
+    """Do nothing: the response is returned instead."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -16,6 +16,7 @@
 import httptools
 
 from sassafraswinch_sidecar.carried_ids import CarriedIds
+from sassafraswinch_sidecar.held_bytes import HeldBytes, Reservation
 from sassafraswinch_sidecar.http_fields import Fields, has_body
 from sassafraswinch_sidecar.idle_limit import IdleLimit
 
@@ -35,6 +36,9 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Maximum length of a response body; a faulty server may send without end."""
 
+RESERVED_FROM_BYTES = 64 * 1024
+"""Length from which a response body is read only once the memory limit allows it."""
+
 _FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -80,13 +84,14 @@
     """A request and the callbacks for its response.
 
     Attributes:
-        payload: the serialized request.
+        payload: the serialized request, or its header if ``body`` is set.
         method: the request method.
         matches_response: returns whether a response belongs to this request; servers
             may send a second response to an earlier one.
         on_done: called once with the response or the fault.
         request_id: id of the request in its responses; empty if they bear none.
         deadline_ms: event loop time at which the request times out.
+        body: a long body, which isn't copied into one buffer with its header.
         context: the sender's context of the request, not used by the client.
         connection: the connection that the request was written to.
         cancelled: whether the sender has cancelled the request.
@@ -98,6 +103,7 @@
     on_done: Callable[["Exchange", HttpResponse | Fault], None]
     request_id: bytes = b""
     deadline_ms: float = 0.0
+    body: bytes = b""
     context: object = None
     connection: "ServerConnection | None" = None
     cancelled: bool = False
@@ -110,6 +116,7 @@
         released: called when the connection has no request any more.
         lost_unanswered: called when the connection ended before any byte of the
             response.
+        held: memory limit of the bodies in this process.
 
     Attributes:
         usable: whether a further request may be sent.
@@ -126,9 +133,12 @@
         *,
         released: Callable[["ServerConnection"], None],
         lost_unanswered: Callable[["ServerConnection"], None],
+        held: HeldBytes,
     ):
         self._on_released = released
         self._on_lost_unanswered = lost_unanswered
+        self._held = held
+        self._reservation: Reservation | None = None
         self._has_received = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -178,6 +188,8 @@
         # If the transport is closing, ``connection_lost`` will end the exchange.
         if not self._transport.is_closing():
             self._transport.write(exchange.payload)
+            if exchange.body:
+                self._transport.write(exchange.body)
 
     def abort(self) -> None:
         """Close the connection at once, so that the server can cancel the request."""
@@ -194,6 +206,9 @@
         """
         self._parser = None
         self._reset_response()
+        if self._reservation is not None:
+            self._held.cancel(self._reservation)
+            self._reservation = None
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes (asyncio.Protocol)."""
@@ -209,7 +224,7 @@
         else:
             if self._completed_response is not None:
                 self._finish(self._completed_response)
-            elif self._body_bytes > MAX_ANSWER_BYTES:
+            elif self._body_bytes > self._max_answer_bytes:
                 self._fail(Fault.TOO_LONG)
 
     def eof_received(self) -> None:
@@ -241,6 +256,7 @@
         framed = any(lowered in _FRAMING for lowered, _, _ in self._fields)
         if not framed and has_body(status, self._exchange.method):
             self._body_until_close = True
+        self._reserve_body()
         if self._exchange.method == b"HEAD" and status >= 200:
             self._completed_response = self._response()
             self.usable = False
@@ -250,6 +266,33 @@
         if self._completed_response is None:
             self._body.append(body)
             self._body_bytes += len(body)
+            self._count_body()
+
+    @property
+    def _max_answer_bytes(self) -> float:
+        return min(MAX_ANSWER_BYTES, self._held.max_bytes)
+
+    def _reserve_body(self) -> None:
+        """Read a long body only once the memory limit allows it."""
+        lengths = [value for name, _, value in self._fields if name == _FRAMING[0]]
+        length_bytes = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+        if not RESERVED_FROM_BYTES <= length_bytes <= self._max_answer_bytes:
+            return
+        self._reservation = self._held.reserve(length_bytes, self._resume_reading)
+        if not self._reservation.is_granted:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _count_body(self) -> None:
+        """Count a body whose length isn't known or which is short."""
+        if self._reservation is None:
+            self._reservation = self._held.reserve_now(0)
+        excess_bytes = self._body_bytes - self._reservation.size_bytes
+        if excess_bytes > 0:
+            self._held.extend(self._reservation, excess_bytes)
 
     def on_message_begin(self) -> None:
         """Mark the connection as unusable if bytes follow the response (httptools)."""
@@ -284,6 +327,7 @@
         exchange, self._exchange = self._exchange, None
         if self._body_until_close or self._skipped_response:
             self.usable = False
+        reservation, self._reservation = self._reservation, None
         self._release_response()
         self._read_idle_limit(response)
         self.idle_since_ms = self._loop.time() * 1000
@@ -294,6 +338,9 @@
             exchange.on_done(exchange, response)
         else:
             exchange.on_done(exchange, Fault.MALFORMED)
+        # Whoever has got the response counts it from now on.
+        if reservation is not None:
+            self._held.cancel(reservation)
 
     def _fail(self, fault: Fault) -> None:
         exchange, self._exchange = self._exchange, None
@@ -338,12 +385,21 @@
         port: port of the server.
         max_idle_ms: idle time after which a connection isn't reused, whatever its
             server states.
+        held: memory limit of the bodies in this process; None for no limit.
     """
 
-    def __init__(self, *, ip: str, port: int, max_idle_ms: float = math.inf):
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        max_idle_ms: float = math.inf,
+        held: HeldBytes | None = None,
+    ):
         self._ip = ip
         self._port = port
         self._max_idle_ms = max_idle_ms
+        self._held = held or HeldBytes(max_bytes=math.inf)
         self._loop = asyncio.get_running_loop()
         self._idle: deque[ServerConnection] = deque()
         self._idle_limit = IdleLimit()
@@ -448,7 +504,9 @@
 
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(
-            released=self._release, lost_unanswered=self._on_lost_unanswered
+            released=self._release,
+            lost_unanswered=self._on_lost_unanswered,
+            held=self._held,
         )
 
     def _on_lost_unanswered(self, connection: ServerConnection) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -46,6 +46,9 @@
 """Retry delay for callers whose bodies exceed the memory limit: the buffered data is
 read within seconds, or its connection is closed."""
 
+WRITTEN_APART_BYTES = 64 * 1024
+"""Length from which a body isn't copied into one buffer with its header."""
+
 MAX_PIPELINED_REQUESTS = 8
 """Requests read ahead on one connection; reading pauses until one is answered."""
 
@@ -117,6 +120,7 @@
         self._fields: Fields = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._is_length_known = False
         self._header_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -200,13 +204,22 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._refuse(413)
-        elif not self._held.fits(len(body)):
+        elif not self._fits(len(body)):
             self._refuse(NO_MEMORY_STATUS)
         elif not self._closed:
             self._body.append(body)
             self._body_bytes_held += len(body)
             self._held.hold(len(body))
 
+    def _fits(self, more_bytes: int) -> bool:
+        """Return whether the memory limit allows a part of the body.
+
+        A body whose length is known was accepted as a whole.
+        """
+        if self._is_length_known:
+            return self._held.fits_accepted(more_bytes)
+        return self._held.fits(more_bytes)
+
     def on_message_complete(self) -> None:
         """Queue the complete request (httptools)."""
         self._in_message = False
@@ -257,9 +270,12 @@
             framing, body = b"", b""
         if is_last:
             framing += b"Connection: close\r\n"
-        self._write(
-            b"".join((status_line(status), header_lines, framing, b"\r\n", body))
-        )
+        head = b"".join((status_line(status), header_lines, framing, b"\r\n"))
+        if len(body) < WRITTEN_APART_BYTES:
+            self._write(head + body)
+        else:
+            self._write(head)
+            self._write(body)
         self._record_unread_bytes(self._write_buffer_bytes())
         self._idle_since_ms = self._loop.time() * 1000
         if is_last and request.keep_alive:
@@ -345,6 +361,7 @@
 
     def _check_length(self, length_bytes: int) -> None:
         """Refuse a body that is too long before any of it is read."""
+        self._is_length_known = True
         if length_bytes > self._limits().max_body_bytes:
             self._refuse(413)
         elif length_bytes and not self._held.fits(length_bytes):
@@ -386,7 +403,7 @@
 
     def _record_unread_bytes(self, unread_bytes: int) -> None:
         """Update the count of response bytes that the caller hasn't read yet."""
-        self._held.hold(unread_bytes - self._unread_bytes)
+        self._held.add_unread(unread_bytes - self._unread_bytes)
         self._unread_bytes = unread_bytes
 
     def _close(self) -> None:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/message_codec.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/message_codec.py
@@ -8,6 +8,8 @@
 from sassafraswinch_node.frames import LENGTH_BYTES, FrameReader, WireError
 from sassafraswinch_sidecar.relay_protocol import ttypes
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    BodyChunk,
+    BodyGrant,
     FleetDigest,
     Heartbeat,
     HeartbeatReply,
@@ -27,7 +29,9 @@
 from sassafraswinch_sidecar.revisions import Position, Revision
 
 Message = (
-    FleetDigest
+    BodyChunk
+    | BodyGrant
+    | FleetDigest
     | Heartbeat
     | HeartbeatReply
     | Hello
@@ -65,6 +69,8 @@
     SummaryRequest: "summary_request",
     SummaryReply: "summary_reply",
     SuspectNews: "suspect_news",
+    BodyGrant: "body_grant",
+    BodyChunk: "body_chunk",
 }
 
 _DECODING_ERRORS = (TException, EOFError, TypeError, ValueError, OverflowError)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -6,13 +6,26 @@
 from collections.abc import Callable
 
 from sassafraswinch_node.frames import FrameSplitter, WireError
+from sassafraswinch_sidecar.body_transfer import (
+    CHUNKED_FROM_BYTES,
+    BodyMessage,
+    IncomingBodies,
+    OutgoingBodies,
+)
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.message_codec import (
     MAX_FRAME_BYTES,
     Message,
     parse_message,
     serialize_message,
 )
-from sassafraswinch_sidecar.relay_protocol.ttypes import Hello
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    BodyChunk,
+    BodyGrant,
+    Hello,
+    RelayRequest,
+    RelayResponse,
+)
 
 PROTOCOL_VERSION = 2
 
@@ -72,6 +85,7 @@
         on_message: called with each further message.
         on_lost: called once when the connection is lost.
         batch: defers writes together with those of other links.
+        held: memory limit of the bodies in this process.
 
     Attributes:
         peer_ip: address in the peer's ``Hello``; empty until then.
@@ -93,6 +107,7 @@
         on_message: Callable[["PeerLink", Message], None],
         on_lost: Callable[["PeerLink"], None],
         batch: WriteBatch,
+        held: HeldBytes,
     ):
         self.peer_ip = ""
         self.availability_zone = ""
@@ -109,6 +124,9 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._splitter = FrameSplitter()
+        self._takes_chunks = False
+        self._outgoing = OutgoingBodies(write=self._send_now, held=held)
+        self._incoming = IncomingBodies()
         self._deferred_frames: list[bytes] = []
         self._awaiting_reply_since_ms: float | None = None
         self._received_ms = self._now_ms()
@@ -124,8 +142,59 @@
         return self._transport.get_write_buffer_size() if self.is_open else 0
 
     def send(self, message: Message) -> bool:
-        """Queue a message; False if none of it will be written."""
-        return self.is_open and self.send_frame(serialize_message(message))
+        """Queue a message; False if none of it will be written.
+
+        A long body is taken out of the message, and follows once the peer grants it.
+        """
+        if not self.is_open:
+            return False
+        has_body = isinstance(message, RelayRequest | RelayResponse)
+        if has_body and self._takes_chunks and len(message.body) > CHUNKED_FROM_BYTES:
+            self._outgoing.announce(message)
+        if self._send_now(message):
+            return True
+        if has_body:
+            self._outgoing.cancel(message.call_id)
+        return False
+
+    def _send_now(self, message: Message) -> bool:
+        return self.send_frame(serialize_message(message))
+
+    def receive_body(
+        self,
+        message: BodyMessage,
+        on_complete: Callable[[BodyMessage], None],
+        on_dropped: Callable[[], None],
+    ) -> None:
+        """Receive the body of an announced message, for which there is memory now.
+
+        Args:
+            message: the message.
+            on_complete: called with it once its body is complete.
+            on_dropped: called if the body won't come.
+        """
+        self._incoming.expect(message, on_complete, on_dropped)
+        self.send(BodyGrant(call_id=message.call_id))
+
+    def cancel_bodies(self, call_id: int) -> None:
+        """Drop what is sent or received of the bodies of a call."""
+        self._outgoing.cancel(call_id)
+        self._incoming.cancel(call_id)
+
+    def unsent_requests(self) -> list[int]:
+        """Return the call ids of requests that the peer can't have run.
+
+        Their bodies were not written completely.
+        """
+        return list(self._outgoing.unsent_requests())
+
+    def pause_writing(self) -> None:
+        """Send no further chunks for now (asyncio.Protocol)."""
+        self._outgoing.pause()
+
+    def resume_writing(self) -> None:
+        """Go on sending chunks (asyncio.Protocol)."""
+        self._outgoing.resume()
 
     def send_frame(self, frame: bytes) -> bool:
         """Queue a message that is serialized already; see ``send``."""
@@ -204,6 +273,8 @@
         """Report the end of the connection (asyncio.Protocol)."""
         self.fault = self.fault or (str(exc) if exc else "closed")
         self._on_lost(self)
+        self._outgoing.close()
+        self._incoming.close()
 
     def _handle_messages(self) -> None:
         while self.is_open:
@@ -212,10 +283,21 @@
                 return
             message = parse_message(payload)
             if self.peer_ip:
-                self._on_message(self, message)
+                self._dispatch(message)
             else:
                 self._complete_handshake(message)
 
+    def _dispatch(self, message: Message) -> None:
+        if isinstance(message, BodyGrant):
+            self._outgoing.grant(message.call_id)
+        elif isinstance(message, BodyChunk):
+            try:
+                self._incoming.receive(message)
+            except ValueError as error:
+                raise WireError(reason=str(error)) from error
+        else:
+            self._on_message(self, message)
+
     def _complete_handshake(self, message: Message) -> None:
         if not isinstance(message, Hello):
             raise WireError(reason="the first message of the link isn't a Hello")
@@ -228,6 +310,7 @@
         self.incarnation = message.incarnation
         self.availability_zone = message.availability_zone
         self.takes_suspects = message.takes_suspects
+        self._takes_chunks = message.takes_chunks
         self._splitter.raise_frame_limit(MAX_FRAME_BYTES)
         self._on_handshake(self)
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from sassafraswinch_node.logs import log_event
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.message_codec import Message
 from sassafraswinch_sidecar.peer import Peer
 from sassafraswinch_sidecar.peer_link import (
@@ -57,11 +58,16 @@
     def link_opened(self, link: PeerLink) -> None:
         """Handle a completed handshake, whichever side dialled the link."""
 
-    def link_lost(self, ip: str) -> None:
-        """Handle the loss of a dialled link; what was written may still arrive."""
+    def link_lost(self, ip: str, unsent: Collection[int]) -> None:
+        """Handle the loss of a dialled link; what was written may still arrive.
 
-    def requests_unsent(self, requests: Collection[RelayRequest]) -> None:
-        """Handle requests that waited for a link and will never be written."""
+        Args:
+            ip: address of the peer.
+            unsent: call ids of the requests that were not written completely.
+        """
+
+    def requests_unsent(self, call_ids: Collection[int]) -> None:
+        """Handle requests that were not written completely and never will be."""
 
     def is_pending(self, call_id: int) -> bool:
         """Return whether a request that waited for its link is still to be sent."""
@@ -93,6 +99,7 @@
         dial_port: port on which peers are dialled.
         incarnation: unique number of this process.
         listener: receives the events of the links.
+        held: memory limit of the bodies in this process.
 
     Attributes:
         peers: the hosts to which links were dialled, by IP address.
@@ -108,6 +115,7 @@
         dial_port: int,
         incarnation: int,
         listener: LinkListener,
+        held: HeldBytes,
     ):
         self.peers: dict[str, Peer] = {}
         self.accepted: set[PeerLink] = set()
@@ -120,7 +128,9 @@
             incarnation=incarnation,
             availability_zone=availability_zone,
             takes_suspects=True,
+            takes_chunks=True,
         )
+        self._held = held
         self._listener = listener
         self._batch = WriteBatch()
         self._sequence = itertools.count(1)
@@ -202,7 +212,10 @@
             return
         if any(request.call_id == call_id for _, request in peer.waiting):
             return  # ``is_pending`` is false for it by now, so it won't be written.
-        if peer.link is not None and peer.link.send(RelayCancel(call_id=call_id)):
+        if peer.link is None:
+            return
+        peer.link.cancel_bodies(call_id)
+        if peer.link.send(RelayCancel(call_id=call_id)):
             peer.outstanding = max(0, peer.outstanding - 1)
 
     def send(self, ip: str, message: Message) -> bool:
@@ -257,14 +270,16 @@
             for request in peer.pop_waiting(self._now_ms())
             if self._listener.is_pending(request.call_id)
         )
-        unsent = [request for request in pending if not self._write(peer, request)]
+        unsent = [
+            request.call_id for request in pending if not self._write(peer, request)
+        ]
         if unsent:
             self._listener.requests_unsent(unsent)
 
     def _return_waiting(self, peer: Peer) -> None:
         waiting = peer.pop_waiting(self._now_ms())
         if waiting:
-            self._listener.requests_unsent(waiting)
+            self._listener.requests_unsent([request.call_id for request in waiting])
 
     def _new_link(
         self,
@@ -278,6 +293,7 @@
             on_message=self._dialled_message if dialled else self._accepted_message,
             on_lost=on_lost,
             batch=self._batch,
+            held=self._held,
         )
 
     def _dial(self, ip: str, delay_s: float) -> None:
@@ -339,7 +355,8 @@
         peer.link = None
         peer.outstanding = 0
         log_event("link_lost", peer=link.peer_ip, reason=link.fault)
-        self._listener.link_lost(link.peer_ip)
+        unsent = link.unsent_requests()
+        self._listener.link_lost(link.peer_ip, unsent)
         if peer.persistent:
             self._dial(link.peer_ip, REDIAL_DELAY_S)
         elif peer.waiting:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from sassafraswinch.crash_suspects import Restriction, SuspectDecision
 from sassafraswinch.organisation_rates import OrganisationRates
@@ -33,11 +33,7 @@
 from sassafraswinch_sidecar.placement import PeerLoad, Placement
 from sassafraswinch_sidecar.relay_counters import RelayCounters
 from sassafraswinch_sidecar.relay_intake import KEY_CHANGED, Relay, RelayIntake
-from sassafraswinch_sidecar.relay_protocol.ttypes import (
-    RelayRequest,
-    RelayResponse,
-    Verdict,
-)
+from sassafraswinch_sidecar.relay_protocol.ttypes import RelayResponse, Verdict
 from sassafraswinch_sidecar.relay_requests import request_of
 from sassafraswinch_sidecar.relay_retry_policy import (
     MIN_RETRY_REMAINING_MS,
@@ -219,19 +215,30 @@
             relay.may_have_run = True
             self._handle_may_have_run(relay, response.reason)
 
-    def handle_link_lost(self, ip: str) -> None:
-        """Retry or fail all requests that were sent over a lost link."""
-        for relay in [found for found in self.relays.values() if found.ip == ip]:
+    def handle_link_lost(self, ip: str, unsent: Collection[int]) -> None:
+        """Retry or fail all requests that were sent over a lost link.
+
+        Args:
+            ip: address of the peer.
+            unsent: call ids of those whose bodies were not written completely.
+        """
+        lost = [
+            relay
+            for relay in self.relays.values()
+            if relay.ip == ip and relay.call_id not in unsent
+        ]
+        self.place_unsent(unsent)
+        for relay in lost:
             self.relays.pop(relay.call_id, None)
             relay.may_have_run = True
             relay.offers += 1
             relay.offered_to.add(relay.identity)
             self._handle_may_have_run(relay, "link-lost")
 
-    def place_unsent(self, requests: Iterable[RelayRequest]) -> None:
-        """Place requests again that waited for a link and were not written to it."""
-        for request in requests:
-            relay = self.relays.pop(request.call_id, None)
+    def place_unsent(self, call_ids: Collection[int]) -> None:
+        """Place requests again that were not written completely to a link."""
+        for call_id in call_ids:
+            relay = self.relays.pop(call_id, None)
             if relay is not None and not relay.ended:
                 self._place(relay)
 
@@ -247,7 +254,7 @@
             return False
         relay.level = self._levels.draw(relay.admission_class)
         self._admission.record_arrival(relay.admission_class, relay.priority)
-        if not self._held.fits():
+        if not self._held.fits(-len(relay.body)):
             # Its response might have to be buffered for a slow reader.
             self._fail(relay, "no-memory", NOT_RUN_STATUS)
             return False
@@ -373,7 +380,9 @@
         self._retry_policy.record_sent(relay)
         if instance.ip == self._own_ip:
             self._own_load.sent_since_report += 1
-            self._executor.submit(request, self._own_response, self)
+            self._executor.submit(
+                request, self._own_response, self, is_body_counted=True
+            )
             return
         if not self._links.send_request(instance.ip, request):
             del self.relays[relay.call_id]
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -303,6 +303,7 @@
      - incarnation
      - availability_zone
      - takes_suspects: Whether the sender understands SuspectNews.
+     - takes_chunks: Whether the sender understands BodyGrant and BodyChunk.
 
     """
 
@@ -312,15 +313,17 @@
         'incarnation',
         'availability_zone',
         'takes_suspects',
+        'takes_chunks',
     )
 
 
-    def __init__(self, protocol_version=None, ip=None, incarnation=None, availability_zone=None, takes_suspects=False,):
+    def __init__(self, protocol_version=None, ip=None, incarnation=None, availability_zone=None, takes_suspects=False, takes_chunks=False,):
         self.protocol_version = protocol_version
         self.ip = ip
         self.incarnation = incarnation
         self.availability_zone = availability_zone
         self.takes_suspects = takes_suspects
+        self.takes_chunks = takes_chunks
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -356,6 +359,11 @@
                     self.takes_suspects = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.takes_chunks = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -386,6 +394,10 @@
             oprot.writeFieldBegin('takes_suspects', TType.BOOL, 5)
             oprot.writeBool(self.takes_suspects)
             oprot.writeFieldEnd()
+        if self.takes_chunks is not None:
+            oprot.writeFieldBegin('takes_chunks', TType.BOOL, 6)
+            oprot.writeBool(self.takes_chunks)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -443,6 +455,7 @@
      - last: Whether its tree ends with it: a root request that makes no calls.
      - organisation: Name of the organisation that sent its root request; empty for none.
      - notice: Newest notice of the backend server that the sender knows.
+     - body_bytes: Length of a body that follows in chunks once it is granted; 0 for none.
 
     """
 
@@ -466,10 +479,11 @@
         'last',
         'organisation',
         'notice',
+        'body_bytes',
     )
 
 
-    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=0, last=False, organisation="", notice=None,):
+    def __init__(self, call_id=None, instance_id=None, service_name=None, request_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, max_wait_ms=None, priority=None, level=None, inner=None, idempotent=None, repeated=None, progress=0, last=False, organisation="", notice=None, body_bytes=0,):
         self.call_id = call_id
         self.instance_id = instance_id
         self.service_name = service_name
@@ -489,6 +503,7 @@
         self.last = last
         self.organisation = organisation
         self.notice = notice
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -595,6 +610,11 @@
                     self.notice.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -681,6 +701,10 @@
             oprot.writeFieldBegin('notice', TType.STRUCT, 19)
             self.notice.write(oprot)
             oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 20)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -839,6 +863,7 @@
      - actual_instance_id: Instance that the backend server says it is, where it refused another.
      - repeats_spent: Whether a call below failed that wasn't repeated, as too much is repeated.
      - server_end: Name of the end of the backend server's process, where it ended meanwhile.
+     - body_bytes: Length of a body that follows in chunks once it is granted; 0 for none.
 
     """
 
@@ -855,10 +880,11 @@
         'actual_instance_id',
         'repeats_spent',
         'server_end',
+        'body_bytes',
     )
 
 
-    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, actual_instance_id=None, repeats_spent=False, server_end=None,):
+    def __init__(self, call_id=None, verdict=None, status=None, headers=None, body=None, reason=None, offered=None, slot_times=None, load=None, actual_instance_id=None, repeats_spent=False, server_end=None, body_bytes=0,):
         self.call_id = call_id
         self.verdict = verdict
         self.status = status
@@ -871,6 +897,7 @@
         self.actual_instance_id = actual_instance_id
         self.repeats_spent = repeats_spent
         self.server_end = server_end
+        self.body_bytes = body_bytes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -948,6 +975,11 @@
                     self.server_end = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1009,6 +1041,10 @@
             oprot.writeFieldBegin('server_end', TType.STRING, 13)
             oprot.writeString(self.server_end.encode('utf-8') if sys.version_info[0] == 2 else self.server_end)
             oprot.writeFieldEnd()
+        if self.body_bytes is not None:
+            oprot.writeFieldBegin('body_bytes', TType.I64, 14)
+            oprot.writeI64(self.body_bytes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1052,6 +1088,164 @@
         return not (self == other)
 
 
+class BodyGrant(object):
+    """
+    The sender has room for the body that was announced with a call.
+
+    Attributes:
+     - call_id
+
+    """
+
+    __slots__ = (
+        'call_id',
+    )
+
+
+    def __init__(self, call_id=None,):
+        self.call_id = call_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BodyGrant')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.I64, 1)
+            oprot.writeI64(self.call_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BodyChunk(object):
+    """
+    Next part of a granted body.
+
+    Attributes:
+     - call_id
+     - data
+
+    """
+
+    __slots__ = (
+        'call_id',
+        'data',
+    )
+
+
+    def __init__(self, call_id=None, data=None,):
+        self.call_id = call_id
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.call_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BodyChunk')
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.I64, 1)
+            oprot.writeI64(self.call_id)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 2)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        if self.data is None:
+            raise TProtocolException(message='Required field data is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RelayCancel(object):
     """
     Nobody waits for the answer any more.
@@ -3453,6 +3647,8 @@
      - summary_request
      - summary_reply
      - suspect_news
+     - body_grant
+     - body_chunk
 
     """
 
@@ -3470,10 +3666,12 @@
         'summary_request',
         'summary_reply',
         'suspect_news',
+        'body_grant',
+        'body_chunk',
     )
 
 
-    def __init__(self, request=None, response=None, cancel=None, heartbeat=None, heartbeat_reply=None, replica_request=None, replica_reply=None, hello=None, host_report=None, fleet_digest=None, summary_request=None, summary_reply=None, suspect_news=None,):
+    def __init__(self, request=None, response=None, cancel=None, heartbeat=None, heartbeat_reply=None, replica_request=None, replica_reply=None, hello=None, host_report=None, fleet_digest=None, summary_request=None, summary_reply=None, suspect_news=None, body_grant=None, body_chunk=None,):
         self.request = request
         self.response = response
         self.cancel = cancel
@@ -3487,6 +3685,8 @@
         self.summary_request = summary_request
         self.summary_reply = summary_reply
         self.suspect_news = suspect_news
+        self.body_grant = body_grant
+        self.body_chunk = body_chunk
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3575,6 +3775,18 @@
                     self.suspect_news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.body_grant = BodyGrant()
+                    self.body_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.body_chunk = BodyChunk()
+                    self.body_chunk.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3637,6 +3849,14 @@
             oprot.writeFieldBegin('suspect_news', TType.STRUCT, 13)
             self.suspect_news.write(oprot)
             oprot.writeFieldEnd()
+        if self.body_grant is not None:
+            oprot.writeFieldBegin('body_grant', TType.STRUCT, 14)
+            self.body_grant.write(oprot)
+            oprot.writeFieldEnd()
+        if self.body_chunk is not None:
+            oprot.writeFieldBegin('body_chunk', TType.STRUCT, 15)
+            self.body_chunk.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3687,6 +3907,7 @@
     (3, TType.I64, 'incarnation', None, None, ),  # 3
     (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
     (5, TType.BOOL, 'takes_suspects', None, False, ),  # 5
+    (6, TType.BOOL, 'takes_chunks', None, False, ),  # 6
 )
 all_structs.append(RelayRequest)
 RelayRequest.thrift_spec = (
@@ -3710,6 +3931,7 @@
     (17, TType.BOOL, 'last', None, False, ),  # 17
     (18, TType.STRING, 'organisation', 'UTF8', "", ),  # 18
     (19, TType.STRUCT, 'notice', [NoticeReport, None], None, ),  # 19
+    (20, TType.I64, 'body_bytes', None, 0, ),  # 20
 )
 all_structs.append(SlotTime)
 SlotTime.thrift_spec = (
@@ -3733,6 +3955,18 @@
     (11, TType.STRING, 'actual_instance_id', 'UTF8', None, ),  # 11
     (12, TType.BOOL, 'repeats_spent', None, False, ),  # 12
     (13, TType.STRING, 'server_end', 'UTF8', None, ),  # 13
+    (14, TType.I64, 'body_bytes', None, 0, ),  # 14
+)
+all_structs.append(BodyGrant)
+BodyGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call_id', None, None, ),  # 1
+)
+all_structs.append(BodyChunk)
+BodyChunk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'call_id', None, None, ),  # 1
+    (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
 )
 all_structs.append(RelayCancel)
 RelayCancel.thrift_spec = (
@@ -3907,6 +4141,8 @@
     (11, TType.STRUCT, 'summary_request', [SummaryRequest, None], None, ),  # 11
     (12, TType.STRUCT, 'summary_reply', [SummaryReply, None], None, ),  # 12
     (13, TType.STRUCT, 'suspect_news', [SuspectNews, None], None, ),  # 13
+    (14, TType.STRUCT, 'body_grant', [BodyGrant, None], None, ),  # 14
+    (15, TType.STRUCT, 'body_chunk', [BodyChunk, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_request.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/server_request.py
@@ -3,13 +3,21 @@
 from sassafraswinch_sidecar.header_names import HeaderNames
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest
 
+LONG_BODY_BYTES = 64 * 1024
+"""Length from which a body isn't copied into one buffer with its header."""
+
 
 def serialize_request(
     request: RelayRequest, names: HeaderNames, remaining_ms: float
-) -> bytes:
-    """Serialize a request, with its remaining time and its expected instance."""
+) -> tuple[bytes, bytes]:
+    """Serialize a request, with its remaining time and its expected instance.
+
+    Returns:
+        The request, and its body if that is long and so isn't part of the first.
+    """
+    is_long = len(request.body) >= LONG_BODY_BYTES
     length_line = b"Content-Length: %d\r\n" % len(request.body) if request.body else b""
-    return b"".join(
+    serialized = b"".join(
         (
             request.method.encode(),
             b" ",
@@ -20,6 +28,7 @@
             b"%b: %b\r\n" % (names.expected_instance, request.instance_id.encode()),
             length_line,
             b"\r\n",
-            request.body,
+            b"" if is_long else request.body,
         )
     )
+    return serialized, request.body if is_long else b""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -15,6 +15,7 @@
 from sassafraswinch.organisation_rates import OrganisationRates, RateRule, Usage
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.admission_levels import AdmissionLevels
+from sassafraswinch_sidecar.body_intake import BodyIntake
 from sassafraswinch_sidecar.caller_responses import CallerResponses
 from sassafraswinch_sidecar.configuration_events import (
     log_platform_faults,
@@ -51,6 +52,7 @@
     PlatformReader,
     PlatformStore,
 )
+from sassafraswinch_sidecar.process_memory import resident_bytes
 from sassafraswinch_sidecar.reachable_loads import ReachableLoads
 from sassafraswinch_sidecar.recent_maximum import RecentMaximum
 from sassafraswinch_sidecar.relay import RelayOwner
@@ -143,7 +145,7 @@
         backend = settings.address("backend")
         self._executor = Executor(
             service=settings.service,
-            client=HttpClient(ip=backend.ip, port=backend.port),
+            client=HttpClient(ip=backend.ip, port=backend.port, held=self._held),
             names=names,
             notice_decoder=notice_decoder,
             notices=self._notices,
@@ -166,6 +168,7 @@
             dial_port=settings.dial_port or settings.link_port,
             incarnation=time.time_ns(),
             listener=self,
+            held=self._held,
         )
         self._loads = ReachableLoads(
             own_ip=settings.ip,
@@ -263,6 +266,12 @@
             counters=self._counts,
             log=self._log,
         )
+        self._body_intake = BodyIntake(
+            held=self._held,
+            executor=self._executor,
+            is_pending=self.is_pending,
+            on_response=self._handle_response,
+        )
         self._outbound = HttpListener(
             handler=self._owner, limits=self._limits, held=self._held
         )
@@ -338,13 +347,13 @@
         """Send the crash suspects to a newly linked peer (LinkListener)."""
         self._suspect_exchange.send_restricted(link)
 
-    def link_lost(self, ip: str) -> None:
+    def link_lost(self, ip: str, unsent: Collection[int]) -> None:
         """Retry or end the calls that were sent on a lost link (LinkListener)."""
-        self._owner.handle_link_lost(ip)
+        self._owner.handle_link_lost(ip, unsent)
 
-    def requests_unsent(self, requests: Collection[RelayRequest]) -> None:
+    def requests_unsent(self, call_ids: Collection[int]) -> None:
         """Place requests again that were never written (LinkListener)."""
-        self._owner.place_unsent(requests)
+        self._owner.place_unsent(call_ids)
 
     def is_pending(self, call_id: int) -> bool:
         """Return whether a waiting request is still to be sent (LinkListener)."""
@@ -352,8 +361,10 @@
 
     def dialled_message(self, ip: str, message: Message) -> None:
         """Dispatch a message from a peer that this sidecar dialled (LinkListener)."""
-        if isinstance(message, RelayResponse):
-            self._owner.handle_response(message, self._view.load(ip))
+        if isinstance(message, RelayResponse) and message.body_bytes:
+            self._body_intake.receive_response(self._links.peers[ip].link, message)
+        elif isinstance(message, RelayResponse):
+            self._handle_response(ip, message)
         elif isinstance(message, ExchangeMessage):
             self._exchange.dialled_message(ip, message)
         elif isinstance(message, SuspectNews):
@@ -367,11 +378,17 @@
         else:
             self._data.handle_message(self._links.peers[ip].link, message)
 
+    def _handle_response(self, ip: str, response: RelayResponse) -> None:
+        self._owner.handle_response(response, self._view.load(ip))
+
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Dispatch a message from a peer that dialled this sidecar (LinkListener)."""
-        if isinstance(message, RelayRequest):
+        if isinstance(message, RelayRequest) and message.body_bytes:
+            self._body_intake.receive_request(link, message)
+        elif isinstance(message, RelayRequest):
             self._executor.submit(message, link.send, link)
         elif isinstance(message, RelayCancel):
+            link.cancel_bodies(message.call_id)
             self._executor.cancel(link, message.call_id)
         elif isinstance(message, ExchangeMessage):
             self._exchange.accepted_message(link, message)
@@ -478,7 +495,7 @@
             self._owner.expire(now_ms)
             self._executor.expire(now_ms)
             self._data.tick(now_ms)
-            self._held.unsent_bytes = self._links.unsent_bytes()
+            self._held.set_unsent(self._links.unsent_bytes())
             self._log.report_omitted()
             if self._admission.is_due(now_ms):
                 self._update_zone_role(now_ms)
@@ -559,6 +576,9 @@
             "backend_rate_refusals": self._executor.rate_refusals,
             **self._notices.gauges(),
             "held_bytes": self._held.total_bytes,
+            "held_limit_bytes": self._held.max_bytes,
+            "responses_awaiting_memory": self._held.waiting,
+            "resident_bytes": resident_bytes(),
             "owned_requests": self._owner.in_flight,
             "gathers": self._exchange.is_aggregating,
             "view_age_ms": min(self._view.age_ms(self._now_ms()), UNKNOWN_VIEW_AGE_MS),
--- a/packages/sassafraswinch-sidecar/tests/test_freed_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_freed_requests.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sassafraswinch_sidecar.body_transfer import IncomingBody, OutgoingBody
 from sassafraswinch_sidecar.executor import Execution
 from sassafraswinch_sidecar.http_client import Exchange, HttpResponse
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
@@ -35,15 +36,19 @@
     Relay,
     RelayRequest,
     RelayResponse,
+    IncomingBody,
+    OutgoingBody,
 )
 """Types whose instances refer to a body, or to another one that does."""
 
-BODY = b"b" * 20_000
+BODIES = {"short": b"b" * 20_000, "long": b"b" * 300_000}
+"""Long bodies cross links in chunks."""
+
 LOCAL, REMOTE = "/schvaleni/1", "/archiv/1"
 
 
-@pytest.fixture
-async def fleet():
+@pytest.fixture(params=BODIES)
+async def fleet(request):
     """Return a fleet whose last host calls its own server and that of the first."""
     async with running_fleet("archiv", "schvaleni") as fleet:
         routes = [
@@ -51,6 +56,7 @@
             route("schvaleni", "/schvaleni/", "schvaleni", timeout_ms=700.0),
             route("once", "/once/", "archiv", idempotent=False, timeout_ms=700.0),
         ]
+        fleet.body = BODIES[request.param]
         await fleet.store.put(ROUTES, {"version": 2, "routes": routes})
         nodes = fleet.nodes
         await until(lambda: all(n.sidecar._fleet.table.version == 2 for n in nodes))
@@ -82,9 +88,15 @@
         pytest.fail(f"not freed: {survivors()}")
 
 
+async def assert_nothing_is_held(fleet):
+    """Assert that the counts of held bytes are back to 0."""
+    sidecars = [node.sidecar for node in fleet.nodes]
+    await until(lambda: not any(each._held.total_bytes for each in sidecars))
+
+
 async def send(fleet, target, **options):
     address = fleet.nodes[1].settings.address("outbound")
-    return await call(address, method="POST", target=target, body=BODY, **options)
+    return await call(address, method="POST", target=target, body=fleet.body, **options)
 
 
 def behave(fleet, behaviour):
@@ -102,9 +114,10 @@
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE])
 async def test_answered_request_is_freed(fleet, target):
-    behave(fleet, respond_with(body=BODY))
+    behave(fleet, respond_with(body=fleet.body))
     assert (await send(fleet, target)).status == 200
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -112,13 +125,15 @@
     behave(fleet, respond_with(status=503, fields=b"X-Not-Run: 1\r\n", signed=False))
     assert (await send(fleet, target)).status == 503
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE])
 async def test_failed_request_is_freed(fleet, target):
-    behave(fleet, respond_with(status=500, body=BODY))
+    behave(fleet, respond_with(status=500, body=fleet.body))
     assert (await send(fleet, target)).status == 500
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -126,6 +141,7 @@
     behave(fleet, hang)
     assert (await send(fleet, target)).status == 504
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -133,6 +149,7 @@
     behave(fleet, lambda connection, seen: connection.transport.abort())
     assert (await send(fleet, target)).status in (502, 504)
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE])
@@ -142,6 +159,7 @@
     await asyncio.sleep(0.05)
     assert (await send(fleet, target)).status == 503
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -152,6 +170,7 @@
     statuses = {got.status for got in await asyncio.gather(*sent)}
     assert {503, 504} <= statuses
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -163,22 +182,24 @@
     for number in range(count):
         _, writer = await asyncio.open_connection(address.ip, address.port)
         request = request_bytes(
-            method="POST", target=target, body=BODY, request_id=f"r-{number}"
+            method="POST", target=target, body=fleet.body, request_id=f"r-{number}"
         )
         writer.write(request)
         await asyncio.sleep(0.005)
         writer.close()
     await until(lambda: any(node.backend.seen for node in fleet.nodes))
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 async def test_incomplete_request_is_freed(fleet):
     address = fleet.nodes[1].settings.address("outbound")
     _, writer = await asyncio.open_connection(address.ip, address.port)
-    writer.write(request_bytes(method="POST", target=REMOTE, body=BODY)[:-10])
+    writer.write(request_bytes(method="POST", target=REMOTE, body=fleet.body)[:-10])
     await asyncio.sleep(0.05)
     writer.close()
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [REMOTE, "/once/1"])
@@ -190,6 +211,7 @@
         peer.link.abort("lost")
     assert (await sending).status in (502, 504)
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
 
 
 @pytest.mark.parametrize("target", [LOCAL, REMOTE, "/once/1"])
@@ -201,3 +223,4 @@
     await sending
     await until(fleet.nodes[1].task.done)
     await assert_none_survives()
+    await assert_nothing_is_held(fleet)
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -1,9 +1,11 @@
 """Tests of dialling and of requests that wait for a link, on a simulated clock."""
 
 import asyncio
+import math
 
 import pytest
 
+from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.peer import QUIET_PERIOD_MS
 from sassafraswinch_sidecar.peer_links import (
     DIAL_TIMEOUT_S,
@@ -34,14 +36,14 @@
     def link_opened(self, link):
         pass
 
-    def link_lost(self, ip):
+    def link_lost(self, ip, unsent):
         pass
 
     def dialled_message(self, ip, message):
         pass
 
-    def requests_unsent(self, requests):
-        self.returned += [request.call_id for request in requests]
+    def requests_unsent(self, call_ids):
+        self.returned += call_ids
 
     def is_pending(self, call_id):
         return call_id not in self.unwanted
@@ -95,6 +97,12 @@
     def close(self):
         pass
 
+    def unsent_requests(self):
+        return []
+
+    def cancel_bodies(self, call_id):
+        pass
+
 
 def new_links():
     listener = Listener()
@@ -105,6 +113,7 @@
         dial_port=1,
         incarnation=7,
         listener=listener,
+        held=HeldBytes(max_bytes=math.inf),
     )
 
 
