Soak: lengths, run times and late copies over orders of magnitude

With VARIED=--varied bodies and answers are 0 B to 16 MiB long and runs take 1 ms to 8 s, evenly over orders of magnitude; a tenth of the callers reads late; servers reject requests and send responses, rejections too, once more where the next one is expected; the store is cut from all hosts at once, amid changes; and the resident memory of each process is checked against its limit, 200 MB, every 50 ms.

Tried and not kept: telling the allocator to return long freed blocks (mallopt).

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 RESTORES ?=
 LIMITS ?=
 STOPS ?=
+VARIED ?=
 # Half of the cores, four at most: tests of many sidecars take turns on one core.
 WORKERS ?= $(shell n=$$(( $$(nproc) / 2 )); echo $$(( n > 4 ? 4 : n < 1 ? 1 : n )))
 
@@ -52,10 +53,11 @@
 # FATAL=--fatal a request that crashes the servers that run it is sent as well; with
 # RESTORES=--restores the store comes back from older copies as well; with LIMITS=--limits
 # servers name limits and leave in their responses as well. With STOPS=--only-stops
-# processes are only stopped, under many callers that open new connections.
+# processes are only stopped, under many callers that open new connections. With
+# VARIED=--varied lengths and run times vary over orders of magnitude, within 200 MB.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
-		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS)
+		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS) $(VARIED)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/tests/fault_soak/callers.py
+++ b/tests/fault_soak/callers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from .record import Record, SoakRequest, body_of
+from .shapes import SHAPE_FIELD, Shape, draw_shape, pattern, serialize_shape
 
 CALLER_RESPONSE_TIMEOUT_S = 12.0
 """Longest wait for a response. It is far above every deadline, so that a paused process
@@ -47,6 +48,7 @@
     Attributes:
         process_starts: number of starts of the sidecar's process.
         new_connection_share: share of the requests that open a connection of their own.
+        is_varied: whether lengths and times of requests vary.
     """
 
     _numbers = itertools.count(1)
@@ -64,6 +66,7 @@
     ):
         self.process_starts = 0
         self.new_connection_share = 0.0
+        self.is_varied = False
         self._host = host
         self._service = service
         self._ip = ip
@@ -102,6 +105,7 @@
             version=kind.version,
             organisation=organisation,
             process_starts=self.process_starts,
+            shape=self._draw_shape(kind),
             sent_s=_now_s(),
         )
         self._record.sent[request_id] = sent
@@ -115,6 +119,11 @@
         sent.done_s = _now_s()
         return sent
 
+    def _draw_shape(self, kind: Kind) -> Shape | None:
+        if not self.is_varied:
+            return None
+        return draw_shape(self._rng, has_body=kind.method == "POST")
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle_connections:
@@ -125,7 +134,10 @@
         reusable = False
         try:
             writer.write(_encode_request(sent, kind, key))
+            await writer.drain()
             sent.is_written = True
+            if sent.shape is not None:
+                await asyncio.sleep(sent.shape.read_pause_s)
             fields = await _read_head_and_body(reader, sent)
             reusable = fields.get("connection", "").lower() != "close"
             instance_id = fields.get("server-signature", "").partition(".")[0]
@@ -156,10 +168,14 @@
     # replace by the true ones.
     credentials = f"Authorization: Bearer {key}\r\n" if key else ""
     body = b"x" * 300 if kind.method == "POST" else b""
+    shape = ""
+    if sent.shape is not None:
+        body = pattern(sent.request_id, sent.shape.body_bytes)
+        shape = f"{SHAPE_FIELD}: {serialize_shape(sent.shape)}\r\n"
     return (
         f"{sent.method} {sent.target} HTTP/1.1\r\nHost: shop.example\r\n"
         f"Request-Id: {sent.request_id}\r\nDeadline-Ms: {kind.time_left_ms}\r\n"
-        f"Caller-Service: nobody\r\nTenant: nobody\r\n{credentials}"
+        f"Caller-Service: nobody\r\nTenant: nobody\r\n{credentials}{shape}"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
@@ -177,7 +193,7 @@
         sent.fault = "response to another request"
     elif sent.status == 200 and "server-signature" not in fields:
         sent.fault = "success without a signature"
-    elif sent.status == 200 and body != body_of(sent.request_id):
+    elif sent.status == 200 and body != body_of(sent.request_id, sent.shape):
         sent.fault = "success without the server's complete body"
     return fields
 
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -21,6 +21,10 @@
 """Weight of limits, and of leave notices, among the faults, if they are enabled."""
 
 
+VARIED_WEIGHT = 3
+"""Weight of each fault that only soaks of varied requests have."""
+
+
 class Chaos:
     """Injects random faults, each of which ends after a random time.
 
@@ -30,6 +34,8 @@
         restores: whether the store is also restored from older copies.
         limits: whether servers also name limits and leave in their responses.
         only_stops: whether processes are only stopped, and receive other signals.
+        is_varied: whether servers also send second copies late, and the store is cut
+            from the sidecars that follow it.
 
     Attributes:
         counts: number of faults so far, by kind.
@@ -44,6 +50,7 @@
         restores: bool = False,
         limits: bool = False,
         only_stops: bool = False,
+        is_varied: bool = False,
     ):
         self.counts: Counter[str] = Counter()
         self.unclean_stops = 0
@@ -77,6 +84,9 @@
                 self.reload_settings,
                 self.change_routes,
             ]
+        if is_varied:
+            self._actions += [self.server_sends_late_copies] * VARIED_WEIGHT
+            self._actions += [self.cut_store] * VARIED_WEIGHT
         if restores:
             self._actions += [self.store_restored] * RESTORE_WEIGHT
         if limits:
@@ -267,6 +277,28 @@
             await self._wait(0.5, 3.0)
             server.reset_faults()
 
+    async def server_sends_late_copies(self) -> None:
+        """Reject requests, and send responses once more where the next is expected."""
+        async with self._reserve_host("server-late-copies") as host:
+            if host is None:
+                return
+            host.server.late_copy_share = self._rng.uniform(0.05, 0.6)
+            host.server.shed_share = self._rng.uniform(0.2, 0.7)
+            await self._wait(1.0, 5.0)
+            host.server.reset_faults()
+
+    async def cut_store(self) -> None:
+        """Cut all hosts from the store at once, amid changes of the routes."""
+        self.counts["cut-store-everywhere"] += 1
+        fault = self._rng.choice([Fault.CUT, Fault.SILENT])
+        routes = [host.routes["store"] for host in self._fleet.hosts]
+        for route in routes:
+            route.set_fault(fault, only_open=True)
+        await self.change_routes()
+        await self._wait(0.3, 3.0)
+        for route in routes:
+            route.set_fault(Fault.NONE)
+
     async def server_names_limits(self) -> None:
         """Name a limit, change it at random and withdraw it.
 
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -18,6 +18,7 @@
 from .organisations import OWN, KeyRing, tenants
 from .record import FATAL_TARGET, Record
 from .server import HEALTH_PATH, ServerStandIn
+from .shapes import MAX_BODY_BYTES, MEMORY_MB, resident_mb_of
 from .store import StoreStandIn
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -132,7 +133,7 @@
             "metrics_port": METRICS_PORT,
             "platform": store,
             "drain_s": SIDECAR_STOP_GRACE_S,
-        }
+        } | ({"memory_mb": MEMORY_MB} if self._fleet.is_varied else {})
 
     def close(self) -> None:
         """Kill the process and close its server, relay and callers."""
@@ -151,6 +152,10 @@
         """Exit code of the last process; negative for the signal that ended it."""
         return self._popen.returncode
 
+    def resident_mb(self) -> float:
+        """Return the resident memory of the process; 0 if none runs."""
+        return resident_mb_of(self._popen.pid) if self.alive else 0.0
+
     def start(self) -> None:
         """Start the process."""
         environment = {
@@ -255,6 +260,7 @@
         copies: number of hosts for each item of ``SERVICES``; 41 at most.
         fatal: whether callers send a request that crashes each server that runs it.
         limits: whether servers name limits and leave in their responses.
+        is_varied: whether lengths and times of requests vary, within little memory.
 
     Attributes:
         is_server_direct: whether sidecars are connected to their servers directly.
@@ -269,7 +275,9 @@
         copies: int = 1,
         fatal: bool = False,
         limits: bool = False,
+        is_varied: bool = False,
     ):
+        self.is_varied = is_varied
         self.is_server_direct = fatal or limits
         self.rng = random.Random(seed)
         self.keys = KeyRing(seed=seed)
@@ -311,7 +319,7 @@
         ]
         limits = {
             "max_header_bytes": 32_768,
-            "max_body_bytes": 1_048_576,
+            "max_body_bytes": MAX_BODY_BYTES if self.is_varied else 1_048_576,
             "header_timeout_s": 5,
             "idle_timeout_s": 30,
         }
@@ -347,6 +355,7 @@
         """Start the callers of all hosts."""
         for host in self.hosts:
             host.external_caller.new_connection_share = new_connection_share
+            host.external_caller.is_varied = self.is_varied
         return [
             asyncio.create_task(
                 send_requests_at_rate(
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -15,7 +15,8 @@
 import defopt
 
 from .chaos import Chaos
-from .fleet import FaultSoakFleet
+from .fleet import REQUESTS_PER_S, FaultSoakFleet
+from .shapes import REQUESTS_PER_S as VARIED_REQUESTS_PER_S, MemoryWatch
 
 CHAOS_S = 8.0
 """Duration of the phase in which faults are started."""
@@ -26,6 +27,9 @@
 NEW_CONNECTION_SHARE = 0.7
 """Share of these requests that open a connection of their own."""
 
+MEMORY_CHECK_INTERVAL_S = 0.05
+"""Interval of the checks of the processes' memory."""
+
 SETTLE_S = 1.5
 """Wait after the last request, during which a server may still run one."""
 
@@ -40,6 +44,7 @@
         faults: number of injected faults by kind.
         statuses: number of responses by status; None or 0 for missing ones.
         runs: number of requests that backend servers started to run.
+        peak_mb: most memory that a process held, if lengths vary.
     """
 
     seed: int
@@ -47,6 +52,7 @@
     faults: Counter = field(default_factory=Counter)
     statuses: Counter = field(default_factory=Counter)
     runs: int = 0
+    peak_mb: float = 0.0
 
 
 async def play(
@@ -59,11 +65,17 @@
     restores: bool = False,
     limits: bool = False,
     only_stops: bool = False,
+    varied: bool = False,
 ) -> SeedResult:
     """Run one seed; the processes' logs remain in the directory."""
     result = SeedResult(seed)
     fleet = FaultSoakFleet(
-        seed=seed, directory=directory, copies=copies, fatal=fatal, limits=limits
+        seed=seed,
+        directory=directory,
+        copies=copies,
+        fatal=fatal,
+        limits=limits,
+        is_varied=varied,
     )
     chaos = Chaos(
         fleet=fleet,
@@ -71,7 +83,9 @@
         restores=restores,
         limits=limits,
         only_stops=only_stops,
+        is_varied=varied,
     )
+    memory = MemoryWatch(hosts=fleet.hosts if varied else ())
     try:
         await fleet.open()
         if only_stops:
@@ -79,7 +93,9 @@
                 STOPS_REQUESTS_PER_S, NEW_CONNECTION_SHARE
             )
         else:
-            callers = fleet.start_host_callers()
+            per_s = VARIED_REQUESTS_PER_S if varied else REQUESTS_PER_S
+            callers = fleet.start_host_callers(per_s)
+        watching = asyncio.create_task(_watch_memory(memory))
         if fatal:
             callers.append(asyncio.create_task(fleet.send_fatal_requests()))
         await chaos.run(chaos_s)
@@ -87,9 +103,9 @@
             await fleet.wait_until_all_served()
         except TimeoutError:
             result.broken.append("a host did not serve every kind of request again")
-        for task in callers:
+        for task in (*callers, watching):
             task.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        await asyncio.gather(*callers, watching, return_exceptions=True)
         await asyncio.sleep(SETTLE_S)
         result.broken += [
             f"{host.name} exited unexpectedly with code {host.exit_code}"
@@ -99,6 +115,8 @@
     finally:
         fleet.close()
     result.broken += fleet.record.find_invariant_violations()
+    result.broken += memory.find_violations()
+    result.peak_mb = memory.peak_mb
     if only_stops:
         result.broken += fleet.record.find_cut_requests()
     result.faults = chaos.counts
@@ -112,6 +130,12 @@
     return result
 
 
+async def _watch_memory(memory: MemoryWatch) -> None:
+    while True:
+        memory.check()
+        await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
+
 def main(
     *,
     first: int = 1,
@@ -122,6 +146,7 @@
     restores: bool = False,
     limits: bool = False,
     only_stops: bool = False,
+    varied: bool = False,
 ) -> None:
     """Run consecutive seeds; the exit code is 1 if an invariant was violated.
 
@@ -134,6 +159,7 @@
         restores: also restore the store from older copies.
         limits: also have servers name limits and leave in their responses.
         only_stops: only stop processes, under many callers that connect anew.
+        varied: vary lengths and times over orders of magnitude, within little memory.
     """
     failed = []
     for seed in range(first, first + seeds):
@@ -149,12 +175,14 @@
                 restores=restores,
                 limits=limits,
                 only_stops=only_stops,
+                varied=varied,
             )
         )
         elapsed_s = time.monotonic() - started_s
         statuses = {str(key): n for key, n in result.statuses.most_common()}
         print(f"seed {seed}: {elapsed_s:.0f} s, {result.runs} runs, {statuses}")
-        print(f"  {dict(result.faults)}", flush=True)
+        peak = f", peak {result.peak_mb:.0f} MB" if varied else ""
+        print(f"  {dict(result.faults)}{peak}", flush=True)
         for line in result.broken[:10]:
             print(f"  BROKEN {line}; logs in {directory}", flush=True)
         if result.broken:
--- a/tests/fault_soak/record.py
+++ b/tests/fault_soak/record.py
@@ -8,6 +8,7 @@
 
 from .notices import NoticeRecord
 from .organisations import OWN, find_rate_limit_violations, first_starts_s
+from .shapes import Shape, pattern
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses which guarantee that a request has not run and never will."""
@@ -57,6 +58,7 @@
         fault: description of an invalid response, or empty.
         has_new_connection: whether a connection was opened for it.
         is_written: whether it was sent whole on an established connection.
+        shape: its lengths and times; None for those of most soaks.
     """
 
     request_id: str
@@ -74,6 +76,7 @@
     fault: str = ""
     has_new_connection: bool = False
     is_written: bool = False
+    shape: Shape | None = None
 
     @property
     def is_cut(self) -> bool:
@@ -96,6 +99,7 @@
         organisation: organisation as received.
         has_key: whether the server received an API key.
         drained_since_s: time when the server was published as draining, or None.
+        has_whole_body: whether the body is the one that was sent.
     """
 
     request_id: str
@@ -108,6 +112,7 @@
     organisation: str = ""
     has_key: bool = False
     drained_since_s: float | None
+    has_whole_body: bool = True
 
 
 @dataclass(slots=True)
@@ -192,6 +197,8 @@
         lines = []
         if (run.method, run.target) != (sent.method, sent.target):
             lines.append(f"changed in transit: {sent} {run}")
+        if not run.has_whole_body:
+            lines.append(f"body changed in transit: {sent} {run}")
         if run.caller_service != sent.caller_service:
             lines.append(f"wrong caller service: {sent} {run}")
         if run.organisation != sent.organisation or not run.organisation:
@@ -225,8 +232,10 @@
     return f"/{target.split('/')[1]}/"
 
 
-def body_of(request_id: str) -> bytes:
-    """Return the body of the response to a request: up to some 20 KB."""
+def body_of(request_id: str, shape: Shape | None = None) -> bytes:
+    """Return the body of the response to a request: up to some 20 KB by default."""
+    if shape is not None:
+        return pattern(f"answer to {request_id}", shape.answer_bytes)
     digest = hashlib.sha256(request_id.encode()).hexdigest().encode()
     return digest * (1 + digest[0] % 8 * 40)
 
--- a/tests/fault_soak/server.py
+++ b/tests/fault_soak/server.py
@@ -8,6 +8,7 @@
 import httptools
 
 from .record import FATAL_TARGET, Record, Run, body_of
+from .shapes import SHAPE_FIELD, Shape, parse_shape, pattern
 
 SLOTS = 8
 HEALTH_PATH = "/health"
@@ -26,6 +27,7 @@
     def __init__(self, server: "ServerStandIn"):
         self._server = server
         self._task: asyncio.Task | None = None
+        self._late_copy = b""
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -46,6 +48,7 @@
     def on_message_begin(self) -> None:
         self.headers: dict[bytes, bytes] = {}
         self.target = b""
+        self.body: list[bytes] = []
 
     def on_url(self, url) -> None:
         self.target += url
@@ -53,13 +56,22 @@
     def on_header(self, name, value) -> None:
         self.headers[name.lower()] = value
 
+    def on_body(self, body) -> None:
+        self.body.append(body)
+
     def on_message_complete(self) -> None:
+        late_copy, self._late_copy = self._late_copy, b""
+        if late_copy:
+            self.transport.write(late_copy)
         self.method = self._parser.get_method().decode()
         self._task = asyncio.create_task(self._server.serve(self))
 
     def header(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode()
 
+    def shape(self) -> Shape | None:
+        return parse_shape(self.header(SHAPE_FIELD.lower().encode()))
+
     def answer(
         self, request_id: str, status: int, fields: dict[str, str], body: bytes = b""
     ) -> None:
@@ -67,7 +79,10 @@
         fields = {"Request-Id": request_id} | fields
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         head = f"HTTP/1.1 {status} Any\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
-        self.transport.write(head.encode() + body)
+        response = head.encode() + body
+        self.transport.write(response)
+        if self._server.is_late_copy_due():
+            self._late_copy = response
 
 
 class ServerStandIn:
@@ -76,6 +91,8 @@
     Attributes:
         lose_share: share of responses replaced by a connection reset.
         double_share: share of responses sent twice, the second time with a delay.
+        late_copy_share: share of responses, rejections too, that are sent once more
+            where the next response on their connection is expected.
         cut_share: share of responses that are truncated.
         shed_share: share of requests that are rejected.
         slow_x: factor on the execution time.
@@ -110,6 +127,7 @@
     def reset_faults(self) -> None:
         """Disable all faults."""
         self.lose_share = self.double_share = self.cut_share = self.shed_share = 0.0
+        self.late_copy_share = 0.0
         self.slow_x = 1.0
         self.limit_per_s: float | None = None
         self.leaving = False
@@ -154,6 +172,12 @@
             "seq": 1,
         }
 
+    def is_late_copy_due(self) -> bool:
+        """Return whether a response is to be sent once more."""
+        # Draws nothing without a share: other soaks keep the schedules of their seeds.
+        share = self.late_copy_share
+        return share > 0 and self._rng.random() < share
+
     async def serve(self, connection: ServerConnection) -> None:
         expected = connection.header(b"target-instance")
         request_id = connection.header(b"request-id")
@@ -192,9 +216,12 @@
                 has_key=b"authorization" in connection.headers,
                 started_s=_now_s(),
                 drained_since_s=self._drained_since_s,
+                has_whole_body=_has_whole_body(connection, request_id),
             )
         )
-        await asyncio.sleep(self._rng.uniform(*SERVER_EXECUTION_TIME_S) * self.slow_x)
+        shape = connection.shape()
+        run_s = shape.run_s if shape else self._rng.uniform(*SERVER_EXECUTION_TIME_S)
+        await asyncio.sleep(run_s * self.slow_x)
         if connection.target.decode() == FATAL_TARGET:
             self._on_fatal_request()
         return await self._make_child_calls(request_id)
@@ -207,7 +234,7 @@
         return limit | ({"Server-Leaving": "1"} if self.leaving else {})
 
     async def _respond(self, connection, status: int, request_id: str) -> None:
-        body = body_of(request_id)
+        body = body_of(request_id, connection.shape())
         signature = {"Server-Signature": f"{self.instance_id}.{len(body)}"}
         fields = signature | self._notice_fields()
         draw = self._rng.random()
@@ -225,5 +252,12 @@
                 connection.answer(request_id, status, fields, body)
 
 
+def _has_whole_body(connection: ServerConnection, request_id: str) -> bool:
+    shape = connection.shape()
+    if shape is None:
+        return True
+    return b"".join(connection.body) == pattern(request_id, shape.body_bytes)
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -21,6 +21,10 @@
 """This seed kills all processes once, pauses and kills single ones, resets and silences
 links, crashes and drains servers, and changes the routes."""
 
+VARIED_SEED = 9003
+"""This seed sends late copies of responses four times, kills, pauses and stops processes
+once each, and changes the routes."""
+
 FAILED_SEEDS = (
     # Requests for a new instance at an idle server's address were rejected, because
     # the sidecar still trusted the id that the old instance had reported.
@@ -40,6 +44,16 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_invariants_hold_with_lengths_and_times_of_all_magnitudes(tmp_path):
+    """Guards against faults that need long bodies, long runs or an id that comes twice,
+    among them a process that exceeds its memory.
+    """
+    outcome = await play(VARIED_SEED, tmp_path, varied=True)
+    assert not outcome.broken
+    assert outcome.faults["server-late-copies"]
+    assert outcome.statuses[200] > outcome.statuses.total() / 2
+
+
 async def test_request_that_crashes_servers_is_held_back_during_faults(tmp_path):
     """One request crashes each server that runs it and is sent again at any host, while
     processes, links and servers fail. It may crash three servers, and those that run it
