A second handshake of a resumed peer loses no requests

What callers saw: a peer is suspended while it is dialled.

Change: of two links to the same process the first stays. Where the peer was restarted, the link is replaced and its loss is reported, so that requests on it go on or end at once.

Both new tests failed before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -335,10 +335,18 @@
 
     def _dialled_handshake(self, link: PeerLink) -> None:
         peer = self.peers[link.peer_ip]
-        old, peer.link = peer.link, link
+        old = peer.link
+        if old is not None and old.is_open and old.incarnation == link.incarnation:
+            # A suspended peer answers several attempts when it resumes. Requests on the
+            # link that was first would be lost with it.
+            link.abort("superfluous")
+            peer.handshake_done.set()
+            return
+        peer.link = link
+        peer.outstanding = 0
         if old is not None:
             old.abort("replaced")
-        peer.outstanding = 0
+            self._listener.link_lost(link.peer_ip, old.unsent_requests())
         peer.backoff_until_ms = 0.0
         # The dialling task must not be cancelled here; it ends by itself. Failure: the
         # Hello is read before create_connection has returned; cancelling the task then
--- a/packages/sassafraswinch-sidecar/tests/test_peer_links.py
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_links.py
@@ -32,12 +32,13 @@
     def __init__(self):
         self.returned = []
         self.unwanted = set()
+        self.lost = []
 
     def link_opened(self, link):
         pass
 
     def link_lost(self, ip, unsent):
-        pass
+        self.lost.append(ip)
 
     def dialled_message(self, ip, message):
         pass
@@ -78,6 +79,10 @@
     def abort(self, fault):
         self.fault = fault
 
+    @property
+    def is_open(self):
+        return not self.fault
+
     def send(self, message):
         self.sent.append(message)
         return True
@@ -167,6 +172,36 @@
     await links.close()
 
 
+async def test_second_handshake_of_a_resumed_peer_keeps_the_first_link(monkeypatch):
+    """Guards against requests that are lost with a link that was replaced."""
+    Dialler(monkeypatch)
+    links = new_links()
+    first, second = Link(), Link()
+    links._peer(PEER)
+    links._dialled_handshake(first)
+    assert links.send_request(PEER, new_request(1))
+    links._dialled_handshake(second)
+    assert (first.fault, second.fault) == ("", "superfluous")
+    links._dialled_lost(second)
+    assert links.peers[PEER].link is first
+    assert not links._listener.lost
+    await links.close()
+
+
+async def test_requests_on_a_replaced_link_end_at_once(monkeypatch):
+    """Guards against requests that wait for their time limit on a replaced link."""
+    Dialler(monkeypatch)
+    links = new_links()
+    former, current = Link(incarnation=8), Link(incarnation=9)
+    links._peer(PEER)
+    links._dialled_handshake(former)
+    links._dialled_handshake(current)
+    assert former.fault == "replaced"
+    assert links._listener.lost == [PEER]
+    assert links.peers[PEER].link is current
+    await links.close()
+
+
 async def test_unreachable_peer_is_dialled_periodically(monkeypatch):
     network = Dialler(monkeypatch)
     links = new_links()
