The owner of a response for which a link has no room learns of it at once

Change: a short notice goes in its place, beyond the limit: "may have run" for a response, "not run" for a refusal. A log line and a counter on the metrics tell it.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_intake.py
@@ -1,11 +1,13 @@
 """Intake of the long bodies that peers announce: refused, awaited or received."""
 
 from collections.abc import Callable
+from functools import partial
 
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.peer_link import PeerLink
 from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest, RelayResponse
+from sassafraswinch_sidecar.response_sender import ResponseSender
 
 
 class BodyIntake:
@@ -17,6 +19,7 @@
     Args:
         held: memory limit of this process.
         executor: runs the requests.
+        responses: sends their responses.
         is_pending: returns whether the response to a call is still awaited.
         on_response: called with the address of a peer and a complete response.
     """
@@ -26,25 +29,36 @@
         *,
         held: HeldBytes,
         executor: Executor,
+        responses: ResponseSender,
         is_pending: Callable[[int], bool],
         on_response: Callable[[str, RelayResponse], None],
     ):
         self._held = held
         self._executor = executor
+        self._responses = responses
         self._is_pending = is_pending
         self._on_response = on_response
 
     def receive_request(self, link: PeerLink, request: RelayRequest) -> None:
-        """Receive an announced request, or refuse it."""
+        """Run a request; one whose body is announced once it is complete."""
+        if request.body_bytes:
+            self._receive_body(link, request)
+        else:
+            self._submit(link, request)
+
+    def _submit(self, link: PeerLink, request: RelayRequest) -> None:
+        self._executor.submit(request, partial(self._responses.send, link), link)
+
+    def _receive_body(self, link: PeerLink, request: RelayRequest) -> None:
         refusal = self._executor.refuse_announced(request)
         if refusal is not None:
-            link.send(refusal)
+            self._responses.send(link, refusal)
             return
         body_bytes = request.body_bytes
 
         def on_complete(complete: RelayRequest) -> None:
             self._held.release(body_bytes)
-            self._executor.submit(complete, link.send, link)
+            self._submit(link, complete)
 
         self._held.hold(body_bytes)
         link.receive_body(request, on_complete, lambda: self._held.release(body_bytes))
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -157,6 +157,10 @@
             self._outgoing.cancel(message.call_id)
         return False
 
+    def send_short(self, message: Message) -> None:
+        """Queue a short message even if the peer has left much unread."""
+        self._write(serialize_message(message))
+
     def _send_now(self, message: Message) -> bool:
         return self.send_frame(serialize_message(message))
 
@@ -202,13 +206,16 @@
             return False
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
+        self._write(frame)
+        return True
+
+    def _write(self, frame: bytes) -> None:
         if self._batch.is_open:
             if not self._deferred_frames:
                 self._batch.add(self)
             self._deferred_frames.append(frame)
         else:
             self._transport.write(frame)
-        return True
 
     def expect_reply(self) -> None:
         """Record that a heartbeat was sent, unless one is unanswered already."""
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -67,6 +67,7 @@
     SuspectNews,
 )
 from sassafraswinch_sidecar.request_log import RequestLog
+from sassafraswinch_sidecar.response_sender import ResponseSender
 from sassafraswinch_sidecar.retry_budget import RetryBudget
 from sassafraswinch_sidecar.routes import RequestLimits
 from sassafraswinch_sidecar.server_limits_page import ServerLimitsPage
@@ -266,9 +267,11 @@
             counters=self._counts,
             log=self._log,
         )
+        self._responses = ResponseSender()
         self._body_intake = BodyIntake(
             held=self._held,
             executor=self._executor,
+            responses=self._responses,
             is_pending=self.is_pending,
             on_response=self._handle_response,
         )
@@ -383,10 +386,8 @@
 
     def accepted_message(self, link: PeerLink, message: Message) -> None:
         """Dispatch a message from a peer that dialled this sidecar (LinkListener)."""
-        if isinstance(message, RelayRequest) and message.body_bytes:
+        if isinstance(message, RelayRequest):
             self._body_intake.receive_request(link, message)
-        elif isinstance(message, RelayRequest):
-            self._executor.submit(message, link.send, link)
         elif isinstance(message, RelayCancel):
             link.cancel_bodies(message.call_id)
             self._executor.cancel(link, message.call_id)
@@ -578,6 +579,7 @@
             "held_bytes": self._held.total_bytes,
             "held_limit_bytes": self._held.max_bytes,
             "responses_awaiting_memory": self._held.waiting,
+            "responses_dropped": self._responses.dropped_responses,
             "resident_bytes": resident_bytes(),
             "owned_requests": self._owner.in_flight,
             "gathers": self._exchange.is_aggregating,
