Long bodies are received without a copy of the whole at their end

The parts of a body were joined, and a buffer of its length was filled with zeros, each in one go that holds up all other requests. Buffers grow with what arrives now.

Short responses of the server aren't counted one by one any more: its slots bound them.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_transfer.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_transfer.py
@@ -149,8 +149,7 @@
 
     Attributes:
         message: its message.
-        data: the body, filled up to ``received_bytes``.
-        received_bytes: number of bytes received so far.
+        data: what has been received of the body.
         on_complete: called with the message once its body is complete.
         on_dropped: called if the rest of the body won't come.
         since_ms: event loop time of the announcement.
@@ -161,7 +160,6 @@
     on_complete: Callable[[BodyMessage], None]
     on_dropped: Callable[[], None]
     since_ms: float
-    received_bytes: int = 0
 
 
 class IncomingBodies:
@@ -180,7 +178,7 @@
         """Receive the body of a message; its memory must have been reserved."""
         self._bodies[message.call_id] = IncomingBody(
             message,
-            bytearray(message.body_bytes),
+            bytearray(),
             on_complete,
             on_dropped,
             self._loop.time() * 1000,
@@ -195,12 +193,11 @@
         body = self._bodies.get(chunk.call_id)
         if body is None:
             return  # It was cancelled while the chunk was under way.
-        end_bytes = body.received_bytes + len(chunk.data)
-        if end_bytes > len(body.data):
+        missing_bytes = body.message.body_bytes - len(body.data)
+        if len(chunk.data) > missing_bytes:
             raise ValueError("a body is longer than announced")
-        body.data[body.received_bytes : end_bytes] = chunk.data
-        body.received_bytes = end_bytes
-        if end_bytes == len(body.data):
+        body.data += chunk.data
+        if len(chunk.data) == missing_bytes:
             del self._bodies[chunk.call_id]
             body.message.body = body.data
             body.message.body_bytes = 0
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -37,7 +37,8 @@
 """Maximum length of a response body; a faulty server may send without end."""
 
 RESERVED_FROM_BYTES = 64 * 1024
-"""Length from which a response body is read only once the memory limit allows it."""
+"""Length from which a response body is counted, and read only once it fits into the
+memory limit. The slots of the server bound how many shorter ones are received."""
 
 _FRAMING = (b"content-length", b"transfer-encoding")
 
@@ -253,29 +254,29 @@
         if self._completed_response is not None or self._exchange is None:
             return
         status = self._parser.get_status_code()
-        framed = any(lowered in _FRAMING for lowered, _, _ in self._fields)
-        if not framed and has_body(status, self._exchange.method):
+        framing = [value for lowered, _, value in self._fields if lowered in _FRAMING]
+        if not framing and has_body(status, self._exchange.method):
             self._body_until_close = True
-        self._reserve_body()
         if self._exchange.method == b"HEAD" and status >= 200:
             self._completed_response = self._response()
             self.usable = False
+        elif framing and framing[0].isdigit():
+            self._reserve_body(int(framing[0]))
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (httptools)."""
         if self._completed_response is None:
             self._body.append(body)
             self._body_bytes += len(body)
-            self._count_body()
+            if self._body_bytes > RESERVED_FROM_BYTES:
+                self._count_body()
 
     @property
     def _max_answer_bytes(self) -> float:
         return min(MAX_ANSWER_BYTES, self._held.max_bytes)
 
-    def _reserve_body(self) -> None:
+    def _reserve_body(self, length_bytes: int) -> None:
         """Read a long body only once the memory limit allows it."""
-        lengths = [value for name, _, value in self._fields if name == _FRAMING[0]]
-        length_bytes = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
         if not RESERVED_FROM_BYTES <= length_bytes <= self._max_answer_bytes:
             return
         self._reservation = self._held.reserve(length_bytes, self._resume_reading)
@@ -287,7 +288,7 @@
             self._transport.resume_reading()
 
     def _count_body(self) -> None:
-        """Count a body whose length isn't known or which is short."""
+        """Count a long body whose length isn't known."""
         if self._reservation is None:
             self._reservation = self._held.reserve_now(0)
         excess_bytes = self._body_bytes - self._reservation.size_bytes
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -61,7 +61,7 @@
     target: bytes
     # Excluded from the repr: header fields hold API keys.
     fields: Fields = field(repr=False)
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     arrived_ms: float
 
@@ -118,7 +118,8 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._fields: Fields = []
-        self._body: list[bytes] = []
+        # Grows without a copy at the end, which would hold up all other requests.
+        self._body = bytearray()
         self._body_bytes = 0
         self._is_length_known = False
         self._header_bytes = 0
@@ -207,7 +208,7 @@
         elif not self._fits(len(body)):
             self._refuse(NO_MEMORY_STATUS)
         elif not self._closed:
-            self._body.append(body)
+            self._body += body
             self._body_bytes_held += len(body)
             self._held.hold(len(body))
 
@@ -229,7 +230,7 @@
             method=self._parser.get_method(),
             target=self._target,
             fields=self._fields,
-            body=b"".join(self._body),
+            body=_frozen_if_short(self._body),
             keep_alive=self._parser.should_keep_alive(),
             arrived_ms=self._loop.time() * 1000,
         )
@@ -425,6 +426,10 @@
         self._transport.close()
 
 
+def _frozen_if_short(body: bytearray) -> bytes | bytearray:
+    return body if len(body) >= WRITTEN_APART_BYTES else bytes(body)
+
+
 class HttpListener:
     """A listening socket and its connections.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -151,6 +151,8 @@
         has_body = isinstance(message, RelayRequest | RelayResponse)
         if has_body and self._takes_chunks and len(message.body) > CHUNKED_FROM_BYTES:
             self._outgoing.announce(message)
+        elif has_body:
+            message.body = bytes(message.body)
         if self._send_now(message):
             return True
         if has_body:
