A connection that brings much at once is read in several turns

libuv reads up to 8 MB from one connection before it turns to the next, and all other requests wait while that is parsed. Callers' connections, server connections and links pause for a turn of the event loop after 512 KiB.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -19,6 +19,7 @@
 from sassafraswinch_sidecar.held_bytes import HeldBytes, Reservation
 from sassafraswinch_sidecar.http_fields import Fields, has_body
 from sassafraswinch_sidecar.idle_limit import IdleLimit
+from sassafraswinch_sidecar.read_turns import ReadTurns
 
 CONNECT_TIMEOUT_S = 1.0
 """Timeout of a connection attempt on the same host or in the same region; a lost SYN
@@ -151,6 +152,7 @@
         self.idle_before_use_ms = 0.0
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
         self.carried_ids = CarriedIds()
+        self._read_turns = ReadTurns()
         self._parser: httptools.HttpResponseParser | None = None
         self._reset_response()
 
@@ -218,6 +220,7 @@
             self.abort()
             return
         self._has_received = True
+        self._read_turns.record(self._transport, len(data), self._may_read)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -283,6 +286,9 @@
         if not self._reservation.is_granted:
             self._transport.pause_reading()
 
+    def _may_read(self) -> bool:
+        return self._reservation is None or self._reservation.is_granted
+
     def _resume_reading(self) -> None:
         if not self._transport.is_closing():
             self._transport.resume_reading()
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_server.py
@@ -21,6 +21,7 @@
 )
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.http_fields import Fields, has_body, status_line
+from sassafraswinch_sidecar.read_turns import ReadTurns
 from sassafraswinch_sidecar.routes import RequestLimits
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -108,6 +109,7 @@
         self._closed_ms: float | None = None
         self._message_began_ms = self._idle_since_ms = self._loop.time() * 1000
         self._write_blocked_ms: float | None = None
+        self._read_turns = ReadTurns()
         self._reset_message()
 
     @property
@@ -151,6 +153,7 @@
         if self._closed or self._is_invalid:
             return
         self._has_received = True
+        self._read_turns.record(self._transport, len(data), self._may_read)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -352,6 +355,10 @@
         self._current = self._queued_requests.popleft()
         self._handler.handle(self._current, self)
 
+    def _may_read(self) -> bool:
+        is_full = len(self._queued_requests) > MAX_PIPELINED_REQUESTS
+        return not is_full and not self._is_invalid
+
     def _check_header_size(self, read_bytes: int) -> None:
         """Refuse a header that never ends, before it fills the memory."""
         if not self._in_header:
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -19,6 +19,7 @@
     parse_message,
     serialize_message,
 )
+from sassafraswinch_sidecar.read_turns import ReadTurns
 from sassafraswinch_sidecar.relay_protocol.ttypes import (
     BodyChunk,
     BodyGrant,
@@ -124,6 +125,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._splitter = FrameSplitter()
+        self._read_turns = ReadTurns()
         self._takes_chunks = False
         self._outgoing = OutgoingBodies(write=self._send_now, held=held)
         self._incoming = IncomingBodies()
@@ -269,6 +271,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Decode and dispatch the complete messages (asyncio.Protocol)."""
+        self._read_turns.record(self._transport, len(data))
         self._splitter.feed(data)
         self.received_since_check = True
         self._received_ms = self._now_ms()
