--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A request without an id: requests beside it run under the tenant that sent it."""
+"""Sidecars that follow the store are cut from it: the others apply a change late."""
 
 import asyncio
 import itertools
@@ -6,100 +6,132 @@
 from pathlib import Path
 
 from standins_2.case import Record, main
-from standins_2.fleet import Fleet, path
+from standins_2.fleet import Fleet, Host, path
 from standins_2.requester import Result
-from standins_2.server import Answer, Server, ServerRequest
-
-TENANTS = [
-    {"name": "north", "api_keys": ["key-north"]},
-    {"name": "south", "api_keys": ["key-south"]},
-]
-UNKNOWN_KEY = "key-of-nobody"
-REQUESTS_PER_S = 20.0
-WITHOUT_ID_AT_S = (3.0, 10.0, 17.0)
-LENGTH_S = 24.0
-
-
-async def _serve(server: Server, request: ServerRequest) -> Answer:
-    """Reject a request without an id, as the pages say; run all others."""
-    if not request.id:
-        return Answer(status=400, ran=False)
-    tenant = request.headers.get("tenant", "")
-    return Answer(body=f"records of {tenant}".encode(), work_s=0.1)
-
-
-async def _send_requests(fleet: Fleet, record: Record) -> list[tuple[str, Result]]:
-    """Send requests with the keys of both tenants, and with one that nobody holds."""
-    numbers = itertools.count(1)
-    hosts = itertools.cycle(fleet.hosts)
-    keys = itertools.cycle(("key-north", "key-south", UNKNOWN_KEY))
-    tasks = []
-    while record.now_s() - fleet.opened_s < LENGTH_S:
-        key = next(keys)
-        sending = next(hosts).send(
-            f"{next(numbers):016x}",
-            "/records/latest",
-            fields=f"Authorization: Bearer {key}\r\n",
-        )
-        tasks.append((key, asyncio.create_task(sending)))
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    return [(key, await task) for key, task in tasks]
-
-
-async def _send_without_id(fleet: Fleet, record: Record) -> None:
-    """Send a few requests of tenant north that have no id."""
-    for at_s in WITHOUT_ID_AT_S:
-        await asyncio.sleep(max(0.0, at_s - (record.now_s() - fleet.opened_s)))
-        record.line("a request without an id is sent")
-        result = await fleet.hosts[0].send(
-            "", "/records/latest", fields="Authorization: Bearer key-north\r\n"
-        )
-        record.line(f"the request without an id: {result.status}")
+
+CONFIG_APPLY_S = 2.0
+CUT_S = 4.0
+ROUNDS = 9
+MACHINES_PER_ZONE = 5
+FORMER_CHANGE_S = 0.1
+"""Time from the change before to the cut, and to the change that is judged."""
+
+REQUESTS_PER_S = 30.0
+"""Requests at each machine that isn't cut."""
+
+AFTER_CUT_S = 3.2
+"""Pause after a cut: the machines that were cut are in touch again."""
+
+
+class Case:
+    """Two zones; the sidecar of each that follows the store is cut from it."""
+
+    def __init__(self, record: Record):
+        self.record = record
+        self.fleet = Fleet()
+        self.acks: list[tuple[float, str]] = []
+        self.sent: list[tuple[int, Result]] = []
+        for number in range(2 * MACHINES_PER_ZONE):
+            service = ("schvaleni", "vydej")[number % 2]
+            self.fleet.add(service, ("z-a", "z-b")[number // MACHINES_PER_ZONE])
+
+    async def change(self, service: str) -> None:
+        """Move the route of approvals to a service."""
+        routes = [
+            path("/approve/", service, idempotent=False, attempts=1, target_s=2.0),
+            path("/check/", "vydej"),
+        ]
+        await self.fleet.configure(routes)
+
+    def followers(self) -> set[str]:
+        """Return the machines that have watched the store lately."""
+        since_s = asyncio.get_running_loop().time() - 0.9
+        calls = self.fleet.store.calls
+        return {
+            name
+            for at_s, name, call in calls
+            if at_s > since_s and call == "/v1/kv-watch"
+        }
+
+    async def play_round(self, number: int, has_trouble: bool) -> None:
+        """Play two changes; the second one moves the route."""
+        store = self.fleet.store
+        service = ("vydej", "schvaleni")[number % 2]
+        while len(cut := self.followers()) != 2:
+            # Roles move after a cut; one sidecar of each zone follows in the end.
+            await asyncio.sleep(0.1)
+        calm = [host for host in self.fleet.hosts if host.name not in cut]
+        await self.fleet.store.put("op/config", self.repeated())
+        await asyncio.sleep(FORMER_CHANGE_S)
+        if has_trouble:
+            store.silent |= cut
+            self.record.line(f"{', '.join(sorted(cut))} cut from the store")
+        await self.change(service)
+        ack_s = asyncio.get_running_loop().time()
+        self.acks.append((ack_s, service))
+        self.record.line(f"approvals go to {service}: acknowledged")
+        await asyncio.gather(*(self.send(host, number, ack_s) for host in calm))
+        store.silent.clear()
+        self.record.line("the cut ends")
+        await asyncio.sleep(AFTER_CUT_S)
+
+    def repeated(self) -> dict:
+        """Return the desired state in force as a next version."""
+        self.fleet.version += 1
+        return self.fleet.desired | {"version": f"{self.fleet.version:08x}"}
+
+    async def send(self, host: Host, number: int, ack_s: float) -> None:
+        """Send approvals at one machine until the cut ends."""
+        tasks = []
+        loop = asyncio.get_running_loop()
+        for count in itertools.count():
+            if loop.time() - ack_s > CUT_S:
+                break
+            request_id = f"{host.name}-{number:02x}{count:05x}"
+            sending = host.send(request_id, "/approve/order", method="POST")
+            tasks.append(asyncio.create_task(sending))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        self.sent += [(number, result) for result in await asyncio.gather(*tasks)]
+
+    def judge(self) -> bool:
+        """Return whether approvals ran at the old service too long."""
+        ran = {
+            request.id: host.server.service
+            for host in self.fleet.hosts
+            for *_, request in host.server.runs
+        }
+        late = []
+        for number, result in self.sent:
+            ack_s, service = self.acks[number]
+            after_s = result.sent_s - ack_s
+            at = ran.get(result.id)
+            is_old = at is not None and at != service
+            if is_old and after_s > CONFIG_APPLY_S:
+                late.append(after_s)
+            self.record.line(
+                f"{result.id} {result.status} sent {after_s:.3f} s after the ack,"
+                f" ran at {at}{' (old)' if is_old else ''}",
+                result.sent_s,
+            )
+        statuses = Counter(result.status for _, result in self.sent)
+        self.record.say(f"approvals: {dict(statuses)}")
+        times = [round(after_s, 3) for after_s in sorted(late)]
+        self.record.say(f"sent later than {CONFIG_APPLY_S} s, ran as before: {times}")
+        return bool(late)
 
 
 async def play(record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule was broken."""
-    fleet = Fleet(settings={"rate_window_s": 5, "rate_slack": 20})
-    for number in range(4):
-        host = fleet.add("archiv", ("z-a", "z-b")[number % 2])
-        host.server.behaviour = _serve
+    case = Case(record)
     try:
-        await fleet.open([path("/records/", "archiv", attempts=2)], tenants=TENANTS)
-        fleet.opened_s = record.now_s()
-        sending = asyncio.create_task(_send_requests(fleet, record))
-        if has_trouble:
-            await _send_without_id(fleet, record)
-        sent = await sending
+        await case.fleet.open([])
+        await case.change("schvaleni")
+        await asyncio.sleep(AFTER_CUT_S)
+        for number in range(ROUNDS):
+            await case.play_round(number, has_trouble)
     finally:
-        fleet.close()
-    return _judge(fleet, sent, record)
-
-
-def _judge(fleet: Fleet, sent: list[tuple[str, Result]], record: Record) -> bool:
-    holders = {key: each["name"] for each in TENANTS for key in each["api_keys"]}
-    runs = {
-        request.id: request.headers.get("tenant", "")
-        for host in fleet.hosts
-        for *_, request in host.server.runs
-    }
-    found: Counter[str] = Counter()
-    for key, result in sent:
-        holder, tenant = holders.get(key), runs.get(result.id)
-        fault = ""
-        if tenant is not None and holder is None:
-            fault = "ran with a key that nobody holds"
-        elif tenant is not None and tenant != holder:
-            fault = "ran under another tenant"
-        found[fault] += bool(fault)
-        answer = f"{result.status} {result.body.decode()!r}"
-        record.line(
-            f"{result.id} {key} {answer} tenant {tenant} {fault}", result.sent_s
-        )
-    statuses = Counter((key, result.status) for key, result in sent)
-    record.say(f"answers: {dict(statuses)}")
-    faults = {fault: count for fault, count in found.items() if fault}
-    record.say(f"of {len(sent)} requests: {faults or 'none ran under a wrong tenant'}")
-    return bool(faults)
+        case.fleet.close()
+    return case.judge()
 
 
 if __name__ == "__main__":
--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -52,10 +53,13 @@
 
 async def _run(play: Case, directory: Path, has_trouble: bool) -> int:
     record = Record(directory / "record.txt")
+    # A stop of the script from outside ends the processes that it started, too.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(MAX_CASE_S):
             is_broken = await play(record, has_trouble)
-    except (TimeoutError, OSError, AssertionError) as error:
+    except (TimeoutError, OSError, asyncio.CancelledError) as error:
         record.say(f"the case couldn't run: {error!r}")
         return NOT_RUN
     finally:
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -122,6 +122,7 @@
         self.store = Store()
         self.hosts: list[Host] = []
         self.version = 0
+        self.desired: dict = {}
         self.is_closed = False
         self.opened_s = 0.0
 
@@ -163,6 +164,7 @@
                 {"name": service, "health_path": HEALTH_PATH} for service in services
             ],
         } | config
+        self.desired = value
         await self.store.put("op/config", value)
 
     def close(self) -> None:
