--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -1,13 +1,15 @@
 """Frame of a case: its record, its time limit and its exit code."""
 
 import asyncio
-import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+HELD, NOT_RUN, BROKEN = 0, 2, 10
+"""Exit codes of a case; ``run.sh`` turns ``BROKEN`` into 1."""
+
+NO_TROUBLE = "--trouble=0"
 MAX_CASE_S = 112.0
 
 
@@ -47,7 +49,7 @@
 
 def main(play: Case, directory: Path) -> None:
     """Run a case and exit with its code."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = NO_TROUBLE not in sys.argv[1:]
     sys.exit(asyncio.run(_run(play, directory, has_trouble)))
 
 
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -1,10 +1,12 @@
 """A small fleet of the project's sidecars, each a process of its own on loopback."""
 
 import asyncio
+import contextlib
 import json
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -16,6 +18,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
+MAX_HOSTS = 12
 
 
 class Host:
@@ -115,8 +118,8 @@
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
         number = os.getpid() + int(time.time())
         self.prefix = f"127.{30 + number % 190}.{number // 190 % 250}"
-        base = 20_000 + os.getpid() % 8_000
-        self.outbound, self.ready, self.link, self.metrics = range(base, base + 4)
+        ports = _free_ports(self.prefix, 4)
+        self.outbound, self.ready, self.link, self.metrics = ports
         self.slots = slots
         self.settings = settings or {}
         self.store = Store()
@@ -178,6 +181,23 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
 
+def _free_ports(prefix: str, count: int) -> list[int]:
+    """Return ports that are free at all addresses that a fleet may use."""
+    found: list[int] = []
+    while len(found) < count:
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(socket.socket())
+            first.bind((f"{prefix}.1", 0))
+            port = first.getsockname()[1]
+            with contextlib.suppress(OSError):
+                for number in range(2, MAX_HOSTS + 1):
+                    other = stack.enter_context(socket.socket())
+                    other.bind((f"{prefix}.{number}", port))
+                if port not in found:
+                    found.append(port)
+    return found
+
+
 def path(
     prefix: str,
     service: str,
