--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 from standins_2.requester import Result
 
 CONFIG_APPLY_S = 2.0
-CUT_S = 4.0
+CUT_S = 3.8
 ROUNDS = 9
 MACHINES_PER_ZONE = 5
 FORMER_CHANGE_S = 0.1
