--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -19,6 +20,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
 MAX_HOSTS = 12
+PORTS = range(20_000, 32_000)
+"""Below the ports that the system gives to the stand-ins themselves."""
 
 
 class Host:
@@ -104,7 +107,9 @@
         return await send(self.ip, self._fleet.outbound, request_id, target, **kinds)
 
     async def is_ready(self) -> bool:
-        """Ask as the platform does."""
+        """Ask as the platform does; a process that has ended isn't ready."""
+        if self.process is None or self.process.poll() is not None:
+            return False
         result = await send(
             self.ip, self._fleet.ready, "ready", "/v1/ready", wait_s=1.0
         )
@@ -185,16 +190,13 @@
     """Return ports that are free at all addresses that a fleet may use."""
     found: list[int] = []
     while len(found) < count:
-        with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((f"{prefix}.1", 0))
-            port = first.getsockname()[1]
-            with contextlib.suppress(OSError):
-                for number in range(2, MAX_HOSTS + 1):
-                    other = stack.enter_context(socket.socket())
-                    other.bind((f"{prefix}.{number}", port))
-                if port not in found:
-                    found.append(port)
+        port = random.choice(PORTS)
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for number in range(1, MAX_HOSTS + 1):
+                bound = stack.enter_context(socket.socket())
+                bound.bind((f"{prefix}.{number}", port))
+            if port not in found:
+                found.append(port)
     return found
 
 
