Admit trial requests of classes whose cost is no longer measured

What callers saw: a service deep in the call tree is lost, and a release of the service above no longer calls it. All requests of the route get 503 for as long as callers keep asking; no change of the configuration tells of a release.

Cause: costs are measured from completed requests. A class that is refused whole completes none, so its cost keeps the refusal alive. One sidecar with a newer cost would be outweighed by all others, and a class without cost was left out of the reports.

Change: a class that is refused and that no sidecar has measured for 5 s gets trial requests, one a second down to one each 3 s over the fleet, as each sidecar admits the same share of its arrivals. Reports hold the age of a cost; a recent cost replaces outdated ones at all hosts, and the first completed request after 5 s replaces the cost of its sidecar.

Tests that call IngressAdmission() or demand() pass the new arguments.

--- a/packages/sassafraswinch-sidecar/relay.thrift
+++ b/packages/sassafraswinch-sidecar/relay.thrift
@@ -146,6 +146,8 @@
   3: required double rate_per_s
   /** Slot time of one request and its calls, in microseconds, by service. */
   4: required map<string, i32> slot_us
+  /** Time since the slot time was last measured. */
+  5: i32 age_ms = 0
 }
 
 /** Requests and repeats that were sent to a service in the window. */
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/host_reports.py
@@ -17,6 +17,11 @@
     SentCount,
 )
 from sassafraswinch_sidecar.retry_budget import AttemptCounts, RetryBudget
+from sassafraswinch_sidecar.trial_requests import is_outdated
+
+MAX_REPORTED_AGE_MS = 3_600_000.0
+"""Greatest age of a cost on the wire; it also stands for a cost that was never measured
+from a completed request."""
 
 MAX_TOTALS_AGE_MS = 40.0
 """Time for which the same totals are sent to all aggregators: a part of the pause
@@ -87,7 +92,7 @@
         now_ms = self._now_ms()
         if self._totals is None or now_ms - self._totals[0] >= MAX_TOTALS_AGE_MS:
             totals = _Totals(
-                demand=serialize_demand(self._admission.demand()),
+                demand=serialize_demand(self._admission.demand(now_ms)),
                 counts=serialize_counts(self._budget.window_counts(now_ms)),
                 uses=serialize_usage(self._rates.report(now_ms)),
             )
@@ -110,27 +115,33 @@
 
 
 def serialize_demand(demand: Iterable[Claim]) -> list[RouteDemand]:
-    """Serialize the demand by route; routes whose cost is unknown are left out."""
+    """Serialize the demand by admission class.
+
+    Classes whose cost is unknown are left out. A recent measurement without a cost is
+    kept: it replaces the outdated costs of other sidecars.
+    """
     return [
         RouteDemand(
             claim.kind,
             claim.priority,
             claim.rate_per_s,
             {service: round(slot_s * 1e6) for service, slot_s in claim.costs.items()},
+            round(min(claim.age_ms, MAX_REPORTED_AGE_MS)),
         )
         for claim in demand
-        if claim.costs
+        if claim.costs or not is_outdated(claim)
     ]
 
 
 def parse_demand(received: Iterable[RouteDemand]) -> list[Claim]:
-    """Parse the demand by route."""
+    """Parse the demand by admission class; the age is 0 if the peer didn't send it."""
     return [
         Claim(
             kind=each.route_name,
             priority=each.priority,
             rate_per_s=each.rate_per_s,
             costs={service: us / 1e6 for service, us in each.slot_us.items()},
+            age_ms=float(each.age_ms),
         )
         for each in received
     ]
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
@@ -8,6 +8,8 @@
 """
 
 import itertools
+import math
+import random
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -15,6 +17,11 @@
 from sassafraswinch.capacity_shares import Allocation, Claim, capacity_shares
 from sassafraswinch.ranks import route_priority_of
 from sassafraswinch_sidecar.admission_levels import LEVELS
+from sassafraswinch_sidecar.trial_requests import (
+    MAX_COST_AGE_MS,
+    TrialRequests,
+    is_outdated,
+)
 
 PLANNED_SLOT_SHARE = 0.97
 """Share of a service's slots that is planned for admitted requests, before correction.
@@ -117,6 +124,10 @@
     rate_per_s: float | None = None
     slot_s: dict[str, float] = field(default_factory=dict)
 
+    def age_ms(self, now_ms: float) -> float:
+        """Return the time since the latest completed request."""
+        return now_ms - self.estimated_ms if self.completions else math.inf
+
     def cost(self) -> dict[str, float]:
         """Return the slot seconds of one request at each service that it needs."""
         return {
@@ -130,6 +141,7 @@
     """Estimates the cost of routes and decides which share of each is admitted.
 
     Args:
+        rng: spreads the trial requests of the sidecars over time.
         worths: worth of a request by its route's priority, the last one for all less
             important priorities; empty for a strict order of priorities.
 
@@ -139,8 +151,9 @@
             service, as of the last decision.
     """
 
-    def __init__(self, *, worths: Sequence[float] = ()):
+    def __init__(self, *, rng: random.Random, worths: Sequence[float] = ()):
         self._worths = worths
+        self._trials = TrialRequests(rng=rng)
         self.limited_routes: Mapping[str, Allocation] = {}
         self.required_slots: Mapping[str, float] = {}
         self._routes: dict[str, _RouteDemand] = {}
@@ -181,6 +194,8 @@
         gain = max(
             MIN_COST_GAIN, 1 / demand.completions, age_ms / (age_ms + COST_REFRESH_MS)
         )
+        if age_ms >= MAX_COST_AGE_MS:
+            gain = 1.0
         estimates = demand.slot_s
         for service in dict.fromkeys([*estimates, *slot_ms]):
             measured_s = slot_ms.get(service, 0.0) / 1000
@@ -214,6 +229,10 @@
             return None
         return fit.limiting_resource
 
+    def admits_trial(self, route: str) -> bool:
+        """Return whether a request that lacks slots is admitted as a trial request."""
+        return self._trials.admit(route)
+
     def uses_only(self, route: str, service: str) -> bool:
         """Return whether completed requests of a route used one service only."""
         demand = self._routes.get(route)
@@ -221,7 +240,7 @@
             return False
         return demand.cost().keys() <= {service}
 
-    def demand(self) -> list[Claim]:
+    def demand(self, now_ms: float) -> list[Claim]:
         """Return the rate and cost of this sidecar's arrivals, by route."""
         return [
             Claim(
@@ -229,6 +248,7 @@
                 priority=route.priority,
                 rate_per_s=route.rate_per_s or 0.0,
                 costs=route.cost(),
+                age_ms=route.age_ms(now_ms),
             )
             for name, route in self._routes.items()
         ]
@@ -254,7 +274,7 @@
                 empty, the demand of this sidecar is used alone.
         """
         self._update_rates(now_ms)
-        claims = fleet_demand or self.demand()
+        claims = fleet_demand or self.demand(now_ms)
         self.required_slots = _required_slots(claims)
         available_slots = {
             service: self._available_slots(
@@ -272,6 +292,11 @@
             {s: slots for s, slots in available_slots.items() if slots is not None},
             self._worth_of if self._worths else None,
         )
+        self._trials.set_outdated(
+            claim
+            for claim in claims
+            if claim.kind in self.limited_routes and is_outdated(claim)
+        )
 
     def _worth_of(self, rank: int) -> float:
         return self._worths[min(route_priority_of(rank), len(self._worths) - 1)]
@@ -332,7 +357,7 @@
     """Merge the demand of all ingress sidecars into one claim for each kind.
 
     Each sidecar estimates the cost of a kind by itself; an estimate is weighted by the
-    sidecar's arrival rate.
+    sidecar's arrival rate. Outdated ones count only if there is no recent one.
     """
     by_kind: dict[str, list[Claim]] = defaultdict(list)
     for claim in itertools.chain.from_iterable(demands):
@@ -343,17 +368,19 @@
 def _merge_kind(claims: list[Claim]) -> Claim:
     if len(claims) == 1:
         return claims[0]
-    rate_per_s = sum(claim.rate_per_s for claim in claims)
-    services = dict.fromkeys(service for claim in claims for service in claim.costs)
+    measured = [claim for claim in claims if not is_outdated(claim)] or claims
+    measured_per_s = sum(claim.rate_per_s for claim in measured)
+    services = dict.fromkeys(service for claim in measured for service in claim.costs)
     return Claim(
         kind=claims[0].kind,
         priority=min(claim.priority for claim in claims),
-        rate_per_s=rate_per_s,
+        rate_per_s=sum(claim.rate_per_s for claim in claims),
         costs={
-            service: sum(claim.demand_for(service) for claim in claims)
-            / max(rate_per_s, MIN_RATE_PER_S)
+            service: sum(claim.demand_for(service) for claim in measured)
+            / max(measured_per_s, MIN_RATE_PER_S)
             for service in services
         },
+        age_ms=min(claim.age_ms for claim in claims),
     )
 
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -261,6 +261,16 @@
         overloaded_service = self._admission.find_blocking_service(
             relay.admission_class, relay.level
         )
+        if overloaded_service is not None and self._admission.admits_trial(
+            relay.admission_class
+        ):
+            self._log.failed(
+                "trial_request",
+                relay.request_id,
+                admission_class=relay.admission_class,
+                service=overloaded_service,
+            )
+            overloaded_service = None
         if overloaded_service is None:
             self._spend_token(relay)
             return True
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_protocol/ttypes.py
@@ -1327,6 +1327,7 @@
      - priority
      - rate_per_s
      - slot_us: Slot time of one request and its calls, in microseconds, by service.
+     - age_ms: Time since the slot time was last measured.
 
     """
 
@@ -1335,14 +1336,16 @@
         'priority',
         'rate_per_s',
         'slot_us',
+        'age_ms',
     )
 
 
-    def __init__(self, route_name=None, priority=None, rate_per_s=None, slot_us=None,):
+    def __init__(self, route_name=None, priority=None, rate_per_s=None, slot_us=None, age_ms=0,):
         self.route_name = route_name
         self.priority = priority
         self.rate_per_s = rate_per_s
         self.slot_us = slot_us
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1379,6 +1382,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1409,6 +1417,10 @@
                 oprot.writeI32(viter15)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3980,6 +3992,7 @@
     (2, TType.I32, 'priority', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate_per_s', None, None, ),  # 3
     (4, TType.MAP, 'slot_us', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 4
+    (5, TType.I32, 'age_ms', None, 0, ),  # 5
 )
 all_structs.append(SentCount)
 SentCount.thrift_spec = (
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -178,7 +178,7 @@
             view=self._view,
             now_ms=self._now_ms,
         )
-        self._admission = IngressAdmission(worths=settings.worth_by_priority)
+        self._admission = IngressAdmission(rng=rng, worths=settings.worth_by_priority)
         self._counts = RelayCounters()
         window_ms = settings.repeat_window_s * 1000
         self._known_hosts: set[str] = set()
@@ -516,12 +516,12 @@
     def _update_admission(self, now_ms: float) -> None:
         capacities = capacities_of(self._fleet.serving(), self._loads.load_of)
         self._admission.decide_shares(capacities, now_ms, self._view.demand(now_ms))
-        for route, fit in self._admission.limited_routes.items():
+        for admission_class, fit in self._admission.limited_routes.items():
             service = fit.limiting_resource
             capacity = capacities.get(service, NO_CAPACITY)
             log_event(
                 "admission",
-                route=route,
+                admission_class=admission_class,
                 share=fit.share,
                 service=service,
                 slots=capacity.slots,
--- a/packages/sassafraswinch-sidecar/tests/test_ingress_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_ingress_admission.py
@@ -34,7 +34,7 @@
         the admitted ones use at each service.
     """
     rng = random.Random(7)
-    sidecars = [IngressAdmission() for _ in range(sidecar_count)]
+    sidecars = [IngressAdmission(rng=random.Random(1)) for _ in range(sidecar_count)]
     offered, admitted, used = Counter(), Counter(), Counter()
     steps = int(seconds * 1000 / INTERVAL_MS)
     for step in range(steps):
@@ -56,7 +56,7 @@
         used += Counter(in_use) if step > steps / 2 else Counter()
         # Requests beyond the slots are queued, and are reported as in use too.
         capacities = {s: Capacity(n, in_use[s]) for s, n in slots.items()}
-        claims = merge_claims(admission.demand() for admission in sidecars)
+        claims = merge_claims(admission.demand(now_ms) for admission in sidecars)
         for admission in sidecars:
             if admission.is_due(now_ms):
                 admission.decide_shares(capacities, now_ms, claims)
@@ -118,7 +118,7 @@
 
 def test_refusals_end_soon_after_the_surge():
     """Recovery: a second after the load is back to normal, nothing is refused."""
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     now_ms = 0.0
     for rate in [400] * 20 + [50] * 12:
         for _ in range(rate):
@@ -141,7 +141,7 @@
     once; but if the correction fell for as long, half of the requests would be refused
     for seconds after the queue has drained, beside idle slots.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     slots = 400.0
     available_shares = []
     for number, used in enumerate([380.0] * 4 + [720.0] * 10 + [280.0] * 2, 1):
@@ -168,7 +168,7 @@
     """All aggregators of the zone are down for a moment. Their last reports have
     expired, and this sidecar's own requests are within the capacity.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     admission.record_arrival(STATUS, 1)
     admission.record_completed_cost(STATUS, SLOT_MS[STATUS], 0.0)
     admission.is_due(0.0)
@@ -184,7 +184,7 @@
     Requests would run, their calls would find no server, and non-repeatable ones would
     fail for good. Refused at once and unrun, they can be retried after the cut.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     for number in range(1, 5):
         admission.record_arrival(STATUS, 1)
         admission.record_arrival(HISTORY, 2)
@@ -205,7 +205,7 @@
     half way, so no completed request gives the cost; the slot times of the failed ones
     must suffice to refuse further requests.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     for number in range(1, 5):
         for _ in range(100):
             admission.record_arrival(HISTORY, 2)
@@ -217,7 +217,7 @@
 
 
 def test_failed_requests_do_not_lower_the_cost_of_completed_ones():
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     admission.record_arrival(HISTORY, 2)
     admission.record_completed_cost(HISTORY, {"prehled": 220.0}, 0.0)
     for _ in range(100):
@@ -247,7 +247,7 @@
 
 
 def test_routes_that_use_one_service_only_are_known_from_completed_requests():
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     assert not admission.uses_only(STATUS, "prehled")
     admission.record_arrival(STATUS, 1)
     admission.record_partial_cost(STATUS, SLOT_MS[STATUS])
@@ -264,7 +264,7 @@
     requests there is still overestimated by that factor. They would be refused beside
     idle slots; the correction must rise as fast as the error was large.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     slots = 400.0
     admitted = []
     for number in range(1, 13):
@@ -292,7 +292,7 @@
     """A service was four times slower, and few requests are still admitted. The first
     ones that are completed afterwards must show that it is fast again.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     admission.record_arrival(HISTORY, 2)
     for number in range(200):
         admission.record_completed_cost(HISTORY, {"prehled": 880.0}, number * 10.0)
@@ -300,7 +300,7 @@
         admission.record_completed_cost(
             HISTORY, {"prehled": 220.0}, 2_500.0 + number * 500.0
         )
-    (claim,) = admission.demand()
+    (claim,) = admission.demand(5_000.0)
     assert claim.costs["prehled"] < 0.3
 
 
@@ -308,7 +308,7 @@
     """All servers of a service name limits: 30 requests a second are accepted where 180
     are asked, and each holds a slot for 0.2 s.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     capacity = Capacity(slots=6.0, used=6.0, paced_slots=6.0)
     rates_per_s = {APPROVE: 12, HISTORY: 168}
     for step in range(40):
@@ -328,7 +328,7 @@
     """Guards against call trees that are admitted and then fail: a queue at a limited
     server doesn't drain while as much arrives as starts.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     capacity = Capacity(slots=6.0, used=6.0, paced_slots=6.0)
     for step in range(40):
         for _ in range(45):
@@ -343,7 +343,7 @@
     """Guards against admission that takes the idle time between paced starts for slots
     that were left unused.
     """
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     capacity = Capacity(slots=6.0, used=1.0, paced_slots=6.0)
     for step in range(40):
         for _ in range(45):
@@ -354,7 +354,7 @@
 
 
 def test_service_without_rate_limits_has_no_wait_for_them():
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     admission.record_arrival(HISTORY, 2)
     admission.record_completed_cost(HISTORY, {"archiv": 200.0}, 0.0)
     admission.decide_shares({"archiv": Capacity(60.0, 1.0)}, INTERVAL_MS)
--- a/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
+++ b/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
@@ -1,6 +1,7 @@
 """Tests of routes whose services are lost, moved or split, with whole sidecars."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -11,6 +12,9 @@
 WORK_S = 0.02
 """Work time of a request: ten times the cost from which a service counts as needed."""
 
+RECOVERY_S = 15.0
+"""Time after a change by which requests must be served again."""
+
 NOT_RUN = 503
 
 
@@ -32,7 +36,8 @@
     """Put a version in force that sends approvals to services by weight."""
     listed = [{"service": name, "weight": weight} for name, weight in shares.items()]
     approve = route("approve", "/approve/", "", idempotent=False) | {"shares": listed}
-    await fleet.store.put(ROUTES, {"version": version, "routes": [approve]})
+    routes = [approve, route("orders", "/orders/", "archiv")]
+    await fleet.store.put(ROUTES, {"version": version, "routes": routes})
     await until(lambda: all(table_version(n) == version for n in fleet.nodes))
 
 
@@ -107,3 +112,30 @@
     await lose_service(fleet, "schvaleni")
     statuses = await approve_at_all(fleet, "lost", 10)
     assert (statuses.count(200), statuses.count(NOT_RUN)) == (24, 6)
+
+
+async def test_route_that_no_longer_calls_a_lost_service_is_served(fleet):
+    """Guards against a refusal for a service that a release has stopped calling."""
+    await put_approve_route(fleet, 2, schvaleni=1)
+    (calling,) = fleet.nodes_of("schvaleni")
+    tasks = []
+    calling.backend.behaviour = lambda connection, seen: tasks.append(
+        asyncio.create_task(serve_with_call(calling, connection, seen))
+    )
+    assert set(await approve_at_all(fleet, "before", 3)) == {200}
+    await lose_service(fleet, "archiv")
+    assert set(await approve_at_all(fleet, "lost", 3)) == {NOT_RUN}
+    calling.backend.behaviour = serve_slowly
+    async with asyncio.timeout(RECOVERY_S):
+        for number in itertools.count():
+            if set(await approve_at_all(fleet, f"new-{number}", 1)) == {200}:
+                break
+            await asyncio.sleep(0.1)
+
+
+async def serve_with_call(node, connection, seen):
+    """Respond as the other service does to a call."""
+    request_id = f"{seen.request_id.decode()}.c1"
+    address = node.settings.address("outbound")
+    got = await call(address, target="/orders/1", request_id=request_id)
+    connection.transport.write(answer(seen, status=got.status))
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_fleet.py
@@ -203,7 +203,8 @@
         )
         if parent is None:
             host.admission.record_arrival(of_class, kind.priority)
-            if host.admission.find_blocking_service(of_class, relay.level) is not None:
+            blocking = host.admission.find_blocking_service(of_class, relay.level)
+            if blocking is not None and not host.admission.admits_trial(of_class):
                 done(503)
                 return
         self._place(host, relay)
@@ -440,7 +441,7 @@
     """
     now_ms = simulation.now_ms()
     hosts = simulation.hosts.values()
-    demand = merge_claims(host.admission.demand() for host in hosts)
+    demand = merge_claims(host.admission.demand(now_ms) for host in hosts)
     counts = sum_counts(host.budget.window_counts(now_ms) for host in hosts)
     exchange_suspects(f"zone-{zone}", hosts, now_ms)
     for host in hosts:
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/simulator_host.py
@@ -84,7 +84,7 @@
         self.last_reported: dict[str, int] = {}
         self.queue = ServerQueue(limit=int(instance.slots * USABLE_SLOT_SHARE))
         self.loads = {ip: PeerLoad() for ip in ips}
-        self.admission = IngressAdmission(worths=worths)
+        self.admission = IngressAdmission(rng=rng, worths=worths)
         self.levels = AdmissionLevels(rng=rng)
         self.totals: FleetTotals = ({}, 0)
         self.demand: list[Claim] = []
--- a/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
+++ b/packages/sassafraswinch-standins/sassafraswinch_standins/slopes_sidecar.py
@@ -142,7 +142,7 @@
 def _decision_figures(count: int) -> Iterator[Figure]:
     instances = hosts(count)
     loads = {found.ip: PeerLoad(in_flight=60, limit=103) for found in instances}
-    admission = IngressAdmission()
+    admission = IngressAdmission(rng=random.Random(1))
     demand = demand_of(SERVICES_CALLED[0])
     capacities = capacities_of(instances, loads.get)
     placement = Placement(
--- a/packages/sassafraswinch/sassafraswinch/capacity_shares.py
+++ b/packages/sassafraswinch/sassafraswinch/capacity_shares.py
@@ -32,12 +32,15 @@
         priority: 0 is the most important.
         rate_per_s: arrival rate of its requests.
         costs: cost of one request per second, as capacity used by resource.
+        age_ms: time since the costs were last measured; infinite if they never were
+            from a completed request.
     """
 
     kind: str
     priority: int
     rate_per_s: float
     costs: Mapping[Hashable, float]
+    age_ms: float = 0.0
 
     def demand_for(self, resource: Hashable) -> float:
         """Return the capacity of a resource that all its requests would use."""
