Test of a route moved back: the same server registers again

The test gave the running server a new id, which its sidecar refuses for a second after the last answer under the former id (REPORTED_INSTANCE_LIFE_MS): a server that starts again under a new id has exited first, and its broken connections end that.

--- a/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
+++ b/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
@@ -98,7 +98,7 @@
     await lose_service(fleet, "schvaleni")
     await put_approve_route(fleet, 3, archiv=1)
     for node in fleet.nodes_of("schvaleni"):
-        await node.put_instance(fleet.store, name=f"new-{node.ip}")
+        await node.put_instance(fleet.store)
     await until(lambda: all(knows_servers(n, "schvaleni") for n in fleet.nodes))
     await put_approve_route(fleet, 4, schvaleni=1)
     await until(lambda: not any(is_limited(n, "schvaleni") for n in fleet.nodes))
