Bound what of an answer isn't its body, and bodies of unstated length

What callers saw: servers in trouble send bytes without end, in a head or a body.

Cause: the client of the sidecar bounded a body and nothing else; bodies of unstated length were counted without a bound. In the node a field was counted once it was complete. Skipped answers overwrote the reservation of the own one, and fields after the body passed for fields of the head.

Change: FramingBudget, for both paths, bounds what was received less what is body, checked each 32 KiB; a body of unstated length has 32 MiB, and bodies of unstated length share a part of the memory; an answer to another request is known by its head and not kept; trailers are discarded.

--- a/packages/sassafraswinch-node/sassafraswinch_node/http_response.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/http_response.py
@@ -6,6 +6,7 @@
 
 from sassafraswinch.errors import SassafraswinchError
 from sassafraswinch.messages import Headers
+from sassafraswinch_node.framing_budget import FEED_BYTES, FramingBudget
 
 MAX_HEADER_BYTES = 64 * 1024
 """Maximum total length of the header names and values of one response."""
@@ -73,6 +74,7 @@
         self._header_bytes = 0
         self._chunks: list[bytes] = []
         self._body_bytes = 0
+        self._budget = FramingBudget()
         self._in_body = False
         self._body_ends_at_close = False
         self._error: ResponseError | None = None
@@ -84,7 +86,7 @@
             ResponseError: the response is malformed or too large.
         """
         try:
-            self._parser.feed_data(data)
+            self._feed_parts(data)
         except httptools.HttpParserUpgrade as error:
             raise ResponseError(reason="the response switches protocols") from error
         except httptools.HttpParserError as error:
@@ -92,6 +94,17 @@
                 raise self._error or ResponseError(reason=str(error)) from error
             self.reusable = False
 
+    def _feed_parts(self, data: bytes) -> None:
+        for start in range(0, len(data), FEED_BYTES):
+            part = memoryview(data)[start : start + FEED_BYTES]
+            self._budget.received_bytes += len(part)
+            self._parser.feed_data(part)
+            if self.response is not None:
+                self.reusable = self.reusable and start + FEED_BYTES >= len(data)
+                return
+            if self._budget.is_exceeded():
+                self._fail("too much of the response isn't its body", too_large=True)
+
     def finish(self) -> None:
         """Handle an orderly end of the connection.
 
@@ -153,6 +166,7 @@
         if self.response is not None:
             self.reusable = False
             return
+        self._budget.body_bytes += len(data)
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             reason = f"the body exceeds {self._max_body_bytes} bytes"
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/held_bytes.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/held_bytes.py
@@ -18,19 +18,26 @@
 responses to those in flight."""
 
 
+GROWING_SHARE = 0.6
+"""Share of the limit up to which bodies of unknown length are received at the same
+time. Beyond it they are received one after the other, since each may be endless."""
+
+
 @dataclass(slots=True, eq=False)
 class Reservation:
     """Memory for one response body.
 
     Attributes:
-        size_bytes: length of the body.
-        on_granted: called once it fits, unless it fitted at once.
+        size_bytes: length of the body, or of what was received of it.
+        on_granted: called once it fits, or may grow further, unless it could at once.
         is_granted: whether it is part of the count.
+        may_read: whether more of the body may be received.
     """
 
     size_bytes: int
     on_granted: Callable[[], None]
     is_granted: bool = False
+    may_read: bool = False
 
 
 class HeldBytes:
@@ -53,6 +60,8 @@
         self._unsent_bytes = 0
         self._reserved_bytes = 0
         self._waiting: deque[Reservation] = deque()
+        self._growing: dict[Reservation, None] = {}
+        self._growing_bytes = 0
 
     @property
     def total_bytes(self) -> int:
@@ -117,17 +126,48 @@
     def cancel(self, reservation: Reservation) -> None:
         """Give a reservation back, whether it was granted or still waits."""
         reservation.on_granted = _ignore
+        reservation.may_read = False
         if reservation.is_granted:
             reservation.is_granted = False
             self._reserved_bytes -= reservation.size_bytes
+            self._end_growth(reservation)
         elif reservation in self._waiting:
             self._waiting.remove(reservation)
         self._grant_waiting()
 
-    def extend(self, reservation: Reservation, more_bytes: int) -> None:
-        """Add bytes of a response whose length its sender didn't state."""
+    def reserve_growing(self, on_granted: Callable[[], None]) -> Reservation:
+        """Count a response whose length its sender doesn't state.
+
+        Args:
+            on_granted: called each time that it may grow again after a pause.
+        """
+        reservation = self.reserve_now(0)
+        reservation.on_granted = on_granted
+        self._growing[reservation] = None
+        return reservation
+
+    def grow(self, reservation: Reservation, more_bytes: int) -> None:
+        """Add received bytes; ``may_read`` tells whether more may be received."""
         reservation.size_bytes += more_bytes
         self._reserved_bytes += more_bytes
+        self._growing_bytes += more_bytes
+        reservation.may_read = self._may_grow(reservation)
+
+    def _may_grow(self, reservation: Reservation) -> bool:
+        """Return whether a body may grow: the first one always, so that all end."""
+        if self._growing_bytes <= self.max_bytes * GROWING_SHARE:
+            return True
+        return reservation is next(iter(self._growing), None)
+
+    def _end_growth(self, reservation: Reservation) -> None:
+        if reservation not in self._growing:
+            return
+        del self._growing[reservation]
+        self._growing_bytes -= reservation.size_bytes
+        for each in list(self._growing):
+            if not each.may_read and self._may_grow(each):
+                each.may_read = True
+                each.on_granted()
 
     def _has_room(self, size_bytes: int) -> bool:
         """Return whether a response fits.
@@ -141,7 +181,7 @@
 
     def _grant(self, reservation: Reservation) -> Callable[[], None]:
         """Count a reservation; return its callback, which it must not refer back by."""
-        reservation.is_granted = True
+        reservation.is_granted = reservation.may_read = True
         self._reserved_bytes += reservation.size_bytes
         on_granted, reservation.on_granted = reservation.on_granted, _ignore
         return on_granted
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/http_client.py
@@ -15,6 +15,8 @@
 
 import httptools
 
+from sassafraswinch_node.framing_budget import FEED_BYTES, FramingBudget
+from sassafraswinch_sidecar.body_parts import BodyParts
 from sassafraswinch_sidecar.carried_ids import CarriedIds
 from sassafraswinch_sidecar.held_bytes import HeldBytes, Reservation
 from sassafraswinch_sidecar.http_fields import Fields, has_body
@@ -37,6 +39,13 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """Maximum length of a response body; a faulty server may send without end."""
 
+MAX_UNSTATED_ANSWER_BYTES = 32 * 1024 * 1024
+"""The same for a body whose length isn't stated: only its end shows that it has one."""
+
+MAX_SKIPPED_RESPONSES = 8
+"""Maximum number of responses to other requests that precede the own one. A server may
+send a response a second time, on the connection that carried it before."""
+
 RESERVED_FROM_BYTES = 64 * 1024
 """Length from which a response body is counted, and read only once it fits into the
 memory limit. The slots of the server bound how many shorter ones are received."""
@@ -57,7 +66,7 @@
     """The received bytes aren't a valid response to this request."""
 
     TOO_LONG = "too-long"
-    """The response body exceeds ``MAX_ANSWER_BYTES``."""
+    """The response body exceeds its maximum length."""
 
 
 class ProbeResult(enum.Enum):
@@ -140,13 +149,17 @@
         self._on_released = released
         self._on_lost_unanswered = lost_unanswered
         self._held = held
+        self._max_stated_bytes = min(MAX_ANSWER_BYTES, held.max_bytes)
         self._reservation: Reservation | None = None
         self._has_received = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._closed_cleanly = False
-        self._skipped_response = False
+        self._skipped_responses = 0
+        self._foreign_bytes = 0
+        self._fault: Fault | None = None
+        self._budget = FramingBudget()
         self.usable = True
         self.idle_since_ms = 0.0
         self.idle_before_use_ms = 0.0
@@ -157,12 +170,17 @@
         self._reset_response()
 
     def _reset_response(self) -> None:
-        self._fields: Fields = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._begin_response()
         self._body_until_close = False
         self._completed_response: HttpResponse | None = None
 
+    def _begin_response(self) -> None:
+        self._fields: Fields = []
+        self._body = BodyParts()
+        self._has_head = False
+        self._is_foreign = False
+        self._max_body_bytes = self._max_stated_bytes
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport (asyncio.Protocol)."""
         self._transport = transport
@@ -187,6 +205,8 @@
             now_ms = self._loop.time() * 1000
             self.carried_ids.add(exchange.request_id, exchange.deadline_ms, now_ms)
         self._has_received = False
+        self._budget.reset()
+        self._fault = None
         self._parser = httptools.HttpResponseParser(self)
         # If the transport is closing, ``connection_lost`` will end the exchange.
         if not self._transport.is_closing():
@@ -222,14 +242,38 @@
         self._has_received = True
         self._read_turns.record(self._transport, len(data), self._may_read)
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
         except httptools.HttpParserError:
             self._fail(Fault.MALFORMED)
         else:
             if self._completed_response is not None:
                 self._finish(self._completed_response)
-            elif self._body_bytes > self._max_answer_bytes:
-                self._fail(Fault.TOO_LONG)
+            elif self._fault is not None:
+                self._fail(self._fault)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes up to the end of the response or its first fault.
+
+        Raises:
+            httptools.HttpParserError: the bytes aren't a response.
+        """
+        if len(data) <= FEED_BYTES:
+            self._parse_part(data)
+            return
+        for start in range(0, len(data), FEED_BYTES):
+            self._parse_part(memoryview(data)[start : start + FEED_BYTES])
+            if self._completed_response is not None:
+                if start + FEED_BYTES < len(data):
+                    self.usable = False
+                return
+            if self._fault is not None:
+                return
+
+    def _parse_part(self, part: bytes | memoryview) -> None:
+        self._budget.received_bytes += len(part)
+        self._parser.feed_data(part)
+        if self._completed_response is None and self._budget.is_exceeded():
+            self._fault = self._fault or Fault.MALFORMED
 
     def eof_received(self) -> None:
         """Record whether the connection was closed cleanly (asyncio.Protocol)."""
@@ -248,14 +292,15 @@
             self._fail(Fault.RESET)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header field (httptools)."""
-        if self._completed_response is None:
+        """Append a header field; those after the body are discarded (httptools)."""
+        if self._completed_response is None and not self._has_head:
             self._fields.append((name.lower(), name, value))
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is marked (httptools)."""
         if self._completed_response is not None or self._exchange is None:
             return
+        self._has_head = True
         status = self._parser.get_status_code()
         framing = [value for lowered, _, value in self._fields if lowered in _FRAMING]
         if not framing and has_body(status, self._exchange.method):
@@ -263,43 +308,67 @@
         if self._exchange.method == b"HEAD" and status >= 200:
             self._completed_response = self._response()
             self.usable = False
-        elif framing and framing[0].isdigit():
-            self._reserve_body(int(framing[0]))
+            return
+        # A second response to an earlier request; the matching one follows it.
+        self._is_foreign = status >= 200 and not self._exchange.matches_response(
+            HttpResponse(status, self._fields, b"")
+        )
+        if framing and framing[0].isdigit():
+            self._expect_body(int(framing[0]))
+        else:
+            self._max_body_bytes = min(
+                MAX_UNSTATED_ANSWER_BYTES, self._max_stated_bytes
+            )
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (httptools)."""
-        if self._completed_response is None:
-            self._body.append(body)
-            self._body_bytes += len(body)
-            if self._body_bytes > RESERVED_FROM_BYTES:
-                self._count_body()
-
-    @property
-    def _max_answer_bytes(self) -> float:
-        return min(MAX_ANSWER_BYTES, self._held.max_bytes)
+        if self._completed_response is not None:
+            return
+        self._budget.body_bytes += len(body)
+        if self._is_foreign:
+            self._count_foreign(len(body))
+            return
+        self._body.append(body)
+        if self._body.size_bytes > self._max_body_bytes:
+            self._fault = Fault.TOO_LONG
+        elif self._body.size_bytes > RESERVED_FROM_BYTES:
+            self._count_body()
+
+    def _expect_body(self, length_bytes: int) -> None:
+        """Fail if a stated length is too great, else make room for the body."""
+        if length_bytes > self._max_stated_bytes:
+            self._fault = Fault.TOO_LONG
+        elif length_bytes >= RESERVED_FROM_BYTES and not self._is_foreign:
+            self._reserve_body(length_bytes)
+
+    def _count_foreign(self, size_bytes: int) -> None:
+        """Count a part of a body that isn't kept."""
+        self._foreign_bytes += size_bytes
+        if self._foreign_bytes > self._max_stated_bytes:
+            self._fault = Fault.TOO_LONG
 
     def _reserve_body(self, length_bytes: int) -> None:
         """Read a long body only once the memory limit allows it."""
-        if not RESERVED_FROM_BYTES <= length_bytes <= self._max_answer_bytes:
-            return
         self._reservation = self._held.reserve(length_bytes, self._resume_reading)
         if not self._reservation.is_granted:
             self._transport.pause_reading()
 
     def _may_read(self) -> bool:
-        return self._reservation is None or self._reservation.is_granted
+        return self._reservation is None or self._reservation.may_read
 
     def _resume_reading(self) -> None:
         if not self._transport.is_closing():
             self._transport.resume_reading()
 
     def _count_body(self) -> None:
-        """Count a long body whose length isn't known."""
+        """Count a long body whose length isn't known, and pause it if it must wait."""
         if self._reservation is None:
-            self._reservation = self._held.reserve_now(0)
-        excess_bytes = self._body_bytes - self._reservation.size_bytes
+            self._reservation = self._held.reserve_growing(self._resume_reading)
+        excess_bytes = self._body.size_bytes - self._reservation.size_bytes
         if excess_bytes > 0:
-            self._held.extend(self._reservation, excess_bytes)
+            self._held.grow(self._reservation, excess_bytes)
+            if not self._reservation.may_read:
+                self._transport.pause_reading()
 
     def on_message_begin(self) -> None:
         """Mark the connection as unusable if bytes follow the response (httptools)."""
@@ -310,29 +379,29 @@
         """Record the complete response, or skip one that doesn't match (httptools)."""
         if self._completed_response is not None:
             return
-        response = self._response()
-        if response.status < 200:
-            self._fields, self._body = [], []
+        if self._parser.get_status_code() < 200:
+            self._begin_response()
             return
-        if self._exchange is not None and not self._exchange.matches_response(response):
-            # A second response to an earlier request; the matching one follows it.
-            self._skipped_response = True
-            self._fields, self._body = [], []
+        if self._is_foreign:
+            self._skipped_responses += 1
+            if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+                self._fault = Fault.MALFORMED
+            self._begin_response()
             return
         if not self._parser.should_keep_alive():
             self.usable = False
-        self._completed_response = response
+        self._completed_response = self._response()
 
     def _response(self) -> HttpResponse:
         return HttpResponse(
             status=self._parser.get_status_code(),
             fields=self._fields,
-            body=b"".join(self._body),
+            body=self._body.join(),
         )
 
     def _finish(self, response: HttpResponse) -> None:
         exchange, self._exchange = self._exchange, None
-        if self._body_until_close or self._skipped_response:
+        if self._body_until_close or self._skipped_responses:
             self.usable = False
         reservation, self._reservation = self._reservation, None
         self._release_response()
