Refuse requests without an id, which are nobody's parent

Cause: a call is known by its id, its parent's with a dot and more. An id without a dot gave the empty parent, the id of a request without one.

Change: the empty id is no parent, and a request without an id gets 400 at once, unrun, with a reason in its body.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/caller_responses.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/caller_responses.py
@@ -8,6 +8,7 @@
 from sassafraswinch_sidecar.http_server import CallerConnection, HttpRequest
 from sassafraswinch_sidecar.relay_counters import RelayCounters
 from sassafraswinch_sidecar.relay_intake import (
+    MISSING_ID,
     NO_ROUTE,
     UNKNOWN_KEY,
     IntakeRefusal,
@@ -35,6 +36,8 @@
 """Reason, in logs and counters, for requests beyond the capacity of a service."""
 
 NO_ROUTE_STATUS = 404
+MISSING_ID_STATUS = 400
+MISSING_ID_BODY = b"The request has no id.\n"
 UNKNOWN_KEY_STATUS = 401
 NOT_RUN_STATUS = 503
 """Guarantees that the request has not run and never will."""
@@ -191,6 +194,11 @@
         if refusal.reason == NO_ROUTE:
             connection.respond(http, status=NO_ROUTE_STATUS, header_lines=b"")
             return
+        if refusal.reason == MISSING_ID:
+            connection.respond(
+                http, status=MISSING_ID_STATUS, header_lines=b"", body=MISSING_ID_BODY
+            )
+            return
         if refusal.reason == UNKNOWN_KEY:
             lines = b"WWW-Authenticate: Bearer\r\n"
             connection.respond(http, status=UNKNOWN_KEY_STATUS, header_lines=lines)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_intake.py
@@ -18,6 +18,7 @@
 LEAVING = "leaving"
 NO_ROUTES = "no-routes"
 NO_ROUTE = "no-route"
+MISSING_ID = "missing-id"
 UNKNOWN_KEY = "unknown-key"
 KEY_CHANGED = "key-changed"
 """The API key was removed or reassigned while the request waited; it has not run."""
@@ -126,7 +127,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IntakeRefusal:
-    """A request refused at intake: no route, no valid key, or sidecar not ready.
+    """A request refused at intake: no route, id or valid key, or sidecar not ready.
 
     Attributes:
         request_id: request id set by the caller.
@@ -196,12 +197,14 @@
         table = self._fleet.table
         if table is None:
             return IntakeRefusal(request_id, host, NO_ROUTES, None)
-        parent = self._executor.running.get(request_id.rpartition(".")[0])
+        parent = self._find_parent(request_id)
         if ends_by_ms is not None and parent is None:
             return IntakeRefusal(request_id, host, LEAVING, table.version)
         route = table.find(host, http.target.decode("latin-1"))
         if route is None:
             return IntakeRefusal(request_id, host, NO_ROUTE, table.version)
+        if not request_id:
+            return IntakeRefusal(request_id, host, MISSING_ID, table.version)
         caller = None if parent else _caller(credentials, table)
         if parent is None and caller is None and not _is_open(route, table):
             reason = _refusal_reason(credentials, request_id)
@@ -234,6 +237,11 @@
             table_version=table.version,
         )
 
+    def _find_parent(self, request_id: str) -> Execution | None:
+        """Return the execution that a request is a child call of, by its id."""
+        parent_id, _, _ = request_id.rpartition(".")
+        return self._executor.running.get(parent_id) if parent_id else None
+
     def is_key_still_valid(self, relay: Relay) -> bool:
         """Return whether the request's key still belongs to its organisation."""
         table = self._fleet.table
--- a/packages/sassafraswinch-sidecar/tests/test_organisation_keys.py
+++ b/packages/sassafraswinch-sidecar/tests/test_organisation_keys.py
@@ -180,6 +180,41 @@
     assert not requests_seen_by(fleet, "archiv")
 
 
+async def send_without_id(node, **options):
+    """Send a request without an id on a new connection; return the response."""
+    address = node.settings.address("outbound")
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    lines = request_bytes(**options).split(b"\r\n")
+    writer.write(b"\r\n".join(e for e in lines if not e.startswith(b"X-Request-Id")))
+    try:
+        async with asyncio.timeout(10):
+            return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def test_a_request_without_an_id_is_refused_and_lends_no_access(fleet):
+    """Guards against requests that pass for calls of a request without an id, and run
+    under its organisation without a key.
+    """
+    (caller,) = fleet.nodes_of("schvaleni")
+    (archiv,) = fleet.nodes_of("archiv")
+    caller.backend.behaviour = lambda connection, seen: None
+    waiting = asyncio.create_task(
+        send_without_id(archiv, target="/approve/1", method="POST", fields=KEY)
+    )
+    await asyncio.sleep(0.1)
+    others = [
+        await fleet.call(caller, request_id="r-9"),
+        await send_without_id(caller),
+    ]
+    refused = await waiting
+    assert (refused.status, refused.body) == (400, b"The request has no id.\n")
+    assert [each.status for each in others] == [401, 400]
+    assert not requests_seen_by(fleet, "archiv")
+    assert not requests_seen_by(fleet, "schvaleni")
+
+
 async def test_the_repr_of_a_request_contains_no_keys(fleet):
     shown = []
     (archiv,) = fleet.nodes_of("archiv")
