Drop the body of a request that a peer has refused

Cause: an announced body was dropped when it was sent, cancelled, or its link ended. A peer that refuses the request never grants it, and the owner places the request again under another call id.

Change: a response to a call drops what is left of its request's body.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -189,6 +189,10 @@
         self._outgoing.cancel(call_id)
         self._incoming.cancel(call_id)
 
+    def drop_request_body(self, call_id: int) -> None:
+        """Drop the body of a request that the peer has responded to."""
+        self._outgoing.cancel(call_id)
+
     def unsent_requests(self) -> list[int]:
         """Return the call ids of requests that the peer can't have run.
 
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_links.py
@@ -376,6 +376,8 @@
             return
         if isinstance(message, RelayResponse):
             peer.outstanding = max(0, peer.outstanding - 1)
+            # A peer that refuses an announced request never grants its body.
+            link.drop_request_body(message.call_id)
         elif isinstance(message, HeartbeatReply) and message.sequence:
             link.record_reply()
         self._listener.dialled_message(link.peer_ip, message)
--- a/packages/sassafraswinch-sidecar/tests/test_body_transfer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_body_transfer.py
@@ -119,6 +119,14 @@
     assert (await fleet.call(front, method="POST", target=ONCE)).status == 200
 
 
+async def test_body_of_a_refused_request_is_dropped_by_its_owner(fleet, front):
+    """Guards against bodies kept until their link ends, which nobody counts."""
+    for node in fleet.nodes_of("schvaleni"):
+        node.sidecar._held.max_bytes = len(LONG) - 1
+    assert (await send_long(fleet, front)).status == 503
+    assert not any(link.unsent_requests() for link in links_of(front))
+
+
 def new_request(call_id, body):
     return RelayRequest(call_id=call_id, body=body, remaining_ms=1_000)
 
