Decline announced responses that nobody awaits

Cause: the owner dropped the announcement of the response without a word, so its sender kept the memory reserved and soon read no long response any more.

Change: the owner declines it with a cancellation, which frees it at its sender.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_intake.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/body_intake.py
@@ -6,7 +6,11 @@
 from sassafraswinch_sidecar.executor import Executor
 from sassafraswinch_sidecar.held_bytes import HeldBytes
 from sassafraswinch_sidecar.peer_link import PeerLink
-from sassafraswinch_sidecar.relay_protocol.ttypes import RelayRequest, RelayResponse
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    RelayCancel,
+    RelayRequest,
+    RelayResponse,
+)
 from sassafraswinch_sidecar.response_sender import ResponseSender
 
 
@@ -64,7 +68,13 @@
         link.receive_body(request, on_complete, lambda: self._held.release(body_bytes))
 
     def receive_response(self, link: PeerLink, response: RelayResponse) -> None:
-        """Receive an announced response, once there is memory for it."""
+        """Receive an announced response, once there is memory for it.
+
+        One that nobody awaits is declined: its sender holds its memory until then.
+        """
+        if not self._is_pending(response.call_id):
+            link.send(RelayCancel(call_id=response.call_id))
+            return
 
         def start() -> None:
             if not link.is_open or not self._is_pending(response.call_id):
--- a/packages/sassafraswinch-sidecar/tests/test_body_transfer.py
+++ b/packages/sassafraswinch-sidecar/tests/test_body_transfer.py
@@ -127,6 +127,34 @@
     assert not any(link.unsent_requests() for link in links_of(front))
 
 
+async def test_response_that_nobody_awaits_is_declined(fleet, front):
+    """Guards against memory that stays reserved for the response to a caller that left
+    while its request, which may not run twice, was running.
+    """
+    started = asyncio.Event()
+    finish = asyncio.Event()
+    tasks = []
+
+    async def serve_late(connection, seen):
+        started.set()
+        await finish.wait()
+        connection.transport.write(answer(seen, body=LONG))
+
+    for node in fleet.nodes:
+        node.backend.behaviour = lambda connection, seen: tasks.append(
+            asyncio.create_task(serve_late(connection, seen))
+        )
+    caller = asyncio.create_task(fleet.call(front, method="POST", target=ONCE))
+    await started.wait()
+    caller.cancel()
+    await until(lambda: not front.sidecar._owner.in_flight)
+    finish.set()
+    await asyncio.gather(*tasks)
+    (ran,) = (node for node in fleet.nodes if node.backend.seen)
+    await until(lambda: not ran.sidecar._executor.in_flight)
+    await until(lambda: not any(node.sidecar._held.total_bytes for node in fleet.nodes))
+
+
 def new_request(call_id, body):
     return RelayRequest(call_id=call_id, body=body, remaining_ms=1_000)
 
