Refuse queued requests once their instance is leaving

Cause: the leaving of an instance was checked when a request was queued; only a leave notice in a response emptied the queue.

Change: each change of the platform's data refuses the queued requests for instances that are leaving or gone, unrun, and each start checks once more.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/executor.py
@@ -306,10 +306,10 @@
         for queued in self.queue.drain():
             self._end_not_run(queued.item, "leaving")
 
-    def refuse_instance(self, instance_id: str) -> None:
-        """Refuse the queued requests for an instance that is leaving."""
+    def refuse_leaving(self) -> None:
+        """Refuse the queued requests for instances that are leaving or gone."""
         for queued in self.queue.pop_matching(
-            lambda execution: execution.request.instance_id == instance_id
+            lambda execution: self._is_leaving(execution.request.instance_id)
         ):
             self._end_not_run(queued.item, INSTANCE_LEAVING)
 
@@ -353,14 +353,20 @@
     def _start_queued(self, now_ms: float) -> None:
         for queued in self.queue.pop_startable(now_ms):
             execution = queued.item
-            # Servers may have crashed while running it since it was queued.
-            refusal = self._gate.refusal_reason(execution.request)
+            refusal = self._late_refusal_reason(execution.request)
             if refusal:
                 self.queue.pace.return_start()
                 self._end_not_run(execution, refusal)
             else:
                 self._run(execution, now_ms)
 
+    def _late_refusal_reason(self, request: RelayRequest) -> str:
+        """Return why a request that was queued may no longer start."""
+        if self._is_leaving(request.instance_id):
+            return INSTANCE_LEAVING
+        # Servers may have crashed while running it since it was queued.
+        return self._gate.refusal_reason(request)
+
     def _run(self, execution: Execution, now_ms: float) -> None:
         request = execution.request
         remaining_ms = execution.deadline_ms - now_ms
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -449,8 +449,7 @@
     def _record_leave_notice(self, instance_id: str, incarnation: int) -> None:
         """Send no more requests to a lifetime, nor start those that wait for it."""
         self._fleet.record_leave_notice(instance_id, incarnation)
-        if self._fleet.is_leaving(instance_id):
-            self._executor.refuse_instance(instance_id)
+        self._executor.refuse_leaving()
 
     def _is_isolated(self, ip: str) -> bool:
         """Return whether a host reports that it can't reach the platform."""
@@ -483,6 +482,7 @@
             self._executor.record_registration(*instance.identity)
             if not instance.leaving:
                 self._executor.set_slots(instance.slots)
+        self._executor.refuse_leaving()
         self._zone_follower.update()
         if is_first_update:
             self._exchange.announce_host()
--- a/packages/sassafraswinch-sidecar/tests/test_limited_server_machine.py
+++ b/packages/sassafraswinch-sidecar/tests/test_limited_server_machine.py
@@ -127,7 +127,7 @@
 
     def refuse_leaving(self) -> None:
         if self.notices.leaving:
-            self.executor.refuse_instance(self.notices.instance_id)
+            self.executor.refuse_leaving()
 
     def send(self, owner: Owner) -> None:
         """Send one request, unless the owner knows that the server is leaving."""
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -400,6 +400,31 @@
     assert slot_s_by_service.keys() == {"schvaleni", "archiv"}
 
 
+async def test_queued_requests_of_a_draining_instance_are_placed_elsewhere(fleet):
+    """Guards against requests that wait until the instance has left."""
+    first, second = fleet.nodes_of("archiv")
+    waiting = []
+    for node in (first, second):
+        node.backend.behaviour = lambda connection, seen: waiting.append(
+            (connection, seen)
+        )
+    (front,) = fleet.nodes_of("schvaleni")
+    calls = [
+        asyncio.create_task(fleet.call(front, request_id=f"r-{number}"))
+        for number in range(16)
+    ]
+    await until(lambda: first.sidecar._executor.queue.queued)
+    before = len(first.backend.seen)
+    await first.put_instance(fleet.store, leaving=True)
+    await until(lambda: not first.sidecar._executor.queue.queued)
+    for node in (first, second):
+        node.backend.behaviour = node.backend.serve
+    for connection, seen in waiting:
+        connection.transport.write(answer(seen))
+    await asyncio.gather(*calls)
+    assert len(first.backend.seen) == before
+
+
 async def test_failed_background_task_stops_sidecar(fleet):
     """A programming error ends the task that checks time limits, so requests would
     hang. The process logs the error and exits, so that it is restarted.
