Know downstream services by route and service, not by route

A moved route kept the downstream services of its former service for good: its requests weren't retried while the retry budget there was spent.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_retry_policy.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay_retry_policy.py
@@ -26,7 +26,7 @@
     def __init__(self, *, budget: RetryBudget, now_ms: Callable[[], float]):
         self._budget = budget
         self._now_ms = now_ms
-        self._downstream_services: dict[str, set[str]] = {}
+        self._downstream_services: dict[tuple[str, str], set[str]] = {}
 
     def record_sent(self, relay: Relay) -> None:
         """Count an attempt that is sent to an executing sidecar.
@@ -44,9 +44,13 @@
             )
 
     def record_downstream_services(self, relay: Relay) -> None:
-        """Record the downstream services of a route from a request's slot times."""
+        """Record the downstream services of a request from its slot times.
+
+        Those of a route at one service say nothing about it at another one.
+        """
         if len(relay.slot_ms) > 1:
-            downstream = self._downstream_services.setdefault(relay.route.name, set())
+            part = relay.route.name, relay.service
+            downstream = self._downstream_services.setdefault(part, set())
             downstream.update(relay.slot_ms.keys() - {relay.service})
 
     def has_time(self, relay: Relay) -> bool:
@@ -78,7 +82,8 @@
         refused.
         """
         if not relay.repeats_spent:
-            downstream = self._downstream_services.get(relay.route.name, ())
+            part = relay.route.name, relay.service
+            downstream = self._downstream_services.get(part, ())
             allowed = self._budget.allows_retry(
                 relay.service,
                 self._now_ms(),
