--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/ingress_admission.py
@@ -33,7 +33,7 @@
 call trees above them."""
 
 MIN_COST_GAIN = 0.04
-"""Least weight of one completed request in the cost estimate of its route: the last 25
+"""Least weight of one completed request in the cost estimate of its class: the last 25
 requests."""
 
 COST_REFRESH_MS = 1_000.0
@@ -44,7 +44,7 @@
 still look slow for seconds after it has recovered."""
 
 FAILED_COST_GAIN = 0.3
-"""Weight of one failed request while no request of the route has been completed."""
+"""Weight of one failed request while no request of the class has been completed."""
 
 RATE_GAIN = 0.3
 """Weight of one interval in the arrival rates: with 250 ms, about a second."""
@@ -53,7 +53,7 @@
 """Time between two admission decisions; demand is reported about as often."""
 
 MIN_COST_SLOT_S = 0.002
-"""Cost of a route at a service, in slot seconds, below which it is ignored."""
+"""Cost of a class at a service, in slot seconds, below which it is ignored."""
 
 TARGET_UTILISATION = 1.0
 """Measured slot usage, with queued requests included, that the correction aims for.
@@ -79,7 +79,7 @@
 queue at once, whereas the correction is for lasting errors of the estimates."""
 
 MIN_RATE_PER_S = 1e-4
-"""Arrival rate below which a route is discarded: no arrivals for half a minute."""
+"""Arrival rate below which a class is discarded: no arrivals for half a minute."""
 
 UNREACHABLE_INTERVALS = 1
 """Intervals after which the lack of reachable slots of a service refuses all requests
@@ -116,7 +116,7 @@
 
 
 @dataclass(slots=True)
-class _RouteDemand:
+class _ClassDemand:
     priority: int
     arrivals: int = 0
     completions: int = 0
@@ -138,7 +138,10 @@
 
 
 class IngressAdmission:
-    """Estimates the cost of routes and decides which share of each is admitted.
+    """Estimates the cost of admission classes and decides which share is admitted.
+
+    The requests of a class have the same route, service and organisation priority, so
+    that they cost the same on average.
 
     Args:
         rng: spreads the trial requests of the sidecars over time.
@@ -146,7 +149,7 @@
             important priorities; empty for a strict order of priorities.
 
     Attributes:
-        limited_routes: routes that aren't admitted in full, as of the last decision.
+        limited_classes: classes that aren't admitted in full, as of the last decision.
         required_slots: slots that the arrivals of all ingress sidecars require, by
             service, as of the last decision.
     """
@@ -154,9 +157,9 @@
     def __init__(self, *, rng: random.Random, worths: Sequence[float] = ()):
         self._worths = worths
         self._trials = TrialRequests(rng=rng)
-        self.limited_routes: Mapping[str, Allocation] = {}
+        self.limited_classes: Mapping[str, Allocation] = {}
         self.required_slots: Mapping[str, float] = {}
-        self._routes: dict[str, _RouteDemand] = {}
+        self._classes: dict[str, _ClassDemand] = {}
         self._corrections: dict[str, float] = {}
         self._unreachable: dict[str, int] = {}
         self._decided_at_ms: float | None = None
@@ -173,19 +176,19 @@
         """Return the factor that currently corrects a service's slots."""
         return self._corrections.get(service, 1.0)
 
-    def record_arrival(self, route: str, priority: int) -> None:
+    def record_arrival(self, admission_class: str, priority: int) -> None:
         """Count a root request that arrived."""
-        demand = self._routes.get(route)
+        demand = self._classes.get(admission_class)
         if demand is None:
-            demand = self._routes[route] = _RouteDemand(priority)
+            demand = self._classes[admission_class] = _ClassDemand(priority)
         demand.priority = priority
         demand.arrivals += 1
 
     def record_completed_cost(
-        self, route: str, slot_ms: Mapping[str, float], now_ms: float
+        self, admission_class: str, slot_ms: Mapping[str, float], now_ms: float
     ) -> None:
-        """Update a route's cost from the slot times of a completed request."""
-        demand = self._routes.get(route)
+        """Update a class's cost from the slot times of a completed request."""
+        demand = self._classes.get(admission_class)
         if demand is None:
             return
         demand.completions += 1
@@ -205,14 +208,16 @@
             else:
                 estimates[service] = before_s + gain * (measured_s - before_s)
 
-    def record_partial_cost(self, route: str, slot_ms: Mapping[str, float]) -> None:
-        """Raise a route's cost to the slot times of a request that failed on its way.
+    def record_partial_cost(
+        self, admission_class: str, slot_ms: Mapping[str, float]
+    ) -> None:
+        """Raise a class's cost to the slot times of a request that failed on its way.
 
         They are a lower bound of what a completed request costs. In an overload that
         begins before any cost is known, such as after a power failure, nearly all
         requests fail, and the few completed ones would give the cost seconds too late.
         """
-        demand = self._routes.get(route)
+        demand = self._classes.get(admission_class)
         if demand is None:
             return
         estimates = demand.slot_s
@@ -222,35 +227,35 @@
                 gain = MIN_COST_GAIN if demand.completions else FAILED_COST_GAIN
                 estimates[service] = before_s + gain * (measured_ms / 1000 - before_s)
 
-    def find_blocking_service(self, route: str, level: int) -> str | None:
+    def find_blocking_service(self, admission_class: str, level: int) -> str | None:
         """Return the service that lacks slots for a request; None if it is admitted."""
-        fit = self.limited_routes.get(route)
+        fit = self.limited_classes.get(admission_class)
         if fit is None or level < fit.share * LEVELS:
             return None
         return fit.limiting_resource
 
-    def admits_trial(self, route: str) -> bool:
+    def admits_trial(self, admission_class: str) -> bool:
         """Return whether a request that lacks slots is admitted as a trial request."""
-        return self._trials.admit(route)
+        return self._trials.admit(admission_class)
 
-    def uses_only(self, route: str, service: str) -> bool:
-        """Return whether completed requests of a route used one service only."""
-        demand = self._routes.get(route)
+    def uses_only(self, admission_class: str, service: str) -> bool:
+        """Return whether completed requests of a class used one service only."""
+        demand = self._classes.get(admission_class)
         if demand is None or not demand.completions:
             return False
         return demand.cost().keys() <= {service}
 
     def demand(self, now_ms: float) -> list[Claim]:
-        """Return the rate and cost of this sidecar's arrivals, by route."""
+        """Return the rate and cost of this sidecar's arrivals, by class."""
         return [
             Claim(
                 kind=name,
-                priority=route.priority,
-                rate_per_s=route.rate_per_s or 0.0,
-                costs=route.cost(),
-                age_ms=route.age_ms(now_ms),
+                priority=demand.priority,
+                rate_per_s=demand.rate_per_s or 0.0,
+                costs=demand.cost(),
+                age_ms=demand.age_ms(now_ms),
             )
-            for name, route in self._routes.items()
+            for name, demand in self._classes.items()
         ]
 
     def is_due(self, now_ms: float) -> bool:
@@ -265,7 +270,7 @@
         now_ms: float,
         fleet_demand: Collection[Claim] = (),
     ) -> None:
-        """End an interval: set the share of each route that is admitted.
+        """End an interval: set the share of each class that is admitted.
 
         Args:
             capacities: reachable slots of each service.
@@ -287,7 +292,7 @@
             for service, slots in self.required_slots.items()
             if capacities.get(service, NO_CAPACITY).paced_slots
         }
-        self.limited_routes = capacity_shares(
+        self.limited_classes = capacity_shares(
             claims,
             {s: slots for s, slots in available_slots.items() if slots is not None},
             self._worth_of if self._worths else None,
@@ -295,7 +300,7 @@
         self._trials.set_outdated(
             claim
             for claim in claims
-            if claim.kind in self.limited_routes and is_outdated(claim)
+            if claim.kind in self.limited_classes and is_outdated(claim)
         )
 
     def _worth_of(self, rank: int) -> float:
@@ -318,20 +323,20 @@
     def _update_rates(self, now_ms: float) -> None:
         seconds = max(now_ms - (self._decided_at_ms or 0.0), 1.0) / 1000
         self._decided_at_ms = now_ms
-        for name, route in list(self._routes.items()):
-            rate_per_s = route.arrivals / seconds
-            route.arrivals = 0
-            if route.rate_per_s is None:
-                route.rate_per_s = rate_per_s
-            route.rate_per_s += RATE_GAIN * (rate_per_s - route.rate_per_s)
-            if route.rate_per_s < MIN_RATE_PER_S:
-                del self._routes[name]
+        for name, demand in list(self._classes.items()):
+            rate_per_s = demand.arrivals / seconds
+            demand.arrivals = 0
+            if demand.rate_per_s is None:
+                demand.rate_per_s = rate_per_s
+            demand.rate_per_s += RATE_GAIN * (rate_per_s - demand.rate_per_s)
+            if demand.rate_per_s < MIN_RATE_PER_S:
+                del self._classes[name]
 
     def _update_correction(self, service: str, capacity: Capacity) -> float:
         correction = self._corrections.get(service, 1.0)
         utilisation = capacity.used / capacity.slots
         is_full = any(
-            fit.limiting_resource == service for fit in self.limited_routes.values()
+            fit.limiting_resource == service for fit in self.limited_classes.values()
         )
         if is_full or utilisation > TARGET_UTILISATION:
             step = CORRECTION_GAIN * (TARGET_UTILISATION - utilisation)
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/relay.py
@@ -278,7 +278,7 @@
         self._responses.refuse_overloaded(
             relay,
             overloaded_service,
-            self._admission.limited_routes[relay.admission_class].share,
+            self._admission.limited_classes[relay.admission_class].share,
         )
         self._finish(relay)
         return False
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -520,7 +520,7 @@
     def _update_admission(self, now_ms: float) -> None:
         capacities = capacities_of(self._fleet.serving(), self._loads.load_of)
         self._admission.decide_shares(capacities, now_ms, self._view.demand(now_ms))
-        for admission_class, fit in self._admission.limited_routes.items():
+        for admission_class, fit in self._admission.limited_classes.items():
             service = fit.limiting_resource
             capacity = capacities.get(service, NO_CAPACITY)
             log_event(
--- a/packages/sassafraswinch-sidecar/tests/test_ingress_admission.py
+++ b/packages/sassafraswinch-sidecar/tests/test_ingress_admission.py
@@ -131,8 +131,8 @@
             {"prehled": Capacity(100.0, 90.0), "archiv": Capacity(600.0, 90.0)}, now_ms
         )
         if rate == 400 and now_ms > 2_000:
-            assert admission.limited_routes
-    assert not admission.limited_routes
+            assert admission.limited_classes
+    assert not admission.limited_classes
 
 
 def test_backlog_limits_admission_at_once_and_leaves_no_idle_slots_afterwards():
@@ -155,7 +155,7 @@
             {"prehled": Capacity(slots, used)}, number * INTERVAL_MS
         )
         available = (
-            admission.limited_routes[HISTORY].share
+            admission.limited_classes[HISTORY].share
             * admission.required_slots["prehled"]
         )
         available_shares.append(available / slots)
@@ -174,9 +174,9 @@
     admission.is_due(0.0)
     capacities = {"prehled": Capacity(100.0, 50.0)}
     admission.decide_shares(capacities, 300.0, [demand_of(STATUS, 500.0)])
-    assert admission.limited_routes[STATUS].share < 1
+    assert admission.limited_classes[STATUS].share < 1
     admission.decide_shares(capacities, 3_000.0)
-    assert not admission.limited_routes
+    assert not admission.limited_classes
 
 
 def test_route_that_needs_an_unreachable_service_is_refused_at_its_ingress():
@@ -222,7 +222,7 @@
     admission.record_completed_cost(HISTORY, {"prehled": 220.0}, 0.0)
     for _ in range(100):
         admission.record_partial_cost(HISTORY, {"prehled": 20.0})
-    assert admission._routes[HISTORY].slot_s["prehled"] == 0.22
+    assert admission._classes[HISTORY].slot_s["prehled"] == 0.22
 
 
 def test_service_left_idle_by_an_unreachable_one_is_filled_by_other_routes():
@@ -275,8 +275,8 @@
             )
         admission.is_due(0.0)
         share = (
-            admission.limited_routes[HISTORY].share
-            if HISTORY in admission.limited_routes
+            admission.limited_classes[HISTORY].share
+            if HISTORY in admission.limited_classes
             else 1.0
         )
         used = 400 * share * 4 * 0.22 if number > 4 else slots
@@ -319,7 +319,7 @@
         admission.decide_shares({"archiv": capacity}, step * INTERVAL_MS)
     assert admission.find_blocking_service(APPROVE, LEVELS - 1) is None
     assert admission.find_blocking_service(HISTORY, LEVELS // 2) == "archiv"
-    share = admission.limited_routes[HISTORY].share
+    share = admission.limited_classes[HISTORY].share
     assert 0.8 * 18 <= share * 168 <= 18
     assert admission.rate_wait_ms("archiv") == pytest.approx(6_000.0, rel=0.1)
 
@@ -335,7 +335,7 @@
             admission.record_arrival(HISTORY, 2)
         admission.record_completed_cost(HISTORY, {"archiv": 200.0}, step * INTERVAL_MS)
         admission.decide_shares({"archiv": capacity}, step * INTERVAL_MS)
-    admitted_slots = admission.limited_routes[HISTORY].share * 180 * 0.2
+    admitted_slots = admission.limited_classes[HISTORY].share * 180 * 0.2
     assert 0.8 * capacity.slots <= admitted_slots <= 0.95 * capacity.slots
 
 
--- a/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
+++ b/packages/sassafraswinch-sidecar/tests/test_moved_routes.py
@@ -77,7 +77,7 @@
 
 
 def is_limited(node, service):
-    limited = node.sidecar._admission.limited_routes.values()
+    limited = node.sidecar._admission.limited_classes.values()
     return any(fit.limiting_resource == service for fit in limited)
 
 
--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -396,7 +396,7 @@
     )
     got = await fleet.call(node, target="/approve/1", method="POST", body=b"x")
     assert got.status == 200
-    slot_s_by_service = node.sidecar._admission._routes["approve/schvaleni"].slot_s
+    slot_s_by_service = node.sidecar._admission._classes["approve/schvaleni"].slot_s
     assert slot_s_by_service.keys() == {"schvaleni", "archiv"}
 
 
--- a/packages/sassafraswinch-sidecar/tests/test_trial_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_trial_requests.py
@@ -90,7 +90,7 @@
     """Send one request; record it if it was admitted."""
     now_s = now_ms / 1000
     sidecar.record_arrival(HISTORY, 2)
-    is_limited = HISTORY in sidecar.limited_routes
+    is_limited = HISTORY in sidecar.limited_classes
     if is_limited and not sidecar.admits_trial(HISTORY):
         return
     if is_limited:
