Soak: answers without end, and a service that is lost for good

Two dimensions that were constant: an answer ends, and nothing answers the loss of a service. make fault-soak ENDLESS=--endless draws kind, speed (1 byte/s to as fast as loopback) and share (0.01 to 1) of a server's answers without end, in processes with 200 MB; LOST=--lost-service loses all servers of a service and moves its route, amid the other faults.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,8 @@
 LIMITS ?=
 STOPS ?=
 VARIED ?=
+ENDLESS ?=
+LOST ?=
 # Half of the cores, four at most: tests of many sidecars take turns on one core.
 WORKERS ?= $(shell n=$$(( $$(nproc) / 2 )); echo $$(( n > 4 ? 4 : n < 1 ? 1 : n )))
 
@@ -54,10 +56,13 @@
 # RESTORES=--restores the store comes back from older copies as well; with LIMITS=--limits
 # servers name limits and leave in their responses as well. With STOPS=--only-stops
 # processes are only stopped, under many callers that open new connections. With
-# VARIED=--varied lengths and run times vary over orders of magnitude, within 200 MB.
+# VARIED=--varied lengths and run times vary over orders of magnitude, within 200 MB. With
+# ENDLESS=--endless servers send answers without end as well, within 200 MB; with
+# LOST=--lost-service all servers of a service are lost, and its route is moved.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
-		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS) $(VARIED)
+		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS) $(VARIED) \
+		$(ENDLESS) $(LOST)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
 from collections import Counter
@@ -24,6 +25,15 @@
 VARIED_WEIGHT = 3
 """Weight of each fault that only soaks of varied requests have."""
 
+ENDLESS_WEIGHT = 4
+"""Weight of answers without end among the faults, if they are enabled."""
+
+ENDLESS_SHARES = (0.01, 1.0)
+"""Smallest and greatest share of a server's answers that have no end."""
+
+LOST_SERVICE, SUBSTITUTE = "schvaleni", "prehled"
+"""A service whose servers are lost for good, and the one that its route is moved to."""
+
 
 class Chaos:
     """Injects random faults, each of which ends after a random time.
@@ -36,6 +46,9 @@
         only_stops: whether processes are only stopped, and receive other signals.
         is_varied: whether servers also send second copies late, and the store is cut
             from the sidecars that follow it.
+        is_endless: whether servers also send answers without end.
+        loses_service: whether all servers of a service are lost for good, and its route
+            is moved to another one.
 
     Attributes:
         counts: number of faults so far, by kind.
@@ -51,7 +64,10 @@
         limits: bool = False,
         only_stops: bool = False,
         is_varied: bool = False,
+        is_endless: bool = False,
+        loses_service: bool = False,
     ):
+        self._loses_service = loses_service
         self.counts: Counter[str] = Counter()
         self.unclean_stops = 0
         self._fleet = fleet
@@ -87,6 +103,8 @@
         if is_varied:
             self._actions += [self.server_sends_late_copies] * VARIED_WEIGHT
             self._actions += [self.cut_store] * VARIED_WEIGHT
+        if is_endless:
+            self._actions += [self.server_never_ends] * ENDLESS_WEIGHT
         if restores:
             self._actions += [self.store_restored] * RESTORE_WEIGHT
         if limits:
@@ -97,6 +115,8 @@
         """Start faults for some seconds; return once all of them have ended."""
         ends_s = asyncio.get_running_loop().time() + seconds
         async with asyncio.TaskGroup() as group:
+            if self._loses_service:
+                group.create_task(self.service_lost())
             while asyncio.get_running_loop().time() < ends_s:
                 await asyncio.sleep(self._rng.uniform(0.1, 0.9))
                 action = self._rng.choice(self._actions)
@@ -287,6 +307,34 @@
             await self._wait(1.0, 5.0)
             host.server.reset_faults()
 
+    async def server_never_ends(self) -> None:
+        """Send answers without end."""
+        async with self._reserve_host("server-never-ends") as host:
+            if host is None:
+                return
+            low, high = map(math.log, ENDLESS_SHARES)
+            host.server.endless_share = math.exp(self._rng.uniform(low, high))
+            await self._wait(1.0, 5.0)
+            host.server.reset_faults()
+
+    async def service_lost(self) -> None:
+        """Lose all servers of a service for good, and move its route later.
+
+        No other fault happens to their hosts: it could start the servers again.
+        """
+        hosts = [host for host in self._fleet.hosts if host.service == LOST_SERVICE]
+        self._faulty_hosts |= {host.name for host in hosts}
+        await self._wait(1.0, 4.0)
+        self.counts["service-lost"] += 1
+        for host in hosts:
+            host.server.crash()
+        await self._wait(0.0, 3.0)
+        for host in hosts:
+            await self._fleet.store.remove(f"servers/{host.server.instance_id}")
+        await self._wait(0.0, 4.0)
+        self._fleet.approving_service = SUBSTITUTE
+        await self._fleet.change_routes()
+
     async def cut_store(self) -> None:
         """Cut all hosts from the store at once, amid changes of the routes."""
         self.counts["cut-store-everywhere"] += 1
--- a/tests/fault_soak/fleet.py
+++ b/tests/fault_soak/fleet.py
@@ -133,7 +133,7 @@
             "metrics_port": METRICS_PORT,
             "platform": store,
             "drain_s": SIDECAR_STOP_GRACE_S,
-        } | ({"memory_mb": MEMORY_MB} if self._fleet.is_varied else {})
+        } | ({"memory_mb": MEMORY_MB} if self._fleet.has_little_memory else {})
 
     def close(self) -> None:
         """Kill the process and close its server, relay and callers."""
@@ -260,11 +260,13 @@
         copies: number of hosts for each item of ``SERVICES``; 41 at most.
         fatal: whether callers send a request that crashes each server that runs it.
         limits: whether servers name limits and leave in their responses.
-        is_varied: whether lengths and times of requests vary, within little memory.
+        is_varied: whether lengths and times of requests vary.
+        has_little_memory: whether processes have ``MEMORY_MB`` each.
 
     Attributes:
         is_server_direct: whether sidecars are connected to their servers directly.
         version: version of the routes in the store.
+        approving_service: service of the route of approvals.
     """
 
     def __init__(
@@ -276,8 +278,10 @@
         fatal: bool = False,
         limits: bool = False,
         is_varied: bool = False,
+        has_little_memory: bool = False,
     ):
         self.is_varied = is_varied
+        self.has_little_memory = has_little_memory
         self.is_server_direct = fatal or limits
         self.rng = random.Random(seed)
         self.keys = KeyRing(seed=seed)
@@ -286,6 +290,7 @@
         self.store = StoreStandIn()
         self.store_address = ""
         self.version = 0
+        self.approving_service = "schvaleni"
         prefix = f"127.{20 + os.getpid() % 200}.{seed % 250}"
         self.hosts = [
             Host(number=number, prefix=prefix, fleet=self)
@@ -314,7 +319,7 @@
         paths = [
             self._build_path(ORDERS, "archiv", 1, attempts=3),
             self._build_path(PRICES, "prehled", 1, attempts=3),
-            self._build_path(APPROVE, "schvaleni", 0, attempts=2),
+            self._build_path(APPROVE, self.approving_service, 0, attempts=2),
             self._build_path(self.probe_kind(), "prehled", 1, attempts=3),
         ]
         limits = {
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -66,6 +66,8 @@
     limits: bool = False,
     only_stops: bool = False,
     varied: bool = False,
+    endless: bool = False,
+    lost_service: bool = False,
 ) -> SeedResult:
     """Run one seed; the processes' logs remain in the directory."""
     result = SeedResult(seed)
@@ -76,6 +78,7 @@
         fatal=fatal,
         limits=limits,
         is_varied=varied,
+        has_little_memory=varied or endless,
     )
     chaos = Chaos(
         fleet=fleet,
@@ -84,8 +87,10 @@
         limits=limits,
         only_stops=only_stops,
         is_varied=varied,
+        is_endless=endless,
+        loses_service=lost_service,
     )
-    memory = MemoryWatch(hosts=fleet.hosts if varied else ())
+    memory = MemoryWatch(hosts=fleet.hosts if varied or endless else ())
     try:
         await fleet.open()
         if only_stops:
@@ -147,6 +152,8 @@
     limits: bool = False,
     only_stops: bool = False,
     varied: bool = False,
+    endless: bool = False,
+    lost_service: bool = False,
 ) -> None:
     """Run consecutive seeds; the exit code is 1 if an invariant was violated.
 
@@ -160,6 +167,8 @@
         limits: also have servers name limits and leave in their responses.
         only_stops: only stop processes, under many callers that connect anew.
         varied: vary lengths and times over orders of magnitude, within little memory.
+        endless: also have servers send answers without end.
+        lost_service: also lose all servers of a service and move its route.
     """
     failed = []
     for seed in range(first, first + seeds):
@@ -176,12 +185,14 @@
                 limits=limits,
                 only_stops=only_stops,
                 varied=varied,
+                endless=endless,
+                lost_service=lost_service,
             )
         )
         elapsed_s = time.monotonic() - started_s
         statuses = {str(key): n for key, n in result.statuses.most_common()}
         print(f"seed {seed}: {elapsed_s:.0f} s, {result.runs} runs, {statuses}")
-        peak = f", peak {result.peak_mb:.0f} MB" if varied else ""
+        peak = f", peak {result.peak_mb:.0f} MB" if result.peak_mb else ""
         print(f"  {dict(result.faults)}{peak}", flush=True)
         for line in result.broken[:10]:
             print(f"  BROKEN {line}; logs in {directory}", flush=True)
--- a/tests/fault_soak/server.py
+++ b/tests/fault_soak/server.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from .endless import draw_answer, send_answer
 from .record import FATAL_TARGET, Record, Run, body_of
 from .shapes import SHAPE_FIELD, Shape, parse_shape, pattern
 
@@ -94,6 +95,7 @@
         late_copy_share: share of responses, rejections too, that are sent once more
             where the next response on their connection is expected.
         cut_share: share of responses that are truncated.
+        endless_share: share of requests that get an answer without end.
         shed_share: share of requests that are rejected.
         slow_x: factor on the execution time.
         limit_per_s: rate limit that its responses name, or None.
@@ -127,7 +129,7 @@
     def reset_faults(self) -> None:
         """Disable all faults."""
         self.lose_share = self.double_share = self.cut_share = self.shed_share = 0.0
-        self.late_copy_share = 0.0
+        self.late_copy_share = self.endless_share = 0.0
         self.slow_x = 1.0
         self.limit_per_s: float | None = None
         self.leaving = False
@@ -237,6 +239,10 @@
         body = body_of(request_id, connection.shape())
         signature = {"Server-Signature": f"{self.instance_id}.{len(body)}"}
         fields = signature | self._notice_fields()
+        if self.endless_share and self._rng.random() < self.endless_share:
+            answer = draw_answer(self._rng, request_id)
+            await send_answer(connection.transport, answer, self._rng)
+            return
         draw = self._rng.random()
         if draw < self.lose_share:
             connection.transport.abort()
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -54,6 +54,21 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_invariants_hold_beside_answers_without_end(tmp_path):
+    """Guards against memory and slots held by what is no answer."""
+    outcome = await play(SEED, tmp_path, endless=True)
+    assert not outcome.broken
+    assert outcome.faults["server-never-ends"]
+    assert outcome.statuses[200] > outcome.statuses.total() / 2
+
+
+async def test_route_moved_from_a_lost_service_is_served_again_during_faults(tmp_path):
+    """Guards against a route that stays refused for a service it no longer needs."""
+    outcome = await play(SEED, tmp_path, lost_service=True)
+    assert not outcome.broken
+    assert outcome.faults["service-lost"]
+
+
 async def test_request_that_crashes_servers_is_held_back_during_faults(tmp_path):
     """One request crashes each server that runs it and is sent again at any host, while
     processes, links and servers fail. It may crash three servers, and those that run it
