End the count of unsent bytes with the links of a stopped sidecar

No caller saw anything: the process ends.

Cause: the periodic tasks count what links haven't sent, and end before the links are closed; the last count stayed.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -559,6 +559,7 @@
             task.cancel()
         self._zone_follower.close()
         await self._links.close()
+        self._held.set_unsent(0)
         self._executor.close()
 
     def _in_flight(self) -> int:
--- a/packages/sassafraswinch-sidecar/tests/test_freed_requests.py
+++ b/packages/sassafraswinch-sidecar/tests/test_freed_requests.py
@@ -224,3 +224,13 @@
     await until(fleet.nodes[1].task.done)
     await assert_none_survives()
     await assert_nothing_is_held(fleet)
+
+
+async def test_stopped_sidecar_holds_nothing_unsent_to_its_peers(fleet, monkeypatch):
+    """Guards against a count that the last periodic check before the stop has left."""
+    sidecar = fleet.nodes[1].sidecar
+    monkeypatch.setattr(sidecar._links, "unsent_bytes", lambda: 1_000)
+    await until(lambda: sidecar._held.total_bytes)
+    sidecar._stopping.set()
+    await until(fleet.nodes[1].task.done)
+    await assert_nothing_is_held(fleet)
