--- a/packages/sassafraswinch-sidecar/tests/test_endless_answers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_endless_answers.py
@@ -11,14 +11,14 @@
 from sassafraswinch_sidecar.held_bytes import GROWING_SHARE, HeldBytes
 from sassafraswinch_sidecar.http_client import (
     MAX_UNSTATED_ANSWER_BYTES,
-    Exchange,
     Fault,
     HttpClient,
     HttpResponse,
     ServerConnection,
 )
 from sidecar_standins.backend import Backend, answer
-from sidecar_standins.fleet import request_bytes, until
+from sidecar_standins.exchanges import new_exchange, send_request
+from sidecar_standins.fleet import until
 
 MB = 1_000_000
 SPEEDS_BYTES_PER_TURN = [700, 40_000, 1_000_000]
@@ -94,30 +94,6 @@
     )
 
 
-def new_exchange(request_id="r-1", *, method="GET"):
-    done = asyncio.get_running_loop().create_future()
-    expected = request_id.encode()
-
-    def is_own(response):
-        return (b"x-request-id", expected) in [(n, v) for n, _, v in response.fields]
-
-    exchange = Exchange(
-        request_bytes(request_id=request_id, method=method),
-        method.encode(),
-        is_own,
-        lambda _, end: done.set_result(end),
-        request_id=expected,
-        deadline_ms=asyncio.get_running_loop().time() * 1000 + 5_000.0,
-    )
-    return exchange, done
-
-
-async def send_request(client, request_id="r-1"):
-    exchange, done = new_exchange(request_id)
-    client.send(exchange)
-    return await asyncio.wait_for(done, 30)
-
-
 @pytest.fixture
 async def backend():
     backend = Backend()
--- a/packages/sassafraswinch-sidecar/tests/test_http_client.py
+++ b/packages/sassafraswinch-sidecar/tests/test_http_client.py
@@ -10,7 +10,6 @@
 
 from sassafraswinch_sidecar import http_client
 from sassafraswinch_sidecar.http_client import (
-    Exchange,
     Fault,
     HttpClient,
     HttpResponse,
@@ -18,7 +17,8 @@
 )
 from sassafraswinch_sidecar.idle_limit import DEFAULT_SERVER_IDLE_LIMIT_MS
 from sidecar_standins.backend import Backend, answer
-from sidecar_standins.fleet import request_bytes, until
+from sidecar_standins.exchanges import new_exchange, send_request
+from sidecar_standins.fleet import until
 
 
 @pytest.fixture
@@ -36,30 +36,6 @@
     client.close()
 
 
-def new_exchange(request_id="r-1", method="GET"):
-    done = asyncio.get_running_loop().create_future()
-    expected = request_id.encode()
-
-    def is_own(response):
-        return (b"x-request-id", expected) in [(n, v) for n, _, v in response.fields]
-
-    exchange = Exchange(
-        request_bytes(request_id=request_id, method=method),
-        method.encode(),
-        is_own,
-        lambda _, end: done.set_result(end),
-        request_id=expected,
-        deadline_ms=asyncio.get_running_loop().time() * 1000 + 3_000.0,
-    )
-    return exchange, done
-
-
-async def send_request(client, request_id="r-1", method="GET", **options):
-    exchange, done = new_exchange(request_id, method)
-    client.send(exchange, **options)
-    return await asyncio.wait_for(done, 20)
-
-
 async def test_connection_is_reused(client, backend):
     for number in range(3):
         got = await send_request(client, f"r-{number}")
