--- a/packages/sassafraswinch-sidecar/tests/test_sidecar.py
+++ b/packages/sassafraswinch-sidecar/tests/test_sidecar.py
@@ -413,10 +413,11 @@
         asyncio.create_task(fleet.call(front, request_id=f"r-{number}"))
         for number in range(16)
     ]
-    await until(lambda: first.sidecar._executor.queue.queued)
+    queue = first.sidecar._executor.queue
+    await until(lambda: queue.queued and len(first.backend.seen) == queue.running)
     before = len(first.backend.seen)
     await first.put_instance(fleet.store, leaving=True)
-    await until(lambda: not first.sidecar._executor.queue.queued)
+    await until(lambda: not queue.queued)
     for node in (first, second):
         node.backend.behaviour = node.backend.serve
     for connection, seen in waiting:
