--- a/packages/sassafraswinch-sidecar/tests/test_endless_answers.py
+++ b/packages/sassafraswinch-sidecar/tests/test_endless_answers.py
@@ -74,7 +74,7 @@
 }
 
 
-def send_endlessly(kind, bytes_per_turn, sent):
+def send_endlessly(kind, bytes_per_turn):
     """Return a behaviour that sends an answer until its connection is closed."""
 
     async def send(connection, seen):
@@ -85,7 +85,6 @@
                 while len(data) < bytes_per_turn:
                     data += next(parts)
                 connection.transport.write(data)
-                sent.append(len(data))
             await asyncio.sleep(0)
 
     tasks = []
@@ -131,7 +130,7 @@
 ):
     """Guards against a request, a slot and memory held by what is no answer."""
     client, held = new_client(backend)
-    backend.behaviour = send_endlessly(kind, bytes_per_turn, [])
+    backend.behaviour = send_endlessly(kind, bytes_per_turn)
     assert await send_request(client) is Fault.MALFORMED
     assert sum(parsed_bytes) <= MAX_FRAMING_BYTES * 17 / 16 + FEED_BYTES
     assert held.total_bytes == 0
@@ -144,7 +143,7 @@
 async def test_endless_body_is_no_answer(backend, kind, bytes_per_turn):
     """Guards against a body that is read until the request times out."""
     client, held = new_client(backend)
-    backend.behaviour = send_endlessly(kind, bytes_per_turn, [])
+    backend.behaviour = send_endlessly(kind, bytes_per_turn)
     assert await send_request(client) is Fault.TOO_LONG
     assert held.total_bytes == 0
     await until(lambda: backend.closed)
@@ -153,7 +152,7 @@
 
 async def test_stated_length_beyond_the_limit_is_refused_unread(backend, parsed_bytes):
     client, _ = new_client(backend)
-    backend.behaviour = send_endlessly(BODIES["stated length"], 1_000_000, [])
+    backend.behaviour = send_endlessly(BODIES["stated length"], 1_000_000)
     assert await send_request(client) is Fault.TOO_LONG
     assert sum(parsed_bytes) <= FEED_BYTES
     client.close()
@@ -163,7 +162,7 @@
 async def test_endless_bodies_of_all_slots_stay_within_the_limit(backend, kind):
     """Guards against a sum of bodies beyond the memory, at the speed of loopback."""
     client, held = new_client(backend)
-    backend.behaviour = send_endlessly(BODIES[kind], 200_000, [])
+    backend.behaviour = send_endlessly(BODIES[kind], 200_000)
     greatest = 0
     requests = [
         asyncio.create_task(send_request(client, f"r-{number}")) for number in range(12)
