--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections.abc import Mapping
 from typing import Protocol
 
 from sassafraswinch.errors import SassafraswinchError
@@ -145,6 +146,10 @@
         role: decides whether this sidecar is active. While it isn't, a peer follows the
             platform and sends the changes.
         rng: random source of the pauses.
+
+    Attributes:
+        calls: number of calls made to the platform.
+        failed_calls: number of those that returned no usable data.
     """
 
     def __init__(
@@ -166,6 +171,9 @@
         self._following = False
         self._response_ms = 0.0
         self._is_active = asyncio.Event()
+        self.calls = 0
+        self.failed_calls = 0
+        self._called_s = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         """Follow the platform until cancelled."""
@@ -179,12 +187,28 @@
                 await self._handle_lost_history()
             except PlatformUnavailableError as error:
                 self._record_failure(error)
-                await self._pause(self._retry_pause_s())
+                pause_s = self._retry_pause_s()
+                self._log_failure(error, pause_s)
+                await self._pause(pause_s)
 
     def wake(self) -> None:
         """Act at once on the role, which has become active."""
         self._is_active.set()
 
+    @property
+    def call_age_ms(self) -> float:
+        """Time since the latest call to the platform began."""
+        return (asyncio.get_running_loop().time() - self._called_s) * 1000
+
+    def gauges(self) -> Mapping[str, float]:
+        """Return the values for the metrics page."""
+        return {
+            "platform_calls": self.calls,
+            "platform_failed_calls": self.failed_calls,
+            "platform_call_age_ms": self.call_age_ms,
+            "platform_followed": self._following,
+        }
+
     @property
     def _is_needed(self) -> bool:
         """Whether to call the platform: this sidecar is active, or has no data yet."""
@@ -220,6 +244,8 @@
             self._record_return("peers")
 
     async def _read_or_watch(self) -> None:
+        self.calls += 1
+        self._called_s = asyncio.get_running_loop().time()
         if self._is_complete and self._store.era <= self._listener.revision.era:
             delta = await self._watch()
         else:
@@ -289,6 +315,7 @@
 
     def _record_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
+        self.failed_calls += 1
         self._set_following(False)
         if self._role.has_active_peer:
             return
@@ -297,6 +324,18 @@
             self._is_unreachable = True
             log_event("platform_away", level="warning", reason=error.reason)
 
+    def _log_failure(self, error: PlatformUnavailableError, pause_s: float) -> None:
+        log_event(
+            "platform_call_failed",
+            reason=error.reason,
+            answered=error.answered,
+            took_ms=self.call_age_ms,
+            failures=self._failures,
+            pause_ms=pause_s * 1000,
+            sidecars_per_active=self._role.sidecars_per_active,
+            has_active_peer=self._role.has_active_peer,
+        )
+
     def _retry_pause_s(self) -> float:
         pause_s = self._rng.uniform(*RETRY_PAUSE_S) * self._failures
         return min(pause_s, MAX_RETRY_PAUSE_S) * self._role.sidecars_per_active
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -596,6 +596,7 @@
             "platform_era": self._data.revision.era,
             "platform_revision": self._data.revision.number,
             "platform_restores": self._data.restores,
+            **self._reader.gauges(),
         }
 
     def _now_ms(self) -> float:
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -158,6 +158,27 @@
     assert listener.states == ["back", "away", "back"]
 
 
+async def test_calls_are_counted_for_operators():
+    """Guards against an outage in which nothing shows whether a zone still calls."""
+    down = PlatformUnavailableError(reason="status 503", answered=True)
+    store, listener = ScriptedStore(4, down, down, 5), RecordingListener()
+    reader = new_reader(store, listener, role_of("10.0.0.1"))
+    await run_until(lambda: not store.answers, reader)
+    gauges = reader.gauges()
+    assert gauges["platform_calls"] == len(store.calls)
+    assert gauges["platform_failed_calls"] == 2
+    assert 0 <= gauges["platform_call_age_ms"] < 2_000
+
+
+async def test_each_failed_call_is_logged_with_the_pause_after_it(log_stream):
+    """Guards against an outage whose log can't tell failing calls from missing ones."""
+    down = PlatformUnavailableError(reason="reset")
+    await follow(4, down, down, 5)
+    lines = [line for line in log_stream.getvalue().splitlines() if "failed" in line]
+    assert len(lines) == 2
+    assert all("reason=reset" in line and "pause_ms=" in line for line in lines)
+
+
 async def test_start_during_an_outage_reads_after_its_end():
     down = PlatformUnavailableError(reason="status 503")
     store, listener = await follow(down, down, 7)
