Call an unreachable store in turn, and read where a watch is lost

Cause: after a failed call each sidecar paused for a random time multiplied by the number of sidecars of its zone, so that the zone as a whole calls no more often than one of them. All fail within 0.3 s, since the loss of a follower makes all of them try, so the lower bound of that pause was a hole in which nobody called: 3.1, 4.2 and 15.6 s with 5, 26 and 100 sidecars (test_platform_troubles, in silence or refusals). The class: a rate meant for a group, kept by each member scaling its own pause.

Change: after the first failure each sidecar waits for its place in the order of the zone, one each 200 ms, and then calls once in a cycle. A follower whose watch isn't answered 80 ms after its wait reads instead: the store answered reads all the while. Why it holds: the gap is one turn whatever the size, and the first call that succeeds ends the others' turns as before.

The silent store of one reader test is silent for reads as well now, its bound is as before.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from sassafraswinch.errors import SassafraswinchError
@@ -19,14 +19,25 @@
 """Longest wait of one watch. It bounds the time for which a silent connection, or a
 store that was restored from an older copy, goes unnoticed; each call is billed."""
 
+WATCH_RESPONSE_MS = 80.0
+"""Time after the wait of a watch at which it counts as lost, and this sidecar reads
+instead. The store responds within milliseconds, and may answer reads while its watches
+hear nothing."""
+
 WATCH_OVERDUE_MS = 120.0
-"""Time after the wait of a watch at which this sidecar no longer counts as following.
-The store responds within milliseconds. The call itself goes on until it times out: a
-takeover by another sidecar costs a call, a call given up loses its response."""
+"""Time after the wait of a watch at which this sidecar no longer counts as following,
+unless the read has been answered."""
+
+MAX_WATCH_RESPONSE_MS = 500.0
+"""Longest time for the response of a watch after its wait, for a store that is slow."""
+
+LOST_PER_RESPONSE = 2.0
+"""Multiple of the last response time at which a watch counts as lost, if that is later:
+a store that is slow for all isn't worth a read with each watch."""
 
-OVERDUE_PER_RESPONSE = 2.0
-"""The same as a multiple of the last response time, if that is more: a store that is
-slow for all isn't worth a takeover with each watch."""
+READ_TIMEOUT_MS = 800.0
+"""Time limit of a read by a sidecar that has data already. Reads come in turn while the
+store is away, and the one that is lost in its last moment must not delay the next."""
 
 FIRST_WATCH_TIMEOUT_MS = 20
 """Wait of the first watch after a failure, or after peers have followed the platform:
@@ -39,12 +50,17 @@
 released, and each call is billed. A cut from the platform goes unnoticed in it."""
 
 RETRY_PAUSE_S = (0.15, 0.4)
-"""Random pause after a failed call, so that not all hosts retry at the same moment."""
+"""Random pause after a failed call of a sidecar that is alone, so that not all hosts
+retry at the same moment."""
 
-MAX_RETRY_PAUSE_S = 1.5
+MAX_RETRY_PAUSE_S = 1.1
 """Longest pause after failures for a sidecar that is alone: changes must be in force
-within two seconds of the platform's return. Where several share a zone, together they
-call as often as one, and the first that succeeds informs the others."""
+within two seconds of the platform's return, also if one read is lost."""
+
+TURN_S = 0.2
+"""Time between the calls of a zone whose sidecars all fail to reach the platform. They
+call in turn, in the order of their addresses: the number of calls doesn't grow with the
+zone, nor does the time until one of them notices the platform's return."""
 
 WATCHERS_PER_ZONE = 1
 """Sidecars of a zone that follow the platform in normal operation. Each call is billed.
@@ -55,6 +71,9 @@
 """Delay of each further sidecar in taking over when watchers are missing: a call to the
 platform and the announcement of its result take a few milliseconds."""
 
+TIMER_RESOLUTION_S = 0.001
+"""Shortest pause worth a timer."""
+
 STANDBY_CHECK_PAUSE_S = 0.1
 """Pause between checks whether this sidecar has become active, beside ``wake``: the
 interval of the other periodic decisions."""
@@ -66,12 +85,14 @@
     Attributes:
         reason: cause, worded for a log line.
         answered: whether the store replied at all, so that it can be reached.
+        timed_out: whether the store didn't reply in time.
     """
 
-    def __init__(self, *, reason: str, answered: bool = False):
+    def __init__(self, *, reason: str, answered: bool = False, timed_out: bool = False):
         super().__init__(reason)
         self.reason = reason
         self.answered = answered
+        self.timed_out = timed_out
 
 
 class HistoryGoneError(SassafraswinchError):
@@ -170,6 +191,9 @@
         self._lost_histories = 0
         self._following = False
         self._response_ms = 0.0
+        self._is_watch_lost = False
+        self._own_pause_s = 0.0
+        self._failed_s = 0.0
         self._is_active = asyncio.Event()
         self.calls = 0
         self.failed_calls = 0
@@ -187,9 +211,8 @@
                 await self._handle_lost_history()
             except PlatformUnavailableError as error:
                 self._record_failure(error)
-                pause_s = self._retry_pause_s()
-                self._log_failure(error, pause_s)
-                await self._pause(pause_s)
+                self._log_failure(error)
+                await self._pause(self._next_call_s)
 
     def wake(self) -> None:
         """Act at once on the role, which has become active."""
@@ -226,11 +249,17 @@
                 async with asyncio.timeout(STANDBY_CHECK_PAUSE_S):
                     await self._is_active.wait()
 
-    async def _pause(self, seconds: float) -> None:
-        """Wait, but only while this sidecar has to call the platform."""
+    async def _pause(self, due_s: Callable[[], float]) -> None:
+        """Wait until a time, but only while this sidecar has to call the platform.
+
+        Args:
+            due_s: returns the time of the event loop until which to wait, which may
+                change meanwhile.
+        """
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + seconds
-        while (remaining_s := end_s - loop.time()) > 0 and self._is_needed:
+        while (remaining_s := due_s() - loop.time()) > TIMER_RESOLUTION_S:
+            if not self._is_needed:
+                return
             self._check_peers()
             await asyncio.sleep(min(remaining_s, STANDBY_CHECK_PAUSE_S))
 
@@ -244,12 +273,7 @@
             self._record_return("peers")
 
     async def _read_or_watch(self) -> None:
-        self.calls += 1
-        self._called_s = asyncio.get_running_loop().time()
-        if self._is_complete and self._store.era <= self._listener.revision.era:
-            delta = await self._watch()
-        else:
-            delta = await self._read()
+        delta = await self._fetch()
         self._failures = 0
         self._record_return(PLATFORM_SOURCE)
         self._set_following(True)
@@ -258,8 +282,48 @@
         if has_changes and not delta.is_full:
             await asyncio.sleep(self._rng.uniform(*BURST_PAUSE_S))
 
+    async def _fetch(self) -> Delta:
+        """Return the next changes, or all data if they can't be had by a watch.
+
+        While this sidecar follows the platform, a lost watch is replaced by a read at
+        once. Failure: watches hear nothing while changes are made, and the zone waits
+        for one watch after the other although reads are answered.
+        """
+        is_current = self._store.era <= self._listener.revision.era
+        is_deaf = self._is_watch_lost and not self._following
+        if not self._is_complete or not is_current or is_deaf:
+            return await self._read()
+        # A sidecar that has just failed, or taken over, doesn't count as following yet.
+        is_first = self._is_watch_lost or not self._following
+        lost_ms = max(WATCH_RESPONSE_MS, LOST_PER_RESPONSE * self._response_ms)
+        response_ms = min(lost_ms, MAX_WATCH_RESPONSE_MS)
+        wait_ms = WATCH_TIMEOUT_MS
+        if is_first:
+            wait_ms, response_ms = FIRST_WATCH_TIMEOUT_MS, MAX_WATCH_RESPONSE_MS
+        grace_ms = WATCH_OVERDUE_MS - WATCH_RESPONSE_MS
+        timer = asyncio.get_running_loop().call_later(
+            (wait_ms + response_ms + grace_ms) / 1000, self._set_following, False
+        )
+        try:
+            return await self._watch(wait_ms, response_ms)
+        except PlatformUnavailableError as error:
+            self._is_watch_lost = error.timed_out
+            if not error.timed_out or not self._following:
+                raise
+            return await self._read()
+        finally:
+            timer.cancel()
+
     async def _read(self) -> Delta:
-        delta = await self._store.read()
+        has_data = self._listener.revision != UNKNOWN
+        self._record_call()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_MS / 1000 if has_data else None):
+                delta = await self._store.read()
+        except TimeoutError:
+            raise PlatformUnavailableError(
+                reason="store did not respond to a read in time", timed_out=True
+            ) from None
         if delta.revision.era < self._listener.revision.era:
             raise PlatformUnavailableError(
                 reason="store replied with an older era", answered=True
@@ -267,31 +331,34 @@
         self._is_complete = True
         return delta
 
-    async def _watch(self) -> Delta:
+    async def _watch(self, wait_ms: int, response_ms: float) -> Delta:
+        """Watch the platform.
+
+        Args:
+            wait_ms: longest wait of the store for a change.
+            response_ms: time after it at which the watch counts as lost.
+        """
         after = self._listener.revision
-        wait_ms = WATCH_TIMEOUT_MS if self._following else FIRST_WATCH_TIMEOUT_MS
-        delta = await self._wait_for_changes(after, wait_ms)
+        self._record_call()
+        try:
+            async with asyncio.timeout((wait_ms + response_ms) / 1000):
+                delta = await self._store.watch(after, wait_ms)
+        except TimeoutError:
+            raise PlatformUnavailableError(
+                reason="store did not respond to a watch in time", timed_out=True
+            ) from None
         if delta.revision.era != after.era:
             raise HistoryGoneError
         self._lost_histories = 0
-        return delta
-
-    async def _wait_for_changes(self, after: Revision, wait_ms: int) -> Delta:
-        """Watch the platform; cease to count as following while it is overdue."""
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        overdue_ms = max(WATCH_OVERDUE_MS, OVERDUE_PER_RESPONSE * self._response_ms)
-        timer = loop.call_later(
-            (wait_ms + overdue_ms) / 1000, self._set_following, False
-        )
-        try:
-            delta = await self._store.watch(after, wait_ms)
-        finally:
-            timer.cancel()
+        self._is_watch_lost = False
         if delta.revision == after:
-            self._response_ms = (loop.time() - started_s) * 1000 - wait_ms
+            self._response_ms = max(0.0, self.call_age_ms - wait_ms)
         return delta
 
+    def _record_call(self) -> None:
+        self.calls += 1
+        self._called_s = asyncio.get_running_loop().time()
+
     async def _handle_lost_history(self) -> None:
         """Request a full read, with a pause if watches repeatedly find no history."""
         era, number = self._listener.revision
@@ -299,7 +366,9 @@
         self._is_complete = False
         self._lost_histories += 1
         if self._lost_histories > 1:
-            await self._pause(self._rng.uniform(*RETRY_PAUSE_S))
+            now_s = asyncio.get_running_loop().time()
+            due_s = now_s + self._rng.uniform(*RETRY_PAUSE_S)
+            await self._pause(lambda: due_s)
 
     def _record_return(self, source: str) -> None:
         if self._is_unreachable:
@@ -316,6 +385,9 @@
     def _record_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
         self.failed_calls += 1
+        self._failed_s = asyncio.get_running_loop().time()
+        pause_s = self._rng.uniform(*RETRY_PAUSE_S) * self._failures
+        self._own_pause_s = min(pause_s, MAX_RETRY_PAUSE_S)
         self._set_following(False)
         if self._role.has_active_peer:
             return
@@ -324,18 +396,29 @@
             self._is_unreachable = True
             log_event("platform_away", level="warning", reason=error.reason)
 
-    def _log_failure(self, error: PlatformUnavailableError, pause_s: float) -> None:
+    def _log_failure(self, error: PlatformUnavailableError) -> None:
         log_event(
             "platform_call_failed",
             reason=error.reason,
             answered=error.answered,
             took_ms=self.call_age_ms,
             failures=self._failures,
-            pause_ms=pause_s * 1000,
+            pause_ms=(self._next_call_s() - self._failed_s) * 1000,
             sidecars_per_active=self._role.sidecars_per_active,
             has_active_peer=self._role.has_active_peer,
         )
 
-    def _retry_pause_s(self) -> float:
-        pause_s = self._rng.uniform(*RETRY_PAUSE_S) * self._failures
-        return min(pause_s, MAX_RETRY_PAUSE_S) * self._role.sidecars_per_active
+    def _next_call_s(self) -> float:
+        """Return the time of the next call after a failed one.
+
+        The first failures of an outage come at nearly the same time at all sidecars of
+        a zone. Each then waits for its place in the order of the zone, and keeps that
+        place by calling once in each cycle of turns.
+        """
+        sidecars = self._role.sidecars_per_active
+        if sidecars <= 1:
+            return self._failed_s + self._own_pause_s
+        cycle_s = max(MAX_RETRY_PAUSE_S, sidecars * TURN_S)
+        if self._failures == 1:
+            return self._failed_s + cycle_s * self._role.turn
+        return max(self._called_s + cycle_s, self._failed_s + RETRY_PAUSE_S[0])
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_role.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/zone_role.py
@@ -26,6 +26,9 @@
         sidecars_per_active: number of sidecars for each active one. While no
             sidecar can fill the role, all of them try, each less often by this factor:
             an outage must not multiply the calls.
+        turn: place of this sidecar in the order of addresses, as a share of the
+            sidecars of the zone: 1 for the last one. Attempts that start together can
+            be spread by it.
     """
 
     def __init__(self, *, own_ip: str, active_sidecars: int, step_ms: float):
@@ -33,6 +36,7 @@
         self.takeover_ms: float | None = None
         self.has_active_peer = False
         self.sidecars_per_active = 1.0
+        self.turn = 1.0
         self._own_ip = own_ip
         self._active_sidecars = active_sidecars
         self._step_ms = step_ms
@@ -48,7 +52,9 @@
         """
         earlier = [ip for ip in peers if ip < self._own_ip]
         self.has_active_peer = any(peers.values())
-        self.sidecars_per_active = max(1.0, (len(peers) + 1) / self._active_sidecars)
+        sidecars = len(peers) + 1
+        self.sidecars_per_active = max(1.0, sidecars / self._active_sidecars)
+        self.turn = (len(earlier) + 1) / sidecars
         if sum(peers[ip] for ip in earlier) >= self._active_sidecars:
             self._missing_since_ms = self.takeover_ms = None
             self.is_active = False
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -248,13 +248,21 @@
 
 
 class SilentStore(ScriptedStore):
-    """A store whose watches answer after their wait and a delay, while it has one."""
+    """A store that answers after a delay, and watches after their wait and a delay.
+
+    Attributes:
+        read_s: time that a read takes.
+        response_s: time that a watch takes after its wait.
+    """
 
     def __init__(self, *, response_s):
         super().__init__()
         self.response_s = response_s
+        self.read_s = 0.0
 
     async def read(self):
+        self.calls.append("read")
+        await asyncio.sleep(self.read_s)
         return Delta(revision=Revision(0, 4), is_full=True, entries=())
 
     async def watch(self, after, wait_ms):
@@ -270,11 +278,26 @@
     task = asyncio.create_task(new_reader(store, listener, role_of("10.0.0.1")).run())
     await asyncio.sleep(3.0)
     assert listener.followed == [True]
-    calls = len(store.calls)
-    store.response_s = 60.0
+    watches, reads = store.calls.count("watch"), store.calls.count("read")
+    store.response_s = store.read_s = 60.0
     await asyncio.sleep((2 * WATCH_TIMEOUT_MS + WATCH_OVERDUE_MS) / 1000 + 0.01)
     assert listener.followed == [True, False]
-    assert len(store.calls) <= calls + 1
+    assert store.calls.count("watch") <= watches + 1
+    assert store.calls.count("read") <= reads + 1
+    task.cancel()
+
+
+@pytest.mark.looptime
+async def test_store_whose_watches_hear_nothing_is_followed_by_reads():
+    """Guards against a takeover by the whole zone of a store that answers reads."""
+    store, listener = SilentStore(response_s=0.004), RecordingListener()
+    task = asyncio.create_task(new_reader(store, listener, role_of("10.0.0.1")).run())
+    await asyncio.sleep(3.0)
+    store.response_s = 60.0
+    reads = store.calls.count("read")
+    await asyncio.sleep(10.0)
+    assert listener.followed == [True]
+    assert 10 <= store.calls.count("read") - reads <= 25
     task.cancel()
 
 
--- a/tests/platform_zones.py
+++ b/tests/platform_zones.py
@@ -149,12 +149,17 @@
         if overlaps(self._store.refusing_s, start_s, start_s):
             await asyncio.sleep(ANSWER_S)
             raise PlatformUnavailableError(reason="refused")
-        if is_lost or is_dead or self.is_cut or answer_s > timeout_s:
-            await asyncio.sleep(timeout_s)
-            self._opened_s = self._used_s = now_s()
-            raise PlatformUnavailableError(reason="no answer")
-        await asyncio.sleep(answer_s)
-        self._used_s = now_s()
+        is_unanswered = is_lost or is_dead or self.is_cut or answer_s > timeout_s
+        try:
+            await asyncio.sleep(timeout_s if is_unanswered else answer_s)
+        except asyncio.CancelledError:
+            self._opened_s = now_s()
+            raise
+        finally:
+            self._used_s = now_s()
+        if is_unanswered:
+            self._opened_s = now_s()
+            raise PlatformUnavailableError(reason="no answer", timed_out=True)
 
 
 class Sidecar:
@@ -182,6 +187,7 @@
         self.revision = UNKNOWN
         self.known_s: dict[int, float] = {}
         self.following = False
+        self._states = 0
         self.role = ZoneRole(
             own_ip=ip,
             active_sidecars=WATCHERS_PER_ZONE,
@@ -192,6 +198,7 @@
             store=client, listener=self, role=self.role, rng=rng
         )
         self._following_by_peer: dict[str, bool] = {}
+        self._state_by_peer: dict[str, tuple[int, bool]] = {}
         self._is_update_due = False
         self.follower = ZoneFollower(
             role=self.role,
@@ -227,14 +234,20 @@
 
     def record_following(self, following):
         self.following = following
+        self._states += 1
         loop = asyncio.get_running_loop()
         for peer in self._zones[self._number]:
             if peer is not self:
-                loop.call_later(ANNOUNCE_S, peer.learn_state, self.ip, following)
+                state = (self._states, following)
+                loop.call_later(ANNOUNCE_S, peer.learn_state, self.ip, state)
+
+    def learn_state(self, ip, state):
+        """Learn whether a peer of the zone follows the platform.
 
-    def learn_state(self, ip, following):
-        """Learn whether a peer of the zone follows the platform."""
-        self._following_by_peer[ip] = following
+        Messages of a link arrive in order; timers of the same moment may not.
+        """
+        self._state_by_peer[ip] = max(state, self._state_by_peer.get(ip, state))
+        self._following_by_peer[ip] = self._state_by_peer[ip][1]
         if not self._is_update_due:
             self._is_update_due = True
             asyncio.get_running_loop().call_soon(self._update_role)
