--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/message_codec.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/message_codec.py
@@ -54,6 +54,10 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 """Maximum frame size: the largest body that routes commonly allow, with its header."""
 
+MAX_INTEGER = 2**63 - 1
+"""Greatest integer of a message field. Foreign numbers above it are rejected where they
+are decoded: a message must never fail for one of the values that it carries."""
+
 _FRAME_SPEC = [ttypes.Frame, ttypes.Frame.thrift_spec]
 _SLOTS = {
     RelayRequest: "request",
