Skip items of the store that no message can hold, and those that can't be parsed

An item nested some thousand deep, or with a number of some thousand digits, made the store look as if it were away.

Cause: the key goes into the frame that passes changes on; that can't be serialized, the link is closed and opened again, and closed by the same frame. A page is parsed as a whole, so one item takes the others with it.

Change: an item counts only if its key is UTF-8 of at most 200 bytes and its revision lies between 0 and the revision of the response (a greater one would hide all later changes of its key). Eras and revisions of a response are bounded the same way. A page that can't be parsed is parsed once more without the items that can't be.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,6 +14,11 @@
     WATCH_RESPONSE_TIMEOUT_S,
     ReadOnlyStore,
 )
+from sassafraswinch_sidecar.message_codec import (
+    parse_delta,
+    serialize_delta,
+    serialize_message,
+)
 from sassafraswinch_sidecar.platform_reader import (
     WATCH_TIMEOUT_MS,
     HistoryGoneError,
@@ -31,8 +36,8 @@
     """Responds to each path with the answer that a test configures.
 
     Attributes:
-        answers: by path, a function from the query to the status and the body; without
-            a status the connection is closed.
+        answers: by path, a function from the query to the status and the body, which is
+            sent as JSON unless it is bytes; without a status the connection is closed.
         era: value of the era's header field; None to omit the field.
         before_answer: awaited before each response, if set.
         connections: number of accepted connections.
@@ -63,7 +68,8 @@
             if status is None:
                 writer.close()
                 return
-            payload = json.dumps(body).encode()
+            is_raw = isinstance(body, bytes)
+            payload = body if is_raw else json.dumps(body).encode()
             era = "" if self.era is None else f"Store-Era: {self.era}\r\n"
             writer.write(
                 b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%b"
@@ -292,6 +298,67 @@
         await store.watch(Revision(0, 5), 1_000)
 
 
+DEEP = b"[" * 5_000 + b"]" * 5_000
+
+ODD_ITEMS = {
+    "lone surrogate": rb'{"key": "servers/\ud800", "value": "e30=", "rev": 3}',
+    "long key": b'{"key": "servers/%b", "value": "e30=", "rev": 3}' % (b"i" * 200),
+    "negative revision": b'{"key": "servers/i", "value": "e30=", "rev": -3}',
+    "later revision": b'{"key": "servers/i", "value": "e30=", "rev": 13}',
+    "65 bits": b'{"key": "servers/i", "value": "e30=", "rev": %d}' % (2**64),
+    "400 digits": b'{"key": "servers/i", "value": "e30=", "rev": %b}' % (b"9" * 400),
+    "5000 digits": b'{"key": "servers/i", "value": "e30=", "rev": %b}' % (b"9" * 5_000),
+    "nested": b'{"key": "servers/i", "value": "e30=", "rev": 3, "odd": %b}' % DEEP,
+    "nested key": b'{"key": %b, "value": "e30=", "rev": 3}' % DEEP,
+    "nested list": DEEP,
+    "bracket in text": b'{"key": "servers/]}", "value": "%b", "rev": 99}' % (b"[" * 9),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS.values(), ids=ODD_ITEMS.keys())
+async def test_odd_item_of_another_writer_affects_that_item_only(standin, store, odd):
+    """Guards against a store that seems to be away, and messages to peers that can't be
+    serialized, for as long as another writer's item is there.
+    """
+    good = json.dumps(item("servers/good", 11)).encode()
+    fields = b'"%b": [%b, %b], "has_more": false, "at_rev": 12'
+    page = b"{" + fields % (b"items", odd, good) + b"}"
+    events = b"{" + fields % (b"events", good, odd) + b"}"
+    standin.answers["/v1/kv-range"] = lambda query: (200, page)
+    standin.answers["/v1/kv-watch"] = lambda query: (200, events)
+    for delta in (await store.read(), await store.watch(Revision(0, 5), 1_000)):
+        assert [entry.key for entry in delta.entries] == ["servers/good"]
+        assert parse_delta(serialize_delta(delta)) == delta
+        serialize_message(serialize_delta(delta))
+
+
+@pytest.mark.parametrize("revision", [-1, 2**63, 10**400])
+async def test_revision_out_of_range_is_reported_as_an_outage(standin, store, revision):
+    """Guards against a position that no message to peers can hold."""
+    answer = {"events": [], "at_rev": revision}
+    standin.answers["/v1/kv-watch"] = lambda query: (200, answer)
+    with pytest.raises(PlatformUnavailableError):
+        await store.watch(Revision(0, 5), 1_000)
+
+
+@pytest.mark.parametrize("era", ["-1", "1_0", str(2**63), "9" * 5_000])
+async def test_era_out_of_range_is_reported_as_an_outage(standin, store, era):
+    """Guards against a position that no message to peers can hold."""
+    standin.era = era
+    standin.answers["/v1/kv-watch"] = lambda query: (200, {"events": [], "at_rev": 8})
+    with pytest.raises(PlatformUnavailableError):
+        await store.watch(Revision(0, 5), 1_000)
+
+
+async def test_page_that_repeats_is_reported_as_an_outage(standin, store):
+    """Guards against a read that never ends."""
+    page = {"items": [item("servers/a", 3)], "has_more": True, "at_rev": 5}
+    standin.answers["/v1/kv-range"] = lambda query: (200, page)
+    with pytest.raises(PlatformUnavailableError):
+        async with asyncio.timeout(5):
+            await store.read()
+
+
 RECOVERY_LIMIT_S = 3.0
 """Time limit for a host to follow changes again after its connections stopped
 responding."""
