Keep link and task when a message can't be serialized

Cause: serialize_message raises in whichever task sends: in the reader of a link, which closes it, or in a periodic task, whose failure ends the process.

Change: the link leaves the message out, logs message_unsent with its type, peer and reason, and reports that nothing was written, which each sender handles already (requests go elsewhere, owners are told). Both tests fail without it.

--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/peer_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from sassafraswinch_node.frames import FrameSplitter, WireError
+from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.body_transfer import (
     CHUNKED_FROM_BYTES,
     BodyMessage,
@@ -163,10 +164,31 @@
 
     def send_short(self, message: Message) -> None:
         """Queue a short message even if the peer has left much unread."""
-        self._write(serialize_message(message))
+        frame = self._serialize(message)
+        if frame is not None:
+            self._write(frame)
 
     def _send_now(self, message: Message) -> bool:
-        return self.send_frame(serialize_message(message))
+        frame = self._serialize(message)
+        return frame is not None and self.send_frame(frame)
+
+    def _serialize(self, message: Message) -> bytes | None:
+        """Return the frame of a message; None, and a log line, if it can't be sent.
+
+        A value that doesn't fit must end neither the link, which carries other
+        messages, nor the task that reports it.
+        """
+        try:
+            return serialize_message(message)
+        except WireError as error:
+            log_event(
+                "message_unsent",
+                level="error",
+                peer=self.peer_ip,
+                message=type(message).__name__,
+                reason=error.reason,
+            )
+            return None
 
     def receive_body(
         self,
--- /dev/null
+++ b/packages/sassafraswinch-sidecar/tests/test_peer_link.py
@@ -0,0 +1,85 @@
+"""Tests of one link between two sidecars, without a network."""
+
+from types import SimpleNamespace
+
+from sassafraswinch_node.frames import LENGTH_BYTES
+from sassafraswinch_sidecar.held_bytes import HeldBytes
+from sassafraswinch_sidecar.message_codec import parse_message
+from sassafraswinch_sidecar.peer_link import PROTOCOL_VERSION, PeerLink, WriteBatch
+from sassafraswinch_sidecar.relay_protocol.ttypes import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    NoticeReport,
+    RelayResponse,
+    ReplicaEntry,
+    ReplicaReply,
+    ServerLoad,
+    Verdict,
+)
+
+
+class Transport:
+    """Records what is written."""
+
+    def __init__(self):
+        self.frames = []
+        self.is_aborted = False
+
+    def write(self, data):
+        self.frames.append(data)
+
+    def is_closing(self):
+        return self.is_aborted
+
+    def abort(self):
+        self.is_aborted = True
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def get_extra_info(self, name):
+        return SimpleNamespace(setsockopt=lambda *option: None)
+
+
+def new_link():
+    hello = Hello(PROTOCOL_VERSION, "10.0.0.1", 1, "brno-a")
+    link = PeerLink(
+        own_hello=hello,
+        on_handshake=lambda link: None,
+        on_message=lambda link, message: None,
+        on_lost=lambda link: None,
+        batch=WriteBatch(),
+        held=HeldBytes(max_bytes=1_000),
+    )
+    transport = Transport()
+    link.connection_made(transport)
+    return link, transport
+
+
+def load_with(incarnation):
+    notice = NoticeReport("i-7", 1, 8.0, False, incarnation)
+    return ServerLoad(0, 0, 8, notice)
+
+
+async def test_message_that_cannot_be_serialized_ends_neither_link_nor_task(log_stream):
+    """Guards against a link that is closed, or a process that ends, for one value."""
+    link, transport = new_link()
+    odd_key = ReplicaReply(7, False, [ReplicaEntry("servers/\ud800", 7, b"{}")])
+    odd_number = HeartbeatReply(0, 7, load_with(2**63), False)
+    assert not link.send(odd_key)
+    assert not link.send(odd_number)
+    assert link.send(Heartbeat(sequence=9))
+    assert link.is_open
+    assert parse_message(transport.frames[-1][LENGTH_BYTES:]) == Heartbeat(sequence=9)
+    assert log_stream.getvalue().count("event=message_unsent") == 2
+
+
+async def test_short_message_that_cannot_be_serialized_is_left_out():
+    link, transport = new_link()
+    written = len(transport.frames)
+    response = RelayResponse(
+        1, Verdict.NOT_RUN, 0, b"", b"", "x", False, [], load_with(2**64)
+    )
+    link.send_short(response)
+    assert len(transport.frames) == written
