Reject registrations and names that no host or header field can have

A service, zone or organisation with CR LF, and an id with any character, were accepted and went into header fields of requests (Target-Instance, Tenant); so were addresses such as 0.0.0.0, 255.255.255.255 and one with a newline behind the port, since $ matches before it.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -37,7 +37,7 @@
 
 @settings(derandomize=True, deadline=None)
 @given(
-    instance_id=st.just("i-7"),
+    instance_id=st.text(max_size=30),
     changes=st.dictionaries(st.sampled_from([*REGISTRATION, "born"]), ODD_VALUES),
 )
 @example(instance_id="i-7", changes={"born": 2**63})
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -201,6 +201,12 @@
         {"address": "999.1.1.1:8080"},
         {"address": "10.128.0.9:99999999"},
         {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:8080\n"},
+        {"address": "0.0.0.0:8080"},
+        {"address": "255.255.255.255:8080"},
+        {"address": "224.0.0.1:8080"},
+        {"service": "orders\r\nX-Other: 1"},
+        {"zone": "brno-a\0"},
     ],
     ids=lambda changes: str(changes)[:40],
 )
@@ -213,6 +219,20 @@
         PlatformDecoder().parse_instance("i-7", encode_value(SERVER, **changes))
 
 
+@pytest.mark.parametrize("instance_id", ["", "i 7", "i\r\nX-Other: 1", "ž", "\ud800"])
+def test_id_that_no_header_field_can_hold_is_rejected(instance_id):
+    """Guards against fields of another writer's choice in each request."""
+    with pytest.raises(InvalidFieldsError):
+        PlatformDecoder().parse_instance(instance_id, encode_value(SERVER))
+
+
+def test_name_of_an_organisation_that_no_header_field_can_hold_is_rejected():
+    """Guards against fields of a name's choice in each request."""
+    tenants = [{"name": "a\r\nX-Other: 1", "api_keys": ["k"]}]
+    with pytest.raises(InvalidFieldsError):
+        PlatformDecoder().parse_route_table(encode_value(CONFIG, tenants=tenants))
+
+
 def test_start_time_distinguishes_incarnations_of_a_server():
     decoder = PlatformDecoder()
     first = decoder.parse_instance("i-7", encode_value(SERVER, born=1_790_000_000_000))
