--- a/packages/sassafraswinch-node/tests/conftest.py
+++ b/packages/sassafraswinch-node/tests/conftest.py
@@ -1,6 +1,8 @@
 """Fixtures: a scripted HTTP server and a fleet of real processes."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -12,10 +14,12 @@
     """HTTP server that sends the next scripted reply to each request.
 
     A reply is bytes to send; None closes the connection without a reply, and a reply
-    that ends with ``END`` closes the connection after it.
+    that ends with ``END`` closes the connection after it, one that ends with ``RESET``
+    resets it.
     """
 
     END = b"<end>"
+    RESET = b"<reset>"
 
     def __init__(self):
         self.requests = []
@@ -38,15 +42,23 @@
                 reply = self.replies.pop(0)
                 if reply is None:
                     break
-                writer.write(reply.removesuffix(self.END))
+                writer.write(reply.removesuffix(self.END).removesuffix(self.RESET))
                 if reply.endswith(self.END):
                     break
+                if reply.endswith(self.RESET):
+                    self.reset(writer)
+                    break
                 if not self.reads_bodies:
                     await self.closed.wait()
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed.set()
         writer.close()
 
+    def reset(self, writer):
+        raw = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def read_request(self, reader):
         head = await reader.readuntil(b"\r\n\r\n")
         size = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
--- a/packages/sassafraswinch-node/tests/test_backend.py
+++ b/packages/sassafraswinch-node/tests/test_backend.py
@@ -189,6 +189,12 @@
         b"HTTP/1.1 200 OK\r\nContent-Le",
         b"HTTP/1.1 200 OK\r\nX-A: 1\r\n",
         b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-A",
+        b"HTTP/1.1 204 No Content\r\nX-A: 1\r\n",
+        b"HTTP/1.0 200 OK\r\nX-A: 1\r\n",
+        b"HTTP/1",
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.1 200 OK\r\nTransfer-Enc",
         CHUNKED + b"2\r\nok\r\n",
         CHUNKED + b"2\r\nok\r\n0\r\n",
         CHUNKED + b"x\r\nok\r\n0\r\n\r\n",
@@ -198,8 +204,17 @@
         b"SSH-2.0\r\n",
     ],
 )
-async def test_incomplete_response_may_have_run(server, client, reply):
-    server.replies = [reply + b"<end>"]
+@pytest.mark.parametrize("ending", [b"<end>", b"<reset>"])
+async def test_incomplete_response_may_have_run(server, client, reply, ending):
+    server.replies = [reply + ending]
+    error = await failure(client)
+    assert (error.verdict, error.reason) == (MAY_HAVE_RUN, Reason.BACKEND_BROKEN)
+
+
+@pytest.mark.parametrize("head", [b"HTTP/1.0 200 OK\r\n", b"HTTP/1.1 200 OK\r\n"])
+async def test_reset_response_without_length_may_have_run(server, client, head):
+    """Guards against a success with a short body: only an orderly end completes it."""
+    server.replies = [head + b"Connection: close\r\n\r\nok<reset>"]
     error = await failure(client)
     assert (error.verdict, error.reason) == (MAY_HAVE_RUN, Reason.BACKEND_BROKEN)
 
