--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 VARIED ?=
 ENDLESS ?=
 LOST ?=
+FOREIGN ?=
 # Half of the cores, four at most: tests of many sidecars take turns on one core.
 WORKERS ?= $(shell n=$$(( $$(nproc) / 2 )); echo $$(( n > 4 ? 4 : n < 1 ? 1 : n )))
 
@@ -58,11 +59,12 @@
 # processes are only stopped, under many callers that open new connections. With
 # VARIED=--varied lengths and run times vary over orders of magnitude, within 200 MB. With
 # ENDLESS=--endless servers send answers without end as well, within 200 MB; with
-# LOST=--lost-service all servers of a service are lost, and its route is moved.
+# LOST=--lost-service all servers of a service are lost, and its route is moved. With
+# FOREIGN=--foreign another writer leaves odd entries among those of the servers.
 fault-soak: setup
 	cd tests && PYTHONPATH=$(FAULT_SOAK_PATH) ../$(BIN)/python -m fault_soak.play \
 		--first $(SEED) --seeds $(SEEDS) $(FATAL) $(RESTORES) $(LIMITS) $(STOPS) $(VARIED) \
-		$(ENDLESS) $(LOST)
+		$(ENDLESS) $(LOST) $(FOREIGN)
 
 # Needs the thrift compiler; its output is committed, so the build doesn't.
 generate:
--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -10,6 +10,7 @@
 
 from sassafraswinch_standins.relay_settings import Direction, Fault
 
+from . import foreign_entries
 from .fleet import FaultSoakFleet, Host
 from .notices import LIMITS_PER_S
 
@@ -25,6 +26,9 @@
 VARIED_WEIGHT = 3
 """Weight of each fault that only soaks of varied requests have."""
 
+FOREIGN_WEIGHT = 8
+"""Weight of odd entries among the faults."""
+
 ENDLESS_WEIGHT = 4
 """Weight of answers without end among the faults, if they are enabled."""
 
@@ -49,6 +53,8 @@
         is_endless: whether servers also send answers without end.
         loses_service: whether all servers of a service are lost for good, and its route
             is moved to another one.
+        has_foreign_entries: whether another writer leaves odd entries among those of
+            the servers.
 
     Attributes:
         counts: number of faults so far, by kind.
@@ -66,6 +72,7 @@
         is_varied: bool = False,
         is_endless: bool = False,
         loses_service: bool = False,
+        has_foreign_entries: bool = False,
     ):
         self._loses_service = loses_service
         self.counts: Counter[str] = Counter()
@@ -105,6 +112,8 @@
             self._actions += [self.cut_store] * VARIED_WEIGHT
         if is_endless:
             self._actions += [self.server_never_ends] * ENDLESS_WEIGHT
+        if has_foreign_entries:
+            self._actions += [self.foreign_entry] * FOREIGN_WEIGHT
         if restores:
             self._actions += [self.store_restored] * RESTORE_WEIGHT
         if limits:
@@ -317,6 +326,12 @@
             await self._wait(1.0, 5.0)
             host.server.reset_faults()
 
+    async def foreign_entry(self) -> None:
+        """Leave an odd entry among those of the servers, for good."""
+        self.counts["foreign-entry"] += 1
+        address = f"{self._rng.choice(self._fleet.hosts).server.ip}:80"
+        await foreign_entries.put_odd_entry(self._fleet.store, self._rng, address)
+
     async def service_lost(self) -> None:
         """Lose all servers of a service for good, and move its route later.
 
--- a/tests/fault_soak/play.py
+++ b/tests/fault_soak/play.py
@@ -68,6 +68,7 @@
     varied: bool = False,
     endless: bool = False,
     lost_service: bool = False,
+    foreign: bool = False,
 ) -> SeedResult:
     """Run one seed; the processes' logs remain in the directory."""
     result = SeedResult(seed)
@@ -89,6 +90,7 @@
         is_varied=varied,
         is_endless=endless,
         loses_service=lost_service,
+        has_foreign_entries=foreign,
     )
     memory = MemoryWatch(hosts=fleet.hosts if varied or endless else ())
     try:
@@ -154,6 +156,7 @@
     varied: bool = False,
     endless: bool = False,
     lost_service: bool = False,
+    foreign: bool = False,
 ) -> None:
     """Run consecutive seeds; the exit code is 1 if an invariant was violated.
 
@@ -169,6 +172,7 @@
         varied: vary lengths and times over orders of magnitude, within little memory.
         endless: also have servers send answers without end.
         lost_service: also lose all servers of a service and move its route.
+        foreign: also leave odd entries of another writer among the servers'.
     """
     failed = []
     for seed in range(first, first + seeds):
@@ -187,6 +191,7 @@
                 varied=varied,
                 endless=endless,
                 lost_service=lost_service,
+                foreign=foreign,
             )
         )
         elapsed_s = time.monotonic() - started_s
--- a/tests/fault_soak/store.py
+++ b/tests/fault_soak/store.py
@@ -61,6 +61,14 @@
         self.items[key] = item
         await self._publish_event(item)
 
+    async def put_foreign(self, key: str, text: str, **fields: object) -> None:
+        """Write an item of another writer, with any text and any further fields."""
+        self.revision += 1
+        value = base64.b64encode(text.encode()).decode()
+        item = {"key": key, "value": value, "rev": self.revision, "lease": 0} | fields
+        self.items[key] = item
+        await self._publish_event(item)
+
     async def remove(self, key: str) -> None:
         self.written[key] = None
         if self.items.pop(key, None) is None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -54,6 +54,14 @@
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
+async def test_invariants_hold_beside_odd_entries_of_another_writer(tmp_path):
+    """Guards against one entry that ends processes or the following of changes."""
+    outcome = await play(SEED, tmp_path, foreign=True)
+    assert not outcome.broken
+    assert outcome.faults["foreign-entry"]
+    assert outcome.statuses[200] > outcome.statuses.total() / 2
+
+
 async def test_invariants_hold_beside_answers_without_end(tmp_path):
     """Guards against memory and slots held by what is no answer."""
     outcome = await play(SEED, tmp_path, endless=True)
