--- a/tests/fault_soak/chaos.py
+++ b/tests/fault_soak/chaos.py
@@ -10,8 +10,8 @@
 
 from sassafraswinch_standins.relay_settings import Direction, Fault
 
-from . import foreign_entries
 from .fleet import FaultSoakFleet, Host
+from .foreign_entries import put_odd_entries
 from .notices import LIMITS_PER_S
 
 FaultAction = Callable[[], Awaitable[None]]
@@ -113,7 +113,7 @@
         if is_endless:
             self._actions += [self.server_never_ends] * ENDLESS_WEIGHT
         if has_foreign_entries:
-            self._actions += [self.foreign_entry] * FOREIGN_WEIGHT
+            self._actions += [self.foreign_entries] * FOREIGN_WEIGHT
         if restores:
             self._actions += [self.store_restored] * RESTORE_WEIGHT
         if limits:
@@ -326,11 +326,11 @@
             await self._wait(1.0, 5.0)
             host.server.reset_faults()
 
-    async def foreign_entry(self) -> None:
-        """Leave an odd entry among those of the servers, for good."""
-        self.counts["foreign-entry"] += 1
+    async def foreign_entries(self) -> None:
+        """Leave odd entries among those of the servers, for good."""
+        self.counts["foreign-entries"] += 1
         address = f"{self._rng.choice(self._fleet.hosts).server.ip}:80"
-        await foreign_entries.put_odd_entry(self._fleet.store, self._rng, address)
+        await put_odd_entries(self._fleet.store, self._rng, address)
 
     async def service_lost(self) -> None:
         """Lose all servers of a service for good, and move its route later.
--- a/tests/fault_soak/foreign_entries.py
+++ b/tests/fault_soak/foreign_entries.py
@@ -2,15 +2,30 @@
 
 import json
 import random
+from typing import Any
 
 from .store import StoreStandIn
 
 DEPTH = 900
 """Nesting up to which this module can serialize an entry."""
 
-ODD_REVISIONS = [-1, 2**63, 2**64, 10**400]
-ODD_KEYS = ["\ud800", "", "i\r\nX-Other: 1", "\0", "i" * 300]
-ODD_FIELDS = [
+ENTRIES = 4
+"""Odd entries that are written together, each of another kind."""
+
+ODD_ITEMS: list[dict[str, Any]] = [
+    {"rev": -1},
+    {"rev": 2**63},
+    {"rev": 2**64},
+    {"rev": 10**400},
+    {"key": "servers/\ud800"},
+    {"key": "servers/"},
+    {"key": "servers/i\r\nX-Other: 1"},
+    {"key": "servers/\0"},
+    {"key": f"servers/{'i' * 300}"},
+]
+"""Changed fields of an item whose value is a sound registration."""
+
+ODD_REGISTRATIONS: list[dict[str, Any]] = [
     {"born": 2**63},
     {"born": 10**400},
     {"slots": 10**400},
@@ -19,33 +34,31 @@
     {"address": "0.0.0.0:80"},
     {"zone": "a\r\nb"},
 ]
+"""Changed fields of a registration under a key of its own."""
 
 
-async def put_odd_entry(store: StoreStandIn, rng: random.Random, address: str) -> None:
-    """Write one odd entry of a random kind.
+async def put_odd_entries(
+    store: StoreStandIn, rng: random.Random, address: str
+) -> None:
+    """Write odd entries of random kinds.
 
     Args:
         store: the store.
-        rng: source of the kind.
-        address: address of a server, which the entry names.
+        rng: source of the kinds.
+        address: address of a live server, which the entries name.
     """
-    key = f"servers/foreign-{rng.randrange(1_000)}"
-    registration = {
+    sound = {
         "service": "archiv",
         "address": address,
         "zone": "zone-0",
         "slots": 8,
         "state": "ready",
     }
-    kind = rng.randrange(4)
-    if kind == 0:
-        odd = {"rev": rng.choice(ODD_REVISIONS)}
-        await store.put_foreign(key, json.dumps(registration), **odd)
-    elif kind == 1:
-        key = f"servers/{rng.choice(ODD_KEYS)}"
-        await store.put_foreign(key, json.dumps(registration))
-    elif kind == 2:
-        changed = registration | rng.choice(ODD_FIELDS)
-        await store.put_foreign(key, json.dumps(changed))
-    else:
-        await store.put_foreign(key, "[" * DEPTH + "]" * DEPTH)
+    entries = [
+        *((item, json.dumps(sound)) for item in ODD_ITEMS),
+        *(({}, json.dumps(sound | changes)) for changes in ODD_REGISTRATIONS),
+        ({}, "[" * DEPTH + "]" * DEPTH),
+    ]
+    for item, text in rng.sample(entries, ENTRIES):
+        key = f"servers/foreign-{rng.randrange(1_000)}"
+        await store.put_foreign(key, text, item)
--- a/tests/fault_soak/store.py
+++ b/tests/fault_soak/store.py
@@ -61,12 +61,18 @@
         self.items[key] = item
         await self._publish_event(item)
 
-    async def put_foreign(self, key: str, text: str, **fields: object) -> None:
-        """Write an item of another writer, with any text and any further fields."""
+    async def put_foreign(self, key: str, text: str, changes: dict) -> None:
+        """Write an item of another writer.
+
+        Args:
+            key: key of the item.
+            text: its value.
+            changes: fields that replace those that the store would give it.
+        """
         self.revision += 1
         value = base64.b64encode(text.encode()).decode()
-        item = {"key": key, "value": value, "rev": self.revision, "lease": 0} | fields
-        self.items[key] = item
+        item = {"key": key, "value": value, "rev": self.revision, "lease": 0} | changes
+        self.items[item["key"]] = item
         await self._publish_event(item)
 
     async def remove(self, key: str) -> None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -58,7 +58,7 @@
     """Guards against one entry that ends processes or the following of changes."""
     outcome = await play(SEED, tmp_path, foreign=True)
     assert not outcome.broken
-    assert outcome.faults["foreign-entry"]
+    assert outcome.faults["foreign-entries"]
     assert outcome.statuses[200] > outcome.statuses.total() / 2
 
 
