--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -241,6 +241,7 @@
         """Make no calls while peers follow the platform."""
         self._set_following(False)
         self._failures = 0
+        self._is_watch_lost = False
         self._is_complete = True  # Peers send all changes.
         while not self._is_needed:
             self._check_peers()
@@ -321,6 +322,8 @@
             async with asyncio.timeout(READ_TIMEOUT_MS / 1000 if has_data else None):
                 delta = await self._store.read()
         except TimeoutError:
+            # A store that is slow may answer a watch within its time, not a long read.
+            self._is_watch_lost = False
             raise PlatformUnavailableError(
                 reason="store did not respond to a read in time", timed_out=True
             ) from None
--- a/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
+++ b/packages/sassafraswinch-sidecar/tests/test_platform_reader.py
@@ -301,6 +301,20 @@
     task.cancel()
 
 
+@pytest.mark.looptime
+async def test_store_that_is_too_slow_for_a_long_read_is_followed_by_watches():
+    """Guards against reads without end where a watch would be answered in time."""
+    store, listener = SilentStore(response_s=0.004), RecordingListener()
+    task = asyncio.create_task(new_reader(store, listener, role_of("10.0.0.1")).run())
+    await asyncio.sleep(3.0)
+    store.response_s, store.read_s = 0.45, 1.5
+    await asyncio.sleep(6.0)
+    settled = len(listener.followed)
+    await asyncio.sleep(20.0)
+    assert listener.followed[settled - 1 :] == [True]
+    task.cancel()
+
+
 @pytest.mark.looptime
 async def test_slow_store_is_followed_without_interruption():
     """Guards against a takeover with each watch while the store is slow for all."""
