--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/platform_reader.py
@@ -169,8 +169,8 @@
         rng: random source of the pauses.
 
     Attributes:
-        calls: number of calls made to the platform.
-        failed_calls: number of those that returned no usable data.
+        calls: number of reads and watches so far.
+        failed_calls: number of times that no usable data came, and a pause followed.
     """
 
     def __init__(
@@ -181,6 +181,8 @@
         role: ZoneRole,
         rng: random.Random,
     ):
+        self.calls = 0
+        self.failed_calls = 0
         self._store = store
         self._listener = listener
         self._role = role
@@ -195,8 +197,6 @@
         self._own_pause_s = 0.0
         self._failed_s = 0.0
         self._is_active = asyncio.Event()
-        self.calls = 0
-        self.failed_calls = 0
         self._called_s = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
@@ -284,23 +284,20 @@
             await asyncio.sleep(self._rng.uniform(*BURST_PAUSE_S))
 
     async def _fetch(self) -> Delta:
-        """Return the next changes, or all data if they can't be had by a watch.
-
-        While this sidecar follows the platform, a lost watch is replaced by a read at
-        once. Failure: watches hear nothing while changes are made, and the zone waits
-        for one watch after the other although reads are answered.
-        """
+        """Return the next changes, or all data if they can't be had by a watch."""
         is_current = self._store.era <= self._listener.revision.era
         is_deaf = self._is_watch_lost and not self._following
         if not self._is_complete or not is_current or is_deaf:
             return await self._read()
-        # A sidecar that has just failed, or taken over, doesn't count as following yet.
-        is_first = self._is_watch_lost or not self._following
-        lost_ms = max(WATCH_RESPONSE_MS, LOST_PER_RESPONSE * self._response_ms)
-        response_ms = min(lost_ms, MAX_WATCH_RESPONSE_MS)
-        wait_ms = WATCH_TIMEOUT_MS
-        if is_first:
-            wait_ms, response_ms = FIRST_WATCH_TIMEOUT_MS, MAX_WATCH_RESPONSE_MS
+        return await self._watch_or_read()
+
+    async def _watch_or_read(self) -> Delta:
+        """Watch the platform; replace a lost watch by a read while following.
+
+        Failure: watches hear nothing while changes are made, and the zone waits for one
+        watch after the other although reads are answered.
+        """
+        wait_ms, response_ms = self._watch_times_ms()
         grace_ms = WATCH_OVERDUE_MS - WATCH_RESPONSE_MS
         timer = asyncio.get_running_loop().call_later(
             (wait_ms + response_ms + grace_ms) / 1000, self._set_following, False
@@ -315,6 +312,13 @@
         finally:
             timer.cancel()
 
+    def _watch_times_ms(self) -> tuple[int, float]:
+        """Return the wait of the next watch, and the time after it for the response."""
+        if self._is_watch_lost or not self._following:
+            return FIRST_WATCH_TIMEOUT_MS, MAX_WATCH_RESPONSE_MS
+        lost_ms = max(WATCH_RESPONSE_MS, LOST_PER_RESPONSE * self._response_ms)
+        return WATCH_TIMEOUT_MS, min(lost_ms, MAX_WATCH_RESPONSE_MS)
+
     async def _read(self) -> Delta:
         has_data = self._listener.revision != UNKNOWN
         self._record_call()
