Node: skip odd entries of the host list instead of refusing the list

One odd entry of the host list, or one with a field nested 300 deep, made the list invalid as a whole: nodes followed neither new nor leaving hosts until it was gone.

Change: each entry is validated by itself; those that can't be parsed or are invalid are skipped and logged (host_entries_skipped). A list without any valid entry is refused as before. No version of the list removes a host that answers, so a skipped one keeps its work. Names may hold no control characters.

--- a/packages/sassafraswinch-node/sassafraswinch_node/platform.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/platform.py
@@ -2,14 +2,15 @@
 
 import ipaddress
 import itertools
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Annotated
 from urllib.parse import urlsplit
 
-from pydantic import BaseModel, Field, TypeAdapter, ValidationError
+from pydantic import BaseModel, Field, ValidationError
 
 from sassafraswinch.errors import SassafraswinchError
+from sassafraswinch.json_items import parse_json_items
 from sassafraswinch.membership import HostRecord, HostState
 from sassafraswinch_node.http_client import HttpClient, HttpClientError, HttpResponse
 from sassafraswinch_node.settings import AddressText
@@ -27,6 +28,9 @@
 CONNECTIONS_PER_ADDRESS = 2
 """One connection for the watch of the document and one for that of the host list."""
 
+ENTRY_DEPTH = 2
+"""Nesting of an entry in the host list."""
+
 MAX_FAULTS_SHOWN = 5
 """Maximum number of faults of a host list that its error message lists."""
 
@@ -46,6 +50,8 @@
 
     version: int
     records: tuple[HostRecord, ...]
+    faults: tuple[str, ...] = ()
+    """Faults of entries that were skipped, each with its place and reason."""
 
 
 class PlatformError(SassafraswinchError):
@@ -129,12 +135,12 @@
         if response is None:
             return None
         try:
-            records = parse_hosts(response.body)
+            records, faults = parse_hosts(response.body)
         except ValueError as error:
             raise PlatformAnswerError(
                 url=response.url, reason=str(error), status=200
             ) from error
-        return PublishedHosts(version=response.version, records=records)
+        return PublishedHosts(version=response.version, records=records, faults=faults)
 
     async def close(self) -> None:
         """Close idle connections now, and busy ones after their responses."""
@@ -195,45 +201,64 @@
     body: bytes
 
 
+HostText = Annotated[
+    str, Field(min_length=1, max_length=200, pattern=r"^[^\x00-\x1f\x7f]+$")
+]
+"""A name, which is sent to peers and logged."""
+
+
 class _HostModel(BaseModel):
     """A host in the platform's format; unknown fields are ignored."""
 
-    name: Annotated[str, Field(min_length=1, max_length=200)]
-    service: Annotated[str, Field(min_length=1, max_length=200)]
-    availability_zone: Annotated[str, Field(min_length=1, max_length=200)]
+    name: HostText
+    service: HostText
+    availability_zone: HostText
     state: HostState
     link: AddressText
     entry: AddressText
     operators: AddressText
 
 
-_HOST_LIST = TypeAdapter(list[_HostModel])
+def parse_hosts(body: bytes) -> tuple[tuple[HostRecord, ...], tuple[str, ...]]:
+    """Parse a host list; invalid entries are skipped.
 
+    Failure: one odd entry makes the whole list invalid, and nodes follow neither new
+    nor leaving hosts for as long as it is there.
 
-def parse_hosts(body: bytes) -> tuple[HostRecord, ...]:
-    """Parse a host list.
+    Returns:
+        The valid records, and the faults of the other entries.
 
     Raises:
-        ValueError: the list is malformed or names a host twice.
+        ValueError: the body isn't a list, names a host twice, or has no valid entry
+            though it has entries.
     """
-    try:
-        models = _HOST_LIST.validate_json(body)
-    except ValidationError as error:
-        raise ValueError(_describe_faults(error)) from error
-    records = tuple(
-        HostRecord(**{name: getattr(model, name) for name in _HostModel.model_fields})
-        for model in models
-    )
+    entries = parse_json_items(body, depth=ENTRY_DEPTH)
+    if not isinstance(entries, list):
+        raise ValueError("expected a list of hosts")
+    records, faults = [], []
+    for number, entry in enumerate(entries):
+        try:
+            model = _HostModel.model_validate(entry)
+        except ValidationError as error:
+            faults += _faults_of(number, error)
+        else:
+            fields = {name: getattr(model, name) for name in _HostModel.model_fields}
+            records.append(HostRecord(**fields))
+    if faults and not records:
+        raise ValueError(describe_faults(faults))
     if len({record.name for record in records}) < len(records):
         raise ValueError("a host is named twice in the host list")
-    return records
+    return tuple(records), tuple(faults)
+
+
+def _faults_of(number: int, error: ValidationError) -> Iterator[str]:
+    """Yield the faults of an entry, each with its place in the list."""
+    for item in error.errors(include_url=False, include_input=False):
+        yield f"{'.'.join(map(str, (number, *item['loc'])))}: {item['msg']}"
 
 
-def _describe_faults(error: ValidationError) -> str:
-    faults = [
-        f"{'.'.join(map(str, item['loc'])) or '(body)'}: {item['msg']}"
-        for item in error.errors(include_url=False)
-    ]
+def describe_faults(faults: Sequence[str]) -> str:
+    """Return the first faults and the number of the others."""
     omitted = len(faults) - MAX_FAULTS_SHOWN
     shown = "; ".join(faults[:MAX_FAULTS_SHOWN])
     return f"{shown}; and {omitted} more" if omitted > 0 else shown
--- a/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
+++ b/packages/sassafraswinch-node/sassafraswinch_node/platform_watch.py
@@ -13,7 +13,11 @@
     WatchSchedule,
 )
 from sassafraswinch_node.logs import log_event
-from sassafraswinch_node.platform import PlatformClient, PlatformError
+from sassafraswinch_node.platform import (
+    PlatformClient,
+    PlatformError,
+    describe_faults,
+)
 
 ASSUMED_FLEET_SIZE = 560
 """Fleet size assumed until the host list has been read: the design size."""
@@ -132,6 +136,9 @@
         )
         if published is None:
             return False
+        if published.faults:
+            reason = describe_faults(published.faults)
+            log_event("host_entries_skipped", level="warning", reason=reason)
         now_ms = self.now_ms()
         self.membership.apply_host_list(published.records, published.version, now_ms)
         return True
