--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/isolation_detector.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/isolation_detector.py
@@ -5,7 +5,7 @@
 
 from sassafraswinch_node.logs import log_event
 from sassafraswinch_sidecar.instances import Instance
-from sassafraswinch_sidecar.platform_reader import (
+from sassafraswinch_sidecar.platform_ports import (
     PlatformStore,
     PlatformUnavailableError,
 )
--- a/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
+++ b/packages/sassafraswinch-sidecar/sassafraswinch_sidecar/sidecar.py
@@ -46,11 +46,11 @@
 from sassafraswinch_sidecar.peer_links import PeerLinks
 from sassafraswinch_sidecar.placement import Placement, capacities_of
 from sassafraswinch_sidecar.platform_data import PlatformData
+from sassafraswinch_sidecar.platform_ports import PlatformStore
 from sassafraswinch_sidecar.platform_reader import (
     WATCHER_TAKEOVER_STEP_MS,
     WATCHERS_PER_ZONE,
     PlatformReader,
-    PlatformStore,
 )
 from sassafraswinch_sidecar.process_memory import resident_bytes
 from sassafraswinch_sidecar.reachable_loads import ReachableLoads
