--- a/packages/sassafraswinch-node/tests/test_platform.py
+++ b/packages/sassafraswinch-node/tests/test_platform.py
@@ -28,12 +28,16 @@
 
 @pytest.fixture
 async def client(server):
-    url = "http://{}:{}/base/".format(*server.address)
-    client = platform.PlatformClient(urls=[url], read_timeout_ms=200)
+    client = new_client(server)
     yield client
     await client.close()
 
 
+def new_client(server, **options):
+    url = "http://{}:{}/base/".format(*server.address)
+    return platform.PlatformClient(urls=[url], **options)
+
+
 def targets(server):
     return [request.split()[1].decode() for request in server.requests]
 
@@ -118,16 +122,18 @@
         await client.document()
 
 
-async def test_unresponsive_platform_gets_one_read_with_a_timeout(server, client):
+async def test_unresponsive_platform_gets_one_read_with_a_timeout(server):
     """The platform accepts connections but sends no response.
 
     A client that retried would multiply the reads of a fleet while the platform is
     overloaded or failing.
     """
     server.replies = [b""]
+    client = new_client(server, read_timeout_ms=200)
     with pytest.raises(platform.PlatformUnreachableError, match="200"):
         await client.hosts()
     assert len(server.requests) == 1
+    await client.close()
 
 
 async def test_dropped_watch_is_not_retried(server, client):
